--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,1 @@
+export { type DaemonSettings, daemonSettingsSchema } from "./DaemonSettings.js";
