Add telemetry adapters and the platform's HTTP adapter with its limiter

Cause: daemons need logs, metrics, a bounded time line and a rate-limited client of the object API. Ruled out: folding a lost answer into unavailable; only a refused connection counts as not sent.

--- /dev/null
+++ b/packages/platform/src/adapters/PlatformHttp.ts
@@ -0,0 +1,107 @@
+import type { Clock } from "@fescuehaven/runtime";
+import { Agent, request } from "undici";
+import { z } from "zod";
+
+/** What a `PlatformHttp` is made of. */
+interface PlatformHttpOptions {
+    /** Base URL of the platform's API. */
+    url: string;
+    /** Longest wait for an answer, ms. */
+    timeoutMs: number;
+    /** Address that connections come from. */
+    localAddress?: string;
+    clock: Clock;
+}
+
+/** One call. */
+interface PlatformCall {
+    method: "GET" | "PUT" | "DELETE";
+    path: string;
+    headers?: Record<string, string>;
+    body?: unknown;
+    /** Longer than the usual wait, for watches. */
+    timeoutMs?: number;
+    signal?: AbortSignal;
+}
+
+/** What came of a call. */
+type PlatformAnswer =
+    | { kind: "answered"; status: number; body: unknown; }
+    /** The connection was refused: nothing reached the platform. */
+    | { kind: "not-sent"; }
+    /** No answer: the call may have taken effect. */
+    | { kind: "lost"; };
+
+const CONNECT_TIMEOUT_MS = 1000;
+const KEEP_ALIVE_MS = 10_000;
+const NOT_SENT_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+const errorCodeSchema = z.object({ code: z.string() });
+
+/** HTTP calls to the platform, each with a deadline. A connection without an answer in time is left for a new one. */
+export class PlatformHttp {
+    private agent: Agent;
+
+    private constructor(private readonly options: PlatformHttpOptions) {
+        this.agent = this.newAgent();
+    }
+
+    /** Creates the client. */
+    static create(options: PlatformHttpOptions): PlatformHttp {
+        return new PlatformHttp(options);
+    }
+
+    /** Makes one call. Never rejects. */
+    async call(call: PlatformCall): Promise<PlatformAnswer> {
+        const timeout = new AbortController();
+        const finished = new AbortController();
+        const agent = this.agent;
+        let silent = false;
+        void this.options.clock.sleep(call.timeoutMs ?? this.options.timeoutMs, finished.signal).then(() => {
+            silent = !finished.signal.aborted;
+            timeout.abort();
+        });
+        const signal = call.signal ? AbortSignal.any([timeout.signal, call.signal]) : timeout.signal;
+        try {
+            const response = await request(new URL(call.path, this.options.url), {
+                method: call.method,
+                headers: { "content-type": "application/json", ...call.headers },
+                body: call.body === undefined ? undefined : JSON.stringify(call.body),
+                dispatcher: agent,
+                signal,
+            });
+            const text = await response.body.text();
+            return { kind: "answered", status: response.statusCode, body: text === "" ? undefined : JSON.parse(text) };
+        }
+        catch (error) {
+            if (silent && agent === this.agent) {
+                this.replaceAgent();
+            }
+            const code = errorCodeSchema.safeParse(error);
+            return code.success && NOT_SENT_CODES.has(code.data.code) ? { kind: "not-sent" } : { kind: "lost" };
+        }
+        finally {
+            finished.abort();
+        }
+    }
+
+    /** Closes all connections. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private newAgent(): Agent {
+        return new Agent({
+            connect: { timeout: CONNECT_TIMEOUT_MS, localAddress: this.options.localAddress },
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            pipelining: 1,
+        });
+    }
+
+    private replaceAgent(): void {
+        const old = this.agent;
+        this.agent = this.newAgent();
+        void old.close().catch(() => undefined);
+    }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,8 @@
+export { HttpObjectStore } from "./adapters/HttpObjectStore.js";
+export { HttpVmDirectory } from "./adapters/HttpVmDirectory.js";
+export { PlatformHttp } from "./adapters/PlatformHttp.js";
 export type { CallClass } from "./CallClass.js";
+export { CallLimiter } from "./CallLimiter.js";
 export type { ListOutcome } from "./ListOutcome.js";
 export type { ObjectChange } from "./ObjectChange.js";
 export type { ObjectKey } from "./ObjectKey.js";
--- /dev/null
+++ b/packages/telemetry/src/EventRing.ts
@@ -0,0 +1,58 @@
+import type { EventFilter } from "./EventFilter.js";
+import type { HybridClock } from "./HybridClock.js";
+import type { EventRecorder } from "./ports/EventRecorder.js";
+import type { StampedEvent } from "./StampedEvent.js";
+import type { TimelineEvent } from "./TimelineEvent.js";
+
+/** What an `EventRing` is made of. */
+interface EventRingOptions {
+    hybridClock: HybridClock;
+    process: string;
+    zone: string;
+    /** Events kept; older ones are dropped and counted. */
+    capacity: number;
+}
+
+/** The bounded time line of one process. */
+export class EventRing implements EventRecorder {
+    private readonly slots: StampedEvent[] = [];
+    private recorded = 0;
+
+    private constructor(private readonly options: EventRingOptions) {}
+
+    /** Creates an empty ring. */
+    static create(options: EventRingOptions): EventRing {
+        return new EventRing(options);
+    }
+
+    /** Events that have left the ring. */
+    get dropped(): number {
+        return Math.max(0, this.recorded - this.options.capacity);
+    }
+
+    /** Stamps and keeps the event. */
+    record(event: TimelineEvent): void {
+        const stamped = {
+            ...event,
+            at: this.options.hybridClock.next(),
+            process: this.options.process,
+            processZone: this.options.zone,
+        };
+        this.slots[this.recorded % this.options.capacity] = stamped;
+        this.recorded += 1;
+    }
+
+    /** Events that pass the filter, oldest first. */
+    read(filter: EventFilter): StampedEvent[] {
+        const start = this.recorded > this.options.capacity ? this.recorded % this.options.capacity : 0;
+        const ordered = [...this.slots.slice(start), ...this.slots.slice(0, start)];
+        const passed = ordered.filter(event => matches(event, filter));
+        return filter.limit === undefined ? passed : passed.slice(-filter.limit);
+    }
+}
+
+function matches(event: StampedEvent, filter: EventFilter): boolean {
+    return (filter.requestId === undefined || event.requestId === filter.requestId)
+        && (filter.group === undefined || event.group === filter.group)
+        && (filter.vm === undefined || event.vm === filter.vm);
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,17 @@
+export { ConsoleLogger } from "./adapters/ConsoleLogger.js";
+export { NoMetrics } from "./adapters/NoMetrics.js";
+export { StatsdMetrics } from "./adapters/StatsdMetrics.js";
+export type { EventFilter } from "./EventFilter.js";
+export { EventRing } from "./EventRing.js";
+export { HybridClock } from "./HybridClock.js";
+export type { HybridTimestamp } from "./HybridTimestamp.js";
 export type { EventRecorder } from "./ports/EventRecorder.js";
 export type { Logger } from "./ports/Logger.js";
 export type { Metrics } from "./ports/Metrics.js";
+export type { StampedEvent } from "./StampedEvent.js";
 export type { TimelineEvent } from "./TimelineEvent.js";
 export type { TimelineEventKind } from "./TimelineEventKind.js";
+export { compareTimestamps } from "./util/compareTimestamps.js";
+export { formatTimestamp } from "./util/formatTimestamp.js";
+export { hybridHeader } from "./util/hybridHeader.js";
+export { parseTimestamp } from "./util/parseTimestamp.js";
--- /dev/null
+++ b/packages/telemetry/src/util/hybridHeader.ts
@@ -0,0 +1,2 @@
+/** HTTP header that carries a hybrid time stamp between processes, as `wallMs.logical`. */
+export const hybridHeader = "fescue-hlc";
