--- /dev/null
+++ b/packages/daemon/src/adapters/IntrospectionHandler.ts
@@ -0,0 +1,78 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { IntrospectionService, type ReadEventsRequest } from "@fescuehaven/protocol";
+import type { EventRing, StampedEvent } from "@fescuehaven/telemetry";
+
+/** What an `IntrospectionHandler` is made of. */
+interface IntrospectionHandlerOptions {
+    process: string;
+    zone: string;
+    role: "router" | "controller";
+    events: EventRing;
+    /** Highest configuration revision in force. */
+    configurationRevision: () => number;
+    /** The process's state, as plain JSON values. */
+    state: () => Record<string, unknown>;
+}
+
+/** Most events that one answer carries. */
+const MAX_EVENTS = 10_000;
+
+/** Lets operators read the time line and the state of this process. */
+export class IntrospectionHandler {
+    private constructor(private readonly options: IntrospectionHandlerOptions) {}
+
+    /** Creates the handler. */
+    static create(options: IntrospectionHandlerOptions): IntrospectionHandler {
+        return new IntrospectionHandler(options);
+    }
+
+    /** Adds the service to the peer server. */
+    registerOn(router: ConnectRouter): void {
+        router.service(IntrospectionService, {
+            readEvents: request => this.readEvents(request),
+            readState: () => ({
+                process: this.options.process,
+                zone: this.options.zone,
+                role: this.options.role,
+                configurationRevision: BigInt(this.options.configurationRevision()),
+                stateJson: JSON.stringify(this.options.state()),
+            }),
+        });
+    }
+
+    private readEvents(request: ReadEventsRequest): { events: ReturnType<typeof eventMessage>[]; dropped: bigint; } {
+        const events = this.options.events.read({
+            requestId: request.requestId || undefined,
+            group: request.group || undefined,
+            vm: request.vm || undefined,
+            limit: Math.min(request.limit || MAX_EVENTS, MAX_EVENTS),
+        });
+        return { events: events.map(eventMessage), dropped: BigInt(this.options.events.dropped) };
+    }
+}
+
+/** Everything that has no field of its own in the message travels as JSON. */
+function eventMessage(event: StampedEvent): {
+    wallMs: bigint;
+    logical: number;
+    process: string;
+    zone: string;
+    kind: string;
+    requestId: string;
+    group: string;
+    vm: string;
+    detailJson: string;
+} {
+    const { at, process, processZone, kind, requestId, group, vm, ...detail } = event;
+    return {
+        wallMs: BigInt(at.wallMs),
+        logical: at.logical,
+        process,
+        zone: processZone,
+        kind,
+        requestId: requestId ?? "",
+        group: group ?? "",
+        vm: vm ?? "",
+        detailJson: JSON.stringify(detail),
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/PeerServer.ts
@@ -0,0 +1,56 @@
+import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+
+/** What a `PeerServer` is made of. */
+interface PeerServerOptions {
+    host: string;
+    port: number;
+    /** Each adds its services. */
+    services: ReadonlyArray<(router: ConnectRouter) => void>;
+    interceptors: Interceptor[];
+}
+
+/** Serves the system's own processes by connect-es over HTTP/2. */
+export class PeerServer {
+    private readonly server: Http2Server;
+    private readonly sessions = new Set<ServerHttp2Session>();
+
+    private constructor(private readonly options: PeerServerOptions) {
+        const handler = connectNodeAdapter({
+            routes: router => options.services.forEach(register => register(router)),
+            interceptors: options.interceptors,
+        });
+        this.server = createServer(handler);
+        this.server.on("session", session => {
+            this.sessions.add(session);
+            session.on("close", () => this.sessions.delete(session));
+            session.on("error", () => undefined);
+        });
+    }
+
+    /** Creates the server; it listens after `listen`. */
+    static create(options: PeerServerOptions): PeerServer {
+        return new PeerServer(options);
+    }
+
+    /** Starts to listen. Rejects when the address cannot be bound. */
+    listen(): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.options.port, this.options.host, () => {
+                this.server.off("error", reject);
+                resolve();
+            });
+        });
+    }
+
+    /** Stops listening and closes every session. */
+    async close(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        for (const session of this.sessions) {
+            session.destroy();
+        }
+        await closed;
+    }
+}
