Add the command line

Cause: operators work by writing objects and watching their status. Changes go by conditional update at the revision that was read; a conflict is shown, a lost answer is settled by reading back. Ruled out: one shared drain flag a target, which lets one operator undo another; each drain is an object of its own.

--- /dev/null
+++ b/packages/cli/src/adapters/createCommandContext.ts
@@ -0,0 +1,34 @@
+import { CallLimiter, HttpObjectStore, PlatformHttp } from "@fescuehaven/platform";
+import { loadSettings, SystemClock, SystemRandom } from "@fescuehaven/runtime";
+import { userInfo } from "node:os";
+import { cliConfigurationSchema } from "../CliConfiguration.js";
+import type { CommandContext } from "../CommandContext.js";
+import type { ContextOutcome } from "../ContextOutcome.js";
+import type { GlobalArguments } from "../GlobalArguments.js";
+import { ConnectProcessReader } from "./ConnectProcessReader.js";
+import { ConsoleOutput } from "./ConsoleOutput.js";
+
+const CALLS_PER_SECOND = 50;
+
+/** Builds what commands work with from the configuration file. */
+export async function createCommandContext(options: GlobalArguments): Promise<ContextOutcome> {
+    const outcome = await loadSettings(options.config, cliConfigurationSchema);
+    if (outcome.kind === "invalid") {
+        return outcome;
+    }
+    const { platform, processes } = outcome.settings;
+    const clock = SystemClock.create();
+    const http = PlatformHttp.create({ ...platform, clock });
+    const limiter = CallLimiter.create({ clock, callsPerSecond: CALLS_PER_SECOND, maxWaitMs: platform.timeoutMs });
+    const context: CommandContext = {
+        store: HttpObjectStore.create({ http, limiter }),
+        processes,
+        reader: ConnectProcessReader.create(platform.timeoutMs),
+        output: ConsoleOutput.create(),
+        clock,
+        random: SystemRandom.create(),
+        user: options.user ?? userInfo().username,
+        format: options.output,
+    };
+    return { kind: "created", context, close: () => http.close() };
+}
--- /dev/null
+++ b/packages/cli/src/bin/fescue.ts
@@ -0,0 +1,4 @@
+import { createCommandContext } from "../adapters/createCommandContext.js";
+import { runCli } from "../runCli.js";
+
+await runCli(process.argv.slice(2), createCommandContext);
--- /dev/null
+++ b/packages/cli/src/commands/applyManifests.ts
@@ -0,0 +1,61 @@
+import type { Revision } from "@fescuehaven/platform";
+import { isDeepStrictEqual } from "node:util";
+import type { CommandContext } from "../CommandContext.js";
+import type { CommandOutcome } from "../CommandOutcome.js";
+import type { Manifest } from "../Manifest.js";
+import { readManifests } from "../readManifests.js";
+import { diffLines } from "../util/diffLines.js";
+import { reportUpdate } from "../util/reportUpdate.js";
+import { settleLostUpdate } from "../util/settleLostUpdate.js";
+import { worstOutcome } from "../util/worstOutcome.js";
+
+/** What `fescue apply` is asked to do. */
+interface ApplyRequest {
+    files: readonly string[];
+    /** Say what would change and change nothing. */
+    dryRun: boolean;
+    /** Show the changed lines. */
+    diff: boolean;
+}
+
+/** Writes objects by conditional update. Nothing is written unless every object is good. */
+export async function applyManifests(context: CommandContext, request: ApplyRequest): Promise<CommandOutcome> {
+    const outcome = await readManifests(request.files);
+    if (outcome.kind === "invalid") {
+        outcome.faults.forEach(fault => context.output.error(`${fault.file}: ${fault.path}: ${fault.expected}`));
+        return "invalid";
+    }
+    const results: CommandOutcome[] = [];
+    for (const manifest of outcome.manifests) {
+        results.push(await applyOne(context, request, manifest));
+    }
+    return worstOutcome(results);
+}
+
+async function applyOne(context: CommandContext, request: ApplyRequest, manifest: Manifest): Promise<CommandOutcome> {
+    const key = { kind: manifest.kind, name: manifest.name };
+    const id = `${key.kind}/${key.name}`;
+    const read = await context.store.read(key, "intent");
+    if (read.kind === "unavailable") {
+        return reportUpdate(read, key, "", context.output);
+    }
+    const current = read.kind === "found" ? read.object : undefined;
+    if (current && isDeepStrictEqual(current.value, manifest.spec)) {
+        context.output.line(`${id} unchanged at revision ${current.revision}`);
+        return "done";
+    }
+    if (request.diff) {
+        diffLines(current?.value, manifest.spec).forEach(line => context.output.line(`${id} ${line}`));
+    }
+    const expected: Revision = manifest.revision ?? current?.revision ?? 0;
+    if (request.dryRun) {
+        const conflicts = expected !== (current?.revision ?? 0);
+        context.output.line(
+            `${id} would be ${conflicts ? "refused: its revision differs" : current ? "changed" : "created"}`,
+        );
+        return conflicts ? "conflict" : "done";
+    }
+    const written = await context.store.write(key, manifest.spec, expected, "intent");
+    const settled = await settleLostUpdate(context.store, key, manifest.spec, written);
+    return reportUpdate(settled, key, current ? "changed" : "created", context.output);
+}
--- /dev/null
+++ b/packages/cli/src/commands/deleteObject.ts
@@ -0,0 +1,19 @@
+import { configurationKinds } from "@fescuehaven/resources";
+import type { CommandContext } from "../CommandContext.js";
+import type { CommandOutcome } from "../CommandOutcome.js";
+import { isConfigurationKind } from "../util/isConfigurationKind.js";
+import { removeObject } from "../util/removeObject.js";
+
+/** Removes an object that operators write. With `revision`, only if it still stands at that one. */
+export async function deleteObject(
+    context: CommandContext,
+    kind: string,
+    name: string,
+    revision: number | undefined,
+): Promise<CommandOutcome> {
+    if (!isConfigurationKind(kind)) {
+        context.output.error(`kind: expected one of ${configurationKinds.join(", ")}`);
+        return "invalid";
+    }
+    return removeObject(context, { kind, name }, revision);
+}
--- /dev/null
+++ b/packages/cli/src/commands/drainTarget.ts
@@ -0,0 +1,24 @@
+import type { MaintenanceIntent } from "@fescuehaven/resources";
+import type { CommandContext } from "../CommandContext.js";
+import type { CommandOutcome } from "../CommandOutcome.js";
+import { reportUpdate } from "../util/reportUpdate.js";
+import { settleLostUpdate } from "../util/settleLostUpdate.js";
+
+/** What `fescue drain` is asked to do. */
+interface DrainRequest {
+    target: MaintenanceIntent["target"];
+    reason: string;
+    /** Name of the intent; left out: one that no other operator uses. */
+    name?: string;
+}
+
+/** Takes a VM, fabric domain or availability zone out of service by an intent of its own. */
+export async function drainTarget(context: CommandContext, request: DrainRequest): Promise<CommandOutcome> {
+    const suffix = context.random.uniqueId().slice(0, 8).toLowerCase();
+    const name = request.name ?? `drain-${request.target.name}-${suffix}`;
+    const key = { kind: "maintenance-intent", name };
+    const intent: MaintenanceIntent = { target: request.target, reason: request.reason, requestedBy: context.user };
+    const written = await context.store.write(key, intent, 0, "intent");
+    const settled = await settleLostUpdate(context.store, key, intent, written);
+    return reportUpdate(settled, key, "created", context.output);
+}
--- /dev/null
+++ b/packages/cli/src/commands/showTimeline.ts
@@ -0,0 +1,49 @@
+import { compareTimestamps, type EventFilter, type StampedEvent } from "@fescuehaven/telemetry";
+import type { CommandContext } from "../CommandContext.js";
+import type { CommandOutcome } from "../CommandOutcome.js";
+import type { TimelineReport } from "../TimelineReport.js";
+import { renderTimelineHtml } from "../util/renderTimelineHtml.js";
+import { renderTimelineText } from "../util/renderTimelineText.js";
+
+/** What `fescue timeline` is asked to show. */
+interface TimelineRequest extends EventFilter {
+    /** Only events of processes of this availability zone, or about it. */
+    zone?: string;
+    format: "text" | "json" | "html";
+}
+
+const renderers: Record<TimelineRequest["format"], (report: TimelineReport) => string[]> = {
+    text: renderTimelineText,
+    json: report => [JSON.stringify(report, undefined, 2)],
+    html: renderTimelineHtml,
+};
+
+/** Collects the time lines of all processes, in causal order, and says which processes could not be reached. */
+export async function showTimeline(context: CommandContext, request: TimelineRequest): Promise<CommandOutcome> {
+    const { zone, format, ...filter } = request;
+    const report: TimelineReport = { events: [], unreachable: [], dropped: {} };
+    await Promise.all(context.processes.map(async peer => {
+        const answer = await context.reader.events(peer, filter);
+        if (!answer) {
+            report.unreachable.push(peer.name);
+            return;
+        }
+        report.events.push(...answer.events.filter(event => isAbout(event, zone)));
+        if (answer.dropped > 0) {
+            report.dropped[peer.name] = answer.dropped;
+        }
+    }));
+    report.events.sort((left, right) =>
+        compareTimestamps(left.at, right.at) || left.process.localeCompare(right.process)
+    );
+    if (request.limit !== undefined) {
+        report.events = report.events.slice(-request.limit);
+    }
+    report.unreachable.sort();
+    renderers[format](report).forEach(line => context.output.line(line));
+    return report.unreachable.length > 0 ? "partial" : "done";
+}
+
+function isAbout(event: StampedEvent, zone: string | undefined): boolean {
+    return zone === undefined || event.processZone === zone || event.zone === zone;
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { cliConfigurationSchema } from "./CliConfiguration.js";
+export { runCli } from "./runCli.js";
