--- /dev/null
+++ b/packages/testing/src/standins/WeightStore.ts
@@ -0,0 +1,20 @@
+import type { Clock } from "@fescuehaven/runtime";
+
+/** A weight store that several VMs load from, one after the other, at one limited rate. */
+export class WeightStore {
+    private freeAtMs = 0;
+
+    private constructor(private readonly clock: Clock, private readonly giBPerSecond: number) {}
+
+    /** Creates a store. */
+    static create(clock: Clock, giBPerSecond: number): WeightStore {
+        return new WeightStore(clock, giBPerSecond);
+    }
+
+    /** Resolves when the weights have been read, or when `signal` aborts. */
+    async read(weightsGiB: number, signal: AbortSignal): Promise<void> {
+        const startMs = Math.max(this.clock.monotonicMs(), this.freeAtMs);
+        this.freeAtMs = startMs + (weightsGiB / this.giBPerSecond) * 1000;
+        await this.clock.sleep(this.freeAtMs - this.clock.monotonicMs(), signal);
+    }
+}
--- /dev/null
+++ b/packages/testing/src/standins/runStandin.ts
@@ -0,0 +1,39 @@
+import { loadSettings } from "@fescuehaven/runtime";
+import yargs from "yargs";
+import type { z } from "zod";
+
+/** Exit code for a wrong flag or a fault in the settings. */
+const EXIT_USAGE = 2;
+
+interface Standin {
+    listen(): Promise<string>;
+    close(): Promise<void>;
+}
+
+/** Runs a stand-in from its `--settings FILE` until SIGTERM or SIGINT. A fault in the settings ends it with code 2. */
+export async function runStandin<T>(
+    name: string,
+    schema: z.ZodType<T>,
+    create: (settings: T) => Standin,
+): Promise<void> {
+    const parser = yargs(process.argv.slice(2)).scriptName(name).strict().exitProcess(false)
+        .option("settings", { type: "string", demandOption: true, describe: "JSON file with the settings" })
+        .fail((message: string) => {
+            console.error(`${name}: ${message}`);
+            process.exit(EXIT_USAGE);
+        });
+    const { settings: file } = await parser.parseAsync();
+    const outcome = await loadSettings(file, schema);
+    if (outcome.kind === "invalid") {
+        outcome.faults.forEach(fault => console.error(`${name}: ${fault.path}: expected ${fault.expected}`));
+        process.exitCode = EXIT_USAGE;
+        return;
+    }
+    const standin = create(outcome.settings);
+    console.log(`${name}: serving at ${await standin.listen()}`);
+    const stop = () => {
+        void standin.close().then(() => process.exit(0));
+    };
+    process.once("SIGTERM", stop);
+    process.once("SIGINT", stop);
+}
