Test the platform's HTTP adapter against scripted answers

Cause: what an answer means decides whether a claim may have taken effect. Each status, a cut and a silent connection are tried; an internal error and garbage count as unknown, only a refused connection as not sent.

--- /dev/null
+++ b/packages/platform/tests/adapters/HttpObjectStore.test.ts
@@ -0,0 +1,96 @@
+import { SystemClock } from "@fescuehaven/runtime";
+import { expect } from "chai";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { CallLimiter, HttpObjectStore, PlatformHttp } from "../../src/index.js";
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const key = { kind: "route", name: "a" };
+const TIMEOUT_MS = 200;
+
+function answer(status: number, body: unknown): Handler {
+    return (_request, response) => response.writeHead(status).end(JSON.stringify(body));
+}
+
+describe("HttpObjectStore", () => {
+    let server: Server;
+    let handler: Handler;
+    let http: PlatformHttp;
+    let store: HttpObjectStore;
+
+    beforeEach(async () => {
+        server = createServer((request, response) => handler(request, response));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        store = connect((server.address() as AddressInfo).port);
+    });
+
+    afterEach(async () => {
+        await http.close();
+        server.closeAllConnections();
+        await new Promise(resolve => server.close(resolve));
+    });
+
+    function connect(port: number): HttpObjectStore {
+        const clock = SystemClock.create();
+        http = PlatformHttp.create({ url: `http://127.0.0.1:${port}`, timeoutMs: TIMEOUT_MS, clock });
+        const limiter = CallLimiter.create({ clock, callsPerSecond: 100, maxWaitMs: 1000 });
+        return HttpObjectStore.create({ http, limiter });
+    }
+
+    const updates: [string, Handler, object][] = [
+        ["a commit", answer(200, { revision: 7 }), { kind: "committed", revision: 7 }],
+        ["a conflict", answer(409, { current: 3 }), { kind: "conflict", current: 3 }],
+        ["a value that is too large", answer(413, { reason: "too large" }), { kind: "invalid", reason: "too large" }],
+        ["a rate limit", answer(429, { retryAfterMs: 40 }), { kind: "unavailable", retryAfterMs: 40 }],
+        ["an outage", answer(503, { retryAfterMs: 90 }), { kind: "unavailable", retryAfterMs: 90 }],
+        ["an internal error, which may come after the effect", answer(500, {}), { kind: "unknown" }],
+        ["an answer that is not JSON", (_request, response) => response.end("<html>"), { kind: "unknown" }],
+        ["a connection cut before the answer", request => request.socket.destroy(), { kind: "unknown" }],
+        ["a platform that never answers", () => undefined, { kind: "unknown" }],
+    ];
+    for (const [what, respond, expected] of updates) {
+        it(`takes ${what} for what it is`, async () => {
+            handler = respond;
+            expect(await store.write(key, { x: 1 }, 2, "claim")).to.deep.equal(expected);
+        });
+    }
+
+    it("knows that nothing was sent when the connection was refused", async () => {
+        await http.close();
+        store = connect(1);
+        expect(await store.write(key, 1, 0, "claim")).to.have.property("kind", "unavailable");
+    });
+
+    it("sends the expected revision", async () => {
+        let seen: string | undefined;
+        handler = (request, response) => {
+            seen = request.headers["if-match"];
+            answer(200, { revision: 1 })(request, response);
+        };
+        await store.remove(key, 42, "intent");
+        expect(seen).to.equal("42");
+    });
+
+    it("leaves a silent connection for a new one", async () => {
+        const sockets = new Set<unknown>();
+        handler = request => {
+            sockets.add(request.socket);
+        };
+        await store.read(key, "read");
+        handler = (request, response) => {
+            sockets.add(request.socket);
+            answer(404, {})(request, response);
+        };
+        expect(await store.read(key, "read")).to.deep.equal({ kind: "absent" });
+        expect(sockets.size).to.equal(2);
+    });
+
+    it("tells a compacted history from an outage", async () => {
+        handler = answer(410, {});
+        const signal = new AbortController().signal;
+        expect(await store.watch(["route"], 5, 50, signal)).to.deep.equal({ kind: "compacted" });
+        handler = answer(503, {});
+        expect(await store.watch(["route"], 5, 50, signal)).to.have.property("kind", "unavailable");
+    });
+});
