Add a launcher of built binaries and the topology of a whole system

Cause: process tests, demo and bench need the same processes on loopback. Each VM has an address of its own in 127.OCTET.ZONE.x, so that the platform's stand-in can cut a zone off by source address. The second octet and the ports are chosen per run and probed by binding; ports stay below the range that outgoing connections take theirs from, so that a restarted daemon finds its own port free.

--- /dev/null
+++ b/packages/testing/src/launcher/ProcessHandle.ts
@@ -0,0 +1,145 @@
+import type { Clock } from "@fescuehaven/runtime";
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, openSync } from "node:fs";
+import { readFile, writeFile } from "node:fs/promises";
+import path from "node:path";
+import { request } from "undici";
+import { untilTrue } from "../util/untilTrue.js";
+import type { ProcessSpec } from "./ProcessSpec.js";
+
+/** Longest wait for one answer of a readiness check, ms. */
+const READY_CALL_MS = 1000;
+
+/** Time that a process has to end after SIGTERM before it is killed, ms. */
+const STOP_GRACE_MS = 20_000;
+
+/** Lines of the log that an error shows. */
+const LOG_TAIL_LINES = 15;
+
+/** A process that the launcher started; it can be killed, paused, resumed and started again. */
+export class ProcessHandle {
+    private child: ChildProcess | undefined;
+    private exit: Promise<void> = Promise.resolve();
+    private paused = false;
+
+    private constructor(
+        readonly spec: ProcessSpec,
+        private readonly folders: { binaries: string; files: string; },
+        private readonly clock: Clock,
+    ) {}
+
+    /** Creates a handle; nothing runs yet. */
+    static create(options: {
+        spec: ProcessSpec;
+        /** Folder of the built binaries. */
+        binaries: string;
+        /** Folder for settings and logs. */
+        files: string;
+        clock: Clock;
+    }): ProcessHandle {
+        const { spec, binaries, files, clock } = options;
+        return new ProcessHandle(spec, { binaries, files }, clock);
+    }
+
+    /** Process id, or undefined when it does not run. */
+    get pid(): number | undefined {
+        return this.child?.pid;
+    }
+
+    /** File with all that the process printed. */
+    get logFile(): string {
+        return path.join(this.folders.files, `${this.spec.name}.log`);
+    }
+
+    /** Starts the process without waiting for it to be ready. */
+    async start(): Promise<void> {
+        const settingsFile = path.join(this.folders.files, `${this.spec.name}.json`);
+        await writeFile(settingsFile, JSON.stringify(this.spec.settings, undefined, 4));
+        const log = openSync(this.logFile, "a");
+        const binary = path.join(this.folders.binaries, `${this.spec.binary}.js`);
+        const child = spawn(process.execPath, [binary, "--settings", settingsFile], { stdio: ["ignore", log, log] });
+        closeSync(log);
+        this.child = child;
+        this.paused = false;
+        this.exit = new Promise(resolve => {
+            child.once("exit", () => {
+                this.child = this.child === child ? undefined : this.child;
+                resolve();
+            });
+        });
+    }
+
+    /** Waits until the process says that it is ready; throws with the end of its log otherwise. */
+    async untilReady(deadlineMs: number): Promise<void> {
+        try {
+            await untilTrue(this.clock, `${this.spec.name} ready`, deadlineMs, async () => {
+                if (!this.child) {
+                    return true;
+                }
+                return this.isReady();
+            });
+        }
+        catch (error) {
+            throw new Error(`${(error as Error).message}\n${await this.logTail()}`);
+        }
+        if (!this.child) {
+            throw new Error(`${this.spec.name} ended at start.\n${await this.logTail()}`);
+        }
+    }
+
+    /** True when the process answers its readiness check with 200. */
+    async isReady(): Promise<boolean> {
+        const response = await request(this.spec.readyUrl, { signal: AbortSignal.timeout(READY_CALL_MS) });
+        await response.body.dump();
+        return response.statusCode === 200;
+    }
+
+    /** Sends SIGKILL and waits for the end. */
+    async kill(): Promise<void> {
+        this.child?.kill("SIGKILL");
+        await this.exit;
+    }
+
+    /** Sends SIGKILL without waiting; for the end of the launcher itself. */
+    killNow(): void {
+        this.child?.kill("SIGKILL");
+    }
+
+    /** Sends SIGSTOP. */
+    pause(): void {
+        this.paused = true;
+        this.child?.kill("SIGSTOP");
+    }
+
+    /** Sends SIGCONT. */
+    resume(): void {
+        this.paused = false;
+        this.child?.kill("SIGCONT");
+    }
+
+    /** Sends SIGTERM and waits for the end; kills when it takes too long. Gives whether it ended by itself. */
+    async stop(graceMs = STOP_GRACE_MS): Promise<boolean> {
+        const child = this.child;
+        if (!child) {
+            return true;
+        }
+        if (this.paused) {
+            this.resume();
+        }
+        child.kill("SIGTERM");
+        const patience = new AbortController();
+        const timedOut = this.clock.sleep(graceMs, patience.signal).then(() => true);
+        const isLate = await Promise.race([this.exit.then(() => false), timedOut]);
+        patience.abort();
+        if (isLate) {
+            await this.kill();
+        }
+        return !isLate;
+    }
+
+    /** The last lines of the log. */
+    async logTail(): Promise<string> {
+        const text = await readFile(this.logFile, "utf8").catch(() => "");
+        return text.trimEnd().split("\n").slice(-LOG_TAIL_LINES).join("\n");
+    }
+}
--- /dev/null
+++ b/packages/testing/src/network/chooseNetwork.ts
@@ -0,0 +1,31 @@
+import type { Random } from "@fescuehaven/runtime";
+import { isPortFree } from "./isPortFree.js";
+
+/** Ports are chosen below the range that outgoing connections take theirs from. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 20_000;
+
+/** Second octets of the loopback addresses that runs use. */
+const FIRST_OCTET = 16;
+const OCTET_COUNT = 200;
+
+/** Attempts to find a network of its own. */
+const ATTEMPTS = 50;
+
+/** The loopback network of one run: addresses `127.OCTET.x.y`, and a base for its ports. */
+interface LoopbackNetwork {
+    octet: number;
+    basePort: number;
+}
+
+/** Chooses a loopback network that no other run uses, by binding `127.OCTET.0.1:BASE`. */
+export async function chooseNetwork(random: Random): Promise<LoopbackNetwork> {
+    for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+        const octet = FIRST_OCTET + Math.floor(random.next() * OCTET_COUNT);
+        const basePort = FIRST_PORT + Math.floor(random.next() * PORT_COUNT);
+        if (await isPortFree(`127.${octet}.0.1`, basePort)) {
+            return { octet, basePort };
+        }
+    }
+    throw new Error("No free loopback network was found.");
+}
