Spread configuration and readiness evidence between processes

ConfigurationSync lists and watches the platform and exchanges digests with three partners; EvidenceExchange shares probes of a zone's engines. Both speak connect-es. The proto gains fields for a digest hash, its 64 buckets, the covered revision, refused objects, clock samples and repeated reports; no field changed its meaning.

--- /dev/null
+++ b/packages/coordination/src/ConfigurationSync.ts
@@ -0,0 +1,116 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import type { ObjectKey, ObjectStore, StoredObject } from "@fescuehaven/platform";
+import { ConfigurationService } from "@fescuehaven/protocol";
+import { type ResourceKind, type ResourceValue, spreadKinds } from "@fescuehaven/resources";
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
+import { ConfigurationState } from "./ConfigurationState.js";
+import type { DigestEntry } from "./DigestEntry.js";
+import { DigestExchange } from "./DigestExchange.js";
+import { DigestResponder } from "./DigestResponder.js";
+import type { ForceRecord } from "./ForceRecord.js";
+import { PlatformWatch } from "./PlatformWatch.js";
+import type { ConfigurationView } from "./ports/ConfigurationView.js";
+import type { PeerClients } from "./ports/PeerClients.js";
+import type { PeerView } from "./ports/PeerView.js";
+
+/** Options of `ConfigurationSync`. */
+interface ConfigurationSyncOptions {
+    /** Name of this process. */
+    process: string;
+    /** Availability zone of this process. */
+    zone: string;
+    store: ObjectStore;
+    peers: PeerView;
+    clients: PeerClients;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    events: EventRecorder;
+}
+
+/**
+ * The configuration in force in this process, kept up to date by watches of the platform and by digests exchanged
+ * with peers. No object ever goes back to a lower revision.
+ */
+export class ConfigurationSync implements ConfigurationView {
+    private constructor(
+        private readonly state: ConfigurationState,
+        private readonly watch: PlatformWatch,
+        private readonly exchange: DigestExchange,
+        private readonly responder: DigestResponder,
+    ) {}
+
+    /** Creates an empty configuration; `run` fills it. */
+    static create(options: ConfigurationSyncOptions): ConfigurationSync {
+        const { clock, events } = options;
+        const state = ConfigurationState.create({ kinds: spreadKinds, clock, events });
+        const watch = PlatformWatch.create({ ...options, state, kinds: spreadKinds });
+        const exchange = DigestExchange.create({ ...options, state });
+        return new ConfigurationSync(state, watch, exchange, DigestResponder.create(state));
+    }
+
+    /** Changes with every adopted object or removal. */
+    get version(): number {
+        return this.state.version;
+    }
+
+    /** False until a first whole listing came from the platform or from a peer that had one. */
+    get complete(): boolean {
+        return this.state.complete;
+    }
+
+    /** False while the platform fails on end. */
+    get platformAvailable(): boolean {
+        return this.watch.available;
+    }
+
+    /** The whole state of the store up to this revision is known here. */
+    get coveredRevision(): number {
+        return this.state.coveredRevision;
+    }
+
+    /** The object in force, or undefined. */
+    get<K extends ResourceKind>(kind: K, name: string): StoredObject<ResourceValue<K>> | undefined {
+        return this.state.get(kind, name) as StoredObject<ResourceValue<K>> | undefined;
+    }
+
+    /** All objects of a kind in force, by name. */
+    list<K extends ResourceKind>(kind: K): ReadonlyArray<StoredObject<ResourceValue<K>>> {
+        return this.state.list(kind) as Array<StoredObject<ResourceValue<K>>>;
+    }
+
+    /** Resolves once `version` differs from `seen`, or when `signal` aborts. */
+    async changed(seen: number, signal: AbortSignal): Promise<void> {
+        while (this.state.version === seen && !signal.aborted) {
+            await this.state.changes.next(signal);
+        }
+    }
+
+    /** Kind, name and revision of every object and remembered removal in force. */
+    digest(): DigestEntry[] {
+        return this.state.digest();
+    }
+
+    /** Since when this process has in force what it holds of an object; undefined when it never held any. */
+    inForceSince(key: ObjectKey): ForceRecord | undefined {
+        return this.state.inForceSince(key);
+    }
+
+    /** Objects whose newest value does not validate here; the last good value is in force, if there was one. */
+    refused(): DigestEntry[] {
+        return this.state.refused();
+    }
+
+    /** Watches the platform and exchanges digests until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        await Promise.all([this.watch.run(signal), this.exchange.run(signal)]);
+    }
+
+    /** Serves the digest exchange to peers. */
+    registerOn(router: ConnectRouter): void {
+        router.service(ConfigurationService, {
+            exchangeDigest: request => this.responder.answer(request),
+        });
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/EvidenceReceiver.ts
@@ -0,0 +1,126 @@
+import { EvidenceService, type EvidenceUpdate } from "@fescuehaven/protocol";
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
+import { EvidenceDecoder } from "./EvidenceDecoder.js";
+import { evidenceTimes } from "./evidenceTimes.js";
+import type { ObservationTable } from "./ObservationTable.js";
+import type { Peer } from "./Peer.js";
+import { PeerClockBound } from "./PeerClockBound.js";
+import type { PeerClients } from "./ports/PeerClients.js";
+import { Backoff } from "./util/Backoff.js";
+import { withDeadline } from "./util/withDeadline.js";
+
+/** Options of `EvidenceReceiver`. */
+interface EvidenceReceiverOptions {
+    /** Name of this process. */
+    process: string;
+    peer: Peer;
+    clients: PeerClients;
+    table: ObservationTable;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    events: EventRecorder;
+}
+
+/** Receives one peer's observations: dials, reads, and dials again when the stream ends or goes silent. */
+export class EvidenceReceiver {
+    private heardAtMs = -Infinity;
+    private found = false;
+
+    private constructor(private readonly options: EvidenceReceiverOptions) {}
+
+    /** Creates the receiver; it dials in `run`. */
+    static create(options: EvidenceReceiverOptions): EvidenceReceiver {
+        return new EvidenceReceiver(options);
+    }
+
+    /** True while the peer's stream is not silent. */
+    get live(): boolean {
+        return this.options.clock.monotonicMs() - this.heardAtMs < evidenceTimes.streamSilenceMs;
+    }
+
+    /** Receives until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock, clients, peer, random } = this.options;
+        const backoff = Backoff.create({
+            random,
+            firstMs: evidenceTimes.redialFirstMs,
+            maxMs: evidenceTimes.redialMaxMs,
+        });
+        while (!signal.aborted) {
+            await this.receive(signal, () => backoff.reset());
+            this.lose(signal);
+            clients.abandon(peer);
+            await clock.sleep(backoff.nextMs(), signal);
+        }
+    }
+
+    private async receive(signal: AbortSignal, onUpdate: () => void): Promise<void> {
+        const { clients, clock, peer, process } = this.options;
+        const closing = new AbortController();
+        const stream = AbortSignal.any([signal, closing.signal]);
+        const bound = PeerClockBound.create();
+        const decoder = EvidenceDecoder.create(bound);
+        const requestedAtMs = clock.monotonicMs();
+        const client = clients.get(EvidenceService, peer);
+        const updates = client.watchEvidence({ observer: process }, { signal: stream, timeoutMs: 0 });
+        const iterator = updates[Symbol.asyncIterator]();
+        let incarnation: string | undefined;
+        for (;;) {
+            const next = await withDeadline(clock, evidenceTimes.streamSilenceMs, stream, () => iterator.next());
+            if (
+                stream.aborted || !next || next.done
+                || (incarnation ?? next.value.incarnation) !== next.value.incarnation
+            ) {
+                break;
+            }
+            if (incarnation === undefined) {
+                incarnation = next.value.incarnation;
+                bound.addSample(requestedAtMs, next.value.sentAtMs);
+                void this.sampleClock(bound, incarnation, stream);
+            }
+            onUpdate();
+            this.take(decoder, next.value);
+        }
+        closing.abort();
+    }
+
+    private take(decoder: EvidenceDecoder, update: EvidenceUpdate): void {
+        const { clock, events, peer, table } = this.options;
+        const nowMs = clock.monotonicMs();
+        this.heardAtMs = nowMs;
+        if (!this.found) {
+            this.found = true;
+            events.record({ kind: "peer-found", reason: peer.name });
+        }
+        decoder.decode(update, nowMs).forEach(([vm, observation]) => table.putRemote(vm, observation));
+    }
+
+    private lose(signal: AbortSignal): void {
+        this.heardAtMs = -Infinity;
+        if (this.found && !signal.aborted) {
+            this.found = false;
+            this.options.events.record({ kind: "peer-lost", reason: this.options.peer.name });
+            this.options.logger.warn(`Lost the observations of ${this.options.peer.name}.`);
+        }
+    }
+
+    /** Keeps the bound on the peer's clock narrow while the stream lasts. */
+    private async sampleClock(bound: PeerClockBound, incarnation: string, signal: AbortSignal): Promise<void> {
+        const { clients, clock, peer } = this.options;
+        while (!signal.aborted) {
+            const requestedAtMs = clock.monotonicMs();
+            const sample = await withDeadline(
+                clock,
+                evidenceTimes.streamSilenceMs,
+                signal,
+                attempt => clients.get(EvidenceService, peer).sampleClock({}, { signal: attempt }),
+            );
+            if (sample?.incarnation === incarnation) {
+                bound.addSample(requestedAtMs, sample.monotonicMs);
+            }
+            await clock.sleep(evidenceTimes.clockSampleMs, signal);
+        }
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/EvidenceSender.ts
@@ -0,0 +1,49 @@
+import { create } from "@bufbuild/protobuf";
+import { type EvidenceUpdate, type SampleClockResponse, SampleClockResponseSchema } from "@fescuehaven/protocol";
+import type { Clock } from "@fescuehaven/runtime";
+import { EvidenceEncoder } from "./EvidenceEncoder.js";
+import { evidenceTimes } from "./evidenceTimes.js";
+import type { ObservationTable } from "./ObservationTable.js";
+
+/** Options of `EvidenceSender`. */
+interface EvidenceSenderOptions {
+    /** Names this run of the process. */
+    incarnation: string;
+    table: ObservationTable;
+    clock: Clock;
+}
+
+/** Streams this process's own observations to others. */
+export class EvidenceSender {
+    private constructor(private readonly options: EvidenceSenderOptions) {}
+
+    /** Creates the sender. */
+    static create(options: EvidenceSenderOptions): EvidenceSender {
+        return new EvidenceSender(options);
+    }
+
+    /** One stream: everything held, then each new observation, and heartbeats; until `signal` aborts. */
+    async *stream(signal: AbortSignal): AsyncGenerator<EvidenceUpdate> {
+        const { clock, incarnation, table } = this.options;
+        const encoder = EvidenceEncoder.create(incarnation);
+        while (!signal.aborted) {
+            yield encoder.encode(table.own(), clock.monotonicMs());
+            await this.changeOrHeartbeat(signal);
+            await clock.sleep(evidenceTimes.batchMs, signal);
+        }
+    }
+
+    /** This process's monotonic clock, now. */
+    sampleClock(): SampleClockResponse {
+        const { clock, incarnation } = this.options;
+        return create(SampleClockResponseSchema, { incarnation, monotonicMs: clock.monotonicMs() });
+    }
+
+    private async changeOrHeartbeat(signal: AbortSignal): Promise<void> {
+        const { clock, table } = this.options;
+        const finished = new AbortController();
+        const either = AbortSignal.any([signal, finished.signal]);
+        await Promise.race([table.ownChanges.next(either), clock.sleep(evidenceTimes.heartbeatMs, either)]);
+        finished.abort();
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/ForceRecord.ts
@@ -0,0 +1,10 @@
+import type { Revision } from "@fescuehaven/platform";
+
+/** Since when a revision of an object is in force in this process. */
+export interface ForceRecord {
+    revision: Revision;
+    /** True: the object is in force as removed. */
+    deleted: boolean;
+    /** Wall clock of this process. */
+    since: Date;
+}
--- /dev/null
+++ b/packages/coordination/src/ObservationTable.ts
@@ -0,0 +1,96 @@
+import type { MemberObservation } from "./MemberObservation.js";
+import { ChangeNotifier } from "./util/ChangeNotifier.js";
+
+interface Row {
+    own?: MemberObservation;
+    remote?: MemberObservation;
+    /** Observations made at or before this are no longer taken, monotonic ms. */
+    distrustedAtMs: number;
+}
+
+/** The newest observations of a zone's VMs: made by this process, and told by others. */
+export class ObservationTable {
+    /** Notified with every observation made by this process. */
+    readonly ownChanges = ChangeNotifier.create();
+
+    private readonly rows = new Map<string, Row>();
+    /** Observations made at or before this are no longer taken, monotonic ms. */
+    private floorMs = -Infinity;
+
+    private constructor(private readonly ttlMs: number) {}
+
+    /** Creates an empty table; an observation is evidence for `ttlMs`. */
+    static create(ttlMs: number): ObservationTable {
+        return new ObservationTable(ttlMs);
+    }
+
+    /** Takes in an observation made by this process. */
+    putOwn(vm: string, observation: MemberObservation): void {
+        if (this.isNewer(vm, observation, this.rows.get(vm)?.own)) {
+            this.row(vm).own = observation;
+            this.ownChanges.notify();
+        }
+    }
+
+    /** Takes in an observation told by another process; its time is already on this process's clock. */
+    putRemote(vm: string, observation: MemberObservation): void {
+        if (this.isNewer(vm, observation, this.rows.get(vm)?.remote)) {
+            this.row(vm).remote = observation;
+        }
+    }
+
+    /** All observations made by this process. */
+    own(): Array<[vm: string, observation: MemberObservation]> {
+        const observed: Array<[string, MemberObservation]> = [];
+        for (const [vm, row] of this.rows) {
+            if (row.own) {
+                observed.push([vm, row.own]);
+            }
+        }
+        return observed;
+    }
+
+    /**
+     * The newest observation of a VM. Another process's failure to reach it does not replace evidence that this
+     * process has from its own probe.
+     */
+    newest(vm: string, nowMs: number): MemberObservation | undefined {
+        const { own, remote } = this.rows.get(vm) ?? {};
+        if (!own || !remote) {
+            return own ?? remote;
+        }
+        const ownIsEvidence = own.kind === "reported" && nowMs - own.observedAtMs < this.ttlMs;
+        if (own.observedAtMs >= remote.observedAtMs || (remote.kind === "unreachable" && ownIsEvidence)) {
+            return own;
+        }
+        return remote;
+    }
+
+    /** Drops what is held of a VM; only observations made after `nowMs` are taken from now on. */
+    distrust(vm: string, nowMs: number): void {
+        this.rows.set(vm, { distrustedAtMs: nowMs });
+    }
+
+    /** Drops everything held; only observations made after `nowMs` are taken from now on. */
+    distrustAll(nowMs: number): void {
+        this.rows.clear();
+        this.floorMs = nowMs;
+    }
+
+    /** Forgets VMs that no longer exist. */
+    retain(vms: ReadonlySet<string>): void {
+        [...this.rows.keys()].filter(vm => !vms.has(vm)).forEach(vm => this.rows.delete(vm));
+    }
+
+    private isNewer(vm: string, observation: MemberObservation, known: MemberObservation | undefined): boolean {
+        const distrustedAtMs = this.rows.get(vm)?.distrustedAtMs ?? -Infinity;
+        const knownAtMs = known?.observedAtMs ?? -Infinity;
+        return observation.observedAtMs > Math.max(this.floorMs, distrustedAtMs, knownAtMs);
+    }
+
+    private row(vm: string): Row {
+        const row = this.rows.get(vm) ?? { distrustedAtMs: -Infinity };
+        this.rows.set(vm, row);
+        return row;
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/adapters/ConnectPeerClients.ts
@@ -0,0 +1,103 @@
+import type { DescService } from "@bufbuild/protobuf";
+import { type Client, createClient, type Transport } from "@connectrpc/connect";
+import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import type { SecureClientSessionOptions } from "node:http2";
+import type { Peer } from "../Peer.js";
+import type { PeerClients } from "../ports/PeerClients.js";
+
+/** A connection is pinged after this long without data from the peer, ms. */
+const PING_INTERVAL_MS = 1000;
+/** A connection whose ping is not answered within this time is replaced, ms. */
+const PING_TIMEOUT_MS = 1000;
+/** A connection without a call is closed after this long, ms. */
+const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
+
+/** Options of `ConnectPeerClients`. */
+interface ConnectPeerClientsOptions {
+    /** Source address of connections. */
+    localAddress?: string;
+    /** TLS options (`ca`, `cert`, `key`, ...) for peers whose URL is https. */
+    tls?: Pick<SecureClientSessionOptions, "ca" | "cert" | "key" | "servername" | "checkServerIdentity" | "minVersion">;
+    pingIntervalMs?: number;
+    pingTimeoutMs?: number;
+}
+
+interface Connection {
+    sessions: Http2SessionManager;
+    transport: Transport;
+    clients: Map<string, Client<DescService>>;
+}
+
+/**
+ * Clients over HTTP/2, one connection to each peer, with pings that notice silent connections.
+ * Calls have no timeout of their own: callers pass `timeoutMs` or a signal.
+ */
+export class ConnectPeerClients implements PeerClients {
+    private readonly connections = new Map<string, Connection>();
+    private abandoned: Http2SessionManager[] = [];
+
+    private constructor(private readonly options: ConnectPeerClientsOptions) {}
+
+    /** Creates the clients; nothing is dialled yet. */
+    static create(options: ConnectPeerClientsOptions = {}): ConnectPeerClients {
+        return new ConnectPeerClients(options);
+    }
+
+    /** A client of a peer's service. */
+    get<S extends DescService>(service: S, peer: Peer): Client<S> {
+        const connection = this.connections.get(peer.url) ?? this.open(peer.url);
+        const known = connection.clients.get(service.typeName);
+        if (known) {
+            return known as Client<S>;
+        }
+        const client = createClient(service, connection.transport);
+        connection.clients.set(service.typeName, client);
+        return client;
+    }
+
+    /**
+     * Lets the next call to a peer dial a new connection. Calls in progress keep the old one, whose pings end it
+     * when it is really silent.
+     */
+    abandon(peer: Peer): void {
+        const connection = this.connections.get(peer.url);
+        if (!connection) {
+            return;
+        }
+        this.connections.delete(peer.url);
+        this.abandoned = this.abandoned.filter(sessions => isOpen(sessions));
+        this.abandoned.push(connection.sessions);
+    }
+
+    /** Closes every connection; calls in progress fail. */
+    close(): void {
+        const sessions = [...this.connections.values()].map(connection => connection.sessions);
+        [...sessions, ...this.abandoned].forEach(manager => manager.abort());
+        this.connections.clear();
+        this.abandoned = [];
+    }
+
+    private open(url: string): Connection {
+        const sessions = new Http2SessionManager(
+            url,
+            {
+                pingIntervalMs: this.options.pingIntervalMs ?? PING_INTERVAL_MS,
+                pingTimeoutMs: this.options.pingTimeoutMs ?? PING_TIMEOUT_MS,
+                idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
+            },
+            { ...this.options.tls, localAddress: this.options.localAddress } as SecureClientSessionOptions,
+        );
+        const transport = createConnectTransport({
+            baseUrl: url,
+            httpVersion: "2",
+            sessionManager: sessions,
+        });
+        const connection = { sessions, transport, clients: new Map<string, Client<DescService>>() };
+        this.connections.set(url, connection);
+        return connection;
+    }
+}
+
+function isOpen(sessions: Http2SessionManager): boolean {
+    return ["connecting", "open", "verifying"].includes(sessions.state());
+}
--- /dev/null
+++ b/packages/coordination/src/adapters/HttpEngineControl.ts
@@ -0,0 +1,98 @@
+import { Agent, type Dispatcher, request } from "undici";
+import { z } from "zod";
+import type { EngineOrder } from "../EngineOrder.js";
+import type { MemberReport } from "../MemberReport.js";
+import type { OrderOutcome } from "../OrderOutcome.js";
+import type { EngineControl } from "../ports/EngineControl.js";
+
+/** Requests in progress at once over separate connections to one engine. */
+const CONNECTIONS_PER_ENGINE = 4;
+/** A connection without a request is closed after this long, ms. */
+const KEEP_ALIVE_MS = 10_000;
+
+const reportSchema = z.object({
+    vm: z.string(),
+    bootId: z.string(),
+    group: z.string(),
+    epoch: z.number().int().nonnegative(),
+    modelVersion: z.string(),
+    rank: z.number().int().nonnegative(),
+    phase: z.enum(["empty", "loading", "ready"]),
+    runningRequests: z.number().int().nonnegative(),
+    waitingRequests: z.number().int().nonnegative(),
+});
+
+const staleSchema = z.object({ error: z.literal("stale-fence"), highestFence: z.number().int() });
+
+/** Options of `HttpEngineControl`. */
+interface HttpEngineControlOptions {
+    /** Source address of connections. */
+    localAddress?: string;
+}
+
+/** Talks to engines over HTTP/1.1. A call that reaches its timeout destroys its connection. */
+export class HttpEngineControl implements EngineControl {
+    private constructor(private readonly agent: Agent) {}
+
+    /** Creates the adapter; nothing is dialled yet. */
+    static create(options: HttpEngineControlOptions = {}): HttpEngineControl {
+        const agent = new Agent({
+            connections: CONNECTIONS_PER_ENGINE,
+            pipelining: 1,
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            ...(options.localAddress === undefined ? {} : { localAddress: options.localAddress }),
+        });
+        return new HttpEngineControl(agent);
+    }
+
+    /** Asks an engine for its report; undefined when it does not answer with one within `timeoutMs`. */
+    async report(engineUrl: string, timeoutMs: number): Promise<MemberReport | undefined> {
+        const answer = await this.call(`${engineUrl}/v1/report`, { method: "GET" }, timeoutMs);
+        if (answer?.status !== 200) {
+            return undefined;
+        }
+        const parsed = reportSchema.safeParse(answer.body);
+        return parsed.success ? parsed.data : undefined;
+    }
+
+    /** Sends an order. Anything but a clear answer is `unknown`. */
+    async order(engineUrl: string, order: EngineOrder, timeoutMs: number): Promise<OrderOutcome> {
+        const options = {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(order),
+        } as const;
+        const answer = await this.call(`${engineUrl}/v1/orders`, options, timeoutMs);
+        if (answer?.status === 202) {
+            return { kind: "accepted" };
+        }
+        const stale = staleSchema.safeParse(answer?.body);
+        if (answer?.status === 409 && stale.success) {
+            return { kind: "stale", highestFence: stale.data.highestFence };
+        }
+        return { kind: "unknown" };
+    }
+
+    /** Closes every connection. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private async call(
+        url: string,
+        options: { method: Dispatcher.HttpMethod; headers?: Record<string, string>; body?: string; },
+        timeoutMs: number,
+    ): Promise<{ status: number; body: unknown; } | undefined> {
+        try {
+            const response = await request(url, {
+                ...options,
+                dispatcher: this.agent,
+                signal: AbortSignal.timeout(timeoutMs),
+            });
+            return { status: response.statusCode, body: await response.body.json() };
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/util/withDeadline.ts
@@ -0,0 +1,31 @@
+import type { Clock } from "@fescuehaven/runtime";
+
+/**
+ * Runs `action` with a signal that aborts after `timeoutMs` or with `signal`, and waits no longer than that,
+ * also when the action ignores its signal. Undefined: it did not finish in time, or it failed.
+ */
+export async function withDeadline<T>(
+    clock: Clock,
+    timeoutMs: number,
+    signal: AbortSignal,
+    action: (signal: AbortSignal) => Promise<T>,
+): Promise<T | undefined> {
+    if (signal.aborted) {
+        return undefined;
+    }
+    const attempt = new AbortController();
+    const finished = new AbortController();
+    const abort = () => attempt.abort();
+    signal.addEventListener("abort", abort, { once: true });
+    const deadline = clock.sleep(timeoutMs, AbortSignal.any([attempt.signal, finished.signal])).then(() => {
+        attempt.abort();
+        return undefined;
+    });
+    try {
+        return await Promise.race([action(attempt.signal).catch(() => undefined), deadline]);
+    }
+    finally {
+        finished.abort();
+        signal.removeEventListener("abort", abort);
+    }
+}
--- /dev/null
+++ b/packages/coordination/tests/util/ConfigurationRig.ts
@@ -0,0 +1,109 @@
+import {
+    ManualClock,
+    MemoryEventRecorder,
+    MemoryNetwork,
+    MemoryObjectStore,
+    SeededRandom,
+    SilentLogger,
+} from "@fescuehaven/testing";
+import { ConfigurationSync, type Peer } from "../../src/index.js";
+
+interface RunningProcess {
+    sync: ConfigurationSync;
+    events: MemoryEventRecorder;
+    /** The process's own way to the platform; its faults are the process's alone. */
+    store: ReturnType<typeof gate>;
+    stop: AbortController;
+}
+
+/** Several processes with a ConfigurationSync each, one store and one network. */
+export class ConfigurationRig {
+    readonly clock = ManualClock.create();
+    readonly store = MemoryObjectStore.create(this.clock);
+    readonly network = MemoryNetwork.create(this.clock);
+    readonly processes = new Map<string, RunningProcess>();
+
+    private constructor(private readonly peers: readonly Peer[], private readonly seed: number) {}
+
+    /** Creates the rig; names are `zone/process`. */
+    static create(names: readonly string[], seed = 1): ConfigurationRig {
+        return new ConfigurationRig(names.map(peerOf), seed);
+    }
+
+    /** Starts processes by name. */
+    start(...names: string[]): void {
+        names.forEach(name => this.startOne(name));
+    }
+
+    /** The configuration of a process. */
+    sync(name: string): ConfigurationSync {
+        return this.process(name).sync;
+    }
+
+    /** One process. */
+    process(name: string): RunningProcess {
+        const process = this.processes.get(name);
+        if (!process) {
+            throw new Error(`${name} is not started`);
+        }
+        return process;
+    }
+
+    /** Cuts or mends the links between processes on two sides. */
+    setLinks(isOneSide: (name: string) => boolean, state: "open" | "refused" | "silent"): void {
+        const [one, other] = [
+            this.peers.filter(peer => isOneSide(peer.name)),
+            this.peers.filter(peer => !isOneSide(peer.name)),
+        ];
+        one.forEach(a => other.forEach(b => this.network.setLink(a.name, b.name, state)));
+    }
+
+    /** Stops everything. */
+    async stop(): Promise<void> {
+        this.processes.forEach(process => process.stop.abort());
+        await this.clock.advance(0);
+    }
+
+    private startOne(name: string): void {
+        const { clock, network } = this;
+        const events = MemoryEventRecorder.create();
+        const store = gate(this.store);
+        const sync = ConfigurationSync.create({
+            process: name,
+            zone: name.split("/")[0] ?? "",
+            store,
+            peers: { list: () => this.peers.filter(peer => peer.name !== name) },
+            clients: network.clientsOf(name),
+            clock,
+            random: SeededRandom.create(this.seed + this.processes.size),
+            logger: SilentLogger.create(),
+            events,
+        });
+        const stop = new AbortController();
+        network.listen(name, router => sync.registerOn(router));
+        this.processes.set(name, { sync, events, store, stop });
+        void sync.run(stop.signal);
+    }
+}
+
+function peerOf(name: string): Peer {
+    return { name, zone: name.split("/")[0] ?? "", role: "router", url: `http://${name}` };
+}
+
+/** The store as one process reaches it. */
+function gate(store: MemoryObjectStore) {
+    const unavailable = { kind: "unavailable", retryAfterMs: 0 } as const;
+    return {
+        cut: false,
+        read: store.read.bind(store),
+        write: store.write.bind(store),
+        remove: store.remove.bind(store),
+        async list(...args: Parameters<MemoryObjectStore["list"]>) {
+            return this.cut ? unavailable : store.list(...args);
+        },
+        async watch(...args: Parameters<MemoryObjectStore["watch"]>) {
+            const outcome = this.cut ? unavailable : await store.watch(...args);
+            return this.cut ? unavailable : outcome;
+        },
+    };
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,5 +1,7 @@
 export { ManualClock } from "./fakes/ManualClock.js";
+export { MemoryEngines } from "./fakes/MemoryEngines.js";
 export { MemoryEventRecorder } from "./fakes/MemoryEventRecorder.js";
+export { MemoryNetwork } from "./fakes/MemoryNetwork.js";
 export { MemoryObjectStore } from "./fakes/MemoryObjectStore.js";
 export { SeededRandom } from "./fakes/SeededRandom.js";
 export { SilentLogger } from "./fakes/SilentLogger.js";
