Claim VMs, form groups and keep them whole in one availability zone

A zone's claims live in one ledger object; ZoneLedgerStore changes it by one conditional update and settles a lost answer by its nonce. ZoneLeaseKeeper keeps one controller of a zone active. ZoneController plans claims, sends orders and writes status. The ledger schema gains an optional `next` formation per group (additive): it loads beside the one in service. A member that left and was not replaced is an empty name in `members`.

--- /dev/null
+++ b/packages/controller/src/DowntimeAccounting.ts
@@ -0,0 +1,82 @@
+import type { StoredObject } from "@fescuehaven/platform";
+import type { ServingGroup, ZoneLedger } from "@fescuehaven/resources";
+import type { Clock } from "@fescuehaven/runtime";
+import type { EventRecorder, Metrics } from "@fescuehaven/telemetry";
+import type { ZoneFleet } from "./ZoneFleet.js";
+
+/** Dependencies of a `DowntimeAccounting`. */
+interface DowntimeAccountingOptions {
+    clock: Clock;
+    recorder: EventRecorder;
+    metrics: Metrics;
+    zone: string;
+}
+
+/** Measures how long groups are out of service, and which accelerators do no work meanwhile. */
+export class DowntimeAccounting {
+    private readonly servingEpoch = new Map<string, number>();
+    private readonly closedAtMs = new Map<string, number>();
+
+    private constructor(private readonly options: DowntimeAccountingOptions) {}
+
+    /** Creates an accounting that has seen no group. */
+    static create(options: DowntimeAccountingOptions): DowntimeAccounting {
+        return new DowntimeAccounting(options);
+    }
+
+    /** Whether the group was in service at this epoch the last time. */
+    wasServing(group: string, epoch: number): boolean {
+        return this.servingEpoch.get(group) === epoch;
+    }
+
+    /** Takes in which groups serve now. */
+    update(
+        ledger: ZoneLedger,
+        specs: ReadonlyArray<StoredObject<ServingGroup>>,
+        fleet: ZoneFleet,
+        isServing: (group: string) => boolean,
+    ): void {
+        for (const { name } of specs) {
+            this.noteGroup(name, ledger.groups[name]?.epoch ?? 0, isServing(name));
+        }
+        const wanted = new Set(specs.map(spec => spec.name));
+        [...this.closedAtMs.keys()].filter(name => !wanted.has(name)).forEach(name => this.closedAtMs.delete(name));
+        this.noteAccelerators(ledger, specs, fleet, isServing);
+    }
+
+    private noteGroup(group: string, epoch: number, isServing: boolean): void {
+        const { clock, metrics, recorder } = this.options;
+        const closedAtMs = this.closedAtMs.get(group);
+        if (!isServing && closedAtMs === undefined) {
+            this.closedAtMs.set(group, clock.monotonicMs());
+            if (this.servingEpoch.has(group)) {
+                recorder.record({ kind: "group-closed", group, epoch });
+            }
+        }
+        if (isServing) {
+            this.servingEpoch.set(group, epoch);
+        }
+        if (isServing && closedAtMs !== undefined) {
+            const durationMs = clock.monotonicMs() - closedAtMs;
+            this.closedAtMs.delete(group);
+            recorder.record({ kind: "group-ready", group, epoch, durationMs });
+            metrics.timing("group.downtime_ms", durationMs, { group });
+        }
+    }
+
+    private noteAccelerators(
+        ledger: ZoneLedger,
+        specs: ReadonlyArray<StoredObject<ServingGroup>>,
+        fleet: ZoneFleet,
+        isServing: (group: string) => boolean,
+    ): void {
+        const tags = { zone: this.options.zone };
+        const count = (vms: string[]) => vms.reduce((sum, vm) => sum + (fleet.get(vm).record?.accelerators ?? 0), 0);
+        const idle = Object.entries(ledger.claims).filter(([, claim]) => !isServing(claim.group)).map(([vm]) => vm);
+        const free = fleet.free(ledger).map(vm => vm.name);
+        const isAnyWaiting = specs.some(spec => !isServing(spec.name));
+        this.options.metrics.gauge("accelerators.free", count(free), tags);
+        this.options.metrics.gauge("accelerators.stranded", count(isAnyWaiting ? [...idle, ...free] : idle), tags);
+        this.options.metrics.gauge("groups.down", specs.filter(spec => !isServing(spec.name)).length, tags);
+    }
+}
--- /dev/null
+++ b/packages/controller/src/ZoneController.ts
@@ -0,0 +1,279 @@
+import {
+    type ConfigurationView,
+    defaultLeaseTimings,
+    type EngineControl,
+    type EvidenceView,
+    type LeaseTimings,
+    placeBestFit,
+    type PlacementPolicy,
+    type VmView,
+    ZoneLeaseKeeper,
+    ZoneLedgerStore,
+} from "@fescuehaven/coordination";
+import type { ObjectStore, StoredObject } from "@fescuehaven/platform";
+import type { ModelVersion, ServingGroup, ZoneLedger } from "@fescuehaven/resources";
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { EventRecorder, Logger, Metrics } from "@fescuehaven/telemetry";
+import type { ControllerTimings } from "./ControllerTimings.js";
+import { defaultControllerTimings } from "./defaultControllerTimings.js";
+import { describeGroup } from "./describeGroup.js";
+import { DowntimeAccounting } from "./DowntimeAccounting.js";
+import { DrainWatch } from "./DrainWatch.js";
+import { OrderDispatcher } from "./OrderDispatcher.js";
+import { planZone } from "./planZone.js";
+import { StatusWriter } from "./StatusWriter.js";
+import { ZoneFleet } from "./ZoneFleet.js";
+
+/** Dependencies of a `ZoneController`. */
+interface ZoneControllerOptions {
+    /** Name of this process, unique in the system. */
+    process: string;
+    /** Availability zone that it controls. */
+    zone: string;
+    store: ObjectStore;
+    configuration: ConfigurationView;
+    evidence: EvidenceView;
+    engines: EngineControl;
+    vms: VmView;
+    clock: Clock;
+    random: Random;
+    recorder: EventRecorder;
+    logger: Logger;
+    metrics: Metrics;
+    timings?: Partial<ControllerTimings>;
+    leaseTimings?: Partial<LeaseTimings>;
+    /** Where new groups go; `placeBestFit` when left out. */
+    place?: PlacementPolicy;
+}
+
+/**
+ * Keeps the serving groups of one availability zone as the operators' objects want them: claims VMs in the ledger,
+ * orders engines to load and unload, and reports status. One controller of a zone is active at a time; during an
+ * outage of the platform each of them only restores members under the claims that already stand.
+ */
+export class ZoneController {
+    private readonly lease: ZoneLeaseKeeper;
+    private readonly ledgers: ZoneLedgerStore;
+    private readonly fleet: ZoneFleet;
+    private readonly drains: DrainWatch;
+    private readonly orders: OrderDispatcher;
+    private readonly status: StatusWriter;
+    private readonly accounting: DowntimeAccounting;
+    private readonly timings: ControllerTimings;
+    private activeFence: number | undefined;
+
+    private constructor(private readonly options: ZoneControllerOptions) {
+        this.timings = { ...defaultControllerTimings, ...options.timings };
+        const shared = { ...options, timings: this.timings };
+        this.lease = ZoneLeaseKeeper.create({
+            ...options,
+            timings: { ...defaultLeaseTimings, ...options.leaseTimings },
+        });
+        this.ledgers = ZoneLedgerStore.create(options);
+        this.fleet = ZoneFleet.create(shared);
+        this.drains = DrainWatch.create({ clock: options.clock, fleet: this.fleet, timings: this.timings });
+        this.status = StatusWriter.create(shared);
+        this.accounting = DowntimeAccounting.create(options);
+        this.orders = OrderDispatcher.create({
+            ...shared,
+            fleet: this.fleet,
+            modelVersion: name => this.modelVersion(name),
+            mayOrder: () => this.isActive() || this.isPlatformDown(),
+        });
+    }
+
+    /** Creates a controller; `run` starts it. */
+    static create(options: ZoneControllerOptions): ZoneController {
+        return new ZoneController(options);
+    }
+
+    /** Controls the zone until `signal` aborts, then releases the lease. */
+    async run(signal: AbortSignal): Promise<void> {
+        const lease = this.lease.run(signal);
+        while (!signal.aborted) {
+            const seen = this.options.configuration.version;
+            await this.round();
+            await this.waitForWork(seen, signal);
+        }
+        await lease;
+    }
+
+    /** Whether this controller holds the zone's lease. */
+    isActive(): boolean {
+        return this.lease.held() !== undefined;
+    }
+
+    /** Brings the zone one step closer to what is wanted. One round of `run`. */
+    async round(): Promise<void> {
+        if (!this.options.configuration.complete) {
+            return;
+        }
+        const fence = this.lease.held();
+        if (fence === undefined) {
+            this.activeFence = undefined;
+            return this.repairDuringOutage();
+        }
+        if (!await this.synchronise(fence)) {
+            return;
+        }
+        await this.commitPlan(fence);
+        const ledger = this.ledgers.current;
+        if (ledger && this.isActive()) {
+            this.orders.dispatchLoads(ledger);
+            this.orders.dispatchUnloads(ledger, group => this.drains.isDrained(ledger, group));
+            this.report(ledger);
+        }
+    }
+
+    /** Reads the ledger when this controller became active, or when a newer one is known to exist. */
+    private async synchronise(fence: number): Promise<boolean> {
+        const known = this.options.configuration.get("zone-ledger", this.options.zone);
+        const isBehind = (known?.revision ?? 0) > this.ledgers.revision;
+        if (this.activeFence !== fence || !this.ledgers.current || isBehind) {
+            const outcome = await this.ledgers.refresh();
+            if (outcome.kind === "invalid") {
+                this.options.logger.error(`The ledger cannot be read: ${outcome.reason}.`);
+            }
+            if (outcome.kind !== "read") {
+                return false;
+            }
+        }
+        if (this.activeFence !== fence) {
+            this.status.reset();
+        }
+        this.activeFence = fence;
+        return true;
+    }
+
+    private async commitPlan(fence: number): Promise<void> {
+        const ledger = this.ledgers.current;
+        if (!ledger) {
+            return;
+        }
+        this.observe(ledger);
+        const planned = planZone({
+            ledger,
+            specs: this.specs(),
+            fleet: this.fleet,
+            place: this.options.place ?? placeBestFit,
+            modelVersion: name => this.modelVersion(name),
+            isServing: group => this.isServing(ledger, group),
+            isDrained: group => this.drains.isDrained(ledger, group),
+            isUnloaded: (vm, epoch) => this.orders.isUnloaded(vm, epoch),
+            highestFence: vm => this.orders.highestFence(vm),
+        });
+        if (!planned) {
+            return;
+        }
+        const outcome = await this.ledgers.commit(planned, fence);
+        if (outcome.kind === "invalid") {
+            this.options.logger.error(`The planned ledger was not written: ${outcome.reason}.`);
+        }
+        if (outcome.kind === "committed") {
+            this.recordClaims(ledger, planned);
+        }
+        if (this.ledgers.current) {
+            this.observe(this.ledgers.current);
+        }
+    }
+
+    /** Orders members back into the claims that stand; no claim changes while the platform is down. */
+    private repairDuringOutage(): void {
+        const ledger = this.isPlatformDown() ? this.newestLedger() : undefined;
+        if (ledger) {
+            this.observe(ledger);
+            this.orders.dispatchLoads(ledger);
+        }
+    }
+
+    /** The newest ledger that this process or any peer that it has heard has seen. */
+    private newestLedger(): ZoneLedger | undefined {
+        const spread = this.options.configuration.get("zone-ledger", this.options.zone);
+        const isNewer = spread !== undefined && spread.revision > this.ledgers.revision;
+        return isNewer ? spread.value : this.ledgers.current ?? spread?.value;
+    }
+
+    private isPlatformDown(): boolean {
+        return this.lease.platformSilentMs() > this.timings.outageAfterMs;
+    }
+
+    private observe(ledger: ZoneLedger): void {
+        this.fleet.refresh(ledger);
+        this.drains.refresh(ledger);
+    }
+
+    private isServing(ledger: ZoneLedger, group: string): boolean {
+        const evidence = this.options.evidence.ready(group);
+        const entry = ledger.groups[group];
+        const isOpen = entry?.members.every(vm => ledger.claims[vm]?.state === "held") ?? false;
+        return isOpen && evidence !== undefined && evidence.epoch === entry?.epoch;
+    }
+
+    private report(ledger: ZoneLedger): void {
+        const specs = this.specs();
+        const isServing = (group: string) => this.isServing(ledger, group);
+        this.accounting.update(ledger, specs, this.fleet, isServing);
+        const groups = new Set([
+            ...specs.map(spec => spec.name),
+            ...Object.keys(ledger.groups),
+            ...this.status.groups(),
+        ]);
+        for (const group of groups) {
+            const spec = specs.find(other => other.name === group);
+            this.status.publish(
+                group,
+                describeGroup({
+                    ledger,
+                    fleet: this.fleet,
+                    group,
+                    spec,
+                    hasModelVersion: this.modelVersion(spec?.value.modelVersion ?? "") !== undefined,
+                    isServing: isServing(group),
+                    wasServing: this.accounting.wasServing(group, ledger.groups[group]?.epoch ?? 0),
+                    isZoneOut: this.isZoneOut(),
+                }),
+            );
+        }
+    }
+
+    private recordClaims(before: ZoneLedger, after: ZoneLedger): void {
+        for (const [group, entry] of Object.entries(after.groups)) {
+            if (before.groups[group]?.epoch !== entry.epoch) {
+                const count = entry.members.length;
+                this.options.recorder.record({ kind: "group-claimed", group, epoch: entry.epoch, count });
+                this.options.logger.info(`Claimed ${count} VMs for ${group} at epoch ${entry.epoch}.`);
+            }
+        }
+    }
+
+    private specs(): Array<StoredObject<ServingGroup>> {
+        return this.options.configuration.list("serving-group")
+            .filter(spec => spec.value.zone === this.options.zone)
+            .sort((left, right) => left.name < right.name ? -1 : 1);
+    }
+
+    private modelVersion(name: string): ModelVersion | undefined {
+        return this.options.configuration.get("model-version", name)?.value;
+    }
+
+    private isZoneOut(): boolean {
+        return this.options.configuration.list("maintenance-intent").some(({ value: { target } }) =>
+            target.kind === "availability-zone" && target.name === this.options.zone
+        );
+    }
+
+    private async waitForWork(seen: number, signal: AbortSignal): Promise<void> {
+        if (signal.aborted) {
+            return;
+        }
+        const waiting = new AbortController();
+        const stop = () => waiting.abort();
+        signal.addEventListener("abort", stop, { once: true });
+        await Promise.race([
+            this.options.configuration.changed(seen, waiting.signal),
+            this.options.clock.sleep(this.timings.roundEveryMs, waiting.signal),
+        ]);
+        waiting.abort();
+        signal.removeEventListener("abort", stop);
+    }
+}
--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+export type { ControllerTimings } from "./ControllerTimings.js";
+export { defaultControllerTimings } from "./defaultControllerTimings.js";
+export type { PlanInput } from "./PlanInput.js";
+export { planZone } from "./planZone.js";
+export { ZoneController } from "./ZoneController.js";
+export { ZoneFleet } from "./ZoneFleet.js";
--- /dev/null
+++ b/packages/controller/src/planZone.ts
@@ -0,0 +1,58 @@
+import { LedgerDraft } from "@fescuehaven/coordination";
+import type { StoredObject } from "@fescuehaven/platform";
+import type { ServingGroup, ZoneLedger } from "@fescuehaven/resources";
+import { GroupPlanner } from "./GroupPlanner.js";
+import type { PlanInput } from "./PlanInput.js";
+
+/** Plans the next change of a zone's claims; undefined when they are as they should be. */
+export function planZone(input: PlanInput): ZoneLedger | undefined {
+    const draft = LedgerDraft.create(input.ledger);
+    freeUnloadedVms(input, draft);
+    renewOutrunReleases(input, draft);
+    releaseDeletedGroups(input, draft);
+    for (const spec of mostValuableFirst(input)) {
+        GroupPlanner.create({ input, draft, group: spec.name, spec: spec.value }).plan();
+    }
+    return draft.changed ? draft.ledger : undefined;
+}
+
+function freeUnloadedVms(input: PlanInput, draft: LedgerDraft): void {
+    for (const [vm, claim] of Object.entries(input.ledger.claims)) {
+        const isGone = input.isUnloaded(vm, claim.epoch) || input.fleet.get(vm).vanished;
+        if (claim.state === "releasing" && isGone) {
+            draft.free(vm);
+        }
+    }
+}
+
+/** Gives releases that an engine refused as stale an epoch past the one that it has seen. */
+function renewOutrunReleases(input: PlanInput, draft: LedgerDraft): void {
+    for (const [vm, claim] of Object.entries(draft.ledger.claims)) {
+        if (claim.state === "releasing" && input.highestFence(vm) > claim.epoch) {
+            draft.raiseEpoch(input.highestFence(vm));
+            claim.state = "held";
+            draft.release(vm);
+        }
+    }
+}
+
+function releaseDeletedGroups(input: PlanInput, draft: LedgerDraft): void {
+    const wanted = new Set(input.specs.map(spec => spec.name));
+    for (const group of Object.keys(input.ledger.groups).filter(name => !wanted.has(name))) {
+        draft.abandonNext(group);
+        draft.ledger.groups[group]?.members.forEach(vm => draft.release(vm));
+        const hasClaims = Object.values(draft.ledger.claims).some(claim => claim.group === group);
+        if (!hasClaims) {
+            draft.removeGroup(group);
+        }
+    }
+}
+
+/** Groups that lack the fewest members come first, so that spares go where they bring a group back. */
+function mostValuableFirst(input: PlanInput): Array<StoredObject<ServingGroup>> {
+    const missing = (spec: StoredObject<ServingGroup>): number => {
+        const members = input.ledger.groups[spec.name]?.members ?? [];
+        return spec.value.memberCount - members.filter(vm => vm !== "" && !input.fleet.get(vm).lost).length;
+    };
+    return [...input.specs].sort((left, right) => missing(left) - missing(right));
+}
--- /dev/null
+++ b/packages/controller/tests/support/InvariantChecker.ts
@@ -0,0 +1,70 @@
+import { findLedgerFaults } from "@fescuehaven/coordination";
+import type { ZoneLedger } from "@fescuehaven/resources";
+import type { FakeEngines, FakeEvidence, ManualClock } from "@fescuehaven/testing";
+import { expect } from "chai";
+
+/** Checks after every step what must always hold between the ledger and what the engines really hold. */
+export class InvariantChecker {
+    private former: ZoneLedger | undefined;
+    /** Since when each claim is being released, by VM and epoch. */
+    private readonly releasedAtMs = new Map<string, number>();
+
+    private constructor(private readonly engines: FakeEngines, private readonly clock: ManualClock) {}
+
+    /** Creates a checker. */
+    static create(engines: FakeEngines, clock: ManualClock): InvariantChecker {
+        return new InvariantChecker(engines, clock);
+    }
+
+    /** Fails if an invariant is broken. */
+    check(ledger: ZoneLedger | undefined, evidence: FakeEvidence): void {
+        if (!ledger) {
+            return;
+        }
+        expect(findLedgerFaults(ledger)).to.deep.equal([]);
+        this.checkEpochsGrow(ledger);
+        this.checkVmsLeaveEmpty(ledger);
+        this.checkReadyGroups(ledger, evidence);
+        this.former = structuredClone(ledger);
+    }
+
+    private checkEpochsGrow(ledger: ZoneLedger): void {
+        expect(ledger.lastEpoch).to.be.at.least(this.former?.lastEpoch ?? 0);
+        for (const [vm, claim] of Object.entries(ledger.claims)) {
+            const before = this.former?.claims[vm];
+            if (before && before.group !== claim.group) {
+                expect.fail(`${vm} went from ${before.group} to ${claim.group} without being freed`);
+            }
+            if (!before || before.state !== claim.state || before.epoch !== claim.epoch) {
+                expect(claim.epoch).to.be.at.least(before?.epoch ?? 0);
+                this.releasedAtMs.set(`${vm}@${claim.epoch}`, this.clock.monotonicMs());
+            }
+        }
+    }
+
+    /** A VM that leaves the ledger has been without a model since its release began. */
+    private checkVmsLeaveEmpty(ledger: ZoneLedger): void {
+        for (const [vm, claim] of Object.entries(this.former?.claims ?? {})) {
+            if (!ledger.claims[vm]) {
+                expect(claim.state, `${vm} was freed while held`).to.equal("releasing");
+                const engine = this.engines.get(vm);
+                const releasedAtMs = this.releasedAtMs.get(`${vm}@${claim.epoch}`) ?? 0;
+                const wasEmpty = engine.held === undefined || engine.lastEmptyAtMs >= releasedAtMs;
+                expect(wasEmpty || !engine.reachable, `${vm} was freed while its member held a model`).to.equal(true);
+            }
+        }
+    }
+
+    /** What the members themselves hold: one epoch and one version in every group with evidence, and no VM in two. */
+    private checkReadyGroups(ledger: ZoneLedger, evidence: FakeEvidence): void {
+        const owners = new Map<string, string>();
+        for (const { epoch, group } of evidence.readyGroups()) {
+            for (const vm of ledger.groups[group]?.members ?? []) {
+                const held = this.engines.get(vm).held;
+                expect([held?.group, held?.fence], `${vm} in ${group}`).to.deep.equal([group, epoch]);
+                expect(owners.get(vm), `${vm} is in two groups`).to.equal(undefined);
+                owners.set(vm, group);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/controller/tests/support/ZoneBench.ts
@@ -0,0 +1,172 @@
+import type { EngineControl } from "@fescuehaven/coordination";
+import type { ObjectStore } from "@fescuehaven/platform";
+import type { GroupStatus, ZoneLedger } from "@fescuehaven/resources";
+import {
+    FakeConfiguration,
+    FakeEngines,
+    FakeEvidence,
+    FakeVms,
+    ManualClock,
+    MemoryEventRecorder,
+    MemoryObjectStore,
+    SeededRandom,
+    SilentLogger,
+    SilentMetrics,
+} from "@fescuehaven/testing";
+import { type ControllerTimings, ZoneController } from "../../src/index.js";
+import { InvariantChecker } from "./InvariantChecker.js";
+
+const ZONE = "z1";
+
+/** Steps in which `run` moves time on, checking the invariants after each. */
+const STEP_MS = 100;
+
+/** One availability zone in memory with any number of controllers. */
+export class ZoneBench {
+    readonly clock = ManualClock.create();
+    readonly store = MemoryObjectStore.create(this.clock);
+    readonly engines = FakeEngines.create(this.clock);
+    readonly configuration = FakeConfiguration.create();
+    readonly vms = FakeVms.create();
+    readonly recorder = MemoryEventRecorder.create();
+    readonly evidence = FakeEvidence.create({
+        clock: this.clock,
+        engines: this.engines,
+        ledger: () => this.ledger,
+    });
+    /** Off: controllers hear of new ledgers from the platform only. */
+    spreadsLedger = true;
+
+    private readonly invariants = InvariantChecker.create(this.engines, this.clock);
+    private readonly stops = new Map<string, AbortController>();
+    private readonly tasks: Array<Promise<void>> = [];
+    private spreadRevision = 0;
+
+    private constructor() {}
+
+    /** Creates a zone with the given number of VMs in each fabric domain, named DOMAIN-1 and so on. */
+    static create(domains: Record<string, number>, options: { obeysFencing?: boolean; } = {}): ZoneBench {
+        const bench = new ZoneBench();
+        let port = 0;
+        for (const [fabricDomain, count] of Object.entries(domains)) {
+            for (let index = 1; index <= count; index++) {
+                port += 1;
+                const record = {
+                    name: `${fabricDomain}-${index}`,
+                    region: "r1",
+                    zone: ZONE,
+                    fabricDomain,
+                    role: "engine" as const,
+                    address: "127.0.0.1",
+                    enginePort: port,
+                    accelerators: 8,
+                    state: "live" as const,
+                };
+                bench.vms.put(record);
+                bench.engines.add(record, options);
+            }
+        }
+        bench.configuration.put("model-version", "m-1", { model: "m", version: "1", weightsPerMemberGiB: 10 });
+        bench.configuration.put("model-version", "m-2", { model: "m", version: "2", weightsPerMemberGiB: 10 });
+        return bench;
+    }
+
+    /** The ledger in the platform. */
+    get ledger(): ZoneLedger | undefined {
+        return this.store.peek("zone-ledger", ZONE)?.value as ZoneLedger | undefined;
+    }
+
+    /** Asks for a group. */
+    addGroup(name: string, memberCount: number, modelVersion = "m-1"): void {
+        const limits = { maxConcurrentRequests: 8, coldConcurrentRequests: 1 };
+        this.configuration.put("serving-group", name, { zone: ZONE, modelVersion, memberCount, ...limits });
+    }
+
+    /** Takes something out. */
+    addIntent(name: string, kind: "vm" | "fabric-domain" | "availability-zone", target: string): void {
+        const value = { target: { kind, name: target }, reason: "test", requestedBy: "test" };
+        this.configuration.put("maintenance-intent", name, value);
+    }
+
+    /** Starts a controller; `store` and `engines` may stand between it and the fakes. */
+    start(
+        process: string,
+        options: { store?: ObjectStore; engines?: EngineControl; timings?: Partial<ControllerTimings>; } = {},
+    ): ZoneController {
+        const controller = ZoneController.create({
+            process,
+            zone: ZONE,
+            store: options.store ?? this.store,
+            configuration: this.configuration,
+            evidence: this.evidence,
+            engines: options.engines ?? this.engines,
+            vms: this.vms,
+            clock: this.clock,
+            random: SeededRandom.create(1, process),
+            recorder: this.recorder,
+            logger: SilentLogger.create(),
+            metrics: SilentMetrics.create(),
+            timings: { drainBoundMs: 10_000, ...options.timings },
+        });
+        const stop = new AbortController();
+        this.stops.set(process, stop);
+        this.tasks.push(controller.run(stop.signal));
+        return controller;
+    }
+
+    /** Asks a controller to stop. */
+    stop(process: string): void {
+        this.stops.get(process)?.abort();
+    }
+
+    /** Stops all controllers. */
+    async close(): Promise<void> {
+        this.stops.forEach(stop => stop.abort());
+        await this.clock.advance(5000);
+    }
+
+    /** Moves time on in small steps, checking the invariants after each. */
+    async run(durationMs: number): Promise<void> {
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+            await this.clock.advance(STEP_MS);
+            this.check();
+        }
+    }
+
+    /** Checks the invariants and spreads the ledger. */
+    check(): void {
+        const object = this.store.peek("zone-ledger", ZONE);
+        this.invariants.check(this.ledger, this.evidence);
+        if (object && this.spreadsLedger && object.revision !== this.spreadRevision) {
+            this.spreadRevision = object.revision;
+            this.configuration.put("zone-ledger", ZONE, structuredClone(object.value) as ZoneLedger, object.revision);
+        }
+    }
+
+    /** Runs until `condition` holds; fails after `limitMs`. */
+    async until(what: string, condition: () => boolean, limitMs = 60_000): Promise<number> {
+        const startedMs = this.clock.monotonicMs();
+        while (!condition()) {
+            if (this.clock.monotonicMs() - startedMs > limitMs) {
+                throw new Error(`Not within ${limitMs} ms: ${what}. ${JSON.stringify(this.ledger)}`);
+            }
+            await this.run(STEP_MS);
+        }
+        return this.clock.monotonicMs() - startedMs;
+    }
+
+    /** Whether a group serves. */
+    isReady(group: string): boolean {
+        return this.evidence.ready(group) !== undefined;
+    }
+
+    /** VMs of a group by rank. */
+    members(group: string): string[] {
+        return this.ledger?.groups[group]?.members ?? [];
+    }
+
+    /** A group's status in the platform. */
+    status(group: string): GroupStatus | undefined {
+        return this.store.peek("group-status", group)?.value as GroupStatus | undefined;
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/lease/ZoneLeaseKeeper.ts
@@ -0,0 +1,221 @@
+import type { ObjectStore, Revision, StoredObject } from "@fescuehaven/platform";
+import { type ZoneLease, zoneLeaseSchema } from "@fescuehaven/resources";
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
+import type { LeaseTimings } from "./LeaseTimings.js";
+
+/** Nonces of own updates that are remembered, so that one which takes effect late is recognised. */
+const REMEMBERED_NONCES = 16;
+
+/** Dependencies of a `ZoneLeaseKeeper`. */
+interface ZoneLeaseKeeperOptions {
+    store: ObjectStore;
+    clock: Clock;
+    random: Random;
+    recorder: EventRecorder;
+    logger: Logger;
+    /** Availability zone, which names the lease object. */
+    zone: string;
+    /** Name of this process. */
+    process: string;
+    timings: LeaseTimings;
+}
+
+/**
+ * Competes for the lease of an availability zone, so that one controller at a time is active. The lease keeps
+ * controllers from working against each other; nothing rests on it for safety, because a holder may be paused between
+ * any check and its next step.
+ */
+export class ZoneLeaseKeeper {
+    private fence = 0;
+    private revision: Revision = 0;
+    private holds = false;
+    private validUntilMs = -Infinity;
+    private lastBeatMs: number;
+    private lastAnswerMs: number;
+    private unchanged: { revision: Revision; sinceMs: number; } | undefined;
+    private ownNonces: string[] = [];
+
+    private constructor(private readonly options: ZoneLeaseKeeperOptions) {
+        this.lastBeatMs = options.clock.monotonicMs();
+        this.lastAnswerMs = this.lastBeatMs;
+    }
+
+    /** Creates a keeper that does not hold the lease. */
+    static create(options: ZoneLeaseKeeperOptions): ZoneLeaseKeeper {
+        return new ZoneLeaseKeeper(options);
+    }
+
+    /** Fencing number of the lease while it is certainly held, with the safety margin to spare; else undefined. */
+    held(): number | undefined {
+        this.noticePause();
+        const valid = this.holds && this.options.clock.monotonicMs() < this.validUntilMs;
+        return valid ? this.fence : undefined;
+    }
+
+    /** Time since the platform last gave any answer, ms. */
+    platformSilentMs(): number {
+        return this.options.clock.monotonicMs() - this.lastAnswerMs;
+    }
+
+    /** Competes for the lease and renews it until `signal` aborts, then releases it. */
+    async run(signal: AbortSignal): Promise<void> {
+        const beats = this.beat(signal);
+        while (!signal.aborted) {
+            await this.turn();
+            await this.options.clock.sleep(this.options.timings.renewEveryMs, signal);
+        }
+        await beats;
+        await this.release();
+    }
+
+    /** Renews the lease if held, else looks whether it can be taken over. One round of `run`. */
+    async turn(): Promise<void> {
+        if (this.holds) {
+            await this.write({ holder: this.options.process, fence: this.fence });
+            return;
+        }
+        const outcome = await this.options.store.read(this.key(), "claim");
+        switch (outcome.kind) {
+            case "unavailable":
+                this.unchanged = undefined;
+                return;
+            case "absent":
+                this.lastAnswerMs = this.options.clock.monotonicMs();
+                this.revision = 0;
+                return this.write({ holder: this.options.process, fence: 1 });
+            case "found":
+                this.lastAnswerMs = this.options.clock.monotonicMs();
+                return this.contend(outcome.object);
+        }
+    }
+
+    private async contend(object: StoredObject): Promise<void> {
+        const parsed = zoneLeaseSchema.safeParse(object.value);
+        if (!parsed.success) {
+            this.options.logger.error("The lease object is not a lease; remove it.");
+            return;
+        }
+        const lease = parsed.data;
+        this.revision = object.revision;
+        if (lease.holder !== "" && this.ownNonces.includes(lease.nonce)) {
+            this.confirm(lease.fence, object.revision, -Infinity);
+            return;
+        }
+        if (lease.holder === "" || this.isExpired(object.revision, lease)) {
+            await this.write({ holder: this.options.process, fence: lease.fence + 1 });
+        }
+    }
+
+    /** Whether this process itself has seen the lease unchanged for all its duration and the margin. */
+    private isExpired(revision: Revision, lease: ZoneLease): boolean {
+        const nowMs = this.options.clock.monotonicMs();
+        if (this.unchanged?.revision !== revision) {
+            this.unchanged = { revision, sinceMs: nowMs };
+        }
+        return nowMs - this.unchanged.sinceMs >= lease.durationMs + this.options.timings.takeoverMarginMs;
+    }
+
+    private async write(content: { holder: string; fence: number; }): Promise<void> {
+        const startedMs = this.options.clock.monotonicMs();
+        const nonce = this.options.random.uniqueId();
+        this.ownNonces = [...this.ownNonces.slice(1 - REMEMBERED_NONCES), nonce];
+        const value = { ...content, durationMs: this.options.timings.durationMs, nonce };
+        const outcome = await this.options.store.write(this.key(), value, this.revision, "claim");
+        switch (outcome.kind) {
+            case "committed":
+                this.lastAnswerMs = this.options.clock.monotonicMs();
+                return this.confirm(content.fence, outcome.revision, startedMs);
+            case "conflict":
+                this.lastAnswerMs = this.options.clock.monotonicMs();
+                return this.readBack(startedMs);
+            case "unknown":
+                return this.readBack(startedMs);
+            case "unavailable":
+                return;
+            case "invalid":
+                this.options.logger.error(`The platform refused the lease: ${outcome.reason}.`);
+                return;
+        }
+    }
+
+    /** Settles an update that did not certainly take effect, by the nonce that the platform now holds. */
+    private async readBack(startedMs: number): Promise<void> {
+        const outcome = await this.options.store.read(this.key(), "claim");
+        if (outcome.kind === "unavailable") {
+            return;
+        }
+        this.lastAnswerMs = this.options.clock.monotonicMs();
+        const lease = outcome.kind === "found" ? zoneLeaseSchema.safeParse(outcome.object.value).data : undefined;
+        if (outcome.kind === "found" && lease && this.ownNonces.includes(lease.nonce) && lease.holder !== "") {
+            const isNewest = lease.nonce === this.ownNonces.at(-1);
+            this.confirm(lease.fence, outcome.object.revision, isNewest ? startedMs : -Infinity);
+            return;
+        }
+        const revision = outcome.kind === "found" ? outcome.object.revision : 0;
+        if (revision !== this.revision) {
+            this.lose("taken-over");
+        }
+    }
+
+    private confirm(fence: number, revision: Revision, startedMs: number): void {
+        if (!this.holds) {
+            this.options.recorder.record({ kind: "lease-acquired", zone: this.options.zone, epoch: fence });
+            this.options.logger.info(`Holds the lease with fence ${fence}.`);
+        }
+        this.holds = true;
+        this.fence = fence;
+        this.revision = revision;
+        const { durationMs, safetyMarginMs } = this.options.timings;
+        this.validUntilMs = Math.max(this.validUntilMs, startedMs + durationMs - safetyMarginMs);
+    }
+
+    private lose(reason: string): void {
+        if (this.holds) {
+            this.options.recorder.record({ kind: "lease-lost", zone: this.options.zone, epoch: this.fence, reason });
+            this.options.logger.warn(`Lost the lease with fence ${this.fence}: ${reason}.`);
+        }
+        this.holds = false;
+        this.validUntilMs = -Infinity;
+        this.unchanged = undefined;
+    }
+
+    private async release(): Promise<void> {
+        if (this.holds) {
+            const value = {
+                holder: "",
+                fence: this.fence,
+                durationMs: this.options.timings.durationMs,
+                nonce: this.options.random.uniqueId(),
+            };
+            this.lose("released");
+            await this.options.store.write(this.key(), value, this.revision, "claim");
+        }
+    }
+
+    private async beat(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.options.clock.sleep(this.options.timings.beatEveryMs, signal);
+            this.noticePause();
+            this.lastBeatMs = this.options.clock.monotonicMs();
+        }
+    }
+
+    /** Treats the lease as lapsed after a pause of the process, until the platform confirms it again. */
+    private noticePause(): void {
+        const { beatEveryMs, pauseToleranceMs } = this.options.timings;
+        const pausedMs = this.options.clock.monotonicMs() - this.lastBeatMs - beatEveryMs;
+        if (pausedMs <= pauseToleranceMs) {
+            return;
+        }
+        this.lastBeatMs = this.options.clock.monotonicMs();
+        this.validUntilMs = -Infinity;
+        this.unchanged = undefined;
+        this.options.recorder.record({ kind: "process-paused", durationMs: pausedMs });
+        this.options.logger.warn(`The process was paused for ${Math.round(pausedMs)} ms.`);
+    }
+
+    private key(): { kind: string; name: string; } {
+        return { kind: "zone-lease", name: this.options.zone };
+    }
+}
--- /dev/null
+++ b/packages/coordination/src/placement/FreeVm.ts
@@ -0,0 +1,5 @@
+/** A VM that can be claimed. */
+export interface FreeVm {
+    name: string;
+    fabricDomain: string;
+}
--- a/packages/resources/src/ZoneLedger.ts
+++ b/packages/resources/src/ZoneLedger.ts
@@ -11,6 +11,16 @@
     state: z.enum(["held", "releasing"]),
 });
 
+const formationFields = {
+    /** Fencing number of the orders that form it. */
+    epoch: z.number().int().positive(),
+    modelVersion: z.string(),
+    /** Fabric domain of its members; several joined by "+" where it spans more than one. */
+    fabricDomain: z.string(),
+    /** VM names by rank; empty where the member has left and none has taken its place. */
+    members: z.array(z.string()),
+};
+
 /** Every claim on the VMs of one availability zone. Changed only by conditional update. */
 export const zoneLedgerSchema = z.strictObject({
     /** Unique id of the update that wrote this value; settles updates whose answer was lost. */
@@ -25,11 +35,9 @@
     groups: z.record(
         z.string(),
         z.strictObject({
-            epoch: z.number().int().positive(),
-            modelVersion: z.string(),
-            fabricDomain: z.string(),
-            /** VM names by rank. */
-            members: z.array(z.string()),
+            ...formationFields,
+            /** Formation that loads beside the one in service and will take its place. Takes no requests. */
+            next: z.strictObject(formationFields).optional(),
         }),
     ),
 });
--- /dev/null
+++ b/packages/testing/src/fakes/FakeEngines.ts
@@ -0,0 +1,154 @@
+import {
+    type EngineControl,
+    type EngineOrder,
+    engineUrlOf,
+    type MemberReport,
+    type OrderOutcome,
+} from "@fescuehaven/coordination";
+import type { VmRecord } from "@fescuehaven/platform";
+import type { Clock } from "@fescuehaven/runtime";
+import type { FakeEngine } from "./FakeEngine.js";
+
+/** Engines in memory that obey or ignore fencing numbers, with the faults that an engine and its network have. */
+export class FakeEngines implements EngineControl {
+    private readonly engines = new Map<string, FakeEngine>();
+    private boots = 0;
+    /** Calls so far, for tests that count them. */
+    readonly calls = { report: 0, order: 0 };
+
+    private constructor(private readonly clock: Clock, private readonly loadMs: number) {}
+
+    /** Creates engines that take `loadMs` to load weights. */
+    static create(clock: Clock, loadMs = 1000): FakeEngines {
+        return new FakeEngines(clock, loadMs);
+    }
+
+    /** Starts an empty engine on a VM. */
+    add(record: VmRecord, options: { obeysFencing?: boolean; } = {}): FakeEngine {
+        const engine: FakeEngine = {
+            record,
+            bootId: this.nextBootId(),
+            obeysFencing: options.obeysFencing ?? true,
+            reachable: true,
+            losesAnswers: false,
+            delaysOrders: false,
+            highestFence: 0,
+            held: undefined,
+            readyAtMs: 0,
+            runningRequests: 0,
+            delayed: [],
+            obeyed: [],
+            lastEmptyAtMs: this.clock.monotonicMs(),
+            take: order => this.take(engine, order),
+            report: () => this.reportOf(engine),
+        };
+        this.engines.set(record.name, engine);
+        return engine;
+    }
+
+    /** The engine of a VM; the test has added it before. */
+    get(vm: string): FakeEngine {
+        const engine = this.engines.get(vm);
+        if (!engine) {
+            throw new Error(`No engine on ${vm}.`);
+        }
+        return engine;
+    }
+
+    /** All engines. */
+    all(): FakeEngine[] {
+        return [...this.engines.values()];
+    }
+
+    /** Restarts an engine: empty, with a new boot id and no memory of fencing numbers. */
+    restart(vm: string): void {
+        const engine = this.get(vm);
+        engine.bootId = this.nextBootId();
+        engine.highestFence = 0;
+        engine.held = undefined;
+        engine.runningRequests = 0;
+        engine.lastEmptyAtMs = this.clock.monotonicMs();
+    }
+
+    /** Lets the orders that were held back take effect, in order; returns their number. */
+    deliver(vm: string): number {
+        const engine = this.get(vm);
+        const orders = engine.delayed.splice(0);
+        orders.forEach(order => this.take(engine, order));
+        return orders.length;
+    }
+
+    /** The report of the engine at `engineUrl`. */
+    async report(engineUrl: string, timeoutMs: number): Promise<MemberReport | undefined> {
+        this.calls.report += 1;
+        const engine = this.find(engineUrl);
+        if (!engine?.reachable) {
+            await this.clock.sleep(timeoutMs);
+            return undefined;
+        }
+        return this.reportOf(engine);
+    }
+
+    /** Hands an order to the engine at `engineUrl`. */
+    async order(engineUrl: string, order: EngineOrder, timeoutMs: number): Promise<OrderOutcome> {
+        this.calls.order += 1;
+        const engine = this.find(engineUrl);
+        if (!engine?.reachable) {
+            await this.clock.sleep(timeoutMs);
+            return { kind: "unknown" };
+        }
+        if (engine.delaysOrders) {
+            engine.delayed.push(order);
+            await this.clock.sleep(timeoutMs);
+            return { kind: "unknown" };
+        }
+        const outcome = this.take(engine, order);
+        return engine.losesAnswers ? { kind: "unknown" } : outcome;
+    }
+
+    private take(engine: FakeEngine, order: EngineOrder): OrderOutcome {
+        if (engine.obeysFencing && order.fence < engine.highestFence) {
+            return { kind: "stale", highestFence: engine.highestFence };
+        }
+        engine.highestFence = Math.max(engine.highestFence, order.fence);
+        engine.obeyed.push(order);
+        if (order.kind === "unload") {
+            engine.held = undefined;
+            engine.lastEmptyAtMs = this.clock.monotonicMs();
+            return { kind: "accepted" };
+        }
+        const { held } = engine;
+        const keepsWeights = held !== undefined && held.group === order.group
+            && held.modelVersion === order.modelVersion && held.rank === order.rank;
+        if (!keepsWeights) {
+            engine.readyAtMs = this.clock.monotonicMs() + this.loadMs;
+        }
+        engine.held = order;
+        return { kind: "accepted" };
+    }
+
+    private reportOf(engine: FakeEngine): MemberReport {
+        const { held } = engine;
+        const phase = this.clock.monotonicMs() >= engine.readyAtMs ? "ready" : "loading";
+        return {
+            vm: engine.record.name,
+            bootId: engine.bootId,
+            group: held?.group ?? "",
+            epoch: held?.fence ?? 0,
+            modelVersion: held?.modelVersion ?? "",
+            rank: held?.rank ?? 0,
+            phase: held ? phase : "empty",
+            runningRequests: engine.runningRequests,
+            waitingRequests: 0,
+        };
+    }
+
+    private find(engineUrl: string): FakeEngine | undefined {
+        return this.all().find(engine => engineUrlOf(engine.record) === engineUrl);
+    }
+
+    private nextBootId(): string {
+        this.boots += 1;
+        return `boot-${this.boots}`;
+    }
+}
--- /dev/null
+++ b/packages/testing/src/fakes/FakeEvidence.ts
@@ -0,0 +1,74 @@
+import { engineUrlOf, type EvidenceView, type GroupEvidence, type MemberObservation } from "@fescuehaven/coordination";
+import type { ZoneLedger } from "@fescuehaven/resources";
+import type { Clock } from "@fescuehaven/runtime";
+import type { FakeEngines } from "./FakeEngines.js";
+
+/** Evidence as ideal probes would find it: every engine that can be reached is seen as it is now. */
+export class FakeEvidence implements EvidenceView {
+    private constructor(
+        private readonly clock: Clock,
+        private readonly engines: FakeEngines,
+        private readonly ledger: () => ZoneLedger | undefined,
+    ) {}
+
+    /** Creates evidence about `engines` against the ledger that `ledger` yields. */
+    static create(options: {
+        clock: Clock;
+        engines: FakeEngines;
+        ledger: () => ZoneLedger | undefined;
+    }): FakeEvidence {
+        return new FakeEvidence(options.clock, options.engines, options.ledger);
+    }
+
+    /** Evidence for a group if all members are present at its epoch. */
+    ready(group: string): GroupEvidence | undefined {
+        const ledger = this.ledger();
+        const entry = ledger?.groups[group];
+        if (!ledger || !entry || !entry.members.every((vm, rank) => this.isPresent(ledger, group, vm, rank))) {
+            return undefined;
+        }
+        const head = this.engines.get(entry.members[0] ?? "");
+        return {
+            group,
+            epoch: entry.epoch,
+            modelVersion: entry.modelVersion,
+            headVm: head.record.name,
+            headUrl: engineUrlOf(head.record),
+            bootIds: entry.members.map(vm => this.engines.get(vm).bootId),
+            reportedLoad: head.runningRequests,
+            freshUntilMs: this.clock.monotonicMs() + 1000,
+        };
+    }
+
+    /** Every group with evidence. */
+    readyGroups(): GroupEvidence[] {
+        return Object.keys(this.ledger()?.groups ?? {}).flatMap(group => this.ready(group) ?? []);
+    }
+
+    /** The engine of a VM as it is now. */
+    observation(vm: string): MemberObservation | undefined {
+        const engine = this.engines.all().find(other => other.record.name === vm);
+        const observedAtMs = this.clock.monotonicMs();
+        if (!engine) {
+            return undefined;
+        }
+        return engine.reachable
+            ? { kind: "reported", report: engine.report(), observedAtMs }
+            : { kind: "unreachable", vm, observedAtMs };
+    }
+
+    /** Does nothing: the next look is always fresh. */
+    distrust(): void {}
+
+    private isPresent(ledger: ZoneLedger, group: string, vm: string, rank: number): boolean {
+        const entry = ledger.groups[group];
+        const claim = ledger.claims[vm];
+        const observation = this.observation(vm);
+        if (claim?.state !== "held" || observation?.kind !== "reported") {
+            return false;
+        }
+        const { report } = observation;
+        return report.phase === "ready" && report.group === group && report.epoch === entry?.epoch
+            && report.modelVersion === entry.modelVersion && report.rank === rank;
+    }
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,8 @@
+export { FakeConfiguration } from "./fakes/FakeConfiguration.js";
+export type { FakeEngine } from "./fakes/FakeEngine.js";
+export { FakeEngines } from "./fakes/FakeEngines.js";
+export { FakeEvidence } from "./fakes/FakeEvidence.js";
+export { FakeVms } from "./fakes/FakeVms.js";
 export { ManualClock } from "./fakes/ManualClock.js";
 export { MemoryEventRecorder } from "./fakes/MemoryEventRecorder.js";
 export { MemoryObjectStore } from "./fakes/MemoryObjectStore.js";
