Add the router's request path, and coordination ports for peers and VMs (additive)

Callers' chat and plain service calls are admitted by client account, wait in a bounded queue that is fair over accounts, and go to a ready group of the own zone, or to a router of another zone. Answers are tied to request, attempt and token index; a broken one is resumed on another group. Calls that may not be repeated claim their key first and say that they did not run only after that.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -7,3 +7,6 @@
 export type { ConfigurationView } from "./ports/ConfigurationView.js";
 export type { EngineControl } from "./ports/EngineControl.js";
 export type { EvidenceView } from "./ports/EvidenceView.js";
+export type { PeerClients } from "./ports/PeerClients.js";
+export type { PeerView } from "./ports/PeerView.js";
+export type { VmView } from "./ports/VmView.js";
--- /dev/null
+++ b/packages/router/src/createRouter.ts
@@ -0,0 +1,184 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import type { ConfigurationView, EvidenceView, PeerView, VmView } from "@fescuehaven/coordination";
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { EventRecorder, Logger, Metrics } from "@fescuehaven/telemetry";
+import { AccountDirectory } from "./admission/AccountDirectory.js";
+import { PlacementQueue } from "./admission/PlacementQueue.js";
+import { GenerationAttempt } from "./generation/GenerationAttempt.js";
+import { GenerationDispatcher } from "./generation/GenerationDispatcher.js";
+import { RetryBudget } from "./generation/RetryBudget.js";
+import { UpstreamLimits } from "./limits/UpstreamLimits.js";
+import type { ConcurrencyShare } from "./ports/ConcurrencyShare.js";
+import type { EngineClient } from "./ports/EngineClient.js";
+import type { KeyJournal } from "./ports/KeyJournal.js";
+import type { ServiceClient } from "./ports/ServiceClient.js";
+import type { ZoneForwarder } from "./ports/ZoneForwarder.js";
+import type { RouterSettings } from "./RouterSettings.js";
+import { EndpointSelector } from "./routing/EndpointSelector.js";
+import { GroupAccess } from "./routing/GroupAccess.js";
+import { GroupSelector } from "./routing/GroupSelector.js";
+import { MaintenanceState } from "./routing/MaintenanceState.js";
+import { PeerSelector } from "./routing/PeerSelector.js";
+import { TokenPace } from "./routing/TokenPace.js";
+import { VersionPicker } from "./routing/VersionPicker.js";
+import { CallTracker } from "./server/CallTracker.js";
+import { ChatHandler } from "./server/ChatHandler.js";
+import { ForwardHandler } from "./server/ForwardHandler.js";
+import { RouterServer } from "./server/RouterServer.js";
+import { ServiceHandler } from "./server/ServiceHandler.js";
+import { KeyedCalls } from "./services/KeyedCalls.js";
+import { ServiceDispatcher } from "./services/ServiceDispatcher.js";
+
+interface CreateRouterOptions {
+    settings: RouterSettings;
+    clock: Clock;
+    random: Random;
+    events: EventRecorder;
+    logger: Logger;
+    metrics: Metrics;
+    configuration: ConfigurationView;
+    evidence: EvidenceView;
+    vms: VmView;
+    peers: PeerView;
+    share: ConcurrencyShare;
+    engines: EngineClient;
+    services: ServiceClient;
+    forwarder: ZoneForwarder;
+    journal: KeyJournal;
+}
+
+/** A router put together. */
+interface Router {
+    /** The callers' interface. */
+    server: RouterServer;
+    /** Adds the router's services to the peer interface. */
+    registerOn(router: ConnectRouter): void;
+    /** Does the router's regular work until `signal` aborts. */
+    run(signal: AbortSignal): Promise<void>;
+    /** Refuses new calls at once; resolves once those in progress have ended whole and the server is closed. */
+    drain(): Promise<void>;
+}
+
+const HOUSEKEEPING_MS = 60_000;
+
+/** Puts a router together from its ports. */
+export function createRouter(options: CreateRouterOptions): Router {
+    const { settings, clock, random, events, logger, metrics, configuration, evidence, forwarder } = options;
+    const { zone } = settings;
+    const calls = CallTracker.create(metrics);
+    const maintenance = MaintenanceState.create(options);
+    const limits = UpstreamLimits.create(options);
+    const pace = TokenPace.create();
+    const budget = RetryBudget.create();
+    const queue = PlacementQueue.create({
+        clock,
+        maxCalls: settings.maxQueuedCalls,
+        maxBytes: settings.maxQueuedBytes,
+    });
+    const peers = PeerSelector.create({
+        peers: options.peers,
+        maintenance,
+        clock,
+        random,
+        zone,
+        maxCallsPerPeer: settings.maxForwardsPerPeer,
+    });
+    const access = GroupAccess.create({ configuration, evidence, maintenance, zone });
+    const selector = GroupSelector.create({
+        access,
+        limits,
+        pace,
+        random,
+        observedAtMs: vm => {
+            const seen = evidence.observation(vm);
+            return seen?.kind === "reported" ? seen.observedAtMs : undefined;
+        },
+    });
+    const attempt = GenerationAttempt.create({
+        clock,
+        random,
+        events,
+        metrics,
+        access,
+        engines: options.engines,
+        forwarder,
+        silenceMs: settings.streamSilenceMs,
+        progressMs: settings.streamProgressMs,
+    });
+    const generations = GenerationDispatcher.create({
+        clock,
+        events,
+        metrics,
+        configuration,
+        evidence,
+        queue,
+        selector,
+        peers,
+        pace,
+        budget,
+        attempt,
+        zone,
+    });
+    const services = ServiceDispatcher.create({
+        clock,
+        events,
+        metrics,
+        queue,
+        endpoints: EndpointSelector.create({ configuration, maintenance, limits, random, zone }),
+        peers,
+        budget,
+        services: options.services,
+        forwarder,
+    });
+    const keyed = KeyedCalls.create({
+        clock,
+        random,
+        events,
+        logger,
+        journal: options.journal,
+        services,
+        retentionMs: settings.keyRetentionMs,
+        clockErrorMs: settings.clockErrorMs,
+    });
+    const versions = VersionPicker.create({ random, isServed: version => selector.hasOpen(version) });
+    const server = RouterServer.create({
+        clock,
+        random,
+        events,
+        logger,
+        metrics,
+        configuration,
+        accounts: AccountDirectory.create(configuration),
+        calls,
+        chat: ChatHandler.create({
+            clock,
+            configuration,
+            versions,
+            generations,
+            callerStallMs: settings.callerStallMs,
+        }),
+        services: ServiceHandler.create({ clock, configuration, services, keyed }),
+        bodyLimitBytes: settings.bodyLimitBytes,
+    });
+    const forwards = ForwardHandler.create({ clock, configuration, generations, services, calls });
+    return {
+        server,
+        registerOn: router => forwards.registerOn(router),
+        run: async signal => {
+            await Promise.all([queue.run(signal), keepHouse(clock, limits, signal)]);
+        },
+        drain: async () => {
+            events.record({ kind: "process-draining" });
+            await calls.drain();
+            await keyed.settled();
+            await server.close();
+        },
+    };
+}
+
+async function keepHouse(clock: Clock, limits: UpstreamLimits, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+        await clock.sleep(HOUSEKEEPING_MS, signal);
+        limits.forgetUnused();
+    }
+}
--- /dev/null
+++ b/packages/router/src/generation/GenerationAttempt.ts
@@ -0,0 +1,231 @@
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { EventRecorder, Metrics } from "@fescuehaven/telemetry";
+import type { EngineClient } from "../ports/EngineClient.js";
+import type { ZoneForwarder } from "../ports/ZoneForwarder.js";
+import type { GroupAccess } from "../routing/GroupAccess.js";
+import type { GroupPlace } from "../routing/GroupPlace.js";
+import type { OpenGroup } from "../routing/OpenGroup.js";
+import type { PeerPlace } from "../routing/PeerPlace.js";
+import type { AttemptOutcome } from "./AttemptOutcome.js";
+import type { GenerationCall } from "./GenerationCall.js";
+import { SilenceWatch } from "./SilenceWatch.js";
+import type { StreamEvent } from "./StreamEvent.js";
+import type { TokenSequence } from "./TokenSequence.js";
+import type { TokenSink } from "./TokenSink.js";
+
+interface GenerationAttemptOptions {
+    clock: Clock;
+    random: Random;
+    events: EventRecorder;
+    metrics: Metrics;
+    access: GroupAccess;
+    engines: EngineClient;
+    forwarder: ZoneForwarder;
+    /** Longest time without any sign of life from a stream. */
+    silenceMs: number;
+    /** Longest time without a token. */
+    progressMs: number;
+}
+
+/** Runs one attempt at a generation: opens a stream, hands its tokens on, and watches that it stays alive. */
+export class GenerationAttempt {
+    private constructor(private readonly options: GenerationAttemptOptions) {}
+
+    /** Creates the runner of attempts. */
+    static create(options: GenerationAttemptOptions): GenerationAttempt {
+        return new GenerationAttempt(options);
+    }
+
+    /** Runs an attempt at the place until its stream ends or `signal` aborts. Gives no slot back. */
+    async run(
+        place: GroupPlace | PeerPlace,
+        call: GenerationCall,
+        sequence: TokenSequence,
+        sink: TokenSink,
+        signal: AbortSignal,
+    ): Promise<AttemptOutcome> {
+        return place.kind === "group"
+            ? this.runAtGroup(place, call, sequence, sink, signal)
+            : this.runAtPeer(place, call, sequence, sink, signal);
+    }
+
+    private async runAtGroup(
+        place: GroupPlace,
+        call: GenerationCall,
+        sequence: TokenSequence,
+        sink: TokenSink,
+        signal: AbortSignal,
+    ): Promise<AttemptOutcome> {
+        const open = this.options.access.check(place.group, call.modelVersion);
+        if (!open || open.upstream.identity !== place.upstream.identity) {
+            return { kind: "refused", reason: "group-closed" };
+        }
+        const attemptId = this.options.random.uniqueId();
+        const stop = new AbortController();
+        const stream = this.startAtGroup(open, call, attemptId, sequence, AbortSignal.any([signal, stop.signal]));
+        const outcome = await this.follow(stream, attemptId, sequence, sink, signal, stop);
+        if (outcome.kind === "aborted" || outcome.kind === "broken") {
+            void this.options.engines.cancel(open.evidence.headUrl, attemptId);
+        }
+        return outcome;
+    }
+
+    private startAtGroup(
+        open: OpenGroup,
+        call: GenerationCall,
+        attemptId: string,
+        sequence: TokenSequence,
+        signal: AbortSignal,
+    ): AsyncIterable<StreamEvent> {
+        const { group, epoch, headUrl } = open.evidence;
+        const { requestId } = call;
+        this.options.events.record({ kind: "request-dispatched", requestId, group, epoch, count: sequence.next });
+        return this.options.engines.generate(headUrl, {
+            requestId,
+            attemptId,
+            group,
+            epoch,
+            prompt: call.prompt,
+            maxTokens: call.maxTokens,
+            resumeFromToken: sequence.next,
+            priority: call.caller.priority,
+        }, signal);
+    }
+
+    private async runAtPeer(
+        place: PeerPlace,
+        call: GenerationCall,
+        sequence: TokenSequence,
+        sink: TokenSink,
+        signal: AbortSignal,
+    ): Promise<AttemptOutcome> {
+        const attemptId = this.options.random.uniqueId();
+        const stop = new AbortController();
+        const { peer } = place;
+        this.options.events.record({
+            kind: "request-forwarded",
+            requestId: call.requestId,
+            zone: peer.zone,
+            reason: peer.name,
+            count: sequence.next,
+        });
+        const stream = this.options.forwarder.generate(peer, {
+            requestId: call.requestId,
+            attemptId,
+            clientAccount: call.caller.account,
+            modelVersion: call.modelVersion,
+            prompt: call.prompt,
+            maxTokens: call.maxTokens,
+            resumeFromToken: sequence.next,
+            priority: call.caller.priority,
+            remainingMs: Math.max(1, Math.floor(call.deadlineMs - this.options.clock.monotonicMs())),
+        }, AbortSignal.any([signal, stop.signal]));
+        return this.follow(stream, attemptId, sequence, sink, signal, stop);
+    }
+
+    private async follow(
+        stream: AsyncIterable<StreamEvent>,
+        attemptId: string,
+        sequence: TokenSequence,
+        sink: TokenSink,
+        signal: AbortSignal,
+        stop: AbortController,
+    ): Promise<AttemptOutcome> {
+        const watch = SilenceWatch.create(this.options);
+        const ended = new AbortController();
+        const abandoned = watch.run(ended.signal).then(reason => {
+            stop.abort();
+            return reason;
+        });
+        const outcome = await this.read(stream, attemptId, sequence, sink, signal, watch, abandoned);
+        ended.abort();
+        stop.abort();
+        return outcome;
+    }
+
+    private async read(
+        stream: AsyncIterable<StreamEvent>,
+        attemptId: string,
+        sequence: TokenSequence,
+        sink: TokenSink,
+        signal: AbortSignal,
+        watch: SilenceWatch,
+        abandoned: Promise<"silent" | "no-progress" | undefined>,
+    ): Promise<AttemptOutcome> {
+        const iterator = stream[Symbol.asyncIterator]();
+        const gaveUp = abandoned.then(reason => ({ abandonedFor: reason }));
+        const aborted = whenAborted(signal);
+        for (;;) {
+            watch.waiting();
+            const next = await Promise.race([iterator.next(), gaveUp, aborted]);
+            if ("isAborted" in next || signal.aborted) {
+                return { kind: "aborted" };
+            }
+            if ("abandonedFor" in next) {
+                return { kind: "broken", reason: next.abandonedFor ?? "stopped", sent: true };
+            }
+            if (next.done) {
+                return { kind: "broken", reason: "stream-ended", sent: true };
+            }
+            watch.received(next.value.kind === "token");
+            const outcome = await this.handle(next.value, attemptId, sequence, sink);
+            if (outcome) {
+                return outcome;
+            }
+        }
+    }
+
+    private async handle(
+        event: StreamEvent,
+        attemptId: string,
+        sequence: TokenSequence,
+        sink: TokenSink,
+    ): Promise<AttemptOutcome | undefined> {
+        switch (event.kind) {
+            case "heartbeat":
+                return undefined;
+            case "refused":
+            case "broken":
+                return event;
+            default:
+                return this.take(event, attemptId, sequence, sink);
+        }
+    }
+
+    private async take(
+        event: Extract<StreamEvent, { kind: "token" | "done"; }>,
+        attemptId: string,
+        sequence: TokenSequence,
+        sink: TokenSink,
+    ): Promise<AttemptOutcome | undefined> {
+        const verdict = sequence.accept(event, attemptId);
+        switch (verdict.kind) {
+            case "next":
+                await sink(verdict.text, verdict.index);
+                return undefined;
+            case "dropped":
+                this.options.events.record({
+                    kind: "answer-dropped",
+                    requestId: event.requestId,
+                    reason: verdict.reason,
+                });
+                this.options.metrics.increment("answers_dropped", 1, { reason: verdict.reason });
+                return undefined;
+            case "incomplete":
+                return { kind: "broken", reason: verdict.reason, sent: true };
+            case "complete":
+                return { kind: "finished", tokenCount: sequence.next };
+        }
+    }
+}
+
+function whenAborted(signal: AbortSignal): Promise<{ isAborted: true; }> {
+    return new Promise(resolve => {
+        const settle = () => resolve({ isAborted: true });
+        if (signal.aborted) {
+            settle();
+            return;
+        }
+        signal.addEventListener("abort", settle, { once: true });
+    });
+}
--- /dev/null
+++ b/packages/router/src/generation/leaseResultOf.ts
@@ -0,0 +1,16 @@
+import type { LeaseResult } from "../limits/LeaseResult.js";
+import type { AttemptOutcome } from "./AttemptOutcome.js";
+
+/** What the end of an attempt says about the upstream's limit. */
+export function leaseResultOf(outcome: AttemptOutcome): LeaseResult {
+    switch (outcome.kind) {
+        case "finished":
+            return { kind: "completed" };
+        case "broken":
+            return { kind: "reset" };
+        case "refused":
+            return { kind: outcome.reason === "overloaded" ? "overloaded" : "neutral" };
+        case "aborted":
+            return { kind: "neutral" };
+    }
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,1 +1,16 @@
-export {};
+export { ConnectZoneForwarder } from "./adapters/ConnectZoneForwarder.js";
+export { HttpEngineClient } from "./adapters/HttpEngineClient.js";
+export { HttpServiceClient } from "./adapters/HttpServiceClient.js";
+export { createRouter } from "./createRouter.js";
+export { StaticShare } from "./limits/StaticShare.js";
+export type { ConcurrencyShare } from "./ports/ConcurrencyShare.js";
+export type { EngineClient } from "./ports/EngineClient.js";
+export type { KeyJournal } from "./ports/KeyJournal.js";
+export type { ServiceClient } from "./ports/ServiceClient.js";
+export type { ZoneForwarder } from "./ports/ZoneForwarder.js";
+export { type RouterSettings, routerSettingsSchema } from "./RouterSettings.js";
+export type { KeyClaim } from "./services/KeyClaim.js";
+export type { KeyClaimOutcome } from "./services/KeyClaimOutcome.js";
+export type { KeyFinishOutcome } from "./services/KeyFinishOutcome.js";
+export type { KeyReleaseOutcome } from "./services/KeyReleaseOutcome.js";
+export type { ServiceAnswer } from "./services/ServiceAnswer.js";
--- /dev/null
+++ b/packages/router/src/ports/ServiceClient.ts
@@ -0,0 +1,8 @@
+import type { ServiceOutcome } from "../services/ServiceOutcome.js";
+import type { ServiceRequest } from "../services/ServiceRequest.js";
+
+/** Sends calls to plain services. */
+export interface ServiceClient {
+    /** Sends one call once. Never rejects and never repeats. */
+    call(endpointUrl: string, path: string, request: ServiceRequest, signal: AbortSignal): Promise<ServiceOutcome>;
+}
--- /dev/null
+++ b/packages/router/src/routing/EndpointPlace.ts
@@ -0,0 +1,9 @@
+import type { UpstreamLease } from "../limits/UpstreamLease.js";
+
+/** A slot at an endpoint of a plain service in the own availability zone. */
+export interface EndpointPlace {
+    kind: "endpoint";
+    endpoint: string;
+    url: string;
+    lease: UpstreamLease;
+}
--- /dev/null
+++ b/packages/router/src/routing/GroupPlace.ts
@@ -0,0 +1,10 @@
+import type { Upstream } from "../limits/Upstream.js";
+import type { UpstreamLease } from "../limits/UpstreamLease.js";
+
+/** A slot at a serving group of the own availability zone. */
+export interface GroupPlace {
+    kind: "group";
+    group: string;
+    upstream: Upstream;
+    lease: UpstreamLease;
+}
--- /dev/null
+++ b/packages/router/src/server/RouterServer.ts
@@ -0,0 +1,149 @@
+import type { ConfigurationView } from "@fescuehaven/coordination";
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { EventRecorder, Logger, Metrics } from "@fescuehaven/telemetry";
+import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+import type { AccountDirectory } from "../admission/AccountDirectory.js";
+import { createRefusal } from "../createRefusal.js";
+import type { Refusal } from "../Refusal.js";
+import type { CallContext } from "./CallContext.js";
+import type { CallTracker } from "./CallTracker.js";
+import type { ChatHandler } from "./ChatHandler.js";
+import { sendRefusal } from "./sendRefusal.js";
+import type { ServiceHandler } from "./ServiceHandler.js";
+
+interface RouterServerOptions {
+    clock: Clock;
+    random: Random;
+    events: EventRecorder;
+    logger: Logger;
+    metrics: Metrics;
+    configuration: ConfigurationView;
+    accounts: AccountDirectory;
+    calls: CallTracker;
+    chat: ChatHandler;
+    services: ServiceHandler;
+    /** Largest body of a call. */
+    bodyLimitBytes: number;
+}
+
+type Handle = (call: CallContext, request: FastifyRequest, reply: FastifyReply) => Promise<Refusal | undefined>;
+
+const DRAIN_RETRY_AFTER_MS = 1000;
+const REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
+
+/** Refusals for faults that the HTTP library finds before a handler runs. */
+const libraryFaults: Record<string, "body-too-large" | "bad-request"> = {
+    FST_ERR_CTP_BODY_TOO_LARGE: "body-too-large",
+};
+
+/** The callers' HTTP interface of a router, with health checks. */
+export class RouterServer {
+    /** The HTTP server; tests reach it by `inject`, the entry point by `listen`. */
+    readonly http: FastifyInstance;
+
+    private constructor(private readonly options: RouterServerOptions) {
+        this.http = fastify({ bodyLimit: options.bodyLimitBytes, forceCloseConnections: "idle" });
+        this.addParsers();
+        this.addRoutes();
+        this.addErrorHandlers();
+    }
+
+    /** Creates a server that does not listen yet. */
+    static create(options: RouterServerOptions): RouterServer {
+        return new RouterServer(options);
+    }
+
+    /** Listens; port 0 takes a free one. Returns the base URL. */
+    async listen(host: string, port: number): Promise<string> {
+        return this.http.listen({ host, port });
+    }
+
+    /** Stops listening and closes idle connections. */
+    async close(): Promise<void> {
+        await this.http.close();
+    }
+
+    private addParsers(): void {
+        this.http.removeAllContentTypeParsers();
+        this.http.addContentTypeParser(
+            "*",
+            { parseAs: "buffer" },
+            async (_request: FastifyRequest, body: Buffer) => body,
+        );
+    }
+
+    private addRoutes(): void {
+        this.http.addHook("onRequest", async (request, reply) => {
+            const given = request.headers["x-request-id"];
+            const isUsable = typeof given === "string" && REQUEST_ID_PATTERN.test(given);
+            request.id = isUsable ? given : this.options.random.uniqueId();
+            reply.header("x-request-id", request.id);
+        });
+        this.http.get("/healthz", async () => ({ status: "ok" }));
+        this.http.get("/readyz", async (_request, reply) => {
+            const isReady = this.options.configuration.complete && !this.options.calls.isDraining;
+            return reply.code(isReady ? 200 : 503).send({ status: isReady ? "ready" : "not-ready" });
+        });
+        this.http.post(
+            "/v1/chat/completions",
+            (request, reply) => this.serve(request, reply, (call, ...rest) => this.options.chat.handle(call, ...rest)),
+        );
+        this.http.post(
+            "/v1/services/:route",
+            (request, reply) =>
+                this.serve(request, reply, (call, ...rest) => this.options.services.handle(call, ...rest)),
+        );
+    }
+
+    private addErrorHandlers(): void {
+        this.http.setNotFoundHandler((_request, reply) => sendRefusal(reply, createRefusal("not-found", "no")));
+        this.http.setErrorHandler<Error & { code?: string; statusCode?: number; }>((error, request, reply) => {
+            const isCallerFault = (error.statusCode ?? 500) < 500;
+            if (!isCallerFault) {
+                this.options.logger.error(`Call ${request.id} failed: ${error.message}.`);
+            }
+            const type = libraryFaults[error.code ?? ""] ?? (isCallerFault ? "bad-request" : "internal");
+            return sendRefusal(reply, createRefusal(type, isCallerFault ? "no" : "unknown"));
+        });
+    }
+
+    private async serve(request: FastifyRequest, reply: FastifyReply, handle: Handle): Promise<FastifyReply> {
+        const startedMs = this.options.clock.monotonicMs();
+        const requestId = request.id;
+        this.options.events.record({ kind: "request-received", requestId });
+        const refusal = await this.admit(request, reply, handle);
+        const durationMs = this.options.clock.monotonicMs() - startedMs;
+        this.options.metrics.timing("request_ms", durationMs, { result: refusal?.type ?? "answered" });
+        if (!refusal) {
+            this.options.events.record({ kind: "request-answered", requestId, durationMs });
+            return reply;
+        }
+        const kind = refusal.ran === "no" ? "request-refused" : "request-broken";
+        this.options.events.record({ kind, requestId, durationMs, reason: refusal.type });
+        return reply.sent ? reply : sendRefusal(reply, refusal);
+    }
+
+    private async admit(request: FastifyRequest, reply: FastifyReply, handle: Handle): Promise<Refusal | undefined> {
+        const tracked = this.options.calls.tryEnter();
+        if (!tracked) {
+            reply.header("connection", "close");
+            const isKeyed = request.headers["idempotency-key"] !== undefined;
+            return createRefusal("draining", isKeyed ? "unknown" : "no", { retryAfterMs: DRAIN_RETRY_AFTER_MS });
+        }
+        const gone = new AbortController();
+        reply.raw.once("close", () => {
+            if (!reply.raw.writableFinished) {
+                gone.abort();
+            }
+        });
+        try {
+            const caller = this.options.accounts.find(request.headers.authorization);
+            return caller
+                ? await handle({ requestId: request.id, caller, signal: gone.signal }, request, reply)
+                : createRefusal("unauthorized", "no");
+        }
+        finally {
+            tracked.leave();
+        }
+    }
+}
--- /dev/null
+++ b/packages/router/src/server/sendRefusal.ts
@@ -0,0 +1,11 @@
+import type { FastifyReply } from "fastify";
+import type { Refusal } from "../Refusal.js";
+import { refusalBody } from "./refusalBody.js";
+
+/** Sends a refusal as the answer to a call. */
+export function sendRefusal(reply: FastifyReply, refusal: Refusal): FastifyReply {
+    if (refusal.retryAfterMs !== undefined) {
+        reply.header("retry-after", String(Math.max(1, Math.ceil(refusal.retryAfterMs / 1000))));
+    }
+    return reply.code(refusal.status).send(refusalBody(refusal));
+}
--- /dev/null
+++ b/packages/router/src/services/ServiceDispatcher.ts
@@ -0,0 +1,232 @@
+import type { Clock } from "@fescuehaven/runtime";
+import type { EventRecorder, Metrics } from "@fescuehaven/telemetry";
+import type { PlacementQueue } from "../admission/PlacementQueue.js";
+import { refusePlacement } from "../admission/refusePlacement.js";
+import { createRefusal } from "../createRefusal.js";
+import type { RetryBudget } from "../generation/RetryBudget.js";
+import type { ServiceClient } from "../ports/ServiceClient.js";
+import type { ZoneForwarder } from "../ports/ZoneForwarder.js";
+import type { EndpointPlace } from "../routing/EndpointPlace.js";
+import type { EndpointSelector } from "../routing/EndpointSelector.js";
+import type { PeerPlace } from "../routing/PeerPlace.js";
+import type { PeerSelector } from "../routing/PeerSelector.js";
+import type { ServiceCall } from "./ServiceCall.js";
+import type { ServiceOutcome } from "./ServiceOutcome.js";
+import type { ServiceResult } from "./ServiceResult.js";
+
+interface ServiceDispatcherOptions {
+    clock: Clock;
+    events: EventRecorder;
+    metrics: Metrics;
+    queue: PlacementQueue;
+    endpoints: EndpointSelector;
+    peers: PeerSelector;
+    budget: RetryBudget;
+    services: ServiceClient;
+    forwarder: ZoneForwarder;
+}
+
+interface Progress {
+    call: ServiceCall;
+    isAdmitted: boolean;
+    failed: Set<string>;
+    ran: "no" | "unknown";
+    startedMs: number;
+}
+
+/** A call is given up when nothing could take it for this long. */
+const PATIENCE_MS = 2000;
+/** A call that finds its own zone full waits this long there before it goes to another. */
+const SPILL_AFTER_MS = 100;
+/** Pause before a further attempt. */
+const RETRY_PAUSE_MS = 20;
+/** A peer that refused or broke without saying for how long is left alone this long. */
+const PEER_PAUSE_MS = 500;
+
+/** Sends plain service calls: waits for a place, sends, and sends again only where that is safe. */
+export class ServiceDispatcher {
+    private constructor(private readonly options: ServiceDispatcherOptions) {}
+
+    /** Creates a dispatcher. */
+    static create(options: ServiceDispatcherOptions): ServiceDispatcher {
+        return new ServiceDispatcher(options);
+    }
+
+    /**
+     * Serves a call to its end. The refusal's `ran` speaks of this call's own attempts alone. One that is not repeatable
+     * is not sent again after an unknown outcome, and runs on when its caller goes, so that a repeat finds its answer.
+     */
+    async run(call: ServiceCall, repeatable: boolean, signal: AbortSignal): Promise<ServiceResult> {
+        const ended = new AbortController();
+        const deadline = new AbortController();
+        const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
+        void this.options.clock.sleep(remainingMs, ended.signal).then(() => deadline.abort());
+        const progress: Progress = {
+            call,
+            isAdmitted: false,
+            failed: new Set(),
+            ran: "no",
+            startedMs: this.options.clock.monotonicMs(),
+        };
+        const result = await this.attempts(progress, repeatable, signal, deadline.signal);
+        ended.abort();
+        if (progress.isAdmitted && call.origin === "caller") {
+            this.options.queue.leave(call.caller.account);
+        }
+        return result;
+    }
+
+    private async attempts(
+        progress: Progress,
+        repeatable: boolean,
+        callerSignal: AbortSignal,
+        deadlineSignal: AbortSignal,
+    ): Promise<ServiceResult> {
+        const signal = AbortSignal.any([callerSignal, deadlineSignal]);
+        const sendSignal = repeatable ? signal : deadlineSignal;
+        for (;;) {
+            const placed = await this.waitForPlace(progress, signal);
+            if (placed.kind !== "placed") {
+                return { kind: "refused", refusal: refusePlacement(placed, progress.ran, callerSignal) };
+            }
+            progress.isAdmitted = true;
+            const outcome = await this.send(progress.call, placed.place, sendSignal);
+            this.release(progress.call, placed.place, outcome);
+            const result = this.settle(progress, repeatable, placed.place, outcome, signal, callerSignal);
+            if (result) {
+                return result;
+            }
+            await this.options.clock.sleep(RETRY_PAUSE_MS, signal);
+        }
+    }
+
+    private async waitForPlace(progress: Progress, signal: AbortSignal) {
+        const { call } = progress;
+        const queuedMs = this.options.clock.monotonicMs();
+        this.options.events.record({ kind: "request-queued", requestId: call.request.requestId });
+        return this.options.queue.acquire<EndpointPlace | PeerPlace>({
+            pool: poolOf(call),
+            caller: call.caller,
+            sizeBytes: call.request.body.byteLength,
+            deadlineMs: call.deadlineMs,
+            isAdmitted: progress.isAdmitted,
+            countsForAccount: call.origin === "caller",
+            place: () => this.place(progress, queuedMs),
+            isHopeless: () => this.isHopeless(progress),
+        }, signal);
+    }
+
+    private place(progress: Progress, queuedMs: number): EndpointPlace | PeerPlace | undefined {
+        const { call, failed } = progress;
+        const own = this.options.endpoints.place(call.service, failed);
+        if (own || call.origin === "peer") {
+            return own;
+        }
+        const hasWaited = this.options.clock.monotonicMs() - queuedMs >= SPILL_AFTER_MS;
+        return hasWaited || !this.options.endpoints.hasOpen(call.service)
+            ? this.options.peers.place(poolOf(call), this.options.endpoints.otherZones(call.service))
+            : undefined;
+    }
+
+    private isHopeless({ call, startedMs }: Progress): boolean {
+        if (this.options.endpoints.hasOpen(call.service)) {
+            return false;
+        }
+        return call.origin === "peer" || (
+            this.options.clock.monotonicMs() - startedMs >= PATIENCE_MS
+            && !this.options.peers.hasEligible(poolOf(call), this.options.endpoints.otherZones(call.service))
+        );
+    }
+
+    private async send(
+        call: ServiceCall,
+        place: EndpointPlace | PeerPlace,
+        signal: AbortSignal,
+    ): Promise<ServiceOutcome> {
+        if (signal.aborted) {
+            return { kind: "did-not-run", reason: "given-up" };
+        }
+        const { requestId } = call.request;
+        if (place.kind === "endpoint") {
+            if (!this.options.endpoints.isOpen(call.service, place)) {
+                return { kind: "did-not-run", reason: "endpoint-closed" };
+            }
+            this.options.events.record({ kind: "request-dispatched", requestId, reason: place.endpoint });
+            return this.options.services.call(place.url, call.path, call.request, signal);
+        }
+        this.options.events.record({ kind: "request-forwarded", requestId, zone: place.peer.zone });
+        return this.options.forwarder.callService(place.peer, {
+            clientAccount: call.caller.account,
+            route: call.route,
+            request: call.request,
+            remainingMs: Math.max(1, Math.floor(call.deadlineMs - this.options.clock.monotonicMs())),
+        }, signal);
+    }
+
+    private release(
+        call: ServiceCall,
+        place: EndpointPlace | PeerPlace,
+        outcome: ServiceOutcome,
+    ): void {
+        if (place.kind === "endpoint") {
+            place.lease.release(leaseResult(outcome));
+        }
+        else {
+            const pauseMs = outcome.kind === "did-not-run" ? outcome.retryAfterMs : undefined;
+            place.release(outcome.kind === "answered" ? undefined : pauseMs ?? PEER_PAUSE_MS);
+        }
+        this.options.queue.released(poolOf(call));
+    }
+
+    private settle(
+        progress: Progress,
+        repeatable: boolean,
+        place: EndpointPlace | PeerPlace,
+        outcome: ServiceOutcome,
+        signal: AbortSignal,
+        callerSignal: AbortSignal,
+    ): ServiceResult | undefined {
+        const { call } = progress;
+        if (outcome.kind === "answered") {
+            this.options.budget.succeeded(call.caller.account);
+            return outcome;
+        }
+        if (outcome.kind === "outcome-unknown") {
+            progress.ran = "unknown";
+        }
+        if (signal.aborted) {
+            const type = callerSignal.aborted ? "caller-gone" : "deadline";
+            return { kind: "refused", refusal: createRefusal(type, progress.ran) };
+        }
+        if (outcome.kind === "outcome-unknown" && !repeatable) {
+            return { kind: "refused", refusal: createRefusal("outcome-unknown", "unknown") };
+        }
+        if (!this.options.budget.trySpend(call.caller.account)) {
+            const refusal = createRefusal("no-upstream", progress.ran, { retryAfterMs: 1000 });
+            return { kind: "refused", refusal };
+        }
+        if (place.kind === "endpoint") {
+            progress.failed.add(place.endpoint);
+        }
+        this.options.events.record({
+            kind: "request-retried",
+            requestId: call.request.requestId,
+            reason: outcome.reason,
+        });
+        this.options.metrics.increment("service_retries", 1, { reason: outcome.reason });
+        return undefined;
+    }
+}
+
+function poolOf(call: ServiceCall): string {
+    return `service ${call.service}`;
+}
+
+function leaseResult(outcome: ServiceOutcome) {
+    const results = {
+        "answered": { kind: "completed" },
+        "did-not-run": { kind: "overloaded" },
+        "outcome-unknown": { kind: "reset" },
+    } as const;
+    return results[outcome.kind];
+}
--- /dev/null
+++ b/packages/router/tests/support/MemoryKeyJournal.ts
@@ -0,0 +1,82 @@
+import type { KeyJournal } from "../../src/ports/KeyJournal.js";
+import type { KeyClaim } from "../../src/services/KeyClaim.js";
+import type { KeyClaimOutcome } from "../../src/services/KeyClaimOutcome.js";
+import type { KeyFinishOutcome } from "../../src/services/KeyFinishOutcome.js";
+import type { KeyReleaseOutcome } from "../../src/services/KeyReleaseOutcome.js";
+import type { ServiceAnswer } from "../../src/services/ServiceAnswer.js";
+
+interface KeyRecord {
+    claimant: string;
+    digest: string;
+    state: "claimed" | "finished";
+    answer?: ServiceAnswer;
+}
+
+/** A journal in memory, with faults that a test switches on. */
+export class MemoryKeyJournal implements KeyJournal {
+    readonly records = new Map<string, KeyRecord>();
+    outage = false;
+    /** The next claims are recorded, but their answer is lost. */
+    loseNextClaims = 0;
+    /** Answers of finished keys are not kept. */
+    dropAnswers = false;
+
+    private constructor() {}
+
+    static create(): MemoryKeyJournal {
+        return new MemoryKeyJournal();
+    }
+
+    async claim(claim: KeyClaim): Promise<KeyClaimOutcome> {
+        if (this.outage) {
+            return { kind: "unavailable", retryAfterMs: 1500 };
+        }
+        const record = this.records.get(idOf(claim));
+        if (record) {
+            return describe(record, claim);
+        }
+        this.records.set(idOf(claim), { claimant: claim.claimant, digest: claim.requestDigest, state: "claimed" });
+        if (this.loseNextClaims > 0) {
+            this.loseNextClaims -= 1;
+            return { kind: "unknown" };
+        }
+        return { kind: "claimed" };
+    }
+
+    async finish(claim: KeyClaim, answer: ServiceAnswer): Promise<KeyFinishOutcome> {
+        if (this.outage) {
+            return { kind: "unavailable", retryAfterMs: 1500 };
+        }
+        this.records.set(idOf(claim), {
+            claimant: claim.claimant,
+            digest: claim.requestDigest,
+            state: "finished",
+            answer: this.dropAnswers ? undefined : answer,
+        });
+        return { kind: "recorded" };
+    }
+
+    async release(claim: KeyClaim): Promise<KeyReleaseOutcome> {
+        if (this.outage) {
+            return { kind: "unavailable", retryAfterMs: 1500 };
+        }
+        if (this.records.get(idOf(claim))?.claimant === claim.claimant) {
+            this.records.delete(idOf(claim));
+        }
+        return { kind: "released" };
+    }
+}
+
+function describe(record: KeyRecord, claim: KeyClaim): KeyClaimOutcome {
+    if (record.digest !== claim.requestDigest) {
+        return { kind: "mismatched-request" };
+    }
+    if (record.state === "claimed") {
+        return { kind: "held-by-other" };
+    }
+    return record.answer ? { kind: "finished", answer: record.answer } : { kind: "finished-without-answer" };
+}
+
+function idOf(claim: KeyClaim): string {
+    return `${claim.clientAccount}/${claim.route}/${claim.idempotencyKey}`;
+}
--- /dev/null
+++ b/packages/router/tests/support/ScriptedEngine.ts
@@ -0,0 +1,144 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A generation as the engine got it. */
+export interface SeenCall {
+    requestId: string;
+    attemptId: string;
+    group: string;
+    epoch: number;
+    prompt: string;
+    maxTokens: number;
+    resumeFromToken: number;
+    priority: number;
+}
+
+/** What the engine does with one call; steps run in order, and an end that no step gives is a whole answer. */
+export interface EngineScript {
+    /** Refuses instead of answering. */
+    refuse?: { status: number; error: string; retryAfterMs?: number; };
+    /** Cuts the connection after this many tokens of this call. */
+    breakAfter?: number;
+    /** Goes silent after this many tokens. */
+    silentAfter?: number;
+    /** Sends each token twice. */
+    double?: boolean;
+    /** Puts a token of another request before each token. */
+    cross?: boolean;
+    /** Leaves out the token with this index. */
+    skip?: number;
+    /** Says a wrong token count at the end. */
+    wrongCount?: boolean;
+    /** Waits for `release()` before the first token. */
+    hold?: boolean;
+}
+
+/** The token that every engine yields for a prompt at an index. */
+export function tokenAt(prompt: string, index: number): string {
+    return `${prompt.length % 97}:${index} `;
+}
+
+/** The whole answer to a prompt. */
+export function answerTo(prompt: string, maxTokens: number): string {
+    return Array.from({ length: maxTokens }, (_, index) => tokenAt(prompt, index)).join("");
+}
+
+/** A model engine whose behaviour a test scripts call by call. */
+export class ScriptedEngine {
+    readonly calls: SeenCall[] = [];
+    readonly cancelled: string[] = [];
+    /** Scripts of the next calls; empty: whole answers. */
+    readonly scripts: EngineScript[] = [];
+    running = 0;
+    maxRunning = 0;
+    /** Calls whose connection the other side closed early. */
+    abandoned = 0;
+    private held: Array<() => void> = [];
+
+    private constructor(private readonly server: Server) {}
+
+    static async start(): Promise<ScriptedEngine> {
+        const server = createServer();
+        const engine = new ScriptedEngine(server);
+        server.on("request", (request, response) => void engine.handle(request, response));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return engine;
+    }
+
+    get url(): string {
+        return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Lets all held calls go on. */
+    release(): void {
+        this.held.splice(0).forEach(go => go());
+    }
+
+    async stop(): Promise<void> {
+        this.release();
+        this.server.closeAllConnections();
+        await new Promise(resolve => this.server.close(resolve));
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (request.method === "DELETE") {
+            this.cancelled.push(String(request.url).split("/").pop() ?? "");
+            response.writeHead(204).end();
+            return;
+        }
+        const parts: Buffer[] = [];
+        for await (const part of request) {
+            parts.push(part as Buffer);
+        }
+        const call = JSON.parse(Buffer.concat(parts).toString()) as SeenCall;
+        this.calls.push(call);
+        const script = this.scripts.shift() ?? {};
+        if (script.refuse) {
+            const { status, error, retryAfterMs } = script.refuse;
+            response.writeHead(status, { "content-type": "application/json" });
+            response.end(JSON.stringify({ error, ran: false, retryAfterMs }));
+            return;
+        }
+        this.running += 1;
+        this.maxRunning = Math.max(this.maxRunning, this.running);
+        response.on("close", () => {
+            this.running -= 1;
+            this.abandoned += response.writableFinished ? 0 : 1;
+        });
+        await this.answer(call, script, response);
+    }
+
+    private async answer(call: SeenCall, script: EngineScript, response: ServerResponse): Promise<void> {
+        const { requestId, attemptId } = call;
+        const send = (event: object) => response.write(`data: ${JSON.stringify(event)}\n\n`);
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        response.write(": heartbeat\n\n");
+        if (script.hold) {
+            await new Promise<void>(resolve => this.held.push(resolve));
+        }
+        for (let index = call.resumeFromToken; index < call.maxTokens; index++) {
+            const sent = index - call.resumeFromToken;
+            if (sent === script.breakAfter) {
+                await new Promise<void>(resolve => response.write(": cut\n\n", () => resolve()));
+                response.destroy();
+                return;
+            }
+            if (sent === script.silentAfter || response.destroyed) {
+                return;
+            }
+            const text = tokenAt(call.prompt, index);
+            if (script.cross) {
+                send({ requestId: "other", attemptId, index, text: "crossed " });
+                send({ requestId, attemptId: "old-attempt", index, text: "late " });
+            }
+            if (index !== script.skip) {
+                send({ requestId, attemptId, index, text });
+            }
+            if (script.double) {
+                send({ requestId, attemptId, index, text });
+            }
+        }
+        send({ requestId, attemptId, done: true, tokenCount: call.maxTokens + (script.wrongCount ? 1 : 0) });
+        response.end();
+    }
+}
