Wire the routers and controllers as processes of their own

Cause: the parts stood alone. Both daemons are built on the same views of the system: VM list, peers, configuration in force, readiness evidence. Peers on entry VMs that came later are found in the platform's list.

--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -30,6 +30,11 @@
     listen: endpointSchema,
     /** The other processes, as known at start. */
     peers: z.array(peerSchema),
+    /** Peer ports on entry VMs that the platform lists and `peers` does not name; left out: only `peers` count. */
+    entryVmPorts: z.strictObject({
+        router: z.number().int().min(1).max(65_535),
+        controller: z.number().int().min(1).max(65_535),
+    }).optional(),
     platform: z.strictObject({
         /** Base URL of the platform's object API. */
         url: z.url(),
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,3 +1,4 @@
+export { createPeerServer } from "./adapters/createPeerServer.js";
 export { HealthServer } from "./adapters/HealthServer.js";
 export { hybridClockInterceptor } from "./adapters/hybridClockInterceptor.js";
 export { IntrospectionHandler } from "./adapters/IntrospectionHandler.js";
@@ -6,3 +7,4 @@
 export { DaemonError } from "./DaemonError.js";
 export { type DaemonSettings, daemonSettingsSchema } from "./DaemonSettings.js";
 export { runDaemon } from "./runDaemon.js";
+export { ZoneViews } from "./ZoneViews.js";
--- /dev/null
+++ b/packages/router/src/bin/fescue-router.ts
@@ -0,0 +1,74 @@
+import { createPeerServer, DaemonContext, runDaemon, ZoneViews } from "@fescuehaven/daemon";
+import { ClosedJournal } from "../adapters/ClosedJournal.js";
+import { ConnectZoneForwarder } from "../adapters/ConnectZoneForwarder.js";
+import { HttpEngineClient } from "../adapters/HttpEngineClient.js";
+import { HttpServiceClient } from "../adapters/HttpServiceClient.js";
+import { createRouter } from "../createRouter.js";
+import { StaticShare } from "../limits/StaticShare.js";
+import { type RouterSettings, routerSettingsSchema } from "../RouterSettings.js";
+
+await runDaemon({
+    name: "fescue-router",
+    description: "Takes callers' requests, routes them to ready groups and services, and streams the answers back.",
+    schema: routerSettingsSchema,
+    run: runRouter,
+});
+
+async function runRouter(settings: RouterSettings, stop: AbortSignal): Promise<void> {
+    const { localAddress, connectTimeoutMs, maxAnswerBytes } = settings;
+    const context = DaemonContext.create(settings);
+    const views = ZoneViews.create({ context, probes: true });
+    const router = createRouter({
+        settings,
+        clock: context.clock,
+        random: context.random,
+        events: context.events,
+        logger: context.logger("router"),
+        metrics: context.metrics,
+        configuration: views.configuration,
+        evidence: views.evidence,
+        vms: views.vms,
+        peers: views.peers,
+        share: StaticShare.create({
+            vms: views.vms,
+            zone: settings.zone,
+            address: localAddress ?? settings.peerListen.host,
+            plannedRouters: settings.plannedRouters,
+        }),
+        engines: HttpEngineClient.create({ localAddress, connectTimeoutMs }),
+        services: HttpServiceClient.create({ localAddress, connectTimeoutMs, maxAnswerBytes }),
+        forwarder: ConnectZoneForwarder.create({ clients: views.clients }),
+        journal: ClosedJournal.create(),
+    });
+    const peerServer = createPeerServer({
+        context,
+        views,
+        role: "router",
+        state: () => ({}),
+        services: [connectRouter => router.registerOn(connectRouter)],
+    });
+    const running = new AbortController();
+    const work = Promise.all([views.run(running.signal), router.run(running.signal)]);
+    await peerServer.listen();
+    await router.server.listen(settings.listen.host, settings.listen.port);
+    context.events.record({ kind: "process-started" });
+    context.logger("process").info("Started.");
+
+    await untilAborted(stop);
+    await router.drain();
+    context.events.record({ kind: "process-stopped" });
+    running.abort();
+    await work;
+    await Promise.all([peerServer.close(), views.close()]);
+    await context.close();
+}
+
+function untilAborted(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+        if (signal.aborted) {
+            resolve();
+            return;
+        }
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+}
