--- a/packages/testing/src/topology/SystemObjects.ts
+++ b/packages/testing/src/topology/SystemObjects.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import type { Account } from "../callers/Account.js";
 import type { NamedObject } from "./NamedObject.js";
+import { shortName } from "./shortName.js";
 import type { SystemTopology } from "./SystemTopology.js";
 
 const optionsSchema = z.strictObject({
@@ -48,7 +49,10 @@
 
     /** Names of the serving groups of a zone. */
     groupNamesOf(zone: string): string[] {
-        return Array.from({ length: this.options.groupsPerZone }, (_, index) => `group-${zone}-${index + 1}`);
+        return Array.from(
+            { length: this.options.groupsPerZone },
+            (_, index) => `${this.options.model}-${shortName(zone)}-${index + 1}`,
+        );
     }
 
     /** All objects, in the order to write them in. */
@@ -74,7 +78,7 @@
         const target = { kind: "availability-zone", name: zone };
         return {
             kind: "maintenance-intent",
-            name: `zone-${zone}-out`,
+            name: `${zone}-out`,
             value: { target, reason: "planned work", requestedBy: "operator" },
         };
     }
@@ -87,7 +91,7 @@
     private service(): NamedObject {
         const concurrent = this.options.serviceConcurrentRequests;
         const endpoints = this.topology.options.zones.map(zone => ({
-            name: `booking-${zone}`,
+            name: `booking-${shortName(zone)}`,
             zone,
             url: this.topology.serviceUrl(zone),
             maxConcurrentRequests: concurrent,
--- a/packages/testing/src/topology/SystemTopology.ts
+++ b/packages/testing/src/topology/SystemTopology.ts
@@ -2,6 +2,7 @@
 import type { z } from "zod";
 import type { ProcessSpec } from "../launcher/ProcessSpec.js";
 import type { EntryVm } from "./EntryVm.js";
+import { shortName } from "./shortName.js";
 import { type TopologyOptions, topologyOptionsSchema } from "./TopologyOptions.js";
 
 /** Last octets of the addresses in a zone's network. */
@@ -41,7 +42,7 @@
             name: vm.name,
             region: this.options.region,
             zone: vm.zone,
-            fabricDomain: `${vm.zone}-entry`,
+            fabricDomain: `domain-${shortName(vm.zone)}-entry`,
             role: "entry",
             address: vm.address,
             enginePort: 0,
@@ -89,7 +90,7 @@
     /** Names of the engine processes that host the VMs. */
     engineProcessOf(vm: string): string {
         const zone = this.engineVms.find(candidate => candidate.name === vm)?.zone ?? "";
-        const names = { one: "engines", zone: `engines-${zone}`, vm: `engine-${vm}` };
+        const names = { one: "engines", zone: `engines-${shortName(zone)}`, vm: `engine-${vm}` };
         return names[this.options.engineProcesses];
     }
 
@@ -126,7 +127,7 @@
     private serviceSpec(zone: string): ProcessSpec {
         const url = this.serviceUrl(zone);
         const settings = { listen: hostAndPort(url), ...this.options.service };
-        return { name: `service-${zone}`, binary: "standin-service", settings, readyUrl: `${url}/readyz` };
+        return { name: `service-${shortName(zone)}`, binary: "standin-service", settings, readyUrl: `${url}/readyz` };
     }
 
     private engineSpecs(): ProcessSpec[] {
@@ -151,7 +152,7 @@
         return Array.from({ length: this.options.entryVmsPerZone }, (_, index) => {
             const address = this.address(zoneIndex, FIRST_ENTRY_OCTET + index);
             const url = (port: number) => `http://${address}:${this.options.basePort + port}`;
-            const suffix = `${zone}-${index + 1}`;
+            const suffix = `${shortName(zone)}-${index + 1}`;
             return {
                 name: `entry-${suffix}`,
                 zone,
@@ -169,10 +170,10 @@
     private engineVmsOf(zone: string, zoneIndex: number): VmRecord[] {
         const { engineVmsPerZone, vmsPerFabricDomain, region, basePort } = this.options;
         return Array.from({ length: engineVmsPerZone }, (_, index) => ({
-            name: `vm-${zone}-${index + 1}`,
+            name: `vm-${shortName(zone)}-${index + 1}`,
             region,
             zone,
-            fabricDomain: `${zone}-d${Math.floor(index / vmsPerFabricDomain) + 1}`,
+            fabricDomain: `domain-${shortName(zone)}-${Math.floor(index / vmsPerFabricDomain) + 1}`,
             role: "engine" as const,
             address: this.address(zoneIndex, FIRST_ENGINE_OCTET + index),
             enginePort: basePort + PORTS.engine,
--- a/packages/testing/src/topology/TopologyOptions.ts
+++ b/packages/testing/src/topology/TopologyOptions.ts
@@ -7,7 +7,7 @@
     /** Port of the platform; all other ports follow it. */
     basePort: z.number().int().min(1024).max(60_000),
     region: z.string().default("koper"),
-    zones: z.array(z.string()).min(1).max(9).default(["a", "b", "c"]),
+    zones: z.array(z.string()).min(1).max(9).default(["zone-a", "zone-b", "zone-c"]),
     /** Entry VMs of each zone, each with a router and a controller. */
     entryVmsPerZone: z.number().int().min(1).max(40).default(2),
     /** Engine VMs of each zone. */
