Test the controller under kills, lost answers, pauses and random faults

The invariants are checked after every write of the ledger and every 100 ms.

Found and mended on the way: a VM was freed and claimed in one update (now two); an epoch could name two formations when a member's address changed (the ledger now records the members' addresses, additive). The checker first looked every 100 ms only and took free-then-claim within one step for a fault; it now looks at every write, which is stricter.

--- a/packages/controller/src/GroupPlanner.ts
+++ b/packages/controller/src/GroupPlanner.ts
@@ -1,5 +1,6 @@
 import {
     chooseSpares,
+    engineUrlOf,
     type Formation,
     type LedgerDraft,
     placeAcrossDomains,
@@ -46,7 +47,7 @@
         if (entry.members.some(vm => !this.isSound(vm))) {
             return this.replaceMissing(entry);
         }
-        if (this.isOutrun(entry)) {
+        if (this.isOutrun(entry) || this.isMoved(entry)) {
             return this.draft.form(this.group, this.planned(entry.members));
         }
         if (entry.modelVersion !== this.spec.modelVersion || entry.members.length !== this.spec.memberCount) {
@@ -68,7 +69,8 @@
     private continueNext(entry: Formation, next: Formation): void {
         const isWanted = next.modelVersion === this.spec.modelVersion
             && next.members.length === this.spec.memberCount
-            && next.members.every(vm => this.isSound(vm) && !this.facts(vm).departure);
+            && next.members.every(vm => this.isSound(vm) && !this.facts(vm).departure)
+            && !this.isMoved(next);
         if (!isWanted) {
             return this.draft.abandonNext(this.group);
         }
@@ -169,6 +171,11 @@
         return highest > entry.epoch;
     }
 
+    /** Whether a member's name now stands for a VM at another address than the load orders named. */
+    private isMoved(formation: Formation): boolean {
+        return formation.memberUrls?.some((url, rank) => url !== this.urlOf(formation.members[rank] ?? "")) ?? false;
+    }
+
     private isComplete(entry: Formation): boolean {
         return entry.members.every(vm => vm !== "" && !this.facts(vm).lost);
     }
@@ -201,11 +208,18 @@
             modelVersion: this.spec.modelVersion,
             fabricDomain: [...domains].sort().join("+"),
             members: [...members],
+            memberUrls: members.map(vm => this.urlOf(vm)),
         };
     }
 
+    /** VMs that can be claimed now. One that this draft frees can be claimed by a later draft. */
     private freeVms(): ReturnType<PlanInput["fleet"]["free"]> {
-        return this.input.fleet.free(this.draft.ledger);
+        return this.input.fleet.free(this.draft.ledger).filter(vm => !this.input.ledger.claims[vm.name]);
+    }
+
+    private urlOf(vm: string): string {
+        const { record } = this.facts(vm);
+        return record ? engineUrlOf(record) : "";
     }
 
     private domainOf(vm: string): string {
--- a/packages/controller/src/OrderDispatcher.ts
+++ b/packages/controller/src/OrderDispatcher.ts
@@ -93,7 +93,10 @@
             return [];
         }
         const members = formation.members.map(vm => fleet.get(vm));
-        const memberUrls = members.map(facts => facts.record ? engineUrlOf(facts.record) : "");
+        const memberUrls = formation.memberUrls ?? members.map(facts => facts.record ? engineUrlOf(facts.record) : "");
+        if (memberUrls.includes("") || formation.members.includes("")) {
+            return [];
+        }
         const groupMissing = members.filter(facts => !isInLine(facts, group, formation.epoch)).length;
         return members.flatMap((facts, rank) => {
             const claim = ledger.claims[facts.name];
--- a/packages/controller/src/ZoneController.ts
+++ b/packages/controller/src/ZoneController.ts
@@ -111,7 +111,7 @@
         const fence = this.lease.held();
         if (fence === undefined) {
             this.activeFence = undefined;
-            return this.repairDuringOutage();
+            return this.standBy();
         }
         if (!await this.synchronise(fence)) {
             return;
@@ -177,11 +177,17 @@
         }
     }
 
-    /** Orders members back into the claims that stand; no claim changes while the platform is down. */
-    private repairDuringOutage(): void {
-        const ledger = this.isPlatformDown() ? this.newestLedger() : undefined;
-        if (ledger) {
-            this.observe(ledger);
+    /**
+     * Keeps what is known of the fleet up to date, so that a takeover does not start from nothing. While the platform
+     * is down, orders members back into the claims that stand; no claim changes.
+     */
+    private standBy(): void {
+        const ledger = this.newestLedger();
+        if (!ledger) {
+            return;
+        }
+        this.observe(ledger);
+        if (this.isPlatformDown()) {
             this.orders.dispatchLoads(ledger);
         }
     }
--- /dev/null
+++ b/packages/controller/tests/repair.test.ts
@@ -0,0 +1,150 @@
+import { expect } from "chai";
+import { ZoneBench } from "./support/ZoneBench.js";
+
+async function formed(domains: Record<string, number>, memberCount: number): Promise<ZoneBench> {
+    const bench = ZoneBench.create(domains);
+    bench.addGroup("g", memberCount);
+    bench.start("c1");
+    bench.start("c2");
+    await bench.until("ready", () => bench.isReady("g"));
+    await bench.until("status", () => bench.status("g")?.phase === "ready");
+    return bench;
+}
+
+describe("repair", () => {
+    it("moves a group whose whole domain went dark to another one", async () => {
+        const bench = await formed({ d1: 3, d2: 3 }, 3);
+        const dark = bench.members("g");
+        dark.forEach(vm => bench.engines.get(vm).reachable = false);
+        await bench.until("moved", () => bench.isReady("g"));
+        expect(bench.ledger?.groups["g"]?.fabricDomain).to.equal("d2");
+        expect(dark.map(vm => bench.ledger?.claims[vm]?.state)).to.deep.equal(["releasing", "releasing", "releasing"]);
+        await bench.close();
+    });
+
+    it("spans domains only when none has room, and says so", async () => {
+        const bench = await formed({ d1: 2, d2: 2 }, 3);
+        expect(bench.status("g")).to.deep.include({ phase: "ready", reason: "spans-domains" });
+        expect(bench.ledger?.groups["g"]?.fabricDomain).to.equal("d1+d2");
+        await bench.close();
+    });
+
+    it("does not take a VM for free because it does not answer", async () => {
+        const bench = await formed({ d1: 3, d2: 1 }, 3);
+        const lost = bench.members("g")[1] ?? "";
+        bench.engines.get(lost).reachable = false;
+        await bench.until("replaced", () => bench.isReady("g"));
+        bench.addGroup("h", 1);
+        await bench.run(90_000);
+        expect(bench.ledger?.claims[lost]).to.deep.include({ group: "g", state: "releasing" });
+        expect(bench.status("h")).to.deep.include({ phase: "pending", reason: "no-room" });
+        bench.engines.restart(lost);
+        bench.engines.get(lost).reachable = true;
+        await bench.until("h takes it", () => bench.isReady("h"));
+        expect(bench.members("h")).to.deep.equal([lost]);
+        await bench.close();
+    });
+
+    it("lets the claim of a VM go that is neither listed nor seen any more", async () => {
+        const bench = await formed({ d1: 4 }, 3);
+        const gone = bench.members("g")[0] ?? "";
+        bench.engines.get(gone).reachable = false;
+        bench.vms.remove(gone);
+        await bench.until("replaced", () => bench.isReady("g"));
+        await bench.run(40_000);
+        expect(bench.ledger?.claims[gone]?.state).to.equal("releasing");
+        await bench.until("freed", () => bench.ledger?.claims[gone] === undefined, 30_000);
+        await bench.close();
+    });
+
+    it("forms a group anew when a member's name stands for a VM at another address", async () => {
+        const bench = await formed({ d1: 3 }, 3);
+        const record = { ...bench.engines.get("d1-2").record, enginePort: 999 };
+        bench.engines.add(record);
+        bench.vms.put(record);
+        await bench.until("formed anew", () => bench.isReady("g") && bench.ledger?.groups["g"]?.epoch === 2);
+        expect(bench.ledger?.groups["g"]?.memberUrls?.[1]).to.equal("http://127.0.0.1:999");
+        await bench.close();
+    });
+
+    it("waits for a lost member when there is no spare, and takes it back under the same claim", async () => {
+        const bench = await formed({ d1: 3 }, 3);
+        bench.engines.get("d1-2").reachable = false;
+        await bench.until("status", () => bench.status("g")?.reason === "member-lost");
+        expect(bench.status("g")?.phase).to.equal("broken");
+        await bench.run(20_000);
+        bench.engines.get("d1-2").reachable = true;
+        await bench.until("ready", () => bench.isReady("g"));
+        expect(bench.ledger?.groups["g"]?.epoch).to.equal(1);
+        await bench.close();
+    });
+
+    it("reloads a restarted member during an outage of the platform, and claims nothing", async () => {
+        const bench = await formed({ d1: 4 }, 3);
+        const before = structuredClone(bench.ledger);
+        bench.store.faults.outage = true;
+        await bench.run(10_000);
+        bench.addGroup("h", 1);
+        bench.engines.restart("d1-2");
+        await bench.until("ready", () => bench.isReady("g"), 5000);
+        await bench.run(5000);
+        expect(bench.ledger).to.deep.equal(before);
+        bench.store.faults.outage = false;
+        await bench.until("h is ready", () => bench.isReady("h"));
+        await bench.close();
+    });
+
+    it("forms groups while the platform is slow", async () => {
+        const bench = ZoneBench.create({ d1: 4 });
+        bench.store.faults.delayMs = 700;
+        bench.addGroup("g", 3);
+        bench.start("c1");
+        bench.start("c2");
+        await bench.until("ready", () => bench.isReady("g"));
+        await bench.close();
+    });
+
+    it("takes the next epoch past a fencing number that an engine has seen", async () => {
+        const bench = ZoneBench.create({ d1: 3 });
+        bench.engines.get("d1-2").highestFence = 40;
+        bench.addGroup("g", 3);
+        bench.start("c1");
+        await bench.until("ready", () => bench.isReady("g"));
+        expect(bench.ledger?.groups["g"]?.epoch).to.equal(41);
+        await bench.close();
+    });
+
+    it("loads weights on no more members at once than allowed, nearly whole groups first", async () => {
+        const bench = ZoneBench.create({ d1: 4, d2: 4 });
+        bench.addGroup("g", 4);
+        bench.start("c1", { timings: { maxConcurrentLoads: 2 } });
+        await bench.until("ready", () => bench.isReady("g"));
+        bench.addGroup("h", 4);
+        await bench.until("claimed", () => bench.members("h").length === 4);
+        bench.engines.restart("d1-3");
+        let most = 0;
+        await bench.until("both ready", () => {
+            const loading = bench.engines.all().filter(engine => engine.report().phase === "loading").length;
+            most = Math.max(most, loading);
+            return bench.isReady("g") && bench.isReady("h");
+        });
+        expect(most).to.equal(2);
+        const readyOrder = bench.recorder.ofKind("group-ready").map(event => event.group);
+        expect(readyOrder).to.deep.equal(["g", "g", "h"]);
+        await bench.close();
+    });
+
+    it("writes a status again that was lost, and nothing while nothing changes", async () => {
+        const bench = await formed({ d1: 3 }, 3);
+        const writes = () => bench.store.calls.write;
+        bench.engines.restart("d1-2");
+        await bench.run(300);
+        bench.store.faults.loseNextWrites = 3;
+        await bench.until("status", () => bench.status("g")?.transitions.at(-1)?.phase === "ready", 20_000);
+        await bench.run(5000);
+        const before = writes();
+        await bench.run(6000);
+        expect(writes() - before, "renewals of the lease alone").to.be.at.most(5);
+        await bench.close();
+    });
+});
--- a/packages/controller/tests/support/InvariantChecker.ts
+++ b/packages/controller/tests/support/InvariantChecker.ts
@@ -1,10 +1,12 @@
 import { findLedgerFaults } from "@fescuehaven/coordination";
 import type { ZoneLedger } from "@fescuehaven/resources";
-import type { FakeEngines, FakeEvidence, ManualClock } from "@fescuehaven/testing";
+import type { FakeEngine, FakeEngines, FakeEvidence, ManualClock } from "@fescuehaven/testing";
 import { expect } from "chai";
 
 /** Checks after every step what must always hold between the ledger and what the engines really hold. */
 export class InvariantChecker {
+    private readonly contentByEpoch = new Map<number, string>();
+    private readonly checkedOrders = new Map<FakeEngine, number>();
     private former: ZoneLedger | undefined;
     /** Since when each claim is being released, by VM and epoch. */
     private readonly releasedAtMs = new Map<string, number>();
@@ -25,6 +27,7 @@
         this.checkEpochsGrow(ledger);
         this.checkVmsLeaveEmpty(ledger);
         this.checkReadyGroups(ledger, evidence);
+        this.checkEpochsNameOneFormation();
         this.former = structuredClone(ledger);
     }
 
@@ -55,6 +58,21 @@
         }
     }
 
+    /** All load orders of one epoch that any engine has ever taken say the same, but for the rank. */
+    private checkEpochsNameOneFormation(): void {
+        for (const engine of this.engines.all()) {
+            for (const order of engine.obeyed.slice(this.checkedOrders.get(engine) ?? 0)) {
+                if (order.kind === "load") {
+                    const { group, memberUrls, modelVersion } = order;
+                    const content = JSON.stringify({ group, memberUrls, modelVersion });
+                    expect(this.contentByEpoch.get(order.fence) ?? content, "epoch reused").to.equal(content);
+                    this.contentByEpoch.set(order.fence, content);
+                }
+            }
+            this.checkedOrders.set(engine, engine.obeyed.length);
+        }
+    }
+
     /** What the members themselves hold: one epoch and one version in every group with evidence, and no VM in two. */
     private checkReadyGroups(ledger: ZoneLedger, evidence: FakeEvidence): void {
         const owners = new Map<string, string>();
--- a/packages/controller/tests/support/ZoneBench.ts
+++ b/packages/controller/tests/support/ZoneBench.ts
@@ -1,11 +1,11 @@
-import type { EngineControl } from "@fescuehaven/coordination";
-import type { ObjectStore } from "@fescuehaven/platform";
+import type { LeaseTimings } from "@fescuehaven/coordination";
 import type { GroupStatus, ZoneLedger } from "@fescuehaven/resources";
 import {
     FakeConfiguration,
     FakeEngines,
     FakeEvidence,
     FakeVms,
+    FaultyProcess,
     ManualClock,
     MemoryEventRecorder,
     MemoryObjectStore,
@@ -37,12 +37,23 @@
     /** Off: controllers hear of new ledgers from the platform only. */
     spreadsLedger = true;
 
+    /** Controllers in order of their start. */
+    readonly controllers: ZoneController[] = [];
+
     private readonly invariants = InvariantChecker.create(this.engines, this.clock);
     private readonly stops = new Map<string, AbortController>();
     private readonly tasks: Array<Promise<void>> = [];
     private spreadRevision = 0;
-
-    private constructor() {}
+    private broken: Error | undefined;
+
+    private constructor() {
+        const write = this.store.write.bind(this.store);
+        this.store.write = async (key, value, expected) => {
+            const outcome = await write(key, value, expected);
+            this.checkInvariants();
+            return outcome;
+        };
+    }
 
     /** Creates a zone with the given number of VMs in each fabric domain, named DOMAIN-1 and so on. */
     static create(domains: Record<string, number>, options: { obeysFencing?: boolean; } = {}): ZoneBench {
@@ -88,35 +99,43 @@
         this.configuration.put("maintenance-intent", name, value);
     }
 
-    /** Starts a controller; `store` and `engines` may stand between it and the fakes. */
+    /** Starts a controller in a process that can be paused and killed. `prepare` may set its faults. */
     start(
-        process: string,
-        options: { store?: ObjectStore; engines?: EngineControl; timings?: Partial<ControllerTimings>; } = {},
-    ): ZoneController {
+        name: string,
+        options: {
+            prepare?: (process: FaultyProcess) => void;
+            timings?: Partial<ControllerTimings>;
+            leaseTimings?: Partial<LeaseTimings>;
+        } = {},
+    ): FaultyProcess {
+        const process = FaultyProcess.create(this);
+        options.prepare?.(process);
         const controller = ZoneController.create({
-            process,
+            process: name,
             zone: ZONE,
-            store: options.store ?? this.store,
-            configuration: this.configuration,
+            store: process.store,
+            configuration: process.configuration,
             evidence: this.evidence,
-            engines: options.engines ?? this.engines,
+            engines: process.engines,
             vms: this.vms,
-            clock: this.clock,
-            random: SeededRandom.create(1, process),
+            clock: process.clock,
+            random: SeededRandom.create(1, `${name}-${this.tasks.length}`),
             recorder: this.recorder,
             logger: SilentLogger.create(),
             metrics: SilentMetrics.create(),
             timings: { drainBoundMs: 10_000, ...options.timings },
+            leaseTimings: options.leaseTimings,
         });
         const stop = new AbortController();
-        this.stops.set(process, stop);
+        this.stops.set(name, stop);
+        this.controllers.push(controller);
         this.tasks.push(controller.run(stop.signal));
-        return controller;
+        return process;
     }
 
     /** Asks a controller to stop. */
-    stop(process: string): void {
-        this.stops.get(process)?.abort();
+    stop(name: string): void {
+        this.stops.get(name)?.abort();
     }
 
     /** Stops all controllers. */
@@ -136,13 +155,26 @@
     /** Checks the invariants and spreads the ledger. */
     check(): void {
         const object = this.store.peek("zone-ledger", ZONE);
-        this.invariants.check(this.ledger, this.evidence);
+        this.checkInvariants();
+        if (this.broken) {
+            throw this.broken;
+        }
         if (object && this.spreadsLedger && object.revision !== this.spreadRevision) {
             this.spreadRevision = object.revision;
             this.configuration.put("zone-ledger", ZONE, structuredClone(object.value) as ZoneLedger, object.revision);
         }
     }
 
+    /** Keeps the first broken invariant, so that `check` fails the test rather than the controller's call. */
+    private checkInvariants(): void {
+        try {
+            this.invariants.check(this.ledger, this.evidence);
+        }
+        catch (error) {
+            this.broken ??= error as Error;
+        }
+    }
+
     /** Runs until `condition` holds; fails after `limitMs`. */
     async until(what: string, condition: () => boolean, limitMs = 60_000): Promise<number> {
         const startedMs = this.clock.monotonicMs();
--- a/packages/coordination/src/lease/LeaseTimings.ts
+++ b/packages/coordination/src/lease/LeaseTimings.ts
@@ -2,8 +2,10 @@
 export interface LeaseTimings {
     /** The holder renews within this time. */
     durationMs: number;
-    /** Time between renewals, and between a contender's looks. */
+    /** Time between renewals. */
     renewEveryMs: number;
+    /** Mean time between a contender's looks; each is up to a quarter shorter or longer. */
+    contendEveryMs: number;
     /** The holder stops this long before its lease would lapse. */
     safetyMarginMs: number;
     /** A contender waits this much longer than the lease's duration. */
--- a/packages/coordination/src/lease/ZoneLeaseKeeper.ts
+++ b/packages/coordination/src/lease/ZoneLeaseKeeper.ts
@@ -63,7 +63,7 @@
         const beats = this.beat(signal);
         while (!signal.aborted) {
             await this.turn();
-            await this.options.clock.sleep(this.options.timings.renewEveryMs, signal);
+            await this.options.clock.sleep(this.nextTurnMs(), signal);
         }
         await beats;
         await this.release();
@@ -90,6 +90,11 @@
         }
     }
 
+    private nextTurnMs(): number {
+        const { renewEveryMs, contendEveryMs } = this.options.timings;
+        return this.holds ? renewEveryMs : contendEveryMs * (0.75 + this.options.random.next() / 2);
+    }
+
     private async contend(object: StoredObject): Promise<void> {
         const parsed = zoneLeaseSchema.safeParse(object.value);
         if (!parsed.success) {
--- a/packages/coordination/src/lease/defaultLeaseTimings.ts
+++ b/packages/coordination/src/lease/defaultLeaseTimings.ts
@@ -4,6 +4,7 @@
 export const defaultLeaseTimings: LeaseTimings = {
     durationMs: 6000,
     renewEveryMs: 1500,
+    contendEveryMs: 2000,
     safetyMarginMs: 1500,
     takeoverMarginMs: 1000,
     beatEveryMs: 100,
--- /dev/null
+++ b/packages/coordination/tests/ZoneLeaseKeeper.test.ts
@@ -0,0 +1,137 @@
+import type { ZoneLease } from "@fescuehaven/resources";
+import {
+    FakeConfiguration,
+    FakeEngines,
+    FaultyProcess,
+    ManualClock,
+    MemoryEventRecorder,
+    MemoryObjectStore,
+    SeededRandom,
+    SilentLogger,
+} from "@fescuehaven/testing";
+import { expect } from "chai";
+import { defaultLeaseTimings, ZoneLeaseKeeper } from "../src/index.js";
+
+/** Longest time between two looks of a contender. */
+const LONGEST_LOOK_MS = 1.25 * defaultLeaseTimings.contendEveryMs;
+
+function createZone() {
+    const clock = ManualClock.create();
+    const store = MemoryObjectStore.create(clock);
+    const outside = { clock, store, engines: FakeEngines.create(clock), configuration: FakeConfiguration.create() };
+    const lease = () => store.peek("zone-lease", "z")?.value as ZoneLease | undefined;
+    const start = (name: string) => {
+        const process = FaultyProcess.create(outside);
+        const keeper = ZoneLeaseKeeper.create({
+            store: process.store,
+            clock: process.clock,
+            random: SeededRandom.create(1, name),
+            recorder: MemoryEventRecorder.create(),
+            logger: SilentLogger.create(),
+            zone: "z",
+            process: name,
+            timings: defaultLeaseTimings,
+        });
+        const stop = new AbortController();
+        void keeper.run(stop.signal);
+        return { keeper, process, stop };
+    };
+    return { clock, store, lease, start };
+}
+
+describe("ZoneLeaseKeeper", () => {
+    it("lets one of two hold the lease and keeps it by renewals", async () => {
+        const { clock, start } = createZone();
+        const [a, b] = [start("a"), start("b")];
+        for (let step = 0; step < 300; step++) {
+            await clock.advance(100);
+            expect([a.keeper.held(), b.keeper.held()].filter(fence => fence !== undefined)).to.deep.equal([1]);
+        }
+    });
+
+    it("passes on at once when released, with a higher fence", async () => {
+        const { clock, lease, start } = createZone();
+        const a = start("a");
+        await clock.advance(100);
+        const b = start("b");
+        a.stop.abort();
+        await clock.advance(LONGEST_LOOK_MS);
+        expect(b.keeper.held()).to.equal(2);
+        expect(lease()).to.deep.include({ holder: "b", fence: 2 });
+    });
+
+    it("is taken over from a dead holder only after its duration and the margin", async () => {
+        const { clock, start } = createZone();
+        const a = start("a");
+        await clock.advance(100);
+        a.process.kill();
+        const b = start("b");
+        await clock.advance(defaultLeaseTimings.durationMs + defaultLeaseTimings.takeoverMarginMs - 100);
+        expect(b.keeper.held()).to.equal(undefined);
+        await clock.advance(2 * LONGEST_LOOK_MS);
+        expect(b.keeper.held()).to.equal(2);
+    });
+
+    it("counts as lapsed right after a pause, before anything else has run", async () => {
+        const { clock, start } = createZone();
+        const a = start("a");
+        await clock.advance(100);
+        expect(a.keeper.held()).to.equal(1);
+        clock.pause(2000);
+        expect(a.keeper.held()).to.equal(undefined);
+        await clock.advance(defaultLeaseTimings.renewEveryMs);
+        expect(a.keeper.held()).to.equal(1);
+    });
+
+    it("never has two holders while one is paused past its lease", async () => {
+        const { clock, start } = createZone();
+        const a = start("a");
+        await clock.advance(100);
+        const b = start("b");
+        a.process.pause();
+        await clock.advance(12_000);
+        expect(b.keeper.held()).to.equal(2);
+        a.process.resume();
+        for (let step = 0; step < 100; step++) {
+            await clock.advance(100);
+            expect([a.keeper.held(), b.keeper.held()]).to.deep.equal([undefined, 2]);
+        }
+    });
+
+    it("recognises its own update when the answer was lost", async () => {
+        const { clock, lease, start, store } = createZone();
+        store.faults.loseNextAnswers = 1;
+        const a = start("a");
+        await clock.advance(100);
+        expect(a.keeper.held()).to.equal(1);
+        store.faults.loseNextAnswers = 3;
+        await clock.advance(6000);
+        expect(a.keeper.held()).to.equal(1);
+        expect(lease()?.fence).to.equal(1);
+    });
+
+    it("holds nothing when its update was lost on the way", async () => {
+        const { clock, start, store } = createZone();
+        store.faults.loseNextWrites = 1;
+        const a = start("a");
+        await clock.advance(100);
+        expect(a.keeper.held()).to.equal(undefined);
+        await clock.advance(LONGEST_LOOK_MS);
+        expect(a.keeper.held()).to.equal(1);
+    });
+
+    it("lapses in an outage of the platform, and the same holder goes on after it", async () => {
+        const { clock, lease, start, store } = createZone();
+        const a = start("a");
+        await clock.advance(100);
+        const b = start("b");
+        store.faults.outage = true;
+        await clock.advance(30_000);
+        expect([a.keeper.held(), b.keeper.held()]).to.deep.equal([undefined, undefined]);
+        expect(a.keeper.platformSilentMs()).to.be.above(28_000);
+        store.faults.outage = false;
+        await clock.advance(2000);
+        expect(a.keeper.held()).to.equal(1);
+        expect(lease()).to.deep.include({ holder: "a", fence: 1 });
+    });
+});
--- a/packages/resources/src/ZoneLedger.ts
+++ b/packages/resources/src/ZoneLedger.ts
@@ -19,6 +19,8 @@
     fabricDomain: z.string(),
     /** VM names by rank; empty where the member has left and none has taken its place. */
     members: z.array(z.string()),
+    /** Base URLs of the members' engines by rank, as every load order of this epoch names them. */
+    memberUrls: z.array(z.string()).optional(),
 };
 
 /** Every claim on the VMs of one availability zone. Changed only by conditional update. */
--- a/packages/testing/src/fakes/FakeEvidence.ts
+++ b/packages/testing/src/fakes/FakeEvidence.ts
@@ -3,8 +3,13 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { FakeEngines } from "./FakeEngines.js";
 
-/** Evidence as ideal probes would find it: every engine that can be reached is seen as it is now. */
+/** Evidence as ideal probes would find it: `ready` sees every engine that can be reached as it is now. */
 export class FakeEvidence implements EvidenceView {
+    /** Time between two looks at an engine; 0 looks each time. */
+    probeEveryMs = 0;
+
+    private readonly samples = new Map<string, MemberObservation>();
+
     private constructor(
         private readonly clock: Clock,
         private readonly engines: FakeEngines,
@@ -45,8 +50,23 @@
         return Object.keys(this.ledger()?.groups ?? {}).flatMap(group => this.ready(group) ?? []);
     }
 
-    /** The engine of a VM as it is now. */
+    /** The engine of a VM as it was at the last look. */
     observation(vm: string): MemberObservation | undefined {
+        const sample = this.samples.get(vm);
+        if (sample && this.clock.monotonicMs() - sample.observedAtMs < this.probeEveryMs) {
+            return sample;
+        }
+        const fresh = this.look(vm);
+        if (fresh) {
+            this.samples.set(vm, fresh);
+        }
+        return fresh;
+    }
+
+    /** Does nothing: engines are looked at in turn anyway. */
+    distrust(): void {}
+
+    private look(vm: string): MemberObservation | undefined {
         const engine = this.engines.all().find(other => other.record.name === vm);
         const observedAtMs = this.clock.monotonicMs();
         if (!engine) {
@@ -57,13 +77,10 @@
             : { kind: "unreachable", vm, observedAtMs };
     }
 
-    /** Does nothing: the next look is always fresh. */
-    distrust(): void {}
-
     private isPresent(ledger: ZoneLedger, group: string, vm: string, rank: number): boolean {
         const entry = ledger.groups[group];
         const claim = ledger.claims[vm];
-        const observation = this.observation(vm);
+        const observation = this.look(vm);
         if (claim?.state !== "held" || observation?.kind !== "reported") {
             return false;
         }
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -3,6 +3,7 @@
 export { FakeEngines } from "./fakes/FakeEngines.js";
 export { FakeEvidence } from "./fakes/FakeEvidence.js";
 export { FakeVms } from "./fakes/FakeVms.js";
+export { FaultyProcess } from "./fakes/FaultyProcess.js";
 export { ManualClock } from "./fakes/ManualClock.js";
 export { MemoryEventRecorder } from "./fakes/MemoryEventRecorder.js";
 export { MemoryObjectStore } from "./fakes/MemoryObjectStore.js";
