Test readiness evidence under failures, and guard HTTP/2 sessions

A new test found that connect-node lets the error of a session whose ping timed out go uncaught when a call comes before the error event; it would have stopped the daemon. GuardedSessionManager keeps a listener on every session.

--- a/packages/coordination/src/adapters/ConnectPeerClients.ts
+++ b/packages/coordination/src/adapters/ConnectPeerClients.ts
@@ -1,9 +1,10 @@
 import type { DescService } from "@bufbuild/protobuf";
 import { type Client, createClient, type Transport } from "@connectrpc/connect";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import type { SecureClientSessionOptions } from "node:http2";
 import type { Peer } from "../Peer.js";
 import type { PeerClients } from "../ports/PeerClients.js";
+import { GuardedSessionManager } from "./GuardedSessionManager.js";
 
 /** A connection is pinged after this long without data from the peer, ms. */
 const PING_INTERVAL_MS = 1000;
@@ -23,7 +24,7 @@
 }
 
 interface Connection {
-    sessions: Http2SessionManager;
+    sessions: GuardedSessionManager;
     transport: Transport;
     clients: Map<string, Client<DescService>>;
 }
@@ -34,7 +35,7 @@
  */
 export class ConnectPeerClients implements PeerClients {
     private readonly connections = new Map<string, Connection>();
-    private abandoned: Http2SessionManager[] = [];
+    private abandoned: GuardedSessionManager[] = [];
 
     private constructor(private readonly options: ConnectPeerClientsOptions) {}
 
@@ -65,7 +66,7 @@
             return;
         }
         this.connections.delete(peer.url);
-        this.abandoned = this.abandoned.filter(sessions => isOpen(sessions));
+        this.abandoned = this.abandoned.filter(sessions => sessions.isOpen);
         this.abandoned.push(connection.sessions);
     }
 
@@ -78,7 +79,7 @@
     }
 
     private open(url: string): Connection {
-        const sessions = new Http2SessionManager(
+        const sessions = GuardedSessionManager.create(
             url,
             {
                 pingIntervalMs: this.options.pingIntervalMs ?? PING_INTERVAL_MS,
@@ -97,7 +98,3 @@
         return connection;
     }
 }
-
-function isOpen(sessions: Http2SessionManager): boolean {
-    return ["connecting", "open", "verifying"].includes(sessions.state());
-}
--- a/packages/coordination/tests/EvidenceExchange.test.ts
+++ b/packages/coordination/tests/EvidenceExchange.test.ts
@@ -1,31 +1,234 @@
 import { expect } from "chai";
+import { evidenceTimes, type MemberReport } from "../src/index.js";
 import { EvidenceRig } from "./util/EvidenceRig.js";
 
 const ROUTERS = ["router-1", "router-2", "router-3"];
+const ALL = [...ROUTERS, "controller-1"];
 const MEMBERS = ["vm-1", "vm-2", "vm-3", "vm-4"];
 
+/** Longest time without evidence that a fault of one process may cause, ms: none at all. */
+const STEP_MS = 25;
+
 describe("EvidenceExchange", () => {
     let rig: EvidenceRig;
     const isReady = (name: string) => rig.evidence(name).ready("g") !== undefined;
 
-    beforeEach(async () => {
-        rig = EvidenceRig.create([...ROUTERS, "controller-1"], MEMBERS);
-        rig.start(...ROUTERS, "controller-1");
-        await rig.clock.advance(1000);
-    });
+    const start = async (...names: string[]) => {
+        rig = EvidenceRig.create(ALL, MEMBERS);
+        rig.start(...names);
+        await rig.clock.advance(2000);
+    };
+
+    /** Advances in small steps and yields the names that were without evidence at any of them. */
+    const unreadyDuring = async (durationMs: number, names: readonly string[]) => {
+        const unready = new Set<string>();
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+            await rig.clock.advance(STEP_MS);
+            names.filter(name => !isReady(name)).forEach(name => unready.add(name));
+        }
+        return [...unready];
+    };
+
+    /** Router that probes most since the last call. */
+    const busiest = async () => {
+        ROUTERS.forEach(name => rig.process(name).probes = 0);
+        await rig.clock.advance(2000);
+        return ROUTERS.reduce((a, b) => rig.process(a).probes >= rig.process(b).probes ? a : b);
+    };
 
     afterEach(() => rig.stop());
 
-    it("is ready everywhere while every member reports what the ledger claims", async () => {
-        expect(ROUTERS.every(isReady)).to.be.true;
-        expect(isReady("controller-1")).to.be.true;
+    describe("in quiet", () => {
+        beforeEach(() => start(...ALL));
+
+        it("is ready everywhere all the time", async () => {
+            expect(await unreadyDuring(3000, ALL)).to.deep.equal([]);
+            expect(rig.evidence("router-1").ready("g")).to.deep.include({
+                epoch: 7,
+                headUrl: "http://vm-1:80",
+                bootIds: MEMBERS.map(vm => `${vm}-boot-1`),
+            });
+        });
+
+        it("splits the probing, and a controller does none", async () => {
+            ALL.forEach(name => rig.process(name).probes = 0);
+            await rig.clock.advance(10_000);
+            const probes = ALL.map(name => rig.process(name).probes);
+            const expected = MEMBERS.length * 10_000 / evidenceTimes.claimedIntervalMs;
+            expect(probes.reduce((sum, count) => sum + count)).to.be.within(expected * 0.8, expected * 1.05);
+            expect(rig.process("controller-1").probes).to.equal(0);
+        });
+    });
+
+    describe("of a member that is not as the ledger claims", () => {
+        const changes: Array<[name: string, change: Partial<MemberReport>]> = [
+            ["an older epoch", { epoch: 6 }],
+            ["a newer epoch", { epoch: 8 }],
+            ["another group", { group: "h" }],
+            ["another model version", { modelVersion: "m2" }],
+            ["another rank", { rank: 3 }],
+            ["loading", { phase: "loading" }],
+            ["a restart, empty", { bootId: "new", phase: "empty", group: "", epoch: 0 }],
+        ];
+        for (const [name, change] of changes) {
+            it(`closes the group everywhere within the bound: ${name}`, async () => {
+                await start(...ALL);
+                rig.report("vm-2", change);
+                await rig.clock.advance(evidenceTimes.ttlMs);
+                expect(ALL.filter(isReady)).to.deep.equal([]);
+            });
+        }
+
+        const ledgers: Array<[name: string, change: () => void]> = [
+            ["releasing", () => Object.assign(rig.ledger.claims["vm-2"] ?? {}, { state: "releasing" })],
+            ["claimed at a newer epoch", () => Object.assign(rig.ledger.claims["vm-2"] ?? {}, { epoch: 8 })],
+            ["claimed for another group", () => Object.assign(rig.ledger.claims["vm-2"] ?? {}, { group: "h" })],
+            ["not claimed", () => delete rig.ledger.claims["vm-2"]],
+            ["of a group at a newer epoch", () => Object.assign(rig.ledger.groups.g ?? {}, { epoch: 8 })],
+        ];
+        for (const [name, change] of ledgers) {
+            it(`closes the group at once: ${name}`, async () => {
+                await start(...ALL);
+                change();
+                expect(ALL.filter(isReady)).to.deep.equal([]);
+            });
+        }
+
+        it("tells of a new boot id while the group stays ready", async () => {
+            await start(...ALL);
+            rig.report("vm-2", { bootId: "new" });
+            await rig.clock.advance(evidenceTimes.ttlMs);
+            expect(rig.evidence("router-1").ready("g")?.bootIds[1]).to.equal("new");
+            const events = ALL.flatMap(name => rig.process(name).events.ofKind("member-cold"));
+            expect(events).to.have.length(1);
+        });
+    });
+
+    it("closes the group within the bound of a member's death", async () => {
+        await start(...ALL);
+        rig.silence("vm-3");
+        await rig.clock.advance(evidenceTimes.ttlMs);
+        expect(ALL.filter(isReady)).to.deep.equal([]);
+    });
+
+    it("closes the group within the bound when the probes' answers were under way at the death", async () => {
+        await start("router-1");
+        const { engines } = rig.process("router-1");
+        const report = engines.report.bind(engines);
+        engines.report = async url => {
+            const answer = await report(url);
+            await rig.clock.sleep(evidenceTimes.probeTimeoutMs - 10);
+            return answer;
+        };
+        await rig.clock.advance(3000);
+        expect(isReady("router-1")).to.be.true;
+        const evidence = rig.evidence("router-1").observation("vm-1");
+        rig.silence("vm-1");
+        await rig.clock.advance(evidenceTimes.ttlMs);
+        expect(evidence?.kind).to.equal("reported");
+        expect(isReady("router-1")).to.be.false;
+    });
+
+    describe("when a prober fails", () => {
+        const faults: Array<[name: string, bring: (router: string) => void]> = [
+            ["it dies", router => rig.kill(router)],
+            ["its links go silent", router => ALL.forEach(name => rig.network.setLink(router, name, "silent"))],
+        ];
+        for (const [name, bring] of faults) {
+            it(`keeps evidence at the others without a gap: ${name}`, async () => {
+                await start(...ALL);
+                const failed = await busiest();
+                bring(failed);
+                const others = ALL.filter(other => other !== failed);
+                expect(await unreadyDuring(3000, others)).to.deep.equal([]);
+            });
+        }
+
+        it("keeps evidence when two of three are gone together", async () => {
+            await start(...ALL);
+            ["router-1", "router-2"].forEach(router =>
+                ALL.forEach(name => rig.network.setLink(router, name, "silent"))
+            );
+            expect(await unreadyDuring(3000, ["router-3", "controller-1"])).to.deep.equal([]);
+        });
+
+        it("lets a controller probe when no router is reachable", async () => {
+            await start("controller-1");
+            expect(isReady("controller-1")).to.be.true;
+            expect(rig.process("controller-1").probes).to.be.greaterThan(0);
+        });
+
+        it("dials a silent stream again when the link works", async () => {
+            await start(...ALL);
+            rig.network.setLink("router-1", "router-2", "silent");
+            await rig.clock.advance(5000);
+            rig.network.setLink("router-1", "router-2", "open");
+            await rig.clock.advance(3000);
+            const found = rig.process("router-1").events.ofKind("peer-found").filter(event =>
+                event.reason === "router-2"
+            );
+            expect(found).to.have.length(2);
+        });
+    });
+
+    it("goes by its own probes where another process cannot reach a member", async () => {
+        await start(...ALL);
+        const prober = await busiest();
+        MEMBERS.forEach(vm => rig.silence(vm, prober));
+        await rig.clock.advance(2000);
+        const others = ALL.filter(name => name !== prober);
+        expect(await unreadyDuring(3000, others)).to.deep.equal([]);
+    });
+
+    it("does not take delayed observations for fresh ones", async () => {
+        await start("router-1", "controller-1");
+        const deadAtMs = rig.clock.monotonicMs();
+        rig.silence("vm-1");
+        rig.network.delayMs = 5000;
+        let lastReadyMs = 0;
+        for (let step = 0; step < 400; step++) {
+            await rig.clock.advance(STEP_MS);
+            lastReadyMs = isReady("controller-1") ? rig.clock.monotonicMs() : lastReadyMs;
+        }
+        expect(lastReadyMs - deadAtMs).to.be.at.most(evidenceTimes.ttlMs);
+    });
+
+    describe("after a pause", () => {
+        it("has no evidence until it has probed again", async () => {
+            await start("router-1");
+            rig.clock.pause(evidenceTimes.pauseMs + 1);
+            expect(isReady("router-1")).to.be.false;
+            await rig.clock.advance(evidenceTimes.claimedIntervalMs * 2);
+            expect(isReady("router-1")).to.be.true;
+            expect(rig.process("router-1").events.ofKind("process-paused")).to.have.length(1);
+        });
+
+        it("notices that its monotonic clock stood still", async () => {
+            await start("router-1");
+            const wall = rig.clock.now.bind(rig.clock);
+            rig.clock.now = () => new Date(wall().getTime() + 10_000);
+            expect(isReady("router-1")).to.be.false;
+        });
+
+        it("is not fooled by what was sent to it before", async () => {
+            await start("router-1", "controller-1");
+            rig.silence("vm-1");
+            rig.clock.pause(evidenceTimes.ttlMs);
+            expect(isReady("controller-1")).to.be.false;
+            for (let turn = 0; turn < 20; turn++) {
+                await rig.clock.settle();
+                expect(isReady("controller-1")).to.be.false;
+            }
+        });
     });
 
-    it("splits the probing", async () => {
-        const before = [...rig.processes.values()].map(process => process.probes);
-        await rig.clock.advance(10_000);
-        const probes = [...rig.processes.values()].map((process, index) => process.probes - (before[index] ?? 0));
-        const expected = MEMBERS.length * 10_000 / 250;
-        expect(probes.reduce((sum, count) => sum + count, 0)).to.be.within(expected * 0.8, expected * 1.05);
+    it("takes only observations made after distrust, and makes one at once", async () => {
+        await start(...ALL);
+        rig.process("router-1").probes = 0;
+        rig.evidence("router-1").distrust("vm-1");
+        expect(isReady("router-1")).to.be.false;
+        await rig.clock.advance(evidenceTimes.tickMs);
+        expect(rig.process("router-1").probes).to.be.greaterThan(0);
+        expect(isReady("router-1")).to.be.true;
     });
 });
