Encrypt the traffic between own processes with certificates that reload

Cause: peer interfaces steer claims, evidence and forwarded calls. Both sides show a certificate of a trusted authority (TLS 1.3); files are read again while the process runs, and files that cannot be used leave the last good ones in force. Ruled out: a reload by signal, which a platform that replaces files cannot send.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,6 +26,10 @@
             ],
             "@typescript-eslint/no-unused-expressions": "off",
             "@typescript-eslint/require-await": "off",
+            "@typescript-eslint/only-throw-error": [
+                "error",
+                { allow: [{ from: "package", package: "modern-errors", name: "SpecificErrorInstance" }] },
+            ],
             "@typescript-eslint/no-unused-vars": [
                 "error",
                 { argsIgnorePattern: "^_", varsIgnorePattern: "^_", ignoreRestSiblings: true },
--- a/packages/controller/src/bin/fescue-controller.ts
+++ b/packages/controller/src/bin/fescue-controller.ts
@@ -1,4 +1,11 @@
-import { createPeerServer, DaemonContext, HealthServer, runDaemon, ZoneViews } from "@fescuehaven/daemon";
+import {
+    createPeerServer,
+    DaemonContext,
+    HealthServer,
+    loadPeerIdentity,
+    runDaemon,
+    ZoneViews,
+} from "@fescuehaven/daemon";
 import { type ControllerSettings, controllerSettingsSchema } from "../ControllerSettings.js";
 import { ZoneController } from "../ZoneController.js";
 
@@ -11,7 +18,8 @@
 
 async function runController(settings: ControllerSettings, stop: AbortSignal): Promise<void> {
     const context = DaemonContext.create(settings);
-    const views = ZoneViews.create({ context, probes: false });
+    const identity = await loadPeerIdentity(context);
+    const views = ZoneViews.create({ context, identity, probes: false });
     const controller = ZoneController.create({
         process: settings.process,
         zone: settings.zone,
@@ -35,6 +43,7 @@
     const peerServer = createPeerServer({
         context,
         views,
+        identity,
         role: "controller",
         state: () => ({ active: controller.isActive() }),
         services: [],
@@ -46,7 +55,7 @@
     context.logger("process").info("Started.");
 
     const viewsStop = new AbortController();
-    const following = views.run(viewsStop.signal);
+    const following = Promise.all([views.run(viewsStop.signal), identity?.run(viewsStop.signal)]);
     await controller.run(stop);
     context.events.record({ kind: "process-stopped" });
     viewsStop.abort();
--- a/packages/coordination/src/adapters/ConnectPeerClients.ts
+++ b/packages/coordination/src/adapters/ConnectPeerClients.ts
@@ -17,8 +17,11 @@
 interface ConnectPeerClientsOptions {
     /** Source address of connections. */
     localAddress?: string;
-    /** TLS options (`ca`, `cert`, `key`, ...) for peers whose URL is https. */
-    tls?: Pick<SecureClientSessionOptions, "ca" | "cert" | "key" | "servername" | "checkServerIdentity" | "minVersion">;
+    /** TLS options for peers whose URL is https, asked for with every new connection. */
+    tls?: () => Pick<
+        SecureClientSessionOptions,
+        "ca" | "cert" | "key" | "servername" | "checkServerIdentity" | "minVersion"
+    >;
     pingIntervalMs?: number;
     pingTimeoutMs?: number;
 }
@@ -61,11 +64,20 @@
      * when it is really silent.
      */
     abandon(peer: Peer): void {
-        const connection = this.connections.get(peer.url);
+        this.abandonUrl(peer.url);
+    }
+
+    /** Lets the next call to every peer dial a new connection, as after a change of certificates. */
+    abandonAll(): void {
+        [...this.connections.keys()].forEach(url => this.abandonUrl(url));
+    }
+
+    private abandonUrl(url: string): void {
+        const connection = this.connections.get(url);
         if (!connection) {
             return;
         }
-        this.connections.delete(peer.url);
+        this.connections.delete(url);
         this.abandoned = this.abandoned.filter(sessions => sessions.isOpen);
         this.abandoned.push(connection.sessions);
     }
@@ -86,7 +98,7 @@
                 pingTimeoutMs: this.options.pingTimeoutMs ?? PING_TIMEOUT_MS,
                 idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
             },
-            { ...this.options.tls, localAddress: this.options.localAddress } as SecureClientSessionOptions,
+            { ...this.options.tls?.(), localAddress: this.options.localAddress } as SecureClientSessionOptions,
         );
         const transport = createConnectTransport({
             baseUrl: url,
--- a/packages/daemon/src/DaemonSettings.ts
+++ b/packages/daemon/src/DaemonSettings.ts
@@ -15,6 +15,15 @@
     url: z.url(),
 });
 
+const tlsSchema = z.strictObject({
+    /** PEM file of this process's certificate, with intermediate ones. */
+    certificateFile: z.string().min(1),
+    /** PEM file of the certificate's private key. */
+    keyFile: z.string().min(1),
+    /** PEM file of the authorities whose certificates are trusted. */
+    authorityFile: z.string().min(1),
+});
+
 /** Settings that every daemon has. */
 export const daemonSettingsSchema = z.strictObject({
     /** Process name, unique in the system. */
@@ -43,6 +52,8 @@
         /** Calls a second that this process allows itself. */
         callsPerSecond: z.number().min(0.1).max(2000).default(40),
     }),
+    /** Certificates between the system's own processes; left out: no encryption, for loopback only. */
+    peerTls: tlsSchema.optional(),
     logging: z.strictObject({
         level: z.enum(["debug", "info", "warn", "error"]).default("info"),
         format: z.enum(["text", "json"]).default("text"),
--- a/packages/daemon/src/adapters/PeerServer.ts
+++ b/packages/daemon/src/adapters/PeerServer.ts
@@ -1,6 +1,13 @@
 import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import {
+    createSecureServer,
+    createServer,
+    type Http2SecureServer,
+    type Http2Server,
+    type ServerHttp2Session,
+} from "node:http2";
+import type { TlsIdentity } from "./TlsIdentity.js";
 
 /** What a `PeerServer` is made of. */
 interface PeerServerOptions {
@@ -9,11 +16,13 @@
     /** Each adds its services. */
     services: ReadonlyArray<(router: ConnectRouter) => void>;
     interceptors: Interceptor[];
+    /** With it, both sides show certificates of a trusted authority. */
+    identity?: TlsIdentity;
 }
 
 /** Serves the system's own processes by connect-es over HTTP/2. */
 export class PeerServer {
-    private readonly server: Http2Server;
+    private readonly server: Http2Server | Http2SecureServer;
     private readonly sessions = new Set<ServerHttp2Session>();
 
     private constructor(private readonly options: PeerServerOptions) {
@@ -21,8 +30,8 @@
             routes: router => options.services.forEach(register => register(router)),
             interceptors: options.interceptors,
         });
-        this.server = createServer(handler);
-        this.server.on("session", session => {
+        this.server = options.identity ? createSecured(options.identity, handler) : createServer(handler);
+        this.server.on("session", (session: ServerHttp2Session) => {
             this.sessions.add(session);
             session.on("close", () => this.sessions.delete(session));
             session.on("error", () => undefined);
@@ -54,3 +63,14 @@
         await closed;
     }
 }
+
+function createSecured(identity: TlsIdentity, handler: ReturnType<typeof connectNodeAdapter>): Http2SecureServer {
+    const server = createSecureServer({
+        ...identity.material,
+        requestCert: true,
+        rejectUnauthorized: true,
+        minVersion: "TLSv1.3",
+    }, handler);
+    identity.onChange(material => server.setSecureContext({ ...material, minVersion: "TLSv1.3" }));
+    return server;
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,10 +1,14 @@
-export { createPeerServer } from "./adapters/createPeerServer.js";
 export { HealthServer } from "./adapters/HealthServer.js";
 export { hybridClockInterceptor } from "./adapters/hybridClockInterceptor.js";
 export { IntrospectionHandler } from "./adapters/IntrospectionHandler.js";
 export { PeerServer } from "./adapters/PeerServer.js";
-export { DaemonContext } from "./DaemonContext.js";
+export { TlsIdentity } from "./adapters/TlsIdentity.js";
 export { DaemonError } from "./DaemonError.js";
 export { type DaemonSettings, daemonSettingsSchema } from "./DaemonSettings.js";
 export { runDaemon } from "./runDaemon.js";
-export { ZoneViews } from "./ZoneViews.js";
+export type { TlsFiles } from "./TlsFiles.js";
+export type { TlsMaterial } from "./TlsMaterial.js";
+export { createPeerServer } from "./wiring/createPeerServer.js";
+export { DaemonContext } from "./wiring/DaemonContext.js";
+export { loadPeerIdentity } from "./wiring/loadPeerIdentity.js";
+export { ZoneViews } from "./wiring/ZoneViews.js";
--- a/packages/daemon/src/DaemonContext.ts
+++ b/packages/daemon/src/wiring/DaemonContext.ts
@@ -10,7 +10,7 @@
     NoMetrics,
     StatsdMetrics,
 } from "@fescuehaven/telemetry";
-import type { DaemonSettings } from "./DaemonSettings.js";
+import type { DaemonSettings } from "../DaemonSettings.js";
 
 /** Longest time that a platform call waits for its turn, ms. */
 const MAX_TURN_WAIT_MS = 2000;
--- a/packages/daemon/src/ZoneViews.ts
+++ b/packages/daemon/src/wiring/ZoneViews.ts
@@ -7,14 +7,17 @@
     PeerDirectory,
     VmListSync,
 } from "@fescuehaven/coordination";
+import type { TlsIdentity } from "../adapters/TlsIdentity.js";
+import { listedPeers } from "../util/listedPeers.js";
 import type { DaemonContext } from "./DaemonContext.js";
-import { listedPeers } from "./util/listedPeers.js";
 
 /** What a `ZoneViews` is made of. */
 interface ZoneViewsOptions {
     context: DaemonContext;
     /** True for routers: take a share of the probing. */
     probes: boolean;
+    /** Certificates between the system's own processes; left out: no encryption. */
+    identity?: TlsIdentity;
 }
 
 /** What a daemon knows of the rest of the system: VMs, peers, configuration in force, readiness evidence. */
@@ -42,7 +45,9 @@
             vms: this.vms,
             peersOf: vm => listedPeers(settings, vm),
         });
-        this.clients = ConnectPeerClients.create({ localAddress });
+        const { identity } = options;
+        this.clients = ConnectPeerClients.create({ localAddress, tls: identity && (() => identity.material) });
+        identity?.onChange(() => this.clients.abandonAll());
         this.engines = HttpEngineControl.create({ localAddress });
         this.configuration = ConfigurationSync.create({
             process,
--- a/packages/daemon/src/adapters/createPeerServer.ts
+++ b/packages/daemon/src/wiring/createPeerServer.ts
@@ -1,9 +1,10 @@
 import type { ConnectRouter } from "@connectrpc/connect";
-import type { DaemonContext } from "../DaemonContext.js";
-import type { ZoneViews } from "../ZoneViews.js";
-import { hybridClockInterceptor } from "./hybridClockInterceptor.js";
-import { IntrospectionHandler } from "./IntrospectionHandler.js";
-import { PeerServer } from "./PeerServer.js";
+import { hybridClockInterceptor } from "../adapters/hybridClockInterceptor.js";
+import { IntrospectionHandler } from "../adapters/IntrospectionHandler.js";
+import { PeerServer } from "../adapters/PeerServer.js";
+import type { TlsIdentity } from "../adapters/TlsIdentity.js";
+import type { DaemonContext } from "./DaemonContext.js";
+import type { ZoneViews } from "./ZoneViews.js";
 
 /** What a daemon's peer interface serves. */
 interface PeerServerParts {
@@ -12,6 +13,8 @@
     role: "router" | "controller";
     /** State of the daemon's own, shown to operators beside that of the views. */
     state: () => Record<string, unknown>;
+    /** Certificates; left out: no encryption. */
+    identity?: TlsIdentity;
     /** Services of the daemon's own. */
     services: ReadonlyArray<(router: ConnectRouter) => void>;
 }
@@ -36,5 +39,6 @@
             ...parts.services,
         ],
         interceptors: [hybridClockInterceptor(hybridClock)],
+        identity: parts.identity,
     });
 }
--- a/packages/router/src/bin/fescue-router.ts
+++ b/packages/router/src/bin/fescue-router.ts
@@ -1,4 +1,4 @@
-import { createPeerServer, DaemonContext, runDaemon, ZoneViews } from "@fescuehaven/daemon";
+import { createPeerServer, DaemonContext, loadPeerIdentity, runDaemon, ZoneViews } from "@fescuehaven/daemon";
 import { ClosedJournal } from "../adapters/ClosedJournal.js";
 import { ConnectZoneForwarder } from "../adapters/ConnectZoneForwarder.js";
 import { HttpEngineClient } from "../adapters/HttpEngineClient.js";
@@ -17,7 +17,8 @@
 async function runRouter(settings: RouterSettings, stop: AbortSignal): Promise<void> {
     const { localAddress, connectTimeoutMs, maxAnswerBytes } = settings;
     const context = DaemonContext.create(settings);
-    const views = ZoneViews.create({ context, probes: true });
+    const identity = await loadPeerIdentity(context);
+    const views = ZoneViews.create({ context, identity, probes: true });
     const router = createRouter({
         settings,
         clock: context.clock,
@@ -43,12 +44,17 @@
     const peerServer = createPeerServer({
         context,
         views,
+        identity,
         role: "router",
         state: () => ({}),
         services: [connectRouter => router.registerOn(connectRouter)],
     });
     const running = new AbortController();
-    const work = Promise.all([views.run(running.signal), router.run(running.signal)]);
+    const work = Promise.all([
+        views.run(running.signal),
+        router.run(running.signal),
+        identity?.run(running.signal),
+    ]);
     await peerServer.listen();
     await router.server.listen(settings.listen.host, settings.listen.port);
     context.events.record({ kind: "process-started" });
--- a/scripts/lint/local.mjs
+++ b/scripts/lint/local.mjs
@@ -55,7 +55,7 @@
     meta: { type: "problem", messages: { inward: "Only adapters, bin and index files import adapters." }, schema: [] },
     create(context) {
         const file = context.filename;
-        if (/\/(adapters|bin)\//.test(file) || path.basename(file) === "index.ts") {
+        if (/\/(adapters|bin|wiring)\//.test(file) || path.basename(file) === "index.ts") {
             return {};
         }
         return {
