--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -114,7 +114,6 @@
         queue,
         selector,
         peers,
-        pace,
         budget,
         attempt,
         zone,
--- a/packages/router/src/generation/GenerationAttempt.ts
+++ b/packages/router/src/generation/GenerationAttempt.ts
@@ -6,6 +6,7 @@
 import type { GroupPlace } from "../routing/GroupPlace.js";
 import type { OpenGroup } from "../routing/OpenGroup.js";
 import type { PeerPlace } from "../routing/PeerPlace.js";
+import { Interrupt } from "../util/Interrupt.js";
 import type { AttemptOutcome } from "./AttemptOutcome.js";
 import type { GenerationCall } from "./GenerationCall.js";
 import { SilenceWatch } from "./SilenceWatch.js";
@@ -27,6 +28,12 @@
     progressMs: number;
 }
 
+/** Why a stream is not read any further. */
+type GivenUpReason = "aborted" | "silent" | "no-progress" | "stopped";
+
+/** Time that a stream may take to close after its answer is whole. */
+const CLOSING_MS = 100;
+
 /** Runs one attempt at a generation: opens a stream, hands its tokens on, and watches that it stays alive. */
 export class GenerationAttempt {
     private constructor(private readonly options: GenerationAttemptOptions) {}
@@ -133,44 +140,59 @@
     ): Promise<AttemptOutcome> {
         const watch = SilenceWatch.create(this.options);
         const ended = new AbortController();
-        const abandoned = watch.run(ended.signal).then(reason => {
-            stop.abort();
-            return reason;
-        });
-        const outcome = await this.read(stream, attemptId, sequence, sink, signal, watch, abandoned);
+        const interrupt = Interrupt.create<GivenUpReason>();
+        void watch.run(ended.signal).then(reason => interrupt.trigger(reason));
+        const onAbort = () => interrupt.trigger("aborted");
+        signal.addEventListener("abort", onAbort, { once: true });
+        const iterator = stream[Symbol.asyncIterator]();
+        const outcome = await this.read(iterator, attemptId, sequence, sink, watch, interrupt);
+        signal.removeEventListener("abort", onAbort);
         ended.abort();
-        stop.abort();
+        void this.close(iterator, outcome, stop);
         return outcome;
     }
 
+    /** Reads what follows a whole answer, so that its connection can serve again; cuts any other stream. */
+    private async close(
+        iterator: AsyncIterator<StreamEvent>,
+        outcome: AttemptOutcome,
+        stop: AbortController,
+    ): Promise<void> {
+        if (outcome.kind === "finished") {
+            const ended = new AbortController();
+            const timeout = this.options.clock.sleep(CLOSING_MS, ended.signal);
+            await Promise.race([iterator.next(), timeout]);
+            ended.abort();
+        }
+        stop.abort();
+        await iterator.return?.();
+    }
+
     private async read(
-        stream: AsyncIterable<StreamEvent>,
+        iterator: AsyncIterator<StreamEvent>,
         attemptId: string,
         sequence: TokenSequence,
         sink: TokenSink,
-        signal: AbortSignal,
         watch: SilenceWatch,
-        abandoned: Promise<"silent" | "no-progress" | undefined>,
+        interrupt: Interrupt<GivenUpReason>,
     ): Promise<AttemptOutcome> {
-        const iterator = stream[Symbol.asyncIterator]();
-        const gaveUp = abandoned.then(reason => ({ abandonedFor: reason }));
-        const aborted = whenAborted(signal);
         for (;;) {
             watch.waiting();
-            const next = await Promise.race([iterator.next(), gaveUp, aborted]);
-            if ("isAborted" in next || signal.aborted) {
-                return { kind: "aborted" };
-            }
-            if ("abandonedFor" in next) {
-                return { kind: "broken", reason: next.abandonedFor ?? "stopped", sent: true };
+            const next = await interrupt.race(iterator.next());
+            if (next.kind === "interrupted") {
+                return givenUp(next.reason);
             }
-            if (next.done) {
+            if (next.value.done) {
                 return { kind: "broken", reason: "stream-ended", sent: true };
             }
-            watch.received(next.value.kind === "token");
-            const outcome = await this.handle(next.value, attemptId, sequence, sink);
-            if (outcome) {
-                return outcome;
+            const event = next.value.value;
+            watch.received(event.kind === "token");
+            const handled = await interrupt.race(this.handle(event, attemptId, sequence, sink));
+            if (handled.kind === "interrupted") {
+                return givenUp(handled.reason);
+            }
+            if (handled.value) {
+                return handled.value;
             }
         }
     }
@@ -219,13 +241,6 @@
     }
 }
 
-function whenAborted(signal: AbortSignal): Promise<{ isAborted: true; }> {
-    return new Promise(resolve => {
-        const settle = () => resolve({ isAborted: true });
-        if (signal.aborted) {
-            settle();
-            return;
-        }
-        signal.addEventListener("abort", settle, { once: true });
-    });
+function givenUp(reason: GivenUpReason): AttemptOutcome {
+    return reason === "aborted" ? { kind: "aborted" } : { kind: "broken", reason, sent: true };
 }
--- a/packages/router/src/generation/GenerationDispatcher.ts
+++ b/packages/router/src/generation/GenerationDispatcher.ts
@@ -9,7 +9,6 @@
 import type { GroupSelector } from "../routing/GroupSelector.js";
 import type { PeerPlace } from "../routing/PeerPlace.js";
 import type { PeerSelector } from "../routing/PeerSelector.js";
-import type { TokenPace } from "../routing/TokenPace.js";
 import type { AttemptOutcome } from "./AttemptOutcome.js";
 import type { GenerationAttempt } from "./GenerationAttempt.js";
 import type { GenerationCall } from "./GenerationCall.js";
@@ -28,7 +27,6 @@
     queue: PlacementQueue;
     selector: GroupSelector;
     peers: PeerSelector;
-    pace: TokenPace;
     budget: RetryBudget;
     attempt: GenerationAttempt;
     /** Availability zone of this router. */
@@ -151,12 +149,15 @@
             && !this.options.peers.hasEligible(call.modelVersion, this.zonesServing(call.modelVersion));
     }
 
+    /** Zones whose routers may serve the version; the own one where this router's share is too small for any call. */
     private zonesServing(modelVersion: string): ReadonlySet<string> {
-        const groups = this.options.configuration.list("serving-group");
-        return new Set(
-            groups.filter(({ value }) => value.modelVersion === modelVersion && value.zone !== this.options.zone)
-                .map(({ value }) => value.zone),
-        );
+        const groups = this.options.configuration.list("serving-group")
+            .filter(({ value }) => value.modelVersion === modelVersion);
+        const zones = new Set(groups.map(({ value }) => value.zone));
+        if (!this.options.selector.hasOpen(modelVersion) || this.options.selector.hasShare(modelVersion)) {
+            zones.delete(this.options.zone);
+        }
+        return zones;
     }
 
     private release(place: GroupPlace | PeerPlace, progress: GenerationProgress, outcome: AttemptOutcome): void {
@@ -188,7 +189,8 @@
         const tokenCount = progress.sequence.next - before;
         this.options.budget.succeeded(progress.call.caller.account);
         if (place.kind === "group") {
-            this.options.pace.note(place.group, tokenCount, this.options.clock.monotonicMs() - startedMs);
+            const durationMs = this.options.clock.monotonicMs() - startedMs;
+            this.options.selector.noteAnswer(place.group, progress.call.modelVersion, tokenCount, durationMs);
         }
     }
 
--- a/packages/router/src/generation/SilenceWatch.ts
+++ b/packages/router/src/generation/SilenceWatch.ts
@@ -32,8 +32,8 @@
         this.waitingSinceMs = undefined;
     }
 
-    /** Resolves with the reason once the stream is to be abandoned, or undefined when `signal` aborts. */
-    async run(signal: AbortSignal): Promise<"silent" | "no-progress" | undefined> {
+    /** Resolves with the reason once the stream is to be abandoned, or `stopped` when `signal` aborts. */
+    async run(signal: AbortSignal): Promise<"silent" | "no-progress" | "stopped"> {
         const { clock, silenceMs, progressMs } = this.options;
         while (!signal.aborted) {
             await clock.sleep(Math.min(silenceMs, progressMs) / 4, signal);
@@ -45,6 +45,6 @@
                 return "no-progress";
             }
         }
-        return undefined;
+        return "stopped";
     }
 }
--- a/packages/router/src/limits/Upstream.ts
+++ b/packages/router/src/limits/Upstream.ts
@@ -2,7 +2,7 @@
 export interface Upstream {
     /** Unique among the upstreams of the zone. */
     name: string;
-    /** Changes when the upstream may have become cold: the boot ids of all members. */
+    /** Changes when the upstream may have become cold: the claim's epoch and the boot ids of all members. */
     identity: string;
     /** Calls that it carries at once when warm. */
     warmLimit: number;
--- a/packages/router/src/routing/GroupAccess.ts
+++ b/packages/router/src/routing/GroupAccess.ts
@@ -42,7 +42,7 @@
         }
         const upstream: Upstream = {
             name: evidence.group,
-            identity: evidence.bootIds.join(" "),
+            identity: `${evidence.epoch} ${evidence.bootIds.join(" ")}`,
             warmLimit: definition.maxConcurrentRequests,
             coldLimit: Math.min(definition.coldConcurrentRequests, definition.maxConcurrentRequests),
         };
--- a/packages/router/src/routing/GroupSelector.ts
+++ b/packages/router/src/routing/GroupSelector.ts
@@ -44,6 +44,22 @@
         return this.options.access.listOpen(modelVersion).length > 0;
     }
 
+    /** True when this router's share of some open group is at least one call. */
+    hasShare(modelVersion: string): boolean {
+        return this.options.access.listOpen(modelVersion).some(group =>
+            this.options.limits.allowed(group.upstream) > 0
+        );
+    }
+
+    /** Notes an answer of `tokenCount` tokens that took `durationMs`, so that slow groups get less. */
+    noteAnswer(group: string, modelVersion: string, tokenCount: number, durationMs: number): void {
+        const names = this.options.access.listOpen(modelVersion).map(open => open.upstream.name);
+        this.options.pace.note(group, tokenCount, durationMs);
+        if (this.options.pace.isOutlier(group, names)) {
+            this.options.limits.slow(group);
+        }
+    }
+
     /** Takes a slot at a group, avoiding those in `excluded` where there are others; undefined when none is free. */
     place(modelVersion: string, prompt: string, excluded: ReadonlySet<string>): GroupPlace | undefined {
         const open = this.options.access.listOpen(modelVersion);
--- a/packages/router/src/routing/TokenPace.ts
+++ b/packages/router/src/routing/TokenPace.ts
@@ -42,13 +42,4 @@
     isOutlier(upstream: string, alternatives: readonly string[]): boolean {
         return this.slowness(upstream, alternatives) >= OUTLIER_FACTOR;
     }
-
-    /** Drops what is held of upstreams that are not in use any more. */
-    keepOnly(upstreams: ReadonlySet<string>): void {
-        for (const name of this.averages.keys()) {
-            if (!upstreams.has(name)) {
-                this.averages.delete(name);
-            }
-        }
-    }
 }
--- a/packages/router/tests/support/ScriptedEngine.ts
+++ b/packages/router/tests/support/ScriptedEngine.ts
@@ -116,7 +116,7 @@
         if (script.hold) {
             await new Promise<void>(resolve => this.held.push(resolve));
         }
-        for (let index = call.resumeFromToken; index < call.maxTokens; index++) {
+        for (let index = call.resumeFromToken; index <= call.maxTokens; index++) {
             const sent = index - call.resumeFromToken;
             if (sent === script.breakAfter) {
                 await new Promise<void>(resolve => response.write(": cut\n\n", () => resolve()));
@@ -126,6 +126,9 @@
             if (sent === script.silentAfter || response.destroyed) {
                 return;
             }
+            if (index === call.maxTokens) {
+                break;
+            }
             const text = tokenAt(call.prompt, index);
             if (script.cross) {
                 send({ requestId: "other", attemptId, index, text: "crossed " });
