--- a/packages/controller/src/bin/fescue-controller.ts
+++ b/packages/controller/src/bin/fescue-controller.ts
@@ -1,11 +1,4 @@
-import {
-    createPeerServer,
-    DaemonContext,
-    HealthServer,
-    loadPeerIdentity,
-    runDaemon,
-    ZoneViews,
-} from "@fescuehaven/daemon";
+import { createPeerServer, DaemonContext, HealthServer, loadIdentity, runDaemon, ZoneViews } from "@fescuehaven/daemon";
 import { type ControllerSettings, controllerSettingsSchema } from "../ControllerSettings.js";
 import { ZoneController } from "../ZoneController.js";
 
@@ -18,7 +11,7 @@
 
 async function runController(settings: ControllerSettings, stop: AbortSignal): Promise<void> {
     const context = DaemonContext.create(settings);
-    const identity = await loadPeerIdentity(context);
+    const identity = await loadIdentity(context, settings.peerTls);
     const views = ZoneViews.create({ context, identity, probes: false });
     const controller = ZoneController.create({
         process: settings.process,
--- a/packages/daemon/src/TlsFiles.ts
+++ b/packages/daemon/src/TlsFiles.ts
@@ -4,6 +4,6 @@
     certificateFile: string;
     /** PEM file of the private key. */
     keyFile: string;
-    /** PEM file of the trusted authorities. */
-    authorityFile: string;
+    /** PEM file of the trusted authorities; left out: none is asked for a certificate. */
+    authorityFile?: string;
 }
--- a/packages/daemon/src/TlsMaterial.ts
+++ b/packages/daemon/src/TlsMaterial.ts
@@ -2,5 +2,5 @@
 export interface TlsMaterial {
     cert: string;
     key: string;
-    ca: string;
+    ca?: string;
 }
--- a/packages/daemon/src/adapters/TlsIdentity.ts
+++ b/packages/daemon/src/adapters/TlsIdentity.ts
@@ -93,7 +93,7 @@
     const [cert, key, ca] = await Promise.all([
         readFile(files.certificateFile, "utf8"),
         readFile(files.keyFile, "utf8"),
-        readFile(files.authorityFile, "utf8"),
+        files.authorityFile === undefined ? undefined : readFile(files.authorityFile, "utf8"),
     ]);
     createSecureContext({ cert, key, ca });
     return { cert, key, ca };
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -10,5 +10,5 @@
 export type { TlsMaterial } from "./TlsMaterial.js";
 export { createPeerServer } from "./wiring/createPeerServer.js";
 export { DaemonContext } from "./wiring/DaemonContext.js";
-export { loadPeerIdentity } from "./wiring/loadPeerIdentity.js";
+export { loadIdentity } from "./wiring/loadIdentity.js";
 export { ZoneViews } from "./wiring/ZoneViews.js";
--- a/packages/daemon/tests/adapters/PeerServer.test.ts
+++ b/packages/daemon/tests/adapters/PeerServer.test.ts
@@ -2,6 +2,7 @@
 import { IntrospectionService } from "@fescuehaven/protocol";
 import { SystemClock } from "@fescuehaven/runtime";
 import { SilentLogger } from "@fescuehaven/testing";
+import { TestAuthority } from "@fescuehaven/testing/tls";
 import { expect } from "chai";
 import { copyFile, mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
@@ -9,7 +10,6 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { PeerServer, type TlsFiles, TlsIdentity } from "../../src/index.js";
-import { TestAuthority } from "../support/TestAuthority.js";
 
 const EXPIRED_MS = -60_000;
 const CALL_TIMEOUT_MS = 5000;
@@ -19,7 +19,7 @@
     let authority: TestAuthority;
     let server: PeerServer;
     let identity: TlsIdentity;
-    let serverFiles: TlsFiles;
+    let serverFiles: Required<TlsFiles>;
     let peer: Peer;
 
     beforeEach(async () => {
--- a/packages/router/src/RouterSettings.ts
+++ b/packages/router/src/RouterSettings.ts
@@ -4,6 +4,13 @@
 /** Settings of a router: those of every daemon and its own. */
 export const routerSettingsSchema = z.strictObject({
     ...daemonSettingsSchema.shape,
+    /** Certificate towards callers; left out: plain HTTP, for loopback or behind a balancer that encrypts. */
+    callerTls: z.strictObject({
+        /** PEM file of the certificate, with intermediate ones. */
+        certificateFile: z.string().min(1),
+        /** PEM file of the certificate's private key. */
+        keyFile: z.string().min(1),
+    }).optional(),
     /** Most routers that run in the availability zone at once, replacements under way included. */
     plannedRouters: z.number().int().min(1).max(1000).default(2),
     /** Calls that wait at once. */
--- /dev/null
+++ b/packages/router/src/adapters/createCallerServerFactory.ts
@@ -0,0 +1,12 @@
+import type { TlsIdentity } from "@fescuehaven/daemon";
+import type { FastifyServerFactory } from "fastify";
+import { createServer } from "node:https";
+
+/** Makes the callers' server speak HTTPS with the identity's certificate, also after it changed. */
+export function createCallerServerFactory(identity: TlsIdentity): FastifyServerFactory {
+    return handler => {
+        const server = createServer({ ...identity.material, minVersion: "TLSv1.2" }, handler);
+        identity.onChange(material => server.setSecureContext({ ...material, minVersion: "TLSv1.2" }));
+        return server;
+    };
+}
--- a/packages/router/src/bin/fescue-router.ts
+++ b/packages/router/src/bin/fescue-router.ts
@@ -1,6 +1,7 @@
-import { createPeerServer, DaemonContext, loadPeerIdentity, runDaemon, ZoneViews } from "@fescuehaven/daemon";
+import { createPeerServer, DaemonContext, loadIdentity, runDaemon, ZoneViews } from "@fescuehaven/daemon";
 import { ClosedJournal } from "../adapters/ClosedJournal.js";
 import { ConnectZoneForwarder } from "../adapters/ConnectZoneForwarder.js";
+import { createCallerServerFactory } from "../adapters/createCallerServerFactory.js";
 import { HttpEngineClient } from "../adapters/HttpEngineClient.js";
 import { HttpServiceClient } from "../adapters/HttpServiceClient.js";
 import { createRouter } from "../createRouter.js";
@@ -17,9 +18,11 @@
 async function runRouter(settings: RouterSettings, stop: AbortSignal): Promise<void> {
     const { localAddress, connectTimeoutMs, maxAnswerBytes } = settings;
     const context = DaemonContext.create(settings);
-    const identity = await loadPeerIdentity(context);
+    const identity = await loadIdentity(context, settings.peerTls);
+    const callerIdentity = await loadIdentity(context, settings.callerTls);
     const views = ZoneViews.create({ context, identity, probes: true });
     const router = createRouter({
+        serverFactory: callerIdentity && createCallerServerFactory(callerIdentity),
         settings,
         clock: context.clock,
         random: context.random,
@@ -54,6 +57,7 @@
         views.run(running.signal),
         router.run(running.signal),
         identity?.run(running.signal),
+        callerIdentity?.run(running.signal),
     ]);
     await peerServer.listen();
     await router.server.listen(settings.listen.host, settings.listen.port);
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationView, EvidenceView, PeerView, VmView } from "@fescuehaven/coordination";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger, Metrics } from "@fescuehaven/telemetry";
+import type { FastifyServerFactory } from "fastify";
 import { AccountDirectory } from "./admission/AccountDirectory.js";
 import { PlacementQueue } from "./admission/PlacementQueue.js";
 import { GenerationAttempt } from "./generation/GenerationAttempt.js";
@@ -45,6 +46,8 @@
     services: ServiceClient;
     forwarder: ZoneForwarder;
     journal: KeyJournal;
+    /** Makes the callers' server; left out: plain HTTP. */
+    serverFactory?: FastifyServerFactory;
 }
 
 /** A router put together. */
@@ -158,6 +161,7 @@
         }),
         services: ServiceHandler.create({ clock, configuration, services, keyed }),
         bodyLimitBytes: settings.bodyLimitBytes,
+        serverFactory: options.serverFactory,
     });
     const forwards = ForwardHandler.create({ clock, configuration, generations, services, calls });
     return {
--- a/packages/router/src/server/RouterServer.ts
+++ b/packages/router/src/server/RouterServer.ts
@@ -1,7 +1,12 @@
 import type { ConfigurationView } from "@fescuehaven/coordination";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger, Metrics } from "@fescuehaven/telemetry";
-import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+import fastify, {
+    type FastifyInstance,
+    type FastifyReply,
+    type FastifyRequest,
+    type FastifyServerFactory,
+} from "fastify";
 import type { AccountDirectory } from "../admission/AccountDirectory.js";
 import { createRefusal } from "../createRefusal.js";
 import type { Refusal } from "../Refusal.js";
@@ -24,6 +29,8 @@
     services: ServiceHandler;
     /** Largest body of a call. */
     bodyLimitBytes: number;
+    /** Makes the server; left out: plain HTTP. */
+    serverFactory?: FastifyServerFactory;
 }
 
 type Handle = (call: CallContext, request: FastifyRequest, reply: FastifyReply) => Promise<Refusal | undefined>;
@@ -42,7 +49,11 @@
     readonly http: FastifyInstance;
 
     private constructor(private readonly options: RouterServerOptions) {
-        this.http = fastify({ bodyLimit: options.bodyLimitBytes, forceCloseConnections: "idle" });
+        this.http = fastify({
+            bodyLimit: options.bodyLimitBytes,
+            forceCloseConnections: "idle",
+            serverFactory: options.serverFactory,
+        });
         this.addParsers();
         this.addRoutes();
         this.addErrorHandlers();
--- a/packages/daemon/tests/support/TestAuthority.ts
+++ b/packages/testing/src/tls/TestAuthority.ts
@@ -1,9 +1,9 @@
 import "reflect-metadata";
+import type { TlsFiles } from "@fescuehaven/daemon";
 import * as x509 from "@peculiar/x509";
 import { webcrypto } from "node:crypto";
 import { writeFile } from "node:fs/promises";
 import path from "node:path";
-import type { TlsFiles } from "../../src/index.js";
 
 x509.cryptoProvider.set(webcrypto as never);
 
@@ -35,7 +35,12 @@
     }
 
     /** Writes a certificate for 127.0.0.1 that runs out after `validForMs`, its key, and `trusted`'s certificate. */
-    async issue(folder: string, name: string, validForMs = DAY_MS, trusted: TestAuthority = this): Promise<TlsFiles> {
+    async issue(
+        folder: string,
+        name: string,
+        validForMs = DAY_MS,
+        trusted: TestAuthority = this,
+    ): Promise<Required<TlsFiles>> {
         const keys = await createKeys();
         this.serial += 1;
         const certificate = await x509.X509CertificateGenerator.create({
@@ -49,7 +54,7 @@
             signingAlgorithm: ALGORITHM,
             extensions: [new x509.SubjectAlternativeNameExtension([{ type: "ip", value: "127.0.0.1" }])],
         });
-        const files: TlsFiles = {
+        const files = {
             certificateFile: path.join(folder, `${name}.crt`),
             keyFile: path.join(folder, `${name}.key`),
             authorityFile: path.join(folder, `${name}.ca`),
