Check settings from the command line and generate their reference page

Cause: operators need to see every fault of a settings file before a start. Descriptions moved from comments into the schemas, so that the page, the JSON Schema and the check have one source. Time line durations are whole milliseconds now.

--- a/packages/cli/src/CliConfiguration.ts
+++ b/packages/cli/src/CliConfiguration.ts
@@ -3,19 +3,15 @@
 /** Configuration file of `fescue`. */
 export const cliConfigurationSchema = z.strictObject({
     platform: z.strictObject({
-        /** Base URL of the platform's object API. */
-        url: z.url(),
-        /** Longest wait for an answer, ms. */
-        timeoutMs: z.number().int().min(10).max(60_000).default(5000),
+        url: z.url().describe("Base URL of the platform's object API"),
+        timeoutMs: z.number().int().min(10).max(60_000).default(5000).describe("Longest wait for an answer, ms"),
     }),
-    /** Processes whose state and time line are read. */
     processes: z.array(z.strictObject({
         name: z.string().min(1),
         zone: z.string().min(1),
         role: z.enum(["router", "controller"]),
-        /** Base URL of the process's peer interface. */
-        url: z.url(),
-    })).default([]),
+        url: z.url().describe("Base URL of the process's peer interface"),
+    })).default([]).describe("Processes whose state and time line are read"),
 });
 
 /** Configuration file of `fescue`. */
--- a/packages/cli/src/bin/fescue.ts
+++ b/packages/cli/src/bin/fescue.ts
@@ -1,4 +1,5 @@
+import { ConsoleOutput } from "../adapters/ConsoleOutput.js";
 import { createCommandContext } from "../adapters/createCommandContext.js";
 import { runCli } from "../runCli.js";
 
-await runCli(process.argv.slice(2), createCommandContext);
+await runCli(process.argv.slice(2), createCommandContext, ConsoleOutput.create());
--- /dev/null
+++ b/packages/cli/src/commands/checkSettings.ts
@@ -0,0 +1,19 @@
+import { loadSettings } from "@fescuehaven/runtime";
+import type { CommandOutcome } from "../CommandOutcome.js";
+import type { Output } from "../ports/Output.js";
+import { settingsSchemas } from "../settingsSchemas.js";
+
+/** Checks a binary's settings file whole and lists every fault by its path. */
+export async function checkSettings(
+    output: Output,
+    binary: keyof typeof settingsSchemas,
+    file: string,
+): Promise<CommandOutcome> {
+    const outcome = await loadSettings<unknown>(file, settingsSchemas[binary]);
+    if (outcome.kind === "invalid") {
+        outcome.faults.forEach(fault => output.error(`${file}: ${fault.path}: ${fault.expected}`));
+        return "invalid";
+    }
+    output.line(`${file} is valid for ${binary}`);
+    return "done";
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,3 @@
 export { cliConfigurationSchema } from "./CliConfiguration.js";
+export { renderSettingsPage } from "./renderSettingsPage.js";
 export { runCli } from "./runCli.js";
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -3,10 +3,12 @@
 import type { CommandContext } from "./CommandContext.js";
 import type { CommandOutcome } from "./CommandOutcome.js";
 import { applyManifests } from "./commands/applyManifests.js";
+import { checkSettings } from "./commands/checkSettings.js";
 import { deleteObject } from "./commands/deleteObject.js";
 import { describeObject } from "./commands/describeObject.js";
 import { drainTarget } from "./commands/drainTarget.js";
 import { getObjects } from "./commands/getObjects.js";
+import { showSettingsSchema } from "./commands/showSettingsSchema.js";
 import { showStatus } from "./commands/showStatus.js";
 import { showTimeline } from "./commands/showTimeline.js";
 import { undrainTarget } from "./commands/undrainTarget.js";
@@ -14,6 +16,8 @@
 import type { ContextOutcome } from "./ContextOutcome.js";
 import { exitCodes } from "./exitCodes.js";
 import type { GlobalArguments } from "./GlobalArguments.js";
+import type { Output } from "./ports/Output.js";
+import { settingsSchemas } from "./settingsSchemas.js";
 
 const targetKinds = ["vm", "fabric-domain", "availability-zone"] as const satisfies readonly MaintenanceIntent[
     "target"
@@ -29,10 +33,29 @@
     user: { type: "string", describe: "operator's name in intents; left out: the system's user" },
 } as const;
 
+const settingsBinaries = Object.keys(settingsSchemas) as Array<keyof typeof settingsSchemas>;
+
+async function runSettings(
+    output: Output,
+    action: "check" | "schema",
+    binary: keyof typeof settingsSchemas,
+    file: string | undefined,
+): Promise<CommandOutcome> {
+    if (action === "schema") {
+        return showSettingsSchema(output, binary);
+    }
+    if (file === undefined) {
+        output.error("file: name the settings file to check");
+        return "invalid";
+    }
+    return checkSettings(output, binary, file);
+}
+
 /** Reads the command line, runs the command, and ends the process with its exit code. */
 export async function runCli(
     words: readonly string[],
     createContext: (args: GlobalArguments) => Promise<ContextOutcome>,
+    output: Output,
 ): Promise<void> {
     const interrupted = new AbortController();
     process.on("SIGINT", () => interrupted.abort());
@@ -161,6 +184,20 @@
                         format: args.format,
                     })),
         )
+        .command(
+            "settings <action> <binary> [file]",
+            "Check a settings file, or print the JSON Schema of one",
+            builder =>
+                builder
+                    .positional("action", { choices: ["check", "schema"] as const, demandOption: true })
+                    .positional("binary", { choices: settingsBinaries, demandOption: true })
+                    .positional("file", { type: "string" })
+                    .example("$0 settings check fescue-router router.json", "check before a start"),
+            async args => {
+                const outcome = await runSettings(output, args.action, args.binary, args.file);
+                process.exitCode = exitCodes[outcome];
+            },
+        )
         .completion("completion", "Print a completion script for the shell")
         .demandCommand(1, "name a command")
         .recommendCommands()
--- a/packages/controller/src/index.ts
+++ b/packages/controller/src/index.ts
@@ -1,3 +1,4 @@
+export { type ControllerSettings, controllerSettingsSchema } from "./ControllerSettings.js";
 export type { ControllerTimings } from "./ControllerTimings.js";
 export { defaultControllerTimings } from "./defaultControllerTimings.js";
 export type { PlanInput } from "./PlanInput.js";
--- a/packages/telemetry/src/EventRing.ts
+++ b/packages/telemetry/src/EventRing.ts
@@ -34,6 +34,7 @@
     record(event: TimelineEvent): void {
         const stamped = {
             ...event,
+            ...(event.durationMs !== undefined && { durationMs: Math.round(event.durationMs) }),
             at: this.options.hybridClock.next(),
             process: this.options.process,
             processZone: this.options.zone,
