Test the spread of configuration under failures

Answers of the digest exchange are now cut at 512 KiB, digests that differ for good are compared every 30 s instead of always, and a refused object that vanished is forgotten.

--- a/packages/coordination/src/ConfigurationState.ts
+++ b/packages/coordination/src/ConfigurationState.ts
@@ -166,6 +166,9 @@
         const vanished = [...this.entries.values()]
             .filter(entry => !entry.deleted && entry.revision <= revision && !present(entry));
         vanished.forEach(entry => this.remove(entry, revision, source));
+        [...this.refusals]
+            .filter(([, entry]) => entry.revision <= revision && !present(entry))
+            .forEach(([id]) => this.refusals.delete(id));
         this.advance(revision);
         return vanished.length;
     }
--- a/packages/coordination/src/DigestExchange.ts
+++ b/packages/coordination/src/DigestExchange.ts
@@ -1,4 +1,4 @@
-import { ConfigurationService, type ExchangeDigestResponse } from "@fescuehaven/protocol";
+import { type ConfigurationObject, ConfigurationService, type ExchangeDigestResponse } from "@fescuehaven/protocol";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { ConfigurationState } from "./ConfigurationState.js";
 import type { DigestEntry } from "./DigestEntry.js";
@@ -17,6 +17,8 @@
 const CALL_TIMEOUT_MS = 1000;
 /** More changes than this at once are left to the comparison by buckets. */
 const MAX_ANNOUNCED = 50;
+/** Digests that differ for good, as after a refusal, are compared again after this long, ms. */
+const SETTLED_MS = 30_000;
 /** How partners are chosen, a task for each. */
 const CHOICES = ["zone-successor", "successor", "random"] as const;
 
@@ -34,13 +36,14 @@
 interface DigestRequest {
     held?: readonly DigestEntry[];
     buckets?: readonly number[];
-    pushed?: readonly DigestEntry[];
+    pushed?: ConfigurationObject[];
 }
 
 /** Compares digests with a few peers, at once when something was adopted, and takes and gives what differs. */
 export class DigestExchange {
     private readonly partners: ExchangePartners;
     private readonly messages: DigestMessages;
+    private readonly settled = new Map<string, { digests: string; untilMs: number; }>();
 
     private constructor(private readonly options: DigestExchangeOptions) {
         this.partners = ExchangePartners.create(options);
@@ -111,13 +114,51 @@
             this.cover(summary, []);
             return true;
         }
-        const buckets = state.hash.differing(summary.bucketHashes);
-        const detail = await this.call(peer, { buckets, held: state.digestOf(new Set(buckets)) }, signal);
+        if (this.isSettled(peer, summary.rootHash)) {
+            return true;
+        }
+        const version = state.version;
+        const detail = await this.compareBuckets(peer, state.hash.differing(summary.bucketHashes), signal);
         if (!detail) {
             return false;
         }
         this.cover(summary, detail.wanted.filter(entry => entry.revision === 0n));
-        return this.push(peer, detail, signal);
+        const pushed = await this.push(peer, detail, signal);
+        if (pushed && state.version === version) {
+            this.settle(peer, summary.rootHash);
+        }
+        return pushed;
+    }
+
+    /** Takes what the peer holds newer in the buckets, in as many answers as it needs. Yields the last. */
+    private async compareBuckets(
+        peer: Peer,
+        buckets: readonly number[],
+        signal: AbortSignal,
+    ): Promise<ExchangeDigestResponse | undefined> {
+        for (;;) {
+            const held = this.options.state.digestOf(new Set(buckets));
+            const version = this.options.state.version;
+            const detail = await this.call(peer, { buckets, held }, signal);
+            if (!detail?.partial) {
+                return detail;
+            }
+            if (this.options.state.version === version) {
+                return undefined;
+            }
+        }
+    }
+
+    /** True when the same two digests were compared lately without anything to take, as after a refusal. */
+    private isSettled(peer: Peer, theirRoot: bigint): boolean {
+        const settled = this.settled.get(peer.name);
+        const digests = `${theirRoot} ${this.options.state.hash.root()}`;
+        return settled?.digests === digests && this.options.clock.monotonicMs() < settled.untilMs;
+    }
+
+    private settle(peer: Peer, theirRoot: bigint): void {
+        const digests = `${theirRoot} ${this.options.state.hash.root()}`;
+        this.settled.set(peer.name, { digests, untilMs: this.options.clock.monotonicMs() + SETTLED_MS });
     }
 
     /**
@@ -141,11 +182,15 @@
     }
 
     private async push(peer: Peer, answer: ExchangeDigestResponse, signal: AbortSignal): Promise<boolean> {
-        const pushed = answer.wanted.map(entry => ({ ...entry, revision: Number(entry.revision) }));
-        if (pushed.length === 0) {
-            return true;
+        let pending = this.messages.objects(answer.wanted);
+        while (pending.length > 0) {
+            const pushed = this.messages.fitting(pending);
+            if (!await this.call(peer, { pushed }, signal)) {
+                return false;
+            }
+            pending = pending.slice(pushed.length);
         }
-        return await this.call(peer, { pushed }, signal) !== undefined;
+        return true;
     }
 
     private async call(
@@ -159,7 +204,7 @@
             rootHash: state.hash.root(),
             held: this.messages.revisions(request.held ?? []),
             buckets: [...request.buckets ?? []],
-            pushed: this.messages.objects(request.pushed ?? []),
+            pushed: request.pushed ?? [],
         };
         const client = clients.get(ConfigurationService, peer);
         const answer = await withDeadline(
--- a/packages/coordination/src/DigestMessages.ts
+++ b/packages/coordination/src/DigestMessages.ts
@@ -9,6 +9,11 @@
 import type { ConfigurationState } from "./ConfigurationState.js";
 import type { DigestEntry } from "./DigestEntry.js";
 
+/** Objects in one message take up to this size, bytes. */
+const MAX_MESSAGE_BYTES = 512 * 1024;
+/** Size of an object's kind, revision and framing, bytes. */
+const ENTRY_OVERHEAD_BYTES = 40;
+
 /** Turns a configuration state into messages between processes, and takes such messages in. */
 export class DigestMessages {
     private constructor(private readonly state: ConfigurationState) {}
@@ -41,6 +46,16 @@
         });
     }
 
+    /** As many of the objects, in order, as fit into one message; always one at least. */
+    fitting(objects: readonly ConfigurationObject[]): ConfigurationObject[] {
+        let sizeBytes = 0;
+        const end = objects.findIndex((object, index) => {
+            sizeBytes += object.valueJson.length + object.name.length + ENTRY_OVERHEAD_BYTES;
+            return index > 0 && sizeBytes > MAX_MESSAGE_BYTES;
+        });
+        return end < 0 ? [...objects] : objects.slice(0, end);
+    }
+
     /** Offers what a peer sent to the state. */
     take(objects: readonly ConfigurationObject[], source: string): void {
         for (const message of objects) {
--- a/packages/coordination/src/DigestResponder.ts
+++ b/packages/coordination/src/DigestResponder.ts
@@ -28,8 +28,11 @@
         this.messages.take(request.pushed, `peer ${request.sender}`);
         const isQuestion = request.held.length + request.buckets.length + request.pushed.length === 0;
         const differs = request.rootHash !== state.hash.root();
+        const newer = this.messages.objects(this.newerThan(request));
+        const fitting = this.messages.fitting(newer);
         return create(ExchangeDigestResponseSchema, {
-            newer: this.messages.objects(this.newerThan(request)),
+            newer: fitting,
+            partial: fitting.length < newer.length,
             wanted: this.wanted(request.held),
             rootHash: state.hash.root(),
             bucketHashes: isQuestion && differs ? state.hash.bucketHashes() : [],
--- a/packages/coordination/src/PlatformWatch.ts
+++ b/packages/coordination/src/PlatformWatch.ts
@@ -78,10 +78,16 @@
 
     /** A listing that is behind what is known here adds what it can, but its gaps say nothing. */
     private takeListing(listing: ListOutcome & { kind: "listed"; }): void {
-        const { state, logger } = this.options;
+        const { events, logger, state } = this.options;
         const behind = listing.revision < state.coveredRevision;
         listing.objects.forEach(object => state.adopt(object, "platform", !behind));
         if (behind) {
+            events.record({
+                kind: "configuration-refused",
+                object: "listing",
+                revision: listing.revision,
+                reason: "platform: behind what is in force",
+            });
             logger.warn(
                 `Platform listing at ${listing.revision} is behind ${state.coveredRevision}; nothing goes back.`,
             );
--- /dev/null
+++ b/packages/coordination/tests/ConfigurationState.test.ts
@@ -0,0 +1,78 @@
+import { ManualClock, MemoryEventRecorder } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { ConfigurationState } from "../src/ConfigurationState.js";
+
+const KIND = "maintenance-intent";
+const VALUE = { target: { kind: "vm", name: "vm" }, reason: "r", requestedBy: "o" };
+const object = (name: string, revision: number, value: unknown = VALUE) => ({ kind: KIND, name, revision, value });
+
+/** More removals than a process remembers. */
+const MANY = 1100;
+
+describe("ConfigurationState", () => {
+    let state: ConfigurationState;
+
+    beforeEach(() => {
+        const clock = ManualClock.create();
+        state = ConfigurationState.create({ kinds: [KIND], clock, events: MemoryEventRecorder.create() });
+    });
+
+    const removeMany = () => {
+        for (let index = 0; index < MANY; index++) {
+            state.adopt(object(`i-${index}`, 2 * index + 1), "platform");
+            state.remove({ kind: KIND, name: `i-${index}` }, 2 * index + 2, "platform");
+            state.advance(2 * index + 2);
+        }
+    };
+
+    it("remembers a bounded number of removals, and lets none of the others come back", () => {
+        removeMany();
+        expect(state.digest()).to.have.length(1000);
+        expect(state.adopt(object("i-0", 1), "peer").kind).to.equal("older");
+        expect(state.remove({ kind: KIND, name: "i-0" }, 2, "peer").kind).to.equal("older");
+        expect(state.adopt(object("new", 2 * MANY + 1), "peer").kind).to.equal("adopted");
+    });
+
+    it("forgets no removal that it does not know the whole state up to", () => {
+        for (let index = 0; index < MANY; index++) {
+            state.remove({ kind: KIND, name: `i-${index}` }, 2 * index + 2, "peer");
+        }
+        expect(state.digest()).to.have.length(MANY);
+    });
+
+    it("takes from a whole listing what it would take for removed from a peer", () => {
+        state.advance(10);
+        expect(state.adopt(object("a", 5), "peer").kind).to.equal("older");
+        expect(state.adopt(object("a", 5), "platform", true).kind).to.equal("adopted");
+    });
+
+    it("forgets a refused object that vanished", () => {
+        state.adopt(object("a", 5, {}), "platform", true);
+        expect(state.refused()).to.have.length(1);
+        state.cover(6, () => false, "platform");
+        expect(state.refused()).to.deep.equal([]);
+    });
+
+    it("keeps what is newer than a listing that lacks it", () => {
+        state.adopt(object("a", 5), "peer");
+        state.cover(4, () => false, "platform");
+        expect(state.get(KIND, "a")?.revision).to.equal(5);
+        state.cover(6, () => false, "platform");
+        expect(state.get(KIND, "a")).to.be.undefined;
+    });
+
+    it("has equal hashes for equal digests, however they came about", () => {
+        const other = ConfigurationState.create({
+            kinds: [KIND],
+            clock: ManualClock.create(),
+            events: MemoryEventRecorder.create(),
+        });
+        state.adopt(object("a", 1), "peer");
+        state.adopt(object("a", 3), "peer");
+        state.remove({ kind: KIND, name: "b" }, 4, "peer");
+        other.remove({ kind: KIND, name: "b" }, 4, "peer");
+        expect(other.hash.root()).to.not.equal(state.hash.root());
+        other.adopt(object("a", 3), "peer");
+        expect(other.hash.root()).to.equal(state.hash.root());
+    });
+});
--- /dev/null
+++ b/packages/coordination/tests/ConfigurationSync.random.test.ts
@@ -0,0 +1,130 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { ConfigurationRig } from "./util/ConfigurationRig.js";
+
+const NAMES = ["a/1", "a/2", "b/1", "b/2", "c/1", "c/2"];
+const SEED = 20260101;
+const RUNS = 40;
+/** Longest time to agreement once everything works again, ms. */
+const SETTLE_MS = 20_000;
+
+type Step =
+    | { kind: "write" | "remove" | "write-invalid"; object: string; }
+    | { kind: "cut-platform" | "cut-zone" | "restart"; process: string; }
+    | { kind: "compact" | "outage" | "silent-watches" | "mend"; };
+
+const objectArbitrary = fc.constantFrom("x", "y", "z");
+const processArbitrary = fc.constantFrom(...NAMES);
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+    {
+        weight: 6,
+        arbitrary: fc.record({ kind: fc.constantFrom("write", "remove", "write-invalid"), object: objectArbitrary }),
+    },
+    {
+        weight: 4,
+        arbitrary: fc.record({
+            kind: fc.constantFrom("cut-platform", "cut-zone", "restart"),
+            process: processArbitrary,
+        }),
+    },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constantFrom("compact", "outage", "silent-watches", "mend") }) },
+);
+
+const intent = (reason: string) => ({ target: { kind: "vm", name: "vm" }, reason, requestedBy: "o" });
+
+/** Checks that no process ever goes back, object by object. */
+class RevisionWatch {
+    private readonly highest = new Map<string, number>();
+
+    observe(rig: ConfigurationRig): void {
+        for (const [name, { sync }] of rig.processes) {
+            for (const entry of sync.digest()) {
+                const id = `${name} ${entry.kind}/${entry.name}`;
+                expect(entry.revision, id).to.be.at.least(this.highest.get(id) ?? 0);
+                this.highest.set(id, entry.revision);
+                expect(sync.get("maintenance-intent", entry.name) === undefined, id).to.equal(entry.deleted);
+            }
+        }
+    }
+
+    /** A new process has had nothing in force. */
+    forget(name: string): void {
+        [...this.highest.keys()].filter(id => id.startsWith(`${name} `)).forEach(id => this.highest.delete(id));
+    }
+}
+
+async function perform(rig: ConfigurationRig, watch: RevisionWatch, step: Step): Promise<void> {
+    const key = { kind: "maintenance-intent", name: "object" in step ? step.object : "" };
+    const revision = rig.store.peek(key.kind, key.name)?.revision ?? 0;
+    const handlers: Record<Step["kind"], () => unknown> = {
+        write: () => rig.store.write(key, intent(`after ${revision}`), revision),
+        "write-invalid": () => rig.store.write(key, {}, revision),
+        remove: () => revision > 0 && rig.store.remove(key, revision),
+        "cut-platform": () => rig.process("process" in step ? step.process : "").store.cut = true,
+        "cut-zone": () =>
+            rig.setLinks(name => "process" in step && name.startsWith(step.process.slice(0, 2)), "silent"),
+        restart: async () => {
+            const name = "process" in step ? step.process : "";
+            const { cut } = rig.process(name).store;
+            await rig.stopOne(name);
+            watch.forget(name);
+            rig.start(name);
+            rig.process(name).store.cut = cut;
+        },
+        compact: () => rig.store.compact(),
+        outage: () => rig.store.faults.outage = true,
+        "silent-watches": () => rig.store.faults.silentWatches = true,
+        mend: () => mend(rig),
+    };
+    await handlers[step.kind]();
+}
+
+function mend(rig: ConfigurationRig): void {
+    rig.store.faults.outage = false;
+    rig.store.faults.silentWatches = false;
+    rig.processes.forEach(process => process.store.cut = false);
+    rig.setLinks(name => name.startsWith("a/"), "open");
+    rig.setLinks(name => name.startsWith("b/"), "open");
+}
+
+/** What every process should have in force: the store's valid objects. */
+function valid(rig: ConfigurationRig, names: readonly string[]): string[] {
+    return names.filter(name => {
+        const value = rig.store.peek("maintenance-intent", name)?.value;
+        return value !== undefined && Object.keys(value as object).length > 0;
+    });
+}
+
+describe("ConfigurationSync in random runs", () => {
+    it("never goes back, and agrees once everything works again", async () => {
+        const plan = fc.array(fc.tuple(stepArbitrary, fc.integer({ min: 0, max: 4000 })), { maxLength: 25 });
+        await fc.assert(
+            fc.asyncProperty(plan, fc.integer({ min: 1, max: 1e6 }), async (steps, seed) => {
+                const rig = ConfigurationRig.create(NAMES, seed);
+                const watch = new RevisionWatch();
+                rig.start(...NAMES);
+                for (const [step, waitMs] of steps) {
+                    await perform(rig, watch, step);
+                    for (let elapsedMs = 0; elapsedMs < waitMs; elapsedMs += 500) {
+                        await rig.clock.advance(Math.min(500, waitMs - elapsedMs));
+                        watch.observe(rig);
+                    }
+                }
+                mend(rig);
+                await rig.clock.advance(SETTLE_MS);
+                watch.observe(rig);
+                const inForce = NAMES.map(name =>
+                    rig.sync(name).list("maintenance-intent").map(({ name, revision }) => ({ name, revision }))
+                );
+                NAMES.forEach((name, index) => expect(inForce[index], name).to.deep.equal(inForce[0]));
+                const current = valid(rig, ["x", "y", "z"]).map(name => ({
+                    name,
+                    revision: rig.store.peek("maintenance-intent", name)?.revision ?? 0,
+                }));
+                expect(inForce[0]).to.include.deep.members(current);
+                await rig.stop();
+            }),
+            { seed: SEED, numRuns: RUNS },
+        );
+    });
+});
--- a/packages/coordination/tests/ConfigurationSync.test.ts
+++ b/packages/coordination/tests/ConfigurationSync.test.ts
@@ -1,7 +1,13 @@
+import { ConfigurationService, type ExchangeDigestResponse } from "@fescuehaven/protocol";
 import { expect } from "chai";
 import { ConfigurationRig } from "./util/ConfigurationRig.js";
 
 const NAMES = ["a/1", "a/2", "b/1", "b/2"];
+const KEY = { kind: "client-account", name: "firm" };
+
+/** Time within which a change is in force everywhere, ms. */
+const IN_FORCE_MS = 3000;
+
 const account = (weight: number) => ({
     apiKeySha256: "0".repeat(64),
     weight,
@@ -9,11 +15,31 @@
     maxQueuedRequests: 1,
     priority: 0,
 });
-const key = { kind: "client-account", name: "firm" };
 
 describe("ConfigurationSync", () => {
     let rig: ConfigurationRig;
     const weight = (name: string) => rig.sync(name).get("client-account", "firm")?.value.weight;
+    const weights = (names: readonly string[] = NAMES) => names.map(weight);
+    const inZone = (zone: string) => (name: string) => name.startsWith(`${zone}/`);
+    const cutFromPlatform = (zone: string, cut: boolean) =>
+        NAMES.filter(inZone(zone)).forEach(name => rig.process(name).store.cut = cut);
+
+    /** Sends an object to a process as a peer would. */
+    const push = (to: string, revision: number, value: unknown): Promise<ExchangeDigestResponse> =>
+        pushText(to, revision, JSON.stringify(value));
+    const pushText = (to: string, revision: number, text: string): Promise<ExchangeDigestResponse> =>
+        rig.network.clientsOf("rogue")
+            .get(ConfigurationService, { name: to, zone: "a", role: "router", url: "" })
+            .exchangeDigest({
+                sender: "rogue",
+                pushed: [{ ...KEY, revision: BigInt(revision), valueJson: Buffer.from(text) }],
+            });
+
+    const startAll = async (...names: string[]) => {
+        await rig.store.write(KEY, account(1), 0);
+        rig.start(...names);
+        await rig.clock.advance(100);
+    };
 
     beforeEach(() => {
         rig = ConfigurationRig.create(NAMES);
@@ -21,24 +47,253 @@
 
     afterEach(() => rig.stop());
 
-    it("takes the listing, then each change", async () => {
-        await rig.store.write(key, account(1), 0);
-        rig.start(...NAMES);
+    it("takes the listing, then each change, and says since when", async () => {
+        await startAll(...NAMES);
+        expect(weights()).to.deep.equal([1, 1, 1, 1]);
+        await rig.clock.advance(10_000);
+        const writtenAt = rig.clock.now();
+        await rig.store.write(KEY, account(2), 1);
         await rig.clock.advance(100);
-        expect(NAMES.map(weight)).to.deep.equal([1, 1, 1, 1]);
-        await rig.store.write(key, account(2), 1);
+        expect(weights()).to.deep.equal([2, 2, 2, 2]);
+        const record = rig.sync("a/1").inForceSince(KEY);
+        expect(record).to.deep.equal({ revision: 2, deleted: false, since: writtenAt });
+        expect(rig.sync("a/1").digest()).to.deep.equal([{ ...KEY, revision: 2, deleted: false }]);
+    });
+
+    it("wakes those that wait for a change", async () => {
+        await startAll("a/1");
+        const changed = rig.sync("a/1").changed(rig.sync("a/1").version, new AbortController().signal);
+        await rig.store.write(KEY, account(2), 1);
         await rig.clock.advance(100);
-        expect(NAMES.map(weight)).to.deep.equal([2, 2, 2, 2]);
+        await changed;
+    });
+
+    describe("while the platform is down", () => {
+        it("starts from a complete peer", async () => {
+            await startAll("a/1", "b/1");
+            rig.store.faults.outage = true;
+            rig.start("b/2");
+            await rig.clock.advance(1000);
+            expect(weight("b/2")).to.equal(1);
+            expect(rig.sync("b/2").complete).to.be.true;
+        });
+
+        it("does not count as complete what came from a peer that is not", async () => {
+            rig.store.faults.outage = true;
+            rig.start("a/1", "a/2");
+            await push("a/1", 5, account(5));
+            await rig.clock.advance(IN_FORCE_MS);
+            expect(weights(["a/1", "a/2"])).to.deep.equal([5, 5]);
+            expect(rig.sync("a/2").complete).to.be.false;
+        });
+
+        it("tells once that it went and once that it came back, and keeps what is in force", async () => {
+            await startAll("a/1");
+            rig.store.faults.outage = true;
+            await rig.clock.advance(60_000);
+            expect(weight("a/1")).to.equal(1);
+            expect(rig.sync("a/1").platformAvailable).to.be.false;
+            rig.store.faults.outage = false;
+            await rig.store.write(KEY, account(2), 1);
+            await rig.clock.advance(5000);
+            const kinds = rig.process("a/1").events.events.map(event => event.kind)
+                .filter(kind => kind.startsWith("platform-"));
+            expect(kinds).to.deep.equal(["platform-unavailable", "platform-available"]);
+            expect(weight("a/1")).to.equal(2);
+        });
+
+        it("asks less and less often, but at least every few seconds", async () => {
+            await startAll("a/1");
+            rig.store.faults.outage = true;
+            await rig.clock.advance(30_000);
+            const before = rig.store.calls.watch;
+            await rig.clock.advance(60_000);
+            expect(rig.store.calls.watch - before).to.be.within(60 / 4, 60 / 2 + 1);
+        });
+    });
+
+    describe("in a zone that is cut off", () => {
+        beforeEach(() => startAll(...NAMES));
+
+        it("from the platform, gets changes from the other zones", async () => {
+            cutFromPlatform("a", true);
+            await rig.store.write(KEY, account(2), 1);
+            await rig.clock.advance(IN_FORCE_MS);
+            expect(weights()).to.deep.equal([2, 2, 2, 2]);
+        });
+
+        for (const state of ["refused", "silent"] as const) {
+            it(`from the other zones (${state}), gets changes from the platform`, async () => {
+                rig.setLinks(inZone("a"), state);
+                await rig.store.write(KEY, account(2), 1);
+                await rig.clock.advance(IN_FORCE_MS);
+                expect(weights()).to.deep.equal([2, 2, 2, 2]);
+            });
+
+            it(`from both (${state}), goes on with what it has, also in a new process, and catches up`, async () => {
+                await rig.stopOne("a/2");
+                rig.setLinks(inZone("a"), state);
+                cutFromPlatform("a", true);
+                rig.start("a/2");
+                rig.process("a/2").store.cut = true;
+                await rig.store.write(KEY, account(2), 1);
+                await rig.clock.advance(IN_FORCE_MS);
+                expect(weights()).to.deep.equal([1, 1, 2, 2]);
+                rig.setLinks(inZone("a"), "open");
+                await rig.clock.advance(2 * IN_FORCE_MS);
+                expect(weights()).to.deep.equal([2, 2, 2, 2]);
+            });
+        }
+    });
+
+    describe("never goes back", () => {
+        it("to a lower revision from a peer", async () => {
+            await startAll("a/1");
+            await rig.store.write(KEY, account(2), 1);
+            await rig.clock.advance(100);
+            await push("a/1", 1, account(1));
+            expect(weight("a/1")).to.equal(2);
+        });
+
+        it("when a listing is behind", async () => {
+            await startAll("a/1");
+            await rig.store.write({ ...KEY, name: "later" }, account(1), 0);
+            await rig.store.write(KEY, account(2), 1);
+            await rig.clock.advance(100);
+            const old = { ...KEY, revision: 1, value: account(1) };
+            const behind = { kind: "listed", objects: [old], revision: 1 } as const;
+            rig.process("a/1").store.list = () => Promise.resolve(structuredClone(behind) as never);
+            rig.store.compact();
+            rig.process("a/1").store.cut = true;
+            await rig.clock.advance(10_000);
+            rig.process("a/1").store.cut = false;
+            rig.process("a/1").store.watch = () => Promise.resolve({ kind: "compacted" });
+            await rig.clock.advance(20_000);
+            expect(weight("a/1")).to.equal(2);
+            expect(rig.sync("a/1").list("client-account").map(object => object.name)).to.deep.equal(["firm", "later"]);
+            expect(rig.process("a/1").events.ofKind("configuration-refused")).to.not.be.empty;
+        });
+
+        it("to an object that a peer knows to be removed later than the listing shows it", async () => {
+            await startAll("a/1", "a/2");
+            rig.process("a/1").store.cut = true;
+            await rig.clock.advance(10_000);
+            const listing = await rig.store.list(["client-account"]);
+            await rig.store.remove(KEY, 1);
+            await rig.clock.advance(IN_FORCE_MS);
+            expect(weights(["a/1", "a/2"])).to.deep.equal([undefined, undefined]);
+            rig.process("a/1").store.list = () => Promise.resolve(listing);
+            rig.process("a/1").store.watch = () => Promise.resolve({ kind: "compacted" });
+            rig.process("a/1").store.cut = false;
+            await rig.clock.advance(20_000);
+            expect(weights(["a/1", "a/2"])).to.deep.equal([undefined, undefined]);
+        });
+
+        it("when a process that missed a removal comes back during an outage", async () => {
+            await startAll(...NAMES);
+            rig.setLinks(name => name === "a/1", "refused");
+            rig.process("a/1").store.cut = true;
+            await rig.clock.advance(6000);
+            await rig.store.remove(KEY, 1);
+            await rig.clock.advance(IN_FORCE_MS);
+            expect(weights()).to.deep.equal([1, undefined, undefined, undefined]);
+            rig.store.faults.outage = true;
+            rig.setLinks(name => name === "a/1", "open");
+            await rig.clock.advance(2 * IN_FORCE_MS);
+            expect(weights()).to.deep.equal([undefined, undefined, undefined, undefined]);
+        });
+    });
+
+    describe("with an invalid value", () => {
+        const refusals = (name: string) => rig.process(name).events.ofKind("configuration-refused");
+
+        it("from a peer, keeps the last good one and names the object", async () => {
+            await startAll("a/1");
+            await push("a/1", 9, { ...account(9), weight: -1 });
+            await push("a/1", 9, { ...account(9), weight: -1 });
+            await pushText("a/1", 9, "{");
+            expect(weight("a/1")).to.equal(1);
+            expect(rig.sync("a/1").digest()).to.deep.equal([{ ...KEY, revision: 1, deleted: false }]);
+            expect(refusals("a/1")).to.have.length(1);
+            expect(refusals("a/1")[0]).to.deep.include({ object: "client-account/firm", revision: 9 });
+            expect(refusals("a/1")[0]?.reason).to.match(/^peer rogue: weight: /);
+        });
+
+        it("from the platform, keeps the last good one everywhere, also in a process that starts now", async () => {
+            await startAll("a/1", "a/2");
+            await rig.store.write(KEY, { weight: "heavy" }, 1);
+            await rig.clock.advance(IN_FORCE_MS);
+            rig.start("b/1");
+            await rig.clock.advance(IN_FORCE_MS);
+            expect(weights(["a/1", "a/2", "b/1"])).to.deep.equal([1, 1, 1]);
+            expect(rig.sync("b/1").refused()).to.deep.equal([{ ...KEY, revision: 2, deleted: false }]);
+            await rig.store.write(KEY, account(3), 2);
+            await rig.clock.advance(IN_FORCE_MS);
+            expect(weights(["a/1", "a/2", "b/1"])).to.deep.equal([3, 3, 3]);
+            expect(rig.sync("b/1").refused()).to.deep.equal([]);
+        });
+    });
+
+    it("opens a new watch when one is silent", async () => {
+        await startAll("a/1");
+        rig.store.faults.silentWatches = true;
+        await rig.clock.advance(10_000);
+        rig.store.faults.silentWatches = false;
+        await rig.store.write(KEY, account(2), 1);
+        await rig.clock.advance(8000);
+        expect(weight("a/1")).to.equal(2);
+    });
+
+    it("lists again after a compaction, and what vanished is removed", async () => {
+        await startAll("a/1");
+        rig.process("a/1").store.cut = true;
+        await rig.clock.advance(10_000);
+        await rig.store.remove(KEY, 1);
+        await rig.store.write({ ...KEY, name: "later" }, account(1), 0);
+        rig.store.compact();
+        rig.process("a/1").store.cut = false;
+        await rig.clock.advance(10_000);
+        expect(weight("a/1")).to.be.undefined;
+        expect(rig.sync("a/1").list("client-account").map(object => object.name)).to.deep.equal(["later"]);
+        expect(rig.sync("a/1").inForceSince(KEY)).to.deep.include({ deleted: true, revision: 3 });
+    });
+
+    it("exchanges only hashes while nothing differs", async () => {
+        await startAll(...NAMES);
+        await rig.clock.advance(5000);
+        const before = rig.exchanges();
+        await rig.clock.advance(15_000);
+        const perProcess = (rig.exchanges() - before) / NAMES.length;
+        expect(perProcess).to.be.within(27, 33);
+    });
+
+    it("brings a change that one process saw to fifty within the time", async () => {
+        const names = Array.from({ length: 50 }, (_, index) => `${"abc"[index % 3]}/${index}`);
+        rig = ConfigurationRig.create(names);
+        rig.network.delayMs = 2;
+        await startAll(...names);
+        await rig.clock.advance(2000);
+        names.slice(1).forEach(name => rig.process(name).store.cut = true);
+        await rig.store.write(KEY, account(2), 1);
+        await rig.clock.advance(IN_FORCE_MS);
+        expect(names.filter(name => weight(name) !== 2)).to.deep.equal([]);
     });
 
-    it("starts from peers while the platform is down", async () => {
-        await rig.store.write(key, account(1), 0);
-        rig.start("a/1", "b/1");
+    it("hands a large configuration on in parts", async () => {
+        for (let index = 0; index < 300; index++) {
+            const value = { reason: "r".repeat(400), requestedBy: "o", target: { kind: "vm", name: `vm-${index}` } };
+            await rig.store.write({ kind: "maintenance-intent", name: `i-${index}` }, value, 0);
+        }
+        const models = { model: "m", version: "v".repeat(100), weightsPerMemberGiB: 1 };
+        for (let index = 0; index < 4000; index++) {
+            await rig.store.write({ kind: "model-version", name: `m-${index}` }, models, 0);
+        }
+        rig.start("a/1");
         await rig.clock.advance(100);
         rig.store.faults.outage = true;
-        rig.start("b/2");
+        rig.start("a/2");
         await rig.clock.advance(1000);
-        expect(weight("b/2")).to.equal(1);
-        expect(rig.sync("b/2").complete).to.be.true;
+        expect(rig.sync("a/2").complete).to.be.true;
+        expect(rig.sync("a/2").digest()).to.have.length(4300);
     });
 });
--- a/packages/coordination/tests/util/ConfigurationRig.ts
+++ b/packages/coordination/tests/util/ConfigurationRig.ts
@@ -23,7 +23,11 @@
     readonly network = MemoryNetwork.create(this.clock);
     readonly processes = new Map<string, RunningProcess>();
 
-    private constructor(private readonly peers: readonly Peer[], private readonly seed: number) {}
+    private calls = 0;
+
+    private constructor(private readonly peers: readonly Peer[], private readonly seed: number) {
+        this.network.onCall = () => this.calls += 1;
+    }
 
     /** Creates the rig; names are `zone/process`. */
     static create(names: readonly string[], seed = 1): ConfigurationRig {
@@ -58,6 +62,18 @@
         one.forEach(a => other.forEach(b => this.network.setLink(a.name, b.name, state)));
     }
 
+    /** Ends one process; it may be started again, with nothing kept. */
+    async stopOne(name: string): Promise<void> {
+        this.process(name).stop.abort();
+        this.network.close(name);
+        await this.clock.advance(0);
+    }
+
+    /** Calls of the digest exchange so far. */
+    exchanges(): number {
+        return this.calls;
+    }
+
     /** Stops everything. */
     async stop(): Promise<void> {
         this.processes.forEach(process => process.stop.abort());
