Read the VM list again only when it changed

Cause: every daemon reads the list each two seconds; at the two-year size it is some 150 KB, far over the 5 KB a second that control may take. The list now carries an etag and an unchanged one is answered without a body. Ruled out: a longer refresh time, which would delay leaving VMs.

--- a/packages/platform/src/adapters/HttpVmDirectory.ts
+++ b/packages/platform/src/adapters/HttpVmDirectory.ts
@@ -2,7 +2,7 @@
 import type { CallLimiter } from "../CallLimiter.js";
 import type { VmDirectory } from "../ports/VmDirectory.js";
 import type { VmListOutcome } from "../VmListOutcome.js";
-import { vmRecordSchema } from "../VmRecord.js";
+import { type VmRecord, vmRecordSchema } from "../VmRecord.js";
 import type { PlatformHttp } from "./PlatformHttp.js";
 
 /** What an `HttpVmDirectory` is made of. */
@@ -14,8 +14,10 @@
 const RETRY_AFTER_MS = 500;
 const vmListSchema = z.object({ vms: z.array(vmRecordSchema) });
 
-/** The platform's list of VMs over HTTP. */
+/** The platform's list of VMs over HTTP. An unchanged list is not sent again. */
 export class HttpVmDirectory implements VmDirectory {
+    private known: { etag: string; vms: VmRecord[]; } | undefined;
+
     private constructor(private readonly options: HttpVmDirectoryOptions) {}
 
     /** Creates the adapter. */
@@ -29,12 +31,19 @@
         if (turn.kind === "refused") {
             return { kind: "unavailable", retryAfterMs: turn.retryAfterMs };
         }
-        const answer = await this.options.http.call({ method: "GET", path: "/v1/vms" });
+        const headers: Record<string, string> = this.known ? { "if-none-match": this.known.etag } : {};
+        const answer = await this.options.http.call({ method: "GET", path: "/v1/vms", headers });
+        if (answer.kind === "answered" && answer.status === 304 && this.known) {
+            return { kind: "listed", vms: this.known.vms };
+        }
         const parsed = answer.kind === "answered" && answer.status === 200
             ? vmListSchema.safeParse(answer.body)
             : undefined;
-        return parsed?.success
-            ? { kind: "listed", vms: parsed.data.vms }
-            : { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+        if (answer.kind !== "answered" || !parsed?.success) {
+            return { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
+        }
+        const { vms } = parsed.data;
+        this.known = answer.etag === undefined ? undefined : { etag: answer.etag, vms };
+        return { kind: "listed", vms };
     }
 }
--- a/packages/platform/src/adapters/PlatformHttp.ts
+++ b/packages/platform/src/adapters/PlatformHttp.ts
@@ -26,7 +26,7 @@
 
 /** What came of a call. */
 type PlatformAnswer =
-    | { kind: "answered"; status: number; body: unknown; }
+    | { kind: "answered"; status: number; body: unknown; etag?: string; }
     /** The connection was refused: nothing reached the platform. */
     | { kind: "not-sent"; }
     /** No answer: the call may have taken effect. */
@@ -70,7 +70,13 @@
                 signal,
             });
             const text = await response.body.text();
-            return { kind: "answered", status: response.statusCode, body: text === "" ? undefined : JSON.parse(text) };
+            const { etag } = response.headers;
+            return {
+                kind: "answered",
+                status: response.statusCode,
+                body: text === "" ? undefined : JSON.parse(text),
+                etag: typeof etag === "string" ? etag : undefined,
+            };
         }
         catch (error) {
             if (silent && agent === this.agent) {
--- a/packages/testing/src/standins/StandinPlatform.ts
+++ b/packages/testing/src/standins/StandinPlatform.ts
@@ -1,6 +1,7 @@
 import type { ObjectKey, ReadOutcome, UpdateOutcome, WatchOutcome } from "@fescuehaven/platform";
 import { type Clock, describeFaults } from "@fescuehaven/runtime";
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import { createHash } from "node:crypto";
 import type { AddressInfo } from "node:net";
 import { MemoryObjectStore } from "../fakes/MemoryObjectStore.js";
 import { createStandinServer } from "./createStandinServer.js";
@@ -77,9 +78,15 @@
                 sendUpdate(reply, await this.store.remove(request.params, expectedRevision(request))),
         );
         this.server.get<KindsRequest>("/v1/watch", async (request, reply) => this.watch(request, reply));
-        this.server.get("/v1/vms", async () => {
+        this.server.get("/v1/vms", async (request, reply) => {
             this.counters.vmLists += 1;
-            return { vms: this.vms.read() };
+            const body = JSON.stringify({ vms: this.vms.read() });
+            const etag = `"${createHash("sha256").update(body).digest("base64url")}"`;
+            reply.header("etag", etag);
+            if (request.headers["if-none-match"] === etag) {
+                return reply.code(304).send();
+            }
+            return reply.type("application/json").send(body);
         });
         this.server.post("/test/faults", async (request, reply) => this.setFaults(request, reply));
         this.server.get("/test/counters", async () => ({
