--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -162,6 +162,7 @@
         services: ServiceHandler.create({ clock, configuration, services, keyed }),
         bodyLimitBytes: settings.bodyLimitBytes,
         serverFactory: options.serverFactory,
+        callerStallMs: settings.callerStallMs,
     });
     const forwards = ForwardHandler.create({ clock, configuration, generations, services, calls });
     return {
--- a/packages/router/src/generation/GenerationAttempt.ts
+++ b/packages/router/src/generation/GenerationAttempt.ts
@@ -51,6 +51,9 @@
         sink: TokenSink,
         signal: AbortSignal,
     ): Promise<AttemptOutcome> {
+        if (signal.aborted) {
+            return { kind: "refused", reason: "given-up" };
+        }
         return place.kind === "group"
             ? this.runAtGroup(place, call, sequence, sink, signal)
             : this.runAtPeer(place, call, sequence, sink, signal);
--- a/packages/router/src/server/ChatHandler.ts
+++ b/packages/router/src/server/ChatHandler.ts
@@ -106,11 +106,11 @@
         const either = AbortSignal.any([signal, stalled.signal]);
         const outcome = await this.options.generations.run(call, text => stream.token(text), either);
         if (outcome.kind === "finished") {
-            await stream.finish(finishReason(outcome.tokenCount, call));
+            stream.finish(finishReason(outcome.tokenCount, call));
             return undefined;
         }
         if (stream.hasBegun) {
-            await stream.fail(outcome.refusal);
+            stream.fail(outcome.refusal);
         }
         return outcome.refusal;
     }
--- a/packages/router/src/server/ChatStream.ts
+++ b/packages/router/src/server/ChatStream.ts
@@ -40,16 +40,14 @@
     }
 
     /** Ends a whole answer. */
-    async finish(finishReason: "stop" | "length"): Promise<void> {
-        await this.write(this.chunk({ delta: {}, finish_reason: finishReason }));
-        await this.write("data: [DONE]\n\n");
-        this.raw.end();
+    finish(finishReason: "stop" | "length"): void {
+        this.open();
+        this.raw.end(`${this.chunk({ delta: {}, finish_reason: finishReason })}data: [DONE]\n\n`);
     }
 
     /** Ends an answer that broke for good. */
-    async fail(refusal: Refusal): Promise<void> {
-        await this.write(`event: error\ndata: ${JSON.stringify(refusalBody(refusal))}\n\n`);
-        this.raw.end();
+    fail(refusal: Refusal): void {
+        this.raw.end(`event: error\ndata: ${JSON.stringify(refusalBody(refusal))}\n\n`);
     }
 
     private get raw(): ServerResponse {
@@ -99,6 +97,7 @@
         this.raw.off("drain", settle);
         this.raw.off("close", settle);
         if (!settled.signal.aborted) {
+            this.raw.destroy();
             this.options.onStall();
         }
     }
--- a/packages/router/src/server/RouterServer.ts
+++ b/packages/router/src/server/RouterServer.ts
@@ -15,6 +15,7 @@
 import type { ChatHandler } from "./ChatHandler.js";
 import { sendRefusal } from "./sendRefusal.js";
 import type { ServiceHandler } from "./ServiceHandler.js";
+import { waitUntilSent } from "./waitUntilSent.js";
 
 interface RouterServerOptions {
     clock: Clock;
@@ -31,6 +32,8 @@
     bodyLimitBytes: number;
     /** Makes the server; left out: plain HTTP. */
     serverFactory?: FastifyServerFactory;
+    /** Longest wait for a slow caller to take its answer. */
+    callerStallMs: number;
 }
 
 type Handle = (call: CallContext, request: FastifyRequest, reply: FastifyReply) => Promise<Refusal | undefined>;
@@ -122,39 +125,48 @@
         const startedMs = this.options.clock.monotonicMs();
         const requestId = request.id;
         this.options.events.record({ kind: "request-received", requestId });
-        const refusal = await this.admit(request, reply, handle);
+        const tracked = this.options.calls.tryEnter();
+        try {
+            const refusal = tracked ? await this.admit(request, reply, handle) : refuseDraining(request, reply);
+            this.note(requestId, refusal, startedMs);
+            if (refusal && !reply.sent) {
+                sendRefusal(reply, refusal);
+            }
+            await waitUntilSent(reply.raw, this.options.clock, this.options.callerStallMs);
+            return reply;
+        }
+        finally {
+            tracked?.leave();
+        }
+    }
+
+    private note(requestId: string, refusal: Refusal | undefined, startedMs: number): void {
         const durationMs = this.options.clock.monotonicMs() - startedMs;
         this.options.metrics.timing("request_ms", durationMs, { result: refusal?.type ?? "answered" });
         if (!refusal) {
             this.options.events.record({ kind: "request-answered", requestId, durationMs });
-            return reply;
+            return;
         }
         const kind = refusal.ran === "no" ? "request-refused" : "request-broken";
         this.options.events.record({ kind, requestId, durationMs, reason: refusal.type });
-        return reply.sent ? reply : sendRefusal(reply, refusal);
     }
 
     private async admit(request: FastifyRequest, reply: FastifyReply, handle: Handle): Promise<Refusal | undefined> {
-        const tracked = this.options.calls.tryEnter();
-        if (!tracked) {
-            reply.header("connection", "close");
-            const isKeyed = request.headers["idempotency-key"] !== undefined;
-            return createRefusal("draining", isKeyed ? "unknown" : "no", { retryAfterMs: DRAIN_RETRY_AFTER_MS });
-        }
         const gone = new AbortController();
         reply.raw.once("close", () => {
             if (!reply.raw.writableFinished) {
                 gone.abort();
             }
         });
-        try {
-            const caller = this.options.accounts.find(request.headers.authorization);
-            return caller
-                ? await handle({ requestId: request.id, caller, signal: gone.signal }, request, reply)
-                : createRefusal("unauthorized", "no");
-        }
-        finally {
-            tracked.leave();
-        }
+        const caller = this.options.accounts.find(request.headers.authorization);
+        return caller
+            ? handle({ requestId: request.id, caller, signal: gone.signal }, request, reply)
+            : createRefusal("unauthorized", "no");
     }
 }
+
+function refuseDraining(request: FastifyRequest, reply: FastifyReply): Refusal {
+    reply.header("connection", "close");
+    const isKeyed = request.headers["idempotency-key"] !== undefined;
+    return createRefusal("draining", isKeyed ? "unknown" : "no", { retryAfterMs: DRAIN_RETRY_AFTER_MS });
+}
--- a/packages/router/tests/support/ScriptedEngine.ts
+++ b/packages/router/tests/support/ScriptedEngine.ts
@@ -29,6 +29,8 @@
     skip?: number;
     /** Says a wrong token count at the end. */
     wrongCount?: boolean;
+    /** Adds this many characters to each token. */
+    padding?: number;
     /** Waits for `release()` before the first token. */
     hold?: boolean;
 }
@@ -49,6 +51,9 @@
     readonly cancelled: string[] = [];
     /** Scripts of the next calls; empty: whole answers. */
     readonly scripts: EngineScript[] = [];
+    tokensSent = 0;
+    /** True while a connection takes no more. */
+    isBlocked = false;
     running = 0;
     maxRunning = 0;
     /** Calls whose connection the other side closed early. */
@@ -108,6 +113,21 @@
         await this.answer(call, script, response);
     }
 
+    private async drained(response: ServerResponse): Promise<void> {
+        if (!response.writableNeedDrain || response.destroyed) {
+            return;
+        }
+        this.isBlocked = true;
+        await new Promise<void>(resolve => {
+            const settle = () => {
+                response.off("drain", settle).off("close", settle);
+                resolve();
+            };
+            response.on("drain", settle).on("close", settle);
+        });
+        this.isBlocked = false;
+    }
+
     private async answer(call: SeenCall, script: EngineScript, response: ServerResponse): Promise<void> {
         const { requestId, attemptId } = call;
         const send = (event: object) => response.write(`data: ${JSON.stringify(event)}\n\n`);
@@ -129,7 +149,7 @@
             if (index === call.maxTokens) {
                 break;
             }
-            const text = tokenAt(call.prompt, index);
+            const text = tokenAt(call.prompt, index) + "x".repeat(script.padding ?? 0);
             if (script.cross) {
                 send({ requestId: "other", attemptId, index, text: "crossed " });
                 send({ requestId, attemptId: "old-attempt", index, text: "late " });
@@ -140,6 +160,8 @@
             if (script.double) {
                 send({ requestId, attemptId, index, text });
             }
+            this.tokensSent += 1;
+            await this.drained(response);
         }
         send({ requestId, attemptId, done: true, tokenCount: call.maxTokens + (script.wrongCount ? 1 : 0) });
         response.end();
--- /dev/null
+++ b/packages/router/tests/zones.test.ts
@@ -0,0 +1,213 @@
+import type { Peer } from "@fescuehaven/coordination";
+import { ManualClock } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { contentOf, errorOf } from "./support/answers.js";
+import { PeerNetwork } from "./support/PeerNetwork.js";
+import { helloPrompt, RouterFixture } from "./support/RouterFixture.js";
+import { answerTo, ScriptedEngine } from "./support/ScriptedEngine.js";
+import { waitFor } from "./support/waitFor.js";
+
+const peerA: Peer = { name: "router-a1", zone: "zone-a", role: "router", url: "http://a" };
+const peerB: Peer = { name: "router-b1", zone: "zone-b", role: "router", url: "http://b" };
+
+describe("availability zones", () => {
+    let clock: ManualClock;
+    let engineA: ScriptedEngine;
+    let engineB: ScriptedEngine;
+    let a: RouterFixture;
+    let b: RouterFixture;
+
+    beforeEach(async () => {
+        clock = ManualClock.create();
+        engineA = await ScriptedEngine.start();
+        engineB = await ScriptedEngine.start();
+        const network = PeerNetwork.create();
+        const forwarder = network.forwarder();
+        a = RouterFixture.create({ clock, forwarder, zone: "zone-a", name: "router-a1", peers: [peerB] });
+        b = RouterFixture.create({ clock, forwarder, zone: "zone-b", name: "router-b1", peers: [peerA] });
+        network.add("router-a1", a);
+        network.add("router-b1", b);
+        for (const fixture of [a, b]) {
+            fixture.addGroup("ga", { url: engineA.url, zone: "zone-a" });
+            fixture.addGroup("gb", { url: engineB.url, zone: "zone-b" });
+        }
+        a.evidence.close("gb");
+        b.evidence.close("ga");
+    });
+
+    afterEach(async () => {
+        await Promise.all([a.stop(), b.stop()]);
+        await Promise.all([engineA.stop(), engineB.stop()]);
+    });
+
+    function takeOut(kind: "availability-zone" | "vm" | "fabric-domain", name: string, intent = "out"): void {
+        for (const fixture of [a, b]) {
+            fixture.configuration.put("maintenance-intent", intent, {
+                target: { kind, name },
+                reason: "work",
+                requestedBy: "operator",
+            });
+        }
+    }
+
+    function bringBack(intent = "out"): void {
+        [a, b].forEach(fixture => fixture.configuration.remove("maintenance-intent", intent));
+    }
+
+    it("serves from the own zone first", async () => {
+        await a.chat();
+        expect([engineA.calls.length, engineB.calls.length]).to.deep.equal([1, 0]);
+    });
+
+    it("sends a zone that was taken out no new work, and ends its streams whole", async () => {
+        engineA.scripts.push({ hold: true });
+        const before = a.chat({ max_tokens: 6 });
+        await waitFor("the first call", () => engineA.running === 1);
+        takeOut("availability-zone", "zone-a");
+        const after = await a.chat();
+        engineA.release();
+        expect(contentOf(await before)).to.equal(answerTo(helloPrompt, 6));
+        expect(contentOf(after)).to.equal(answerTo(helloPrompt, 5));
+        expect([engineA.calls.length, engineB.calls.length]).to.deep.equal([1, 1]);
+        expect(a.events.ofKind("request-forwarded")).to.have.length(1);
+    });
+
+    it("sends calls that wait in the queue elsewhere when their zone is taken out", async () => {
+        a.addGroup("ga", { url: engineA.url, warm: 1, cold: 1, bootIds: ["c0", "c1"] });
+        engineA.scripts.push({ hold: true });
+        const running = a.chat();
+        await waitFor("the first call", () => engineA.running === 1);
+        const waiting = a.chat();
+        await clock.settle();
+        takeOut("availability-zone", "zone-a");
+        await clock.advance(20);
+        expect(contentOf(await waiting)).to.equal(answerTo(helloPrompt, 5));
+        engineA.release();
+        await running;
+        expect([engineA.calls.length, engineB.calls.length]).to.deep.equal([1, 1]);
+    });
+
+    it("serves a zone again when the last of its intents is removed", async () => {
+        takeOut("availability-zone", "zone-a", "one");
+        takeOut("availability-zone", "zone-a", "two");
+        bringBack("one");
+        await a.chat();
+        expect(engineA.calls).to.have.length(0);
+        bringBack("two");
+        await a.chat();
+        expect(engineA.calls).to.have.length(1);
+    });
+
+    it("refuses a call at once when every zone is out, saying that it did not run", async () => {
+        takeOut("availability-zone", "zone-a", "one");
+        takeOut("availability-zone", "zone-b", "two");
+        const pending = a.chat();
+        await clock.advance(3000);
+        const response = await pending;
+        expect(errorOf(response)).to.include({ type: "no-upstream", ran: "no" });
+        expect(response.headers["retry-after"]).to.equal("1");
+    });
+
+    const closings: Array<{ name: string; close: () => void; }> = [
+        { name: "a VM intent", close: () => takeOut("vm", "ga-1") },
+        {
+            name: "a domain intent",
+            close: () => {
+                a.vms.push(vm("ga-1", "live"));
+                takeOut("fabric-domain", "d1");
+            },
+        },
+        { name: "a leaving VM", close: () => a.vms.push(vm("ga-1", "leaving")) },
+        { name: "a claim to be released", close: () => changeClaim("releasing", 1) },
+        { name: "a claim of another epoch", close: () => changeClaim("held", 2) },
+    ];
+    for (const { name, close } of closings) {
+        it(`sends a group no new work that is closed by ${name}`, async () => {
+            close();
+            expect(contentOf(await a.chat())).to.equal(answerTo(helloPrompt, 5));
+            expect([engineA.calls.length, engineB.calls.length]).to.deep.equal([0, 1]);
+        });
+    }
+
+    function vm(name: string, state: "live" | "leaving") {
+        return {
+            name,
+            region: "r",
+            zone: "zone-a",
+            fabricDomain: "d1",
+            role: "engine" as const,
+            address: "10.0.0.1",
+            enginePort: 1,
+            accelerators: 8,
+            state,
+        };
+    }
+
+    function changeClaim(state: "held" | "releasing", epoch: number): void {
+        const ledger = structuredClone(a.configuration.get("zone-ledger", "zone-a")!.value);
+        ledger.claims["ga-1"]!.state = state;
+        ledger.groups["ga"]!.epoch = epoch;
+        a.configuration.put("zone-ledger", "zone-a", ledger);
+    }
+
+    it("resumes a broken answer in another zone at its token offset", async () => {
+        engineA.scripts.push({ hold: true, breakAfter: 4 });
+        const pending = a.chat({ max_tokens: 9 });
+        await waitFor("the first call", () => engineA.running === 1);
+        a.evidence.close("ga");
+        engineA.release();
+        expect(contentOf(await pending)).to.equal(answerTo(helloPrompt, 9));
+        expect(engineB.calls.map(call => call.resumeFromToken)).to.deep.equal([4]);
+    });
+
+    it("never forwards a forwarded call again", async () => {
+        a.evidence.close("ga");
+        b.evidence.close("gb");
+        const pending = a.chat();
+        await clock.advance(5000);
+        expect(errorOf(await pending)).to.include({ type: "no-upstream", ran: "no" });
+        expect(b.events.ofKind("request-forwarded")).to.have.length(0);
+    });
+
+    it("keeps a forwarded call's stream alive by heartbeats and follows it past the silence limit", async () => {
+        a.evidence.close("ga");
+        engineB.scripts.push({ hold: true });
+        const pending = a.chat();
+        await waitFor("the call", () => engineB.running === 1);
+        for (let second = 0; second < 3; second++) {
+            await clock.advance(1000);
+        }
+        engineB.release();
+        expect(contentOf(await pending)).to.equal(answerTo(helloPrompt, 5));
+        expect(engineB.calls).to.have.length(1);
+    });
+
+    it("gives a call up in the other zone too when its caller's deadline passes", async () => {
+        a.evidence.close("ga");
+        engineB.scripts.push({ hold: true });
+        const pending = a.chat({}, { "x-timeout-ms": "500" });
+        await waitFor("the call", () => engineB.running === 1);
+        await clock.advance(500);
+        expect(errorOf(await pending)).to.include({ type: "deadline", ran: "unknown" });
+        await waitFor("the cancel", () => engineB.cancelled.length === 1);
+    });
+
+    it("serves a plain service call in another zone when its own is out", async () => {
+        takeOut("availability-zone", "zone-a");
+        for (const fixture of [a, b]) {
+            fixture.configuration.put("service", "dispatch", {
+                endpoints: ["zone-a", "zone-b"].map(zone => ({
+                    name: `end-${zone}`,
+                    zone,
+                    url: `http://${zone}.invalid`,
+                    maxConcurrentRequests: 4,
+                    coldConcurrentRequests: 4,
+                })),
+            });
+        }
+        const response = await a.callService("quote");
+        expect(response.statusCode).to.equal(200);
+        expect(a.service.executions).to.have.length(0);
+        expect(b.service.executions).to.have.length(1);
+    });
+});
