--- a/packages/router/tests/support/PeerNetwork.ts
+++ b/packages/router/tests/support/PeerNetwork.ts
@@ -27,6 +27,7 @@
                 }
                 return createClient(service, transport);
             },
+            abandon: () => undefined,
         };
         return ConnectZoneForwarder.create({ clients });
     }
