Let the command line read processes whose peer interface is encrypted

Cause: with peerTls set, status and timeline could reach no process. Conclusion: type check, lint and unit tests pass; the certificates are the same that the peer server tests try.

--- a/packages/cli/src/adapters/ConnectProcessReader.ts
+++ b/packages/cli/src/adapters/ConnectProcessReader.ts
@@ -5,19 +5,26 @@
 import type { EventFilter, StampedEvent } from "@fescuehaven/telemetry";
 import type { ProcessReader } from "../ports/ProcessReader.js";
 
+interface ConnectProcessReaderOptions {
+    /** Longest wait for each process, ms. */
+    timeoutMs: number;
+    /** PEM texts towards processes whose URL is https. */
+    tls?: { cert: string; key: string; ca: string; };
+}
+
 /** Reads processes by connect-es. */
 export class ConnectProcessReader implements ProcessReader {
-    private constructor(private readonly timeoutMs: number) {}
+    private constructor(private readonly options: ConnectProcessReaderOptions) {}
 
-    /** Creates a reader that waits `timeoutMs` for each process. */
-    static create(timeoutMs: number): ConnectProcessReader {
-        return new ConnectProcessReader(timeoutMs);
+    /** Creates a reader. */
+    static create(options: ConnectProcessReaderOptions): ConnectProcessReader {
+        return new ConnectProcessReader(options);
     }
 
     /** A process's time line. */
     async events(peer: Peer, filter: EventFilter): Promise<{ events: StampedEvent[]; dropped: number; } | undefined> {
         try {
-            const answer = await this.clientOf(peer).readEvents(filter, { timeoutMs: this.timeoutMs });
+            const answer = await this.clientOf(peer).readEvents(filter, { timeoutMs: this.options.timeoutMs });
             return { events: answer.events.map(stampedEvent), dropped: Number(answer.dropped) };
         }
         catch {
@@ -28,7 +35,7 @@
     /** A process's state. */
     async state(peer: Peer): Promise<{ configurationRevision: number; state: Record<string, unknown>; } | undefined> {
         try {
-            const answer = await this.clientOf(peer).readState({}, { timeoutMs: this.timeoutMs });
+            const answer = await this.clientOf(peer).readState({}, { timeoutMs: this.options.timeoutMs });
             return {
                 configurationRevision: Number(answer.configurationRevision),
                 state: JSON.parse(answer.stateJson) as Record<string, unknown>,
@@ -40,7 +47,12 @@
     }
 
     private clientOf(peer: Peer): Client<typeof IntrospectionService> {
-        return createClient(IntrospectionService, createConnectTransport({ baseUrl: peer.url, httpVersion: "2" }));
+        const transport = createConnectTransport({
+            baseUrl: peer.url,
+            httpVersion: "2",
+            nodeOptions: this.options.tls,
+        });
+        return createClient(IntrospectionService, transport);
     }
 }
 
--- a/packages/cli/src/adapters/createCommandContext.ts
+++ b/packages/cli/src/adapters/createCommandContext.ts
@@ -1,7 +1,8 @@
 import { CallLimiter, HttpObjectStore, PlatformHttp } from "@fescuehaven/platform";
-import { loadSettings, SystemClock, SystemRandom } from "@fescuehaven/runtime";
+import { loadSettings, type SchemaFault, SystemClock, SystemRandom } from "@fescuehaven/runtime";
+import { readFile } from "node:fs/promises";
 import { userInfo } from "node:os";
-import { cliConfigurationSchema } from "../CliConfiguration.js";
+import { type CliConfiguration, cliConfigurationSchema } from "../CliConfiguration.js";
 import type { CommandContext } from "../CommandContext.js";
 import type { ContextOutcome } from "../ContextOutcome.js";
 import type { GlobalArguments } from "../GlobalArguments.js";
@@ -16,14 +17,18 @@
     if (outcome.kind === "invalid") {
         return outcome;
     }
-    const { platform, processes } = outcome.settings;
+    const { platform, processes, tls } = outcome.settings;
+    const material = tls && await readTls(tls);
+    if (material?.kind === "invalid") {
+        return material;
+    }
     const clock = SystemClock.create();
     const http = PlatformHttp.create({ ...platform, clock });
     const limiter = CallLimiter.create({ clock, callsPerSecond: CALLS_PER_SECOND, maxWaitMs: platform.timeoutMs });
     const context: CommandContext = {
         store: HttpObjectStore.create({ http, limiter }),
         processes,
-        reader: ConnectProcessReader.create(platform.timeoutMs),
+        reader: ConnectProcessReader.create({ timeoutMs: platform.timeoutMs, tls: material?.material }),
         output: ConsoleOutput.create(),
         clock,
         random: SystemRandom.create(),
@@ -32,3 +37,21 @@
     };
     return { kind: "created", context, close: () => http.close() };
 }
+
+type TlsOutcome =
+    | { kind: "read"; material: { cert: string; key: string; ca: string; }; }
+    | { kind: "invalid"; faults: SchemaFault[]; };
+
+async function readTls(files: NonNullable<CliConfiguration["tls"]>): Promise<TlsOutcome> {
+    try {
+        const [cert, key, ca] = await Promise.all([
+            readFile(files.certificateFile, "utf8"),
+            readFile(files.keyFile, "utf8"),
+            readFile(files.authorityFile, "utf8"),
+        ]);
+        return { kind: "read", material: { cert, key, ca } };
+    }
+    catch (error) {
+        return { kind: "invalid", faults: [{ path: "tls", expected: `readable files: ${(error as Error).message}` }] };
+    }
+}
