--- a/packages/controller/tests/formationFaults.test.ts
+++ b/packages/controller/tests/formationFaults.test.ts
@@ -83,6 +83,23 @@
         });
     }
 
+    it("gives each release a fencing number past the loads before it, so that a late load is refused", async () => {
+        const bench = ZoneBench.create({ d1: 1 });
+        bench.addGroup("g", 1);
+        const paused = bench.start("c1");
+        const engine = bench.engines.get("d1-1");
+        engine.delaysOrders = true;
+        await bench.until("order in flight", () => engine.delayed.length > 0);
+        paused.pause();
+        engine.delaysOrders = false;
+        bench.configuration.remove("serving-group", "g");
+        bench.start("c2");
+        await bench.until("released", () => bench.ledger?.groups["g"] === undefined);
+        expect(bench.engines.deliver("d1-1")).to.equal(1);
+        expect(engine.held).to.equal(undefined);
+        await bench.close();
+    });
+
     it("unloads a free VM that a late order filled, before it claims it", async () => {
         const bench = ZoneBench.create({ d1: 3 }, { obeysFencing: false });
         bench.start("c1");
--- a/packages/controller/tests/repair.test.ts
+++ b/packages/controller/tests/repair.test.ts
@@ -114,6 +114,29 @@
         await bench.close();
     });
 
+    it("releases a member whose engine has seen a higher fencing number", async () => {
+        const bench = await formed({ d1: 3 }, 3);
+        bench.engines.get("d1-2").highestFence = 100;
+        bench.configuration.remove("serving-group", "g");
+        await bench.until("free", () => bench.ledger?.groups["g"] === undefined);
+        expect(bench.engines.get("d1-2").held).to.equal(undefined);
+        await bench.close();
+    });
+
+    it("replaces a member that died together with the active controller as soon as another takes over", async () => {
+        const bench = ZoneBench.create({ d1: 4 });
+        bench.addGroup("g", 3);
+        const active = bench.start("c1");
+        await bench.until("ready", () => bench.isReady("g"));
+        bench.start("c2");
+        await bench.run(3000);
+        active.kill();
+        bench.engines.get("d1-2").reachable = false;
+        await bench.until("taken over", () => bench.controllers[1]?.isActive() === true);
+        await bench.until("replaced", () => bench.isReady("g"), 2000);
+        await bench.close();
+    });
+
     it("loads weights on no more members at once than allowed, nearly whole groups first", async () => {
         const bench = ZoneBench.create({ d1: 4, d2: 4 });
         bench.addGroup("g", 4);
--- a/packages/coordination/tests/ZoneLeaseKeeper.test.ts
+++ b/packages/coordination/tests/ZoneLeaseKeeper.test.ts
@@ -110,6 +110,32 @@
         expect(lease()?.fence).to.equal(1);
     });
 
+    it("lasts from the start of its update, not from the answer", async () => {
+        const { clock, start, store } = createZone();
+        store.faults.delayMs = 2000;
+        const a = start("a");
+        const updateStartsMs = 2000;
+        await clock.advance(updateStartsMs + 2000);
+        expect(a.keeper.held()).to.equal(1);
+        const { durationMs, safetyMarginMs } = defaultLeaseTimings;
+        await clock.advance(durationMs - safetyMarginMs - 2000);
+        expect(a.keeper.held()).to.equal(undefined);
+    });
+
+    it("is not taken over for a silence that an outage of the platform explains", async () => {
+        const { clock, lease, start, store } = createZone();
+        const a = start("a");
+        await clock.advance(100);
+        const b = start("b");
+        a.process.pause();
+        await clock.advance(1000);
+        store.faults.outage = true;
+        await clock.advance(30_000);
+        store.faults.outage = false;
+        await clock.advance(LONGEST_LOOK_MS);
+        expect([lease()?.holder, b.keeper.held()]).to.deep.equal(["a", undefined]);
+    });
+
     it("holds nothing when its update was lost on the way", async () => {
         const { clock, start, store } = createZone();
         store.faults.loseNextWrites = 1;
