Derive all lease times from the duration; make the replacement of members a placement function

A short leaseDurationMs left the holder without a lease between renewals: only the duration was set, the other times stayed as for 6 s.

--- a/packages/controller/src/GroupPlanner.ts
+++ b/packages/controller/src/GroupPlanner.ts
@@ -1,11 +1,4 @@
-import {
-    chooseSpares,
-    engineUrlOf,
-    type Formation,
-    type LedgerDraft,
-    placeAcrossDomains,
-    type Placement,
-} from "@fescuehaven/coordination";
+import { engineUrlOf, type Formation, type LedgerDraft, replaceMembers } from "@fescuehaven/coordination";
 import type { ServingGroup } from "@fescuehaven/resources";
 import type { PlanInput } from "./PlanInput.js";
 import type { VmFacts } from "./VmFacts.js";
@@ -131,18 +124,8 @@
             const vm = entry.members[rank] ?? "";
             return this.canStay(vm) ? vm : "";
         });
-        const gaps = kept.filter(vm => vm === "").length;
-        const free = this.freeVms();
-        const spares = gaps === 0 ? [] : chooseSpares(free, gaps, this.homeDomain(kept));
-        if (spares) {
-            return fillGaps(kept, spares);
-        }
-        const whole = this.input.place(free, this.spec.memberCount);
-        if (whole?.inOneDomain) {
-            return whole.members;
-        }
-        const strangers: Placement | undefined = placeAcrossDomains(free, gaps);
-        return strangers && fillGaps(kept, strangers.members);
+        const { place } = this.input;
+        return replaceMembers({ kept, homeDomain: this.homeDomain(kept), free: this.freeVms(), place });
     }
 
     /** True while another group of the model is not in service, so that this one has to wait its turn. */
@@ -230,8 +213,3 @@
         return this.input.fleet.get(vm);
     }
 }
-
-function fillGaps(members: readonly string[], spares: readonly string[]): string[] {
-    const left = [...spares];
-    return members.map(vm => vm === "" ? left.shift() ?? "" : vm);
-}
--- a/packages/controller/src/ZoneController.ts
+++ b/packages/controller/src/ZoneController.ts
@@ -4,6 +4,7 @@
     type EngineControl,
     type EvidenceView,
     type LeaseTimings,
+    leaseTimingsFor,
     placeBestFit,
     type PlacementPolicy,
     type VmView,
@@ -67,7 +68,10 @@
         const shared = { ...options, timings: this.timings };
         this.lease = ZoneLeaseKeeper.create({
             ...options,
-            timings: { ...defaultLeaseTimings, ...options.leaseTimings },
+            timings: {
+                ...leaseTimingsFor(options.leaseTimings?.durationMs ?? defaultLeaseTimings.durationMs),
+                ...options.leaseTimings,
+            },
         });
         this.ledgers = ZoneLedgerStore.create(options);
         this.fleet = ZoneFleet.create(shared);
--- a/packages/coordination/tests/ZoneLeaseKeeper.test.ts
+++ b/packages/coordination/tests/ZoneLeaseKeeper.test.ts
@@ -10,12 +10,12 @@
     SilentLogger,
 } from "@fescuehaven/testing";
 import { expect } from "chai";
-import { defaultLeaseTimings, ZoneLeaseKeeper } from "../src/index.js";
+import { defaultLeaseTimings, leaseTimingsFor, ZoneLeaseKeeper } from "../src/index.js";
 
 /** Longest time between two looks of a contender. */
 const LONGEST_LOOK_MS = 1.25 * defaultLeaseTimings.contendEveryMs;
 
-function createZone() {
+function createZone(timings = defaultLeaseTimings) {
     const clock = ManualClock.create();
     const store = MemoryObjectStore.create(clock);
     const outside = { clock, store, engines: FakeEngines.create(clock), configuration: FakeConfiguration.create() };
@@ -30,7 +30,7 @@
             logger: SilentLogger.create(),
             zone: "z",
             process: name,
-            timings: defaultLeaseTimings,
+            timings,
         });
         const stop = new AbortController();
         void keeper.run(stop.signal);
@@ -136,6 +136,18 @@
         expect([lease()?.holder, b.keeper.held()]).to.deep.equal(["a", undefined]);
     });
 
+    it("is held without a gap for every duration that can be set", async () => {
+        for (const durationMs of [500, 2000, 60_000]) {
+            const { clock, start } = createZone(leaseTimingsFor(durationMs));
+            const a = start("a");
+            await clock.advance(durationMs / 60);
+            for (let step = 0; step < 40; step++) {
+                await clock.advance(durationMs / 17);
+                expect(a.keeper.held(), `duration ${durationMs}`).to.equal(1);
+            }
+        }
+    });
+
     it("holds nothing when its update was lost on the way", async () => {
         const { clock, start, store } = createZone();
         store.faults.loseNextWrites = 1;
