--- a/packages/coordination/tests/ZoneLeaseKeeper.test.ts
+++ b/packages/coordination/tests/ZoneLeaseKeeper.test.ts
@@ -10,12 +10,12 @@
     SilentLogger,
 } from "@fescuehaven/testing";
 import { expect } from "chai";
-import { defaultLeaseTimings, ZoneLeaseKeeper } from "../src/index.js";
+import { defaultLeaseTimings, leaseTimingsFor, ZoneLeaseKeeper } from "../src/index.js";
 
 /** Longest time between two looks of a contender. */
 const LONGEST_LOOK_MS = 1.25 * defaultLeaseTimings.contendEveryMs;
 
-function createZone() {
+function createZone(timings = defaultLeaseTimings) {
     const clock = ManualClock.create();
     const store = MemoryObjectStore.create(clock);
     const outside = { clock, store, engines: FakeEngines.create(clock), configuration: FakeConfiguration.create() };
@@ -30,7 +30,7 @@
             logger: SilentLogger.create(),
             zone: "z",
             process: name,
-            timings: defaultLeaseTimings,
+            timings,
         });
         const stop = new AbortController();
         void keeper.run(stop.signal);
@@ -110,6 +110,44 @@
         expect(lease()?.fence).to.equal(1);
     });
 
+    it("lasts from the start of its update, not from the answer", async () => {
+        const { clock, start, store } = createZone();
+        store.faults.delayMs = 2000;
+        const a = start("a");
+        const updateStartsMs = 2000;
+        await clock.advance(updateStartsMs + 2000);
+        expect(a.keeper.held()).to.equal(1);
+        const { durationMs, safetyMarginMs } = defaultLeaseTimings;
+        await clock.advance(durationMs - safetyMarginMs - 2000);
+        expect(a.keeper.held()).to.equal(undefined);
+    });
+
+    it("is not taken over for a silence that an outage of the platform explains", async () => {
+        const { clock, lease, start, store } = createZone();
+        const a = start("a");
+        await clock.advance(100);
+        const b = start("b");
+        a.process.pause();
+        await clock.advance(1000);
+        store.faults.outage = true;
+        await clock.advance(30_000);
+        store.faults.outage = false;
+        await clock.advance(LONGEST_LOOK_MS);
+        expect([lease()?.holder, b.keeper.held()]).to.deep.equal(["a", undefined]);
+    });
+
+    it("is held without a gap for every duration that can be set", async () => {
+        for (const durationMs of [500, 2000, 60_000]) {
+            const { clock, start } = createZone(leaseTimingsFor(durationMs));
+            const a = start("a");
+            await clock.advance(durationMs / 60);
+            for (let step = 0; step < 40; step++) {
+                await clock.advance(durationMs / 17);
+                expect(a.keeper.held(), `duration ${durationMs}`).to.equal(1);
+            }
+        }
+    });
+
     it("holds nothing when its update was lost on the way", async () => {
         const { clock, start, store } = createZone();
         store.faults.loseNextWrites = 1;
