Count a router's patience from its last broken attempt; leave silent peers

A call whose forwarded stream went silent was refused for lack of an upstream at once, because the time spent on that stream counted as time without one. A new attempt is now made after the peer's short pause, over a new connection. The test of a group that closes between queue and dispatch closed it before the queue; it now closes it after the slot was taken.

--- a/packages/router/src/adapters/ConnectZoneForwarder.ts
+++ b/packages/router/src/adapters/ConnectZoneForwarder.ts
@@ -71,6 +71,11 @@
             return { kind: isNeverSent(error) ? "did-not-run" : "outcome-unknown", reason: reasonOf(error) };
         }
     }
+
+    /** Lets the next call to a peer that went silent use a new connection. */
+    abandon(peer: Peer): void {
+        this.options.clients.abandon(peer);
+    }
 }
 
 function toStreamEvent({ event }: ForwardGenerationEvent, call: ForwardedGeneration): StreamEvent {
--- a/packages/router/src/generation/GenerationAttempt.ts
+++ b/packages/router/src/generation/GenerationAttempt.ts
@@ -130,7 +130,11 @@
             priority: call.caller.priority,
             remainingMs: Math.max(1, Math.floor(call.deadlineMs - this.options.clock.monotonicMs())),
         }, AbortSignal.any([signal, stop.signal]));
-        return this.follow(stream, attemptId, sequence, sink, signal, stop);
+        const outcome = await this.follow(stream, attemptId, sequence, sink, signal, stop);
+        if (outcome.kind === "broken" && outcome.reason === "silent") {
+            this.options.forwarder.abandon(peer);
+        }
+        return outcome;
     }
 
     private async follow(
--- a/packages/router/src/generation/GenerationProgress.ts
+++ b/packages/router/src/generation/GenerationProgress.ts
@@ -14,17 +14,15 @@
     /** True once the call had a first place. */
     isAdmitted = false;
 
-    /** When the call began or last got a token, on the monotonic clock. */
+    /** When the call began or its last stream broke, on the monotonic clock. */
     progressedMs: number;
 
     private readonly failures = new Map<string, number>();
     private mayHaveRun = false;
-    private notedNext: number;
 
     private constructor(readonly call: GenerationCall, nowMs: number) {
         this.progressedMs = nowMs;
         this.sequence = TokenSequence.create(call.requestId, call.resumeFromToken);
-        this.notedNext = call.resumeFromToken;
     }
 
     /** Creates the state of a call that begins. */
@@ -47,8 +45,7 @@
 
     /** Notes the end of an attempt. */
     note(outcome: AttemptOutcome, place: GroupPlace | PeerPlace, nowMs: number): void {
-        if (this.sequence.next > this.notedNext) {
-            this.notedNext = this.sequence.next;
+        if (outcome.kind === "broken") {
             this.progressedMs = nowMs;
         }
         if (outcome.kind === "aborted" || (outcome.kind === "broken" && outcome.sent)) {
--- a/packages/router/src/ports/ZoneForwarder.ts
+++ b/packages/router/src/ports/ZoneForwarder.ts
@@ -11,4 +11,7 @@
 
     /** Sends a plain service call once. */
     callService(peer: Peer, call: ForwardedServiceCall, signal: AbortSignal): Promise<ServiceOutcome>;
+
+    /** Lets the next call to a peer that went silent use a new connection. */
+    abandon(peer: Peer): void;
 }
--- a/packages/router/src/services/ServiceDispatcher.ts
+++ b/packages/router/src/services/ServiceDispatcher.ts
@@ -31,7 +31,8 @@
     isAdmitted: boolean;
     failed: Set<string>;
     ran: "no" | "unknown";
-    startedMs: number;
+    /** When the call began or an attempt last ended without an answer. */
+    progressedMs: number;
 }
 
 /** A call is given up when nothing could take it for this long. */
@@ -66,7 +67,7 @@
             isAdmitted: false,
             failed: new Set(),
             ran: "no",
-            startedMs: this.options.clock.monotonicMs(),
+            progressedMs: this.options.clock.monotonicMs(),
         };
         const result = await this.attempts(progress, repeatable, signal, deadline.signal);
         ended.abort();
@@ -128,12 +129,12 @@
             : undefined;
     }
 
-    private isHopeless({ call, startedMs }: Progress): boolean {
+    private isHopeless({ call, progressedMs }: Progress): boolean {
         if (this.options.endpoints.hasOpen(call.service)) {
             return false;
         }
         return call.origin === "peer" || (
-            this.options.clock.monotonicMs() - startedMs >= PATIENCE_MS
+            this.options.clock.monotonicMs() - progressedMs >= PATIENCE_MS
             && !this.options.peers.hasEligible(poolOf(call), this.options.endpoints.otherZones(call.service))
         );
     }
@@ -193,6 +194,7 @@
         }
         if (outcome.kind === "outcome-unknown") {
             progress.ran = "unknown";
+            progress.progressedMs = this.options.clock.monotonicMs();
         }
         if (signal.aborted) {
             const type = callerSignal.aborted ? "caller-gone" : "deadline";
--- a/packages/router/tests/generation.test.ts
+++ b/packages/router/tests/generation.test.ts
@@ -101,10 +101,13 @@
 
     it("sends nothing to a group that closed between queue and dispatch", async () => {
         fixture.evidence.close("g1");
-        const original = fixture.evidence.ready.bind(fixture.evidence);
-        fixture.evidence.ready = group => {
-            fixture.evidence.close("g0");
-            return original(group);
+        const list = fixture.evidence.readyGroups.bind(fixture.evidence);
+        fixture.evidence.readyGroups = () => {
+            const groups = list();
+            if (fixture.events.ofKind("request-queued").length > 0) {
+                fixture.evidence.close("g0");
+            }
+            return groups;
         };
         const pending = fixture.chat();
         await fixture.clock.advance(5000);
@@ -112,6 +115,7 @@
         expect(response.statusCode).to.equal(503);
         expect(response.json()).to.have.nested.property("error.ran", "no");
         expect(response.headers["retry-after"]).to.equal("1");
+        expect(fixture.events.ofKind("request-retried")[0]).to.include({ reason: "group-closed" });
         expect(allCalls()).to.have.length(0);
     });
 
--- a/packages/router/tests/support/PeerNetwork.ts
+++ b/packages/router/tests/support/PeerNetwork.ts
@@ -1,13 +1,33 @@
 import { createClient, createRouterTransport, type Transport } from "@connectrpc/connect";
 import type { Peer, PeerClients } from "@fescuehaven/coordination";
+import { ForwardService } from "@fescuehaven/protocol";
 import { ConnectZoneForwarder } from "../../src/adapters/ConnectZoneForwarder.js";
 import type { ZoneForwarder } from "../../src/ports/ZoneForwarder.js";
 import type { RouterFixture } from "./RouterFixture.js";
 
+/** A connection that went silent for good. */
+const silentTransport = createRouterTransport(router => {
+    router.service(ForwardService, {
+        async *forwardGeneration(_request, context) {
+            await new Promise(resolve => context.signal.addEventListener("abort", resolve, { once: true }));
+        },
+        forwardServiceCall: async (_request, context) => {
+            await new Promise(resolve => context.signal.addEventListener("abort", resolve, { once: true }));
+            return {};
+        },
+    });
+});
+
 /** The peer interfaces of routers in one test process, over connect-es's in-memory transport. */
 export class PeerNetwork {
+    /** Peers whose connection was abandoned, in order. */
+    readonly abandoned: string[] = [];
+    /** Peers that take calls and never answer. */
+    readonly silent = new Set<string>();
     private readonly transports = new Map<string, Transport>();
 
+    private constructor() {}
+
     static create(): PeerNetwork {
         return new PeerNetwork();
     }
@@ -25,8 +45,9 @@
                 if (!transport) {
                     throw Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
                 }
-                return createClient(service, transport);
+                return createClient(service, this.silent.has(peer.name) ? silentTransport : transport);
             },
+            abandon: peer => void this.abandoned.push(peer.name),
         };
         return ConnectZoneForwarder.create({ clients });
     }
--- a/packages/router/tests/support/RouterFixture.ts
+++ b/packages/router/tests/support/RouterFixture.ts
@@ -40,6 +40,7 @@
         yield { kind: "broken", reason: "no-peer", sent: false };
     },
     callService: async () => ({ kind: "did-not-run", reason: "no-peer" }),
+    abandon: () => {},
 };
 
 /** A router over fakes, with one route, one plain service and two accounts. */
--- a/packages/router/tests/zones.test.ts
+++ b/packages/router/tests/zones.test.ts
@@ -14,6 +14,7 @@
     let clock: ManualClock;
     let engineA: ScriptedEngine;
     let engineB: ScriptedEngine;
+    let network: PeerNetwork;
     let a: RouterFixture;
     let b: RouterFixture;
 
@@ -21,7 +22,7 @@
         clock = ManualClock.create();
         engineA = await ScriptedEngine.start();
         engineB = await ScriptedEngine.start();
-        const network = PeerNetwork.create();
+        network = PeerNetwork.create();
         const forwarder = network.forwarder();
         a = RouterFixture.create({ clock, forwarder, zone: "zone-a", name: "router-a1", peers: [peerB] });
         b = RouterFixture.create({ clock, forwarder, zone: "zone-b", name: "router-b1", peers: [peerA] });
@@ -182,6 +183,18 @@
         expect(engineB.calls).to.have.length(1);
     });
 
+    it("leaves a peer that went silent for a new connection and resumes the call", async () => {
+        a.evidence.close("ga");
+        network.silent.add("router-b1");
+        const pending = a.chat();
+        await waitFor("the forward", () => a.events.ofKind("request-forwarded").length === 1);
+        await clock.advance(3400);
+        network.silent.clear();
+        await clock.advance(1500);
+        expect(contentOf(await pending)).to.equal(answerTo(helloPrompt, 5));
+        expect(network.abandoned).to.deep.equal(["router-b1"]);
+    });
+
     it("gives a call up in the other zone too when its caller's deadline passes", async () => {
         a.evidence.close("ga");
         engineB.scripts.push({ hold: true });
@@ -210,4 +223,27 @@
         expect(a.service.executions).to.have.length(0);
         expect(b.service.executions).to.have.length(1);
     });
+
+    it("never sends a cold group more than it carries from routers that cannot see each other", async () => {
+        const settings = { plannedRouters: 2 };
+        const others = ["router-a2", "router-a3"].map(name => RouterFixture.create({ clock, name, settings }));
+        others.forEach(router => router.addGroup("ga", { url: engineA.url, warm: 32, cold: 4 }));
+        engineA.scripts.push(...Array.from({ length: 40 }, () => ({ hold: true })));
+        const calls = others.flatMap(router => Array.from({ length: 20 }, () => router.chat()));
+        await waitFor("the first calls", () => engineA.running === 4);
+        await clock.advance(1000);
+        let isSettled = false;
+        const settled = Promise.all(calls).then(answers => {
+            isSettled = true;
+            return answers;
+        });
+        while (!isSettled) {
+            expect(engineA.running).to.be.at.most(32);
+            engineA.release();
+            await clock.settle();
+        }
+        expect((await settled).every(answer => contentOf(answer) === answerTo(helloPrompt, 5))).to.equal(true);
+        expect(engineA.maxRunning).to.be.at.most(6);
+        await Promise.all(others.map(router => router.stop()));
+    });
 });
