--- /dev/null
+++ b/packages/coordination/src/journal/JournalAnswer.ts
@@ -0,0 +1,7 @@
+/** A whole answer of a call. */
+export interface JournalAnswer {
+    /** HTTP status. */
+    status: number;
+    body: Uint8Array;
+    contentType: string;
+}
--- /dev/null
+++ b/packages/coordination/src/journal/ShardWriters.ts
@@ -0,0 +1,57 @@
+import type { ObjectStore } from "@fescuehaven/platform";
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { Logger, Metrics } from "@fescuehaven/telemetry";
+import type { JournalOperation } from "./JournalOperation.js";
+import type { JournalSettings } from "./JournalSettings.js";
+import type { OperationOf } from "./OperationOf.js";
+import type { OperationOutcome } from "./OperationOutcome.js";
+import { ShardWriter } from "./ShardWriter.js";
+
+/** Shards that a process holds in memory at once, those with operations under way aside. */
+const MAX_IDLE_WRITERS = 32;
+
+/** Options of `ShardWriters`. */
+interface ShardWritersOptions {
+    store: ObjectStore;
+    settings: JournalSettings;
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    metrics: Metrics;
+}
+
+/** The shards that this process writes, one writer each. */
+export class ShardWriters {
+    private readonly writers = new Map<string, ShardWriter>();
+
+    private constructor(private readonly options: ShardWritersOptions) {}
+
+    /** Creates the set without writers. */
+    static create(options: ShardWritersOptions): ShardWriters {
+        return new ShardWriters(options);
+    }
+
+    /** Carries out an operation on a shard. */
+    submit<K extends JournalOperation["kind"]>(
+        shard: string,
+        operation: OperationOf<K>,
+    ): Promise<OperationOutcome[K]> {
+        const { claimTimeoutMs, settleTimeoutMs } = this.options.settings;
+        return this.writerOf(shard).submit<K>(operation, operation.kind === "claim" ? claimTimeoutMs : settleTimeoutMs);
+    }
+
+    /** The shard's writer, which becomes the most recently used. */
+    private writerOf(shard: string): ShardWriter {
+        const writer = this.writers.get(shard) ?? ShardWriter.create({ ...this.options, shard });
+        this.writers.delete(shard);
+        this.writers.set(shard, writer);
+        this.evictIdle();
+        return writer;
+    }
+
+    private evictIdle(): void {
+        const idle = [...this.writers].slice(0, -1).filter(([, writer]) => writer.idle);
+        const surplus = idle.slice(0, Math.max(0, idle.length - MAX_IDLE_WRITERS));
+        surplus.forEach(([shard]) => this.writers.delete(shard));
+    }
+}
--- /dev/null
+++ b/packages/coordination/tests/journal/Journal.test.ts
@@ -0,0 +1,246 @@
+import type { JournalShard } from "@fescuehaven/resources";
+import { JournalRouters, ManualClock } from "@fescuehaven/testing";
+import { expect } from "chai";
+import type { JournalAnswer, JournalClaim } from "../../src/index.js";
+
+const HOUR_MS = 3_600_000;
+const never = new AbortController().signal;
+const answer: JournalAnswer = { status: 200, contentType: "application/json", body: new Uint8Array([1, 2, 3]) };
+
+function claimOf(claimant: string, overrides: Partial<JournalClaim> = {}): JournalClaim {
+    return {
+        clientAccount: "diving",
+        route: "booking",
+        idempotencyKey: "key-1",
+        claimant,
+        requestDigest: "digest",
+        issuedAt: new Date("2026-01-01T00:00:00Z"),
+        ...overrides,
+    };
+}
+
+function recordsOf(routers: JournalRouters): JournalShard["records"][string][] {
+    const shard = `${Date.parse("2026-01-01T00:00:00Z")}-0`;
+    const value = routers.store.peek("journal-shard", shard)?.value as JournalShard | undefined;
+    return Object.values(value?.records ?? {});
+}
+
+/** The router that writes the only shard, and another. */
+async function ownerAndOther(routers: JournalRouters): Promise<[number, number]> {
+    const calls: string[] = [];
+    routers.network.onCall = (_from, to) => calls.push(to);
+    const probes = routers.journals.map((journal, index) =>
+        journal.claim(claimOf(`probe-${index}`, { idempotencyKey: `probe-${index}` }), never)
+    );
+    await routers.until(Promise.all(probes));
+    routers.network.onCall = () => {};
+    const owner = routers.names.indexOf(calls[0] ?? "");
+    return [owner, routers.names.findIndex((_, index) => index !== owner)];
+}
+
+describe("Journal", () => {
+    it("claims a key once, and answers its repeat at another router from the record", async () => {
+        const routers = JournalRouters.create({ routerCount: 2 });
+        const [one, other] = routers.journals;
+        expect(await routers.until(one!.claim(claimOf("a"), never))).to.deep.equal({ kind: "claimed" });
+        expect(await routers.until(other!.claim(claimOf("b"), never))).to.deep.equal({ kind: "held-by-other" });
+        expect(await routers.until(one!.finish(claimOf("a"), answer))).to.deep.equal({ kind: "recorded" });
+        for (const journal of routers.journals) {
+            expect(await routers.until(journal.claim(claimOf("c"), never))).to.deep.equal({ kind: "finished", answer });
+        }
+    });
+
+    it("refuses the key with another content", async () => {
+        const routers = JournalRouters.create({ routerCount: 1 });
+        await routers.until(routers.journals[0]!.claim(claimOf("a"), never));
+        const repeat = routers.journals[0]!.claim(claimOf("b", { requestDigest: "other" }), never);
+        expect(await routers.until(repeat)).to.deep.equal({ kind: "mismatched-request" });
+    });
+
+    it("writes the claims of all routers in a few updates", async () => {
+        const routers = JournalRouters.create({ routerCount: 3 });
+        routers.store.faults.delayMs = 20;
+        const claims = Array.from(
+            { length: 300 },
+            (_, index) =>
+                routers.journals[index % 3]!.claim(
+                    claimOf(`a-${index}`, { idempotencyKey: `key-${index}` }),
+                    new AbortController().signal,
+                ),
+        );
+        const outcomes = await routers.until(Promise.all(claims));
+        expect(outcomes.filter(outcome => outcome.kind === "claimed")).to.have.length(300);
+        expect(routers.store.calls.write).to.be.at.most(4);
+    });
+
+    const losses = [
+        { name: "answer", fault: "loseNextAnswers" },
+        { name: "update", fault: "loseNextWrites" },
+    ] as const;
+    for (const { name, fault } of losses) {
+        it(`settles a claim, its answer and a release whose ${name} was lost, by reading back`, async () => {
+            const routers = JournalRouters.create({ routerCount: 1 });
+            const journal = routers.journals[0]!;
+            routers.store.faults[fault] = 1;
+            expect(await routers.until(journal.claim(claimOf("a"), never))).to.deep.equal({ kind: "claimed" });
+            expect(recordsOf(routers)).to.have.nested.property("[0].claimant", "a");
+            routers.store.faults[fault] = 1;
+            expect(await routers.until(journal.finish(claimOf("a"), answer))).to.deep.equal({ kind: "recorded" });
+            expect(recordsOf(routers)).to.have.nested.property("[0].state", "finished");
+
+            const second = claimOf("b", { idempotencyKey: "key-2" });
+            await routers.until(journal.claim(second, never));
+            routers.store.faults[fault] = 1;
+            expect(await routers.until(journal.release(second))).to.deep.equal({ kind: "released" });
+            expect(recordsOf(routers)).to.have.length(1);
+        });
+    }
+
+    it("says unknown when the claim may have landed and cannot be settled in time", async () => {
+        const routers = JournalRouters.create({ routerCount: 1 });
+        routers.store.faults.loseNextAnswers = 1;
+        routers.store.faults.delayMs = 10;
+        const claim = routers.journals[0]!.claim(claimOf("a"), never);
+        await routers.clock.advance(20);
+        routers.store.faults.outage = true;
+        expect(await routers.until(claim)).to.deep.equal({ kind: "unknown" });
+    });
+
+    it("lets one of two routers win a key, also when they cannot reach each other", async () => {
+        for (const link of ["open", "refused", "silent"] as const) {
+            const routers = JournalRouters.create({ routerCount: 2 });
+            routers.network.setLink("router-0", "router-1", link);
+            routers.store.faults.delayMs = 10;
+            const claims = routers.journals.map((journal, index) => journal.claim(claimOf(`a-${index}`), never));
+            const kinds = (await routers.until(Promise.all(claims))).map(outcome => outcome.kind);
+            expect(kinds.sort(), link).to.deep.equal(["claimed", "held-by-other"]);
+        }
+    });
+
+    it("goes on alone when the owner dies after it wrote the claim", async () => {
+        const routers = JournalRouters.create({ routerCount: 2 });
+        const [owner, other] = await ownerAndOther(routers);
+        routers.store.faults.delayMs = 50;
+        const claim = routers.journals[other]!.claim(claimOf("a"), never);
+        await routers.clock.advance(20);
+        routers.network.setLink(routers.names[owner]!, routers.names[other]!, "silent");
+        expect(await routers.until(claim)).to.deep.equal({ kind: "claimed" });
+        expect(recordsOf(routers).filter(record => record.claimant === "a")).to.have.length(1);
+    });
+
+    it("frees a key for a repeat, by the claimant alone", async () => {
+        const routers = JournalRouters.create({ routerCount: 2 });
+        const [one, other] = routers.journals;
+        await routers.until(one!.claim(claimOf("a"), never));
+        await routers.until(other!.release(claimOf("b")));
+        expect(await routers.until(other!.claim(claimOf("c"), never))).to.deep.equal({ kind: "held-by-other" });
+        expect(await routers.until(one!.release(claimOf("a")))).to.deep.equal({ kind: "released" });
+        expect(await routers.until(other!.claim(claimOf("d"), never))).to.deep.equal({ kind: "claimed" });
+    });
+
+    it("does not release a finished key", async () => {
+        const routers = JournalRouters.create({ routerCount: 1 });
+        const journal = routers.journals[0]!;
+        await routers.until(journal.claim(claimOf("a"), never));
+        await routers.until(journal.finish(claimOf("a"), answer));
+        expect(await routers.until(journal.release(claimOf("a")))).to.have.property("kind", "unavailable");
+        expect(recordsOf(routers)).to.have.nested.property("[0].state", "finished");
+    });
+
+    it("makes a claim that is still under way fail once its key was released", async () => {
+        const routers = JournalRouters.create({ routerCount: 1 });
+        const before = routers.store.peek("journal-shard", `${Date.parse("2026-01-01T00:00:00Z")}-0`);
+        await routers.until(routers.journals[0]!.release(claimOf("a")));
+        const late = routers.store.write(
+            { kind: "journal-shard", name: `${Date.parse("2026-01-01T00:00:00Z")}-0` },
+            { records: {} },
+            before?.revision ?? 0,
+        );
+        expect(await late).to.have.property("kind", "conflict");
+    });
+
+    it("refuses claims at once in an outage, and records answers after it", async () => {
+        const routers = JournalRouters.create({ routerCount: 1 });
+        const journal = routers.journals[0]!;
+        await routers.until(journal.claim(claimOf("a"), never));
+        routers.store.faults.outage = true;
+        const finish = journal.finish(claimOf("a"), answer);
+        await routers.clock.advance(500);
+        const startMs = routers.clock.monotonicMs();
+        const claim = await routers.until(journal.claim(claimOf("b", { idempotencyKey: "key-2" }), never));
+        expect(claim).to.have.property("kind", "unavailable");
+        expect(claim).to.have.property("retryAfterMs").that.is.greaterThan(0);
+        expect(routers.clock.monotonicMs() - startMs).to.be.at.most(10);
+        routers.store.faults.outage = false;
+        expect(await routers.until(finish)).to.deep.equal({ kind: "recorded" });
+    });
+
+    it("holds answers only while they fit", async () => {
+        const settings = { maxAnswerBytes: 1000, maxShardBytes: 4000 };
+        const routers = JournalRouters.create({ routerCount: 1, settings });
+        const journal = routers.journals[0]!;
+        for (const [index, size] of [900, 900, 900, 1001].entries()) {
+            const claim = claimOf(`a-${index}`, { idempotencyKey: `key-${index}` });
+            await routers.until(journal.claim(claim, never));
+            await routers.until(journal.finish(claim, { ...answer, body: new Uint8Array(size) }));
+        }
+        const kinds = [];
+        for (const index of [0, 1, 2, 3]) {
+            const repeat = claimOf("repeat", { idempotencyKey: `key-${index}` });
+            kinds.push((await routers.until(journal.claim(repeat, never))).kind);
+        }
+        const without = "finished-without-answer";
+        expect(kinds).to.deep.equal([without, "finished", "finished", without]);
+    });
+
+    it("refuses a claim that a pause carried past the retention, although it was recorded", async () => {
+        const routers = JournalRouters.create({ routerCount: 1, settings: { retentionMs: HOUR_MS } });
+        routers.store.faults.delayMs = 50;
+        const claim = routers.journals[0]!.claim(claimOf("a"), never);
+        await routers.clock.advance(60);
+        routers.clock.pause(2 * HOUR_MS);
+        expect(await routers.until(claim)).to.have.property("kind", "unavailable");
+    });
+
+    it("never takes a call whose record a faster clock may have removed", async () => {
+        const clockErrorMs = 60_000;
+        const issuedAt = new Date("2026-01-01T00:00:00Z");
+        for (const ageMs of [HOUR_MS - 70_000, HOUR_MS - 60_000, HOUR_MS - 50_000, HOUR_MS, HOUR_MS + 60_000]) {
+            const clock = ManualClock.create(issuedAt);
+            const fast = {
+                now: () => new Date(clock.now().getTime() + clockErrorMs),
+                monotonicMs: () => clock.monotonicMs(),
+                sleep: (durationMs: number, signal?: AbortSignal) => clock.sleep(durationMs, signal),
+            };
+            const settings = { retentionMs: HOUR_MS, clockErrorMs, bucketMs: 1000 };
+            const clockOf = (index: number) => index === 0 ? clock : fast;
+            const routers = JournalRouters.create({ routerCount: 2, settings, clock, clockOf });
+            expect(await routers.until(routers.journals[1]!.claim(claimOf("a"), never))).to.have.property(
+                "kind",
+                "claimed",
+            );
+            clock.pause(ageMs);
+            const stop = new AbortController();
+            const cleaning = routers.journals.map(journal => journal.run(stop.signal));
+            await clock.advance(5000);
+            stop.abort();
+            await Promise.all(cleaning);
+            const repeat = await routers.until(routers.journals[0]!.claim(claimOf("b"), never));
+            expect(repeat.kind, `${ageMs}`).to.not.equal("claimed");
+        }
+    });
+
+    it("removes shards whose retention is over", async () => {
+        const settings = { retentionMs: HOUR_MS, bucketMs: 60_000 };
+        const routers = JournalRouters.create({ routerCount: 2, settings });
+        await routers.until(routers.journals[0]!.claim(claimOf("a"), never));
+        const stop = new AbortController();
+        const cleaning = routers.journals.map(journal => journal.run(stop.signal));
+        await routers.clock.advance(HOUR_MS + 59_000);
+        expect(recordsOf(routers)).to.have.length(1);
+        await routers.clock.advance(200_000);
+        expect(recordsOf(routers)).to.have.length(0);
+        stop.abort();
+        await Promise.all(cleaning);
+    });
+});
--- a/packages/resources/src/index.ts
+++ b/packages/resources/src/index.ts
@@ -1,6 +1,7 @@
 export { type ClientAccount, clientAccountSchema } from "./ClientAccount.js";
 export { configurationKinds } from "./configurationKinds.js";
 export { type GroupStatus, groupStatusSchema } from "./GroupStatus.js";
+export { type JournalShard, journalShardSchema } from "./JournalShard.js";
 export { type MaintenanceIntent, maintenanceIntentSchema } from "./MaintenanceIntent.js";
 export { type ModelVersion, modelVersionSchema } from "./ModelVersion.js";
 export type { ResourceKind } from "./ResourceKind.js";
--- /dev/null
+++ b/packages/testing/src/fakes/JournalRouters.ts
@@ -0,0 +1,77 @@
+import { Journal, type JournalSettings, journalSettingsSchema, type Peer } from "@fescuehaven/coordination";
+import type { Clock } from "@fescuehaven/runtime";
+import { ManualClock } from "./ManualClock.js";
+import { MemoryNetwork } from "./MemoryNetwork.js";
+import { MemoryObjectStore } from "./MemoryObjectStore.js";
+import { SeededRandom } from "./SeededRandom.js";
+import { SilentLogger } from "./SilentLogger.js";
+import { SilentMetrics } from "./SilentMetrics.js";
+
+/** Step in which time moves while a test waits for an outcome, ms. */
+const STEP_MS = 5;
+const MAX_STEPS = 40_000;
+
+/** Journals of a few routers over one store, for tests. */
+export class JournalRouters {
+    readonly network: MemoryNetwork;
+    readonly store: MemoryObjectStore;
+    readonly settings: JournalSettings;
+    readonly journals: readonly Journal[];
+
+    private constructor(
+        readonly clock: ManualClock,
+        readonly names: readonly string[],
+        settings: Partial<JournalSettings>,
+        seed: number,
+        clockOf: (index: number) => Clock,
+    ) {
+        this.network = MemoryNetwork.create(clock);
+        this.store = MemoryObjectStore.create(clock);
+        this.settings = journalSettingsSchema.parse({ shardCount: 1, ...settings });
+        this.journals = names.map((name, index) => this.start(name, seed + index, clockOf(index)));
+    }
+
+    /** Starts the routers. `clockOf` gives a router a clock of its own. */
+    static create(options: {
+        routerCount: number;
+        settings?: Partial<JournalSettings>;
+        seed?: number;
+        clock?: ManualClock;
+        clockOf?: (index: number) => Clock;
+    }): JournalRouters {
+        const clock = options.clock ?? ManualClock.create();
+        const names = Array.from({ length: options.routerCount }, (_, index) => `router-${index}`);
+        const clockOf = options.clockOf ?? (() => clock);
+        return new JournalRouters(clock, names, options.settings ?? {}, options.seed ?? 1, clockOf);
+    }
+
+    /** Moves time on until the promise has settled. */
+    async until<T>(promise: Promise<T>): Promise<T> {
+        const finished = new AbortController();
+        void promise.finally(() => finished.abort());
+        for (let step = 0; step < MAX_STEPS && !finished.signal.aborted; step++) {
+            await this.clock.advance(STEP_MS);
+        }
+        return promise;
+    }
+
+    private start(name: string, seed: number, clock: Clock): Journal {
+        const journal = Journal.create({
+            process: name,
+            settings: this.settings,
+            store: this.store,
+            peers: { list: () => this.names.filter(other => other !== name).map(peerOf) },
+            clients: this.network.clientsOf(name),
+            clock,
+            random: SeededRandom.create(seed, name),
+            logger: SilentLogger.create(),
+            metrics: SilentMetrics.create(),
+        });
+        this.network.listen(name, router => journal.registerOn(router));
+        return journal;
+    }
+}
+
+function peerOf(name: string): Peer {
+    return { name, zone: "zone-a", role: "router", url: `http://${name}` };
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -4,6 +4,7 @@
 export { FakeEvidence } from "./fakes/FakeEvidence.js";
 export { FakeVms } from "./fakes/FakeVms.js";
 export { FaultyProcess } from "./fakes/FaultyProcess.js";
+export { JournalRouters } from "./fakes/JournalRouters.js";
 export { ManualClock } from "./fakes/ManualClock.js";
 export { MemoryEngines } from "./fakes/MemoryEngines.js";
 export { MemoryEventRecorder } from "./fakes/MemoryEventRecorder.js";
