--- a/packages/router/src/RouterSettings.ts
+++ b/packages/router/src/RouterSettings.ts
@@ -1,3 +1,4 @@
+import { journalSettingsSchema } from "@fescuehaven/coordination";
 import { daemonSettingsSchema } from "@fescuehaven/daemon";
 import { z } from "zod";
 
@@ -36,12 +37,7 @@
     maxForwardsPerPeer: z.number().int().min(0).max(100_000).default(256).describe(
         "Calls forwarded at once to one router of another availability zone",
     ),
-    keyRetentionMs: z.number().int().min(60_000).default(86_400_000).describe(
-        "How long records of idempotency keys are kept, ms",
-    ),
-    clockErrorMs: z.number().int().min(0).max(3_600_000).default(60_000).describe(
-        "Most that the clocks of callers, routers and the platform may differ, ms",
-    ),
+    journal: journalSettingsSchema.prefault({}).describe("Record of idempotency keys"),
 });
 
 /** Settings of a router. */
--- a/packages/router/src/bin/fescue-router.ts
+++ b/packages/router/src/bin/fescue-router.ts
@@ -1,5 +1,5 @@
+import { Journal } from "@fescuehaven/coordination";
 import { createPeerServer, DaemonContext, loadIdentity, runDaemon, ZoneViews } from "@fescuehaven/daemon";
-import { ClosedJournal } from "../adapters/ClosedJournal.js";
 import { ConnectZoneForwarder } from "../adapters/ConnectZoneForwarder.js";
 import { createCallerServerFactory } from "../adapters/createCallerServerFactory.js";
 import { HttpEngineClient } from "../adapters/HttpEngineClient.js";
@@ -21,6 +21,17 @@
     const identity = await loadIdentity(context, settings.peerTls);
     const callerIdentity = await loadIdentity(context, settings.callerTls);
     const views = ZoneViews.create({ context, identity, probes: true });
+    const journal = Journal.create({
+        process: settings.process,
+        settings: settings.journal,
+        store: context.store,
+        peers: views.peers,
+        clients: views.clients,
+        clock: context.clock,
+        random: context.random,
+        logger: context.logger("journal"),
+        metrics: context.metrics,
+    });
     const router = createRouter({
         serverFactory: callerIdentity && createCallerServerFactory(callerIdentity),
         settings,
@@ -42,7 +53,7 @@
         engines: HttpEngineClient.create({ localAddress, connectTimeoutMs }),
         services: HttpServiceClient.create({ localAddress, connectTimeoutMs, maxAnswerBytes }),
         forwarder: ConnectZoneForwarder.create({ clients: views.clients }),
-        journal: ClosedJournal.create(),
+        journal,
     });
     const peerServer = createPeerServer({
         context,
@@ -50,12 +61,16 @@
         identity,
         role: "router",
         state: () => ({}),
-        services: [connectRouter => router.registerOn(connectRouter)],
+        services: [
+            connectRouter => router.registerOn(connectRouter),
+            connectRouter => journal.registerOn(connectRouter),
+        ],
     });
     const running = new AbortController();
     const work = Promise.all([
         views.run(running.signal),
         router.run(running.signal),
+        journal.run(running.signal),
         identity?.run(running.signal),
         callerIdentity?.run(running.signal),
     ]);
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -139,8 +139,8 @@
         logger,
         journal: options.journal,
         services,
-        retentionMs: settings.keyRetentionMs,
-        clockErrorMs: settings.clockErrorMs,
+        retentionMs: settings.journal.retentionMs,
+        clockErrorMs: settings.journal.clockErrorMs,
     });
     const versions = VersionPicker.create({ random, isServed: version => selector.hasOpen(version) });
     const server = RouterServer.create({
