Take the time of a keyed call from its key where the key holds one

Cause: a record is kept under the time that the caller states, so a caller that states another time with a repeat would name another call. With a version 7 UUID the time is part of the key and cannot change. Ruled out: shards without time, which could drop no record until all in the shard are past the retention. Conclusion: an old key with a fresh issued-at is refused (test); other keys keep the rule, now stated for callers.

--- a/packages/router/src/services/KeyedCalls.ts
+++ b/packages/router/src/services/KeyedCalls.ts
@@ -7,10 +7,12 @@
 import { issuedAtRule } from "./issuedAtRule.js";
 import type { KeyClaim } from "./KeyClaim.js";
 import type { KeyClaimOutcome } from "./KeyClaimOutcome.js";
+import { parseIssuedAt } from "./parseIssuedAt.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import type { ServiceCall } from "./ServiceCall.js";
 import type { ServiceDispatcher } from "./ServiceDispatcher.js";
 import type { ServiceResult } from "./ServiceResult.js";
+import { timeInKey } from "./timeInKey.js";
 
 interface KeyedCallsOptions {
     clock: Clock;
@@ -48,13 +50,17 @@
         return new KeyedCalls(options);
     }
 
-    /** Runs a call, or answers it from the journal. `issuedAt` is the header's text. */
+    /**
+     * Runs a call, or answers it from the journal. `issuedAt` is the header's text; a key that holds its own time goes
+     * before it, as a repeat cannot change that.
+     */
     async run(call: ServiceCall, issuedAt: string | undefined, signal: AbortSignal): Promise<ServiceResult> {
         const key = call.request.idempotencyKey;
         if (key === undefined || !KEY_PATTERN.test(key)) {
             return { kind: "refused", refusal: createRefusal("missing-idempotency-key", "no") };
         }
-        const verdict = issuedAtRule(issuedAt, this.options.clock.now(), this.options);
+        const statedAt = timeInKey(key) ?? parseIssuedAt(issuedAt);
+        const verdict = issuedAtRule(statedAt, this.options.clock.now(), this.options);
         if (verdict.kind !== "fresh") {
             return { kind: "refused", refusal: createRefusal(verdict.kind, "unknown") };
         }
--- a/packages/router/src/services/issuedAtRule.ts
+++ b/packages/router/src/services/issuedAtRule.ts
@@ -14,17 +14,16 @@
  * A call runs only while a record of an earlier one with its key is certain to be held still. One that is older may be
  * a repeat whose record is gone, so it does not run.
  */
-export function issuedAtRule(header: string | undefined, now: Date, options: RetentionOptions): IssuedAtVerdict {
-    const issuedMs = header === undefined || !/^\d{4}-\d{2}-\d{2}T/.test(header) ? NaN : Date.parse(header);
-    if (Number.isNaN(issuedMs)) {
+export function issuedAtRule(issuedAt: Date | undefined, now: Date, options: RetentionOptions): IssuedAtVerdict {
+    if (!issuedAt) {
         return { kind: "missing-issued-at" };
     }
-    const ageMs = now.getTime() - issuedMs;
+    const ageMs = now.getTime() - issuedAt.getTime();
     if (ageMs > options.retentionMs - options.clockErrorMs) {
         return { kind: "issued-too-long-ago" };
     }
     if (ageMs < -options.clockErrorMs) {
         return { kind: "issued-in-future" };
     }
-    return { kind: "fresh", issuedAt: new Date(issuedMs) };
+    return { kind: "fresh", issuedAt };
 }
--- a/packages/router/tests/keyedCalls.test.ts
+++ b/packages/router/tests/keyedCalls.test.ts
@@ -152,6 +152,20 @@
         expect((await book("k1", { "issued-at": issuedAt })).statusCode).to.equal(200);
     });
 
+    function uuidV7(time: Date): string {
+        const digits = time.getTime().toString(16).padStart(12, "0");
+        return `${digits.slice(0, 8)}-${digits.slice(8)}-7000-8000-000000000001`;
+    }
+
+    it("takes the time that a key holds, whatever a repeat says", async () => {
+        const now = fixture.clock.now();
+        const young = await fixture.callService("booking", { "idempotency-key": uuidV7(now) });
+        expect(young.statusCode).to.equal(200);
+        const old = uuidV7(new Date(now.getTime() - day));
+        expect(errorOf(await book(old))).to.include({ type: "issued-too-long-ago", ran: "unknown" });
+        expect(fixture.service.executions).to.have.length(1);
+    });
+
     it("refuses a call without a key", async () => {
         const response = await fixture.callService("booking", { "issued-at": fixture.clock.now().toISOString() });
         expect(errorOf(response)).to.include({ type: "missing-idempotency-key", ran: "no" });
