--- a/packages/router/src/adapters/ConnectZoneForwarder.ts
+++ b/packages/router/src/adapters/ConnectZoneForwarder.ts
@@ -62,6 +62,7 @@
                     contentType: call.request.contentType,
                     remainingMs: call.remainingMs,
                     clientAccount: call.clientAccount,
+                    onlyIfFree: call.onlyIfFree,
                 }),
                 { signal, timeoutMs: call.remainingMs + DEADLINE_ALLOWANCE_MS },
             );
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -105,6 +105,7 @@
         access,
         engines: options.engines,
         forwarder,
+        zone,
         silenceMs: settings.streamSilenceMs,
         progressMs: settings.streamProgressMs,
     });
@@ -131,6 +132,7 @@
         budget,
         services: options.services,
         forwarder,
+        zone,
     });
     const keyed = KeyedCalls.create({
         clock,
--- a/packages/router/src/generation/ForwardedGeneration.ts
+++ b/packages/router/src/generation/ForwardedGeneration.ts
@@ -11,4 +11,6 @@
     priority: number;
     /** Time left until the caller's deadline. */
     remainingMs: number;
+    /** Refuse at once when no slot is free. */
+    onlyIfFree: boolean;
 }
--- a/packages/router/src/generation/GenerationAttempt.ts
+++ b/packages/router/src/generation/GenerationAttempt.ts
@@ -22,6 +22,8 @@
     access: GroupAccess;
     engines: EngineClient;
     forwarder: ZoneForwarder;
+    /** Availability zone of this router. */
+    zone: string;
     /** Longest time without any sign of life from a stream. */
     silenceMs: number;
     /** Longest time without a token. */
@@ -129,6 +131,7 @@
             resumeFromToken: sequence.next,
             priority: call.caller.priority,
             remainingMs: Math.max(1, Math.floor(call.deadlineMs - this.options.clock.monotonicMs())),
+            onlyIfFree: place.peer.zone === this.options.zone,
         }, AbortSignal.any([signal, stop.signal]));
         const outcome = await this.follow(stream, attemptId, sequence, sink, signal, stop);
         if (outcome.kind === "broken" && outcome.reason === "silent") {
--- a/packages/router/src/generation/GenerationCall.ts
+++ b/packages/router/src/generation/GenerationCall.ts
@@ -15,4 +15,6 @@
     deadlineMs: number;
     /** `peer`: forwarded by another router; it is served here or refused, never forwarded again. */
     origin: "caller" | "peer";
+    /** Refuse at once when no slot is free. */
+    onlyIfFree?: boolean;
 }
--- a/packages/router/src/generation/GenerationDispatcher.ts
+++ b/packages/router/src/generation/GenerationDispatcher.ts
@@ -131,17 +131,26 @@
         const hasWaited = this.options.clock.monotonicMs() - queuedMs >= SPILL_AFTER_MS;
         const isServedHere = this.options.selector.hasOpen(call.modelVersion);
         return hasWaited || !isServedHere
-            ? this.options.peers.place(call.modelVersion, this.zonesServing(call.modelVersion))
+            ? this.placeAtPeer(call.modelVersion)
             : undefined;
     }
 
+    /** A router of the own zone whose share has a free slot goes before another zone. */
+    private placeAtPeer(modelVersion: string): PeerPlace | undefined {
+        const zones = this.zonesServing(modelVersion);
+        const { zone } = this.options;
+        const own = zones.has(zone) ? this.options.peers.place(modelVersion, new Set([zone])) : undefined;
+        return own ?? this.options.peers.place(modelVersion, new Set([...zones].filter(name => name !== zone)));
+    }
+
     private isHopeless(progress: GenerationProgress): boolean {
         const { call } = progress;
-        if (this.options.selector.hasOpen(call.modelVersion)) {
-            return false;
-        }
+        const isServedHere = this.options.selector.hasOpen(call.modelVersion);
         if (call.origin === "peer") {
-            return true;
+            return !isServedHere || call.onlyIfFree === true;
+        }
+        if (isServedHere) {
+            return false;
         }
         const waitedMs = this.options.clock.monotonicMs() - progress.progressedMs;
         const patienceMs = progress.hasTokens ? RESUME_PATIENCE_MS : START_PATIENCE_MS;
@@ -149,12 +158,12 @@
             && !this.options.peers.hasEligible(call.modelVersion, this.zonesServing(call.modelVersion));
     }
 
-    /** Zones whose routers may serve the version; the own one where this router's share is too small for any call. */
+    /** Zones whose routers may serve the version; the own one only while a group is open there. */
     private zonesServing(modelVersion: string): ReadonlySet<string> {
         const groups = this.options.configuration.list("serving-group")
             .filter(({ value }) => value.modelVersion === modelVersion);
         const zones = new Set(groups.map(({ value }) => value.zone));
-        if (!this.options.selector.hasOpen(modelVersion) || this.options.selector.hasShare(modelVersion)) {
+        if (!this.options.selector.hasOpen(modelVersion)) {
             zones.delete(this.options.zone);
         }
         return zones;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,8 +1,10 @@
 export { ConnectZoneForwarder } from "./adapters/ConnectZoneForwarder.js";
 export { HttpEngineClient } from "./adapters/HttpEngineClient.js";
 export { HttpServiceClient } from "./adapters/HttpServiceClient.js";
+export { FairQueue } from "./admission/FairQueue.js";
 export { createRouter } from "./createRouter.js";
 export { StaticShare } from "./limits/StaticShare.js";
+export { UpstreamLimits } from "./limits/UpstreamLimits.js";
 export type { ConcurrencyShare } from "./ports/ConcurrencyShare.js";
 export type { EngineClient } from "./ports/EngineClient.js";
 export type { KeyJournal } from "./ports/KeyJournal.js";
--- a/packages/router/src/routing/GroupSelector.ts
+++ b/packages/router/src/routing/GroupSelector.ts
@@ -44,13 +44,6 @@
         return this.options.access.listOpen(modelVersion).length > 0;
     }
 
-    /** True when this router's share of some open group is at least one call. */
-    hasShare(modelVersion: string): boolean {
-        return this.options.access.listOpen(modelVersion).some(group =>
-            this.options.limits.allowed(group.upstream) > 0
-        );
-    }
-
     /** Notes an answer of `tokenCount` tokens that took `durationMs`, so that slow groups get less. */
     noteAnswer(group: string, modelVersion: string, tokenCount: number, durationMs: number): void {
         const names = this.options.access.listOpen(modelVersion).map(open => open.upstream.name);
--- a/packages/router/src/services/ForwardedServiceCall.ts
+++ b/packages/router/src/services/ForwardedServiceCall.ts
@@ -8,4 +8,6 @@
     request: ServiceRequest;
     /** Time left until the caller's deadline. */
     remainingMs: number;
+    /** Refuse at once when no slot is free. */
+    onlyIfFree: boolean;
 }
--- a/packages/router/src/services/ServiceDispatcher.ts
+++ b/packages/router/src/services/ServiceDispatcher.ts
@@ -24,6 +24,8 @@
     budget: RetryBudget;
     services: ServiceClient;
     forwarder: ZoneForwarder;
+    /** Availability zone of this router. */
+    zone: string;
 }
 
 interface Progress {
@@ -125,15 +127,23 @@
         }
         const hasWaited = this.options.clock.monotonicMs() - queuedMs >= SPILL_AFTER_MS;
         return hasWaited || !this.options.endpoints.hasOpen(call.service)
-            ? this.options.peers.place(poolOf(call), this.options.endpoints.otherZones(call.service))
+            ? this.placeAtPeer(call)
             : undefined;
     }
 
+    /** A router of the own zone whose share has a free slot goes before another zone. */
+    private placeAtPeer(call: ServiceCall): PeerPlace | undefined {
+        const { endpoints, peers, zone } = this.options;
+        const own = endpoints.hasOpen(call.service) ? peers.place(poolOf(call), new Set([zone])) : undefined;
+        return own ?? peers.place(poolOf(call), endpoints.otherZones(call.service));
+    }
+
     private isHopeless({ call, progressedMs }: Progress): boolean {
-        if (this.options.endpoints.hasOpen(call.service)) {
-            return false;
+        const isServedHere = this.options.endpoints.hasOpen(call.service);
+        if (call.origin === "peer") {
+            return !isServedHere || call.onlyIfFree === true;
         }
-        return call.origin === "peer" || (
+        return !isServedHere && (
             this.options.clock.monotonicMs() - progressedMs >= PATIENCE_MS
             && !this.options.peers.hasEligible(poolOf(call), this.options.endpoints.otherZones(call.service))
         );
@@ -161,6 +171,7 @@
             route: call.route,
             request: call.request,
             remainingMs: Math.max(1, Math.floor(call.deadlineMs - this.options.clock.monotonicMs())),
+            onlyIfFree: place.peer.zone === this.options.zone,
         }, signal);
     }
 
--- a/packages/router/tests/zones.test.ts
+++ b/packages/router/tests/zones.test.ts
@@ -224,6 +224,30 @@
         expect(b.service.executions).to.have.length(1);
     });
 
+    it("hands a call to the router of its own zone that has a free slot", async () => {
+        const settings = { plannedRouters: 2 };
+        const peer: Peer = { ...peerA, name: "router-a2" };
+        const forwarder = network.forwarder();
+        const full = RouterFixture.create({ clock, name: "router-a3", settings, forwarder, peers: [peer] });
+        const free = RouterFixture.create({ clock, name: "router-a2", settings });
+        network.add("router-a2", free);
+        [full, free].forEach(router => router.addGroup("ga", { url: engineA.url, warm: 2, cold: 2 }));
+        engineA.scripts.push({ hold: true }, { hold: true });
+        const calls = [full.chat(), full.chat(), full.chat()];
+        await waitFor("the first call", () => engineA.running === 1);
+        await clock.advance(200);
+        await waitFor("the second call", () => engineA.running === 2);
+        await clock.advance(300);
+        expect(engineA.maxRunning).to.equal(2);
+        engineA.release();
+        await clock.settle();
+        await waitFor("the last call", () => engineA.calls.length === 3);
+        const answers = await Promise.all(calls);
+        expect(answers.map(contentOf)).to.deep.equal(answers.map(() => answerTo(helloPrompt, 5)));
+        expect(free.events.ofKind("request-dispatched").length).to.be.at.least(1);
+        await Promise.all([full.stop(), free.stop()]);
+    });
+
     it("never sends a cold group more than it carries from routers that cannot see each other", async () => {
         const settings = { plannedRouters: 2 };
         const others = ["router-a2", "router-a3"].map(name => RouterFixture.create({ clock, name, settings }));
