Test the whole system under failure on real processes, and add the load and experiment tool

Each call is repeated as a balancer's caller would and compared byte for byte.

The stand-in's silent watches now silence those that wait already: before, the test of silent watches passed in 127 ms by a watch opened earlier, which proved nothing.

Ruled out: to ask for a higher epoch after a member started anew. The controller loads it again at the same epoch, and the group's status shows the change.

--- /dev/null
+++ b/packages/testing/src/bench/experiments/groupDowntime.ts
@@ -0,0 +1,143 @@
+import { RunningSystem } from "../../system/RunningSystem.js";
+import { untilTrue } from "../../util/untilTrue.js";
+import type { Experiment } from "../Experiment.js";
+import type { ExperimentContext } from "../ExperimentContext.js";
+import type { ExperimentResult } from "../ExperimentResult.js";
+import { LatencyRecorder } from "../util/LatencyRecorder.js";
+
+const ZONE = "zone-a";
+const MEMBERS = 4;
+const GROUPS = 2;
+const WEIGHTS_GIB = 20;
+const WEIGHT_STORE_GIB_PER_SECOND = 20;
+
+/** Members that fail one after the other in each variant. */
+const FAILURES = 3;
+
+/** Longest wait for a group, ms. */
+const DEADLINE_MS = 90_000;
+
+/** How a member fails. */
+type Failure = "member killed" | "member restarted";
+
+interface Variant {
+    name: string;
+    /** VMs beyond those that the groups need. */
+    spares: number;
+    /** The engines keep their weights when only the fencing number changes. */
+    keepsWeights: boolean;
+}
+
+const BASELINE = "every member loads anew";
+
+const VARIANTS: readonly Variant[] = [
+    { name: BASELINE, spares: 4, keepsWeights: false },
+    { name: "only the new member loads", spares: 4, keepsWeights: true },
+];
+
+/** How long a group is closed after a member failed. */
+export const groupDowntime: Experiment = {
+    description: "time from the failure of a member until its group is ready again, and weights loaded for it",
+    run: async context => {
+        const rows: ExperimentResult["rows"] = [];
+        for (const variant of VARIANTS) {
+            for (const failure of ["member killed", "member restarted"] as const) {
+                context.note(`${variant.name}, ${failure}`);
+                rows.push({
+                    variant: variant.name,
+                    phase: failure,
+                    values: await runVariant(context, variant, failure),
+                });
+            }
+        }
+        const parameters = {
+            members: MEMBERS,
+            groups: GROUPS,
+            weightsPerMemberGiB: WEIGHTS_GIB,
+            weightStoreGiBPerSecond: WEIGHT_STORE_GIB_PER_SECOND,
+            failures: FAILURES,
+        };
+        return { baseline: BASELINE, parameters, rows, chartColumn: "downtimeP50Ms" };
+    },
+};
+
+async function runVariant(
+    context: ExperimentContext,
+    variant: Variant,
+    failure: Failure,
+): Promise<Record<string, number>> {
+    const vms = GROUPS * MEMBERS + variant.spares;
+    const system = await RunningSystem.start({
+        ...context,
+        topology: {
+            zones: [ZONE],
+            engineVmsPerZone: vms,
+            vmsPerFabricDomain: vms / 2,
+            engineProcesses: "vm",
+            weightStoreGiBPerSecond: WEIGHT_STORE_GIB_PER_SECOND,
+            engineBehaviour: { keepsWeights: variant.keepsWeights },
+        },
+        objects: { groupsPerZone: GROUPS, memberCount: MEMBERS, weightsPerMemberGiB: WEIGHTS_GIB },
+    });
+    try {
+        await system.untilPhase("ready", undefined, DEADLINE_MS);
+        const downtimesMs = [];
+        let loads = 0;
+        for (let index = 0; index < FAILURES; index++) {
+            const before = await countLoads(system);
+            downtimesMs.push(await fail(context, system, failure, index));
+            const after = await countLoads(system);
+            after.forEach((count, vm) => {
+                loads += Math.max(0, count - (before.get(vm) ?? 0));
+            });
+        }
+        const recorder = LatencyRecorder.of(downtimesMs);
+        return {
+            downtimeP50Ms: recorder.percentileMs(50),
+            downtimeMaxMs: recorder.percentileMs(100),
+            loadsPerFailure: loads / FAILURES,
+        };
+    }
+    finally {
+        await system.stop();
+    }
+}
+
+/** Fails a member of the first group; gives the time until all members are ready at one epoch again, ms. */
+async function fail(
+    context: ExperimentContext,
+    system: RunningSystem,
+    failure: Failure,
+    index: number,
+): Promise<number> {
+    const { clock } = context;
+    const group = system.objects.groupNames()[0] ?? "";
+    const before = await system.status(group);
+    const victim = before?.members[1 + (index % (MEMBERS - 1))] ?? "";
+    const startMs = clock.monotonicMs();
+    const handle = system.process(system.topology.engineProcessOf(victim));
+    if (failure === "member killed") {
+        await handle.kill();
+    }
+    else {
+        await system.engine(victim).setFaults({ restart: true });
+    }
+    await untilTrue(clock, `${group} ready again`, DEADLINE_MS, async () => {
+        const status = await system.status(group);
+        return status?.phase === "ready" && status.since !== before?.since;
+    });
+    const downtimeMs = clock.monotonicMs() - startMs;
+    if (failure === "member killed") {
+        await handle.start();
+        await handle.untilReady(DEADLINE_MS);
+    }
+    return downtimeMs;
+}
+
+/** Loads so far by VM; a VM whose engine was started anew counts from 0 again. */
+async function countLoads(system: RunningSystem): Promise<Map<string, number>> {
+    const counts = await Promise.all(
+        system.engines().map(async ({ vm, admin }) => [vm, (await admin.counters()).loads] as const),
+    );
+    return new Map(counts);
+}
--- /dev/null
+++ b/packages/testing/src/bench/util/DirectCalls.ts
@@ -0,0 +1,52 @@
+import type { Clock } from "@fescuehaven/runtime";
+import { Agent, request } from "undici";
+import type { ChatCall } from "../../callers/ChatCall.js";
+import { promptOf } from "../../callers/promptOf.js";
+import { requireWhole } from "./requireWhole.js";
+
+/** Calls to the stand-ins without a router: what routers are compared with. */
+export class DirectCalls {
+    private readonly agent = new Agent({ pipelining: 1 });
+
+    private constructor(private readonly clock: Clock) {}
+
+    /** Creates the calls. */
+    static create(clock: Clock): DirectCalls {
+        return new DirectCalls(clock);
+    }
+
+    /** Generates at an engine; gives the latency, ms. Throws unless whole. */
+    async generate(engineUrl: string, group: string, epoch: number, call: ChatCall): Promise<number> {
+        const startMs = this.clock.monotonicMs();
+        const response = await request(`${engineUrl}/v1/generate`, {
+            dispatcher: this.agent,
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify({
+                requestId: call.requestId,
+                attemptId: call.requestId,
+                group,
+                epoch,
+                prompt: promptOf(call),
+                maxTokens: call.maxTokens,
+            }),
+        });
+        const text = await response.body.text();
+        requireWhole(text.includes(`"done":true`), text);
+        return this.clock.monotonicMs() - startMs;
+    }
+
+    /** Calls a plain service; gives the latency, ms. Throws unless whole. */
+    async service(url: string, body: string): Promise<number> {
+        const startMs = this.clock.monotonicMs();
+        const response = await request(url, { dispatcher: this.agent, method: "POST", body });
+        const answer = (await response.body.json()) as { bodySha256?: string; };
+        requireWhole(answer.bodySha256 !== undefined, answer);
+        return this.clock.monotonicMs() - startMs;
+    }
+
+    /** Closes all connections. */
+    async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+}
--- /dev/null
+++ b/packages/testing/src/bench/util/summarizeCalls.ts
@@ -0,0 +1,28 @@
+import type { CallRecord } from "../../callers/CallRecord.js";
+import { LatencyRecorder } from "./LatencyRecorder.js";
+
+/** Sums up the calls that were due in a span of time: goodput, latency quantiles, refusals and errors. */
+export function summarizeCalls(
+    records: readonly CallRecord[],
+    fromMs: number,
+    toMs: number,
+): Record<string, number> {
+    const due = records.filter(record => record.startedAtMs >= fromMs && record.startedAtMs < toMs);
+    const whole = due.filter(record => record.finalClass === "whole");
+    const first = LatencyRecorder.of(whole.map(record => record.firstMs));
+    const total = LatencyRecorder.of(whole.map(record => record.wholeMs));
+    const classes = due.flatMap(record => record.attempts).map(attempt => attempt.answerClass);
+    const count = (name: string) => classes.filter(answerClass => answerClass === name).length;
+    return {
+        calls: due.length,
+        goodputPerSecond: whole.length / ((toMs - fromMs) / 1000),
+        notWhole: due.length - whole.length,
+        firstP50Ms: first.percentileMs(50),
+        firstP99Ms: first.percentileMs(99),
+        wholeP50Ms: total.percentileMs(50),
+        wholeP99Ms: total.percentileMs(99),
+        refusedAttempts: count("refused-did-not-run") + count("refused-unknown"),
+        cutAttempts: count("cut"),
+        wrongAttempts: count("wrong") + count("duplicated"),
+    };
+}
--- a/packages/testing/src/callers/CallerPool.ts
+++ b/packages/testing/src/callers/CallerPool.ts
@@ -155,7 +155,9 @@
             const { outcome, answerClass, firstMs } = await attempt(router, requestId);
             const endedAtMs = clock.monotonicMs();
             attempts.push({ requestId, router, answerClass, detail: detailOf(outcome), endedAtMs });
-            const isLast = attempts.length >= workload.maxAttempts || endedAtMs - dueMs >= workload.timeoutMs;
+            const pauseMs = outcome.kind === "refused" ? outcome.retryAfterMs : workload.repeatPauseMs;
+            const isLate = endedAtMs + pauseMs - dueMs >= workload.timeoutMs;
+            const isLast = attempts.length >= workload.maxAttempts || isLate;
             if (answerClass === "whole" || answerClass === "wrong" || answerClass === "duplicated" || isLast) {
                 checker.counts[answerClass] += 1;
                 this.records.push({
@@ -170,7 +172,7 @@
                 });
                 return;
             }
-            await clock.sleep(outcome.kind === "refused" ? outcome.retryAfterMs : workload.repeatPauseMs);
+            await clock.sleep(pauseMs);
         }
     }
 
--- a/packages/testing/src/standins/EngineBehaviour.ts
+++ b/packages/testing/src/standins/EngineBehaviour.ts
@@ -4,6 +4,8 @@
 export const engineBehaviourSchema = z.strictObject({
     /** Refuse orders with an old fencing number. */
     obeyFencing: z.boolean().default(true),
+    /** Keep loaded weights when an order changes only the fencing number and the members. */
+    keepsWeights: z.boolean().default(true),
     /** Time of one decoding step of a lone request, ms. */
     tokenMs: z.number().positive().default(5),
     /** Part by which a step grows when the batch is as large as `warmCapacity`. */
--- a/packages/testing/src/standins/EngineRole.ts
+++ b/packages/testing/src/standins/EngineRole.ts
@@ -19,11 +19,11 @@
     private loaded = false;
     private highest = 0;
 
-    private constructor() {}
+    private constructor(private readonly keepsWeights: boolean) {}
 
-    /** Creates the role of an engine that holds no model. */
-    static create(): EngineRole {
-        return new EngineRole();
+    /** Creates the role of an engine that holds no model; `keepsWeights`: a new fencing number alone loads nothing. */
+    static create(keepsWeights: boolean): EngineRole {
+        return new EngineRole(keepsWeights);
     }
 
     /** The order followed, or undefined when empty. */
@@ -52,7 +52,7 @@
         if (before && JSON.stringify(before) === JSON.stringify(order)) {
             return { kind: "unchanged" };
         }
-        if (before && holdsSameWeights(before, order)) {
+        if (before && this.keepsWeights && holdsSameWeights(before, order)) {
             return { kind: "refenced" };
         }
         this.loaded = false;
--- a/packages/testing/src/standins/StandinEngine.ts
+++ b/packages/testing/src/standins/StandinEngine.ts
@@ -65,7 +65,7 @@
         unloads: 0,
         restarts: 0,
     };
-    private role = EngineRole.create();
+    private role: EngineRole;
     private bootId: string;
     private loading = new AbortController();
     private isDown = false;
@@ -73,6 +73,7 @@
     private constructor(private readonly options: StandinEngineOptions) {
         const { clock, random, behaviour, vm } = options;
         this.behaviour = behaviour;
+        this.role = EngineRole.create(behaviour.keepsWeights);
         this.faults.ignoreFencing = !behaviour.obeyFencing;
         this.faults.reportLagMs = behaviour.reportLagMs;
         this.bootId = options.identities.uniqueId();
@@ -294,7 +295,7 @@
 
     private restart(): void {
         this.counters.restarts += 1;
-        this.role = EngineRole.create();
+        this.role = EngineRole.create(this.behaviour.keepsWeights);
         this.empty();
         this.bootId = this.options.identities.uniqueId();
     }
--- a/packages/testing/src/standins/StandinPlatform.ts
+++ b/packages/testing/src/standins/StandinPlatform.ts
@@ -156,12 +156,11 @@
         const waitMs = Math.min(Number(request.query.waitMs ?? 0), MAX_WATCH_MS);
         const signal = AbortSignal.any([gone.signal, this.closing.signal]);
         const outcome = await this.store.watch(kindsOf(request), Number(request.query.after ?? 0), waitMs, signal);
-        if (!signal.aborted) {
-            sendWatch(reply, outcome);
-        }
-        else {
+        if (signal.aborted || this.store.faults.silentWatches) {
             reply.hijack();
+            return;
         }
+        sendWatch(reply, outcome);
     }
 
     private async setFaults(request: FastifyRequest, reply: FastifyReply): Promise<void> {
--- a/packages/testing/src/system/Traffic.ts
+++ b/packages/testing/src/system/Traffic.ts
@@ -30,6 +30,7 @@
     private readonly balancer: Balancer;
     private readonly pool: CallerPool;
     private run: Promise<CallRecord[]> = Promise.resolve([]);
+    private finished: Promise<CallRecord[]> | undefined;
 
     private constructor(private readonly clock: Clock, options: TrafficOptions) {
         const { system, seed, workload } = options;
@@ -76,8 +77,20 @@
         await untilTrue(this.clock, `${count} more calls`, FLOW_DEADLINE_MS, () => this.pool.records.length >= target);
     }
 
-    /** Lets no more calls arrive and waits for those in progress; gives all records. */
-    async finish(): Promise<CallRecord[]> {
+    /** Lets no more calls arrive and waits for those in progress; gives all records. Later calls give the same. */
+    finish(): Promise<CallRecord[]> {
+        this.finished ??= this.end();
+        return this.finished;
+    }
+
+    /** Breaks off at once; for the end of a test that failed. */
+    async abandon(): Promise<void> {
+        this.pool.stop();
+        await this.balancer.close();
+        await this.client.close();
+    }
+
+    private async end(): Promise<CallRecord[]> {
         this.pool.stop();
         const records = await this.run;
         await this.balancer.close();
--- a/packages/testing/tests/standins/StandinPlatform.test.ts
+++ b/packages/testing/tests/standins/StandinPlatform.test.ts
@@ -93,6 +93,15 @@
         expect((await fetch(`${url}/v1/vms`)).status).to.equal(200);
     });
 
+    it("is silent towards watches, also those that wait already", async () => {
+        await start({});
+        const waiting = fetch(`${url}/v1/watch?kinds=thing&after=0&waitMs=5000`, { signal: AbortSignal.timeout(500) })
+            .catch((error: unknown) => (error as Error).name);
+        await fault({ silentWatches: true });
+        expect((await put("x", 0, 1)).status).to.equal(200);
+        expect(await waiting).to.equal("TimeoutError");
+    });
+
     it("refuses everything in an outage, and faults that it does not know", async () => {
         await start({});
         expect(await fault({ outage: true })).to.equal(200);
