--- a/packages/controller/src/GroupPlanner.ts
+++ b/packages/controller/src/GroupPlanner.ts
@@ -1,4 +1,4 @@
-import { engineUrlOf, type Formation, type LedgerDraft, replaceMembers } from "@fescuehaven/coordination";
+import { engineUrl, type Formation, type LedgerDraft, replaceMembers, reuniteMembers } from "@fescuehaven/coordination";
 import type { ServingGroup } from "@fescuehaven/resources";
 import type { PlanInput } from "./PlanInput.js";
 import type { VmFacts } from "./VmFacts.js";
@@ -49,6 +49,9 @@
         if (entry.members.some(vm => this.facts(vm).departure)) {
             return this.moveAway(entry);
         }
+        if (entry.fabricDomain.includes("+") && this.input.isServing(this.group) && !this.isAnyGroupWaiting()) {
+            return this.reunite(entry);
+        }
     }
 
     private formFirst(): void {
@@ -114,6 +117,19 @@
         entry.members.filter(vm => this.facts(vm).departure === "vm-leaving").forEach(vm => this.draft.release(vm));
     }
 
+    /** Prepares to move a group that spans fabric domains into one of them. */
+    private reunite(entry: Formation): void {
+        const members = entry.members.map(name => ({ name, fabricDomain: this.domainOf(name) }));
+        const united = reuniteMembers({ members, free: this.freeVms(), place: this.input.place });
+        if (united) {
+            this.draft.prepareNext(this.group, this.planned(united));
+        }
+    }
+
+    private isAnyGroupWaiting(): boolean {
+        return this.input.specs.some(spec => !this.input.isServing(spec.name));
+    }
+
     private releaseDeparting(entry: Formation): void {
         entry.members.filter(vm => vm !== "" && this.facts(vm).departure).forEach(vm => this.draft.release(vm));
     }
@@ -202,7 +218,7 @@
 
     private urlOf(vm: string): string {
         const { record } = this.facts(vm);
-        return record ? engineUrlOf(record) : "";
+        return record ? engineUrl(record) : "";
     }
 
     private domainOf(vm: string): string {
--- a/packages/controller/src/OrderDispatcher.ts
+++ b/packages/controller/src/OrderDispatcher.ts
@@ -1,4 +1,4 @@
-import { type EngineControl, type EngineOrder, engineUrlOf, type Formation } from "@fescuehaven/coordination";
+import { type EngineControl, type EngineOrder, engineUrl, type Formation } from "@fescuehaven/coordination";
 import type { ModelVersion, ZoneLedger } from "@fescuehaven/resources";
 import type { Clock } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
@@ -93,7 +93,7 @@
             return [];
         }
         const members = formation.members.map(vm => fleet.get(vm));
-        const memberUrls = formation.memberUrls ?? members.map(facts => facts.record ? engineUrlOf(facts.record) : "");
+        const memberUrls = formation.memberUrls ?? members.map(facts => facts.record ? engineUrl(facts.record) : "");
         if (memberUrls.includes("") || formation.members.includes("")) {
             return [];
         }
@@ -157,7 +157,7 @@
             return;
         }
         const { engines, timings } = this.options;
-        const report = await engines.report(engineUrlOf(facts.record), timings.orderTimeoutMs);
+        const report = await engines.report(engineUrl(facts.record), timings.orderTimeoutMs);
         if (report?.vm === facts.name && report.phase === "empty") {
             this.unloaded.set(facts.name, fence);
         }
@@ -168,7 +168,7 @@
             return undefined;
         }
         this.inFlight.add(facts.name);
-        const outcome = await this.sendOnce(engineUrlOf(facts.record), order);
+        const outcome = await this.sendOnce(engineUrl(facts.record), order);
         this.inFlight.delete(facts.name);
         if (outcome?.kind === "stale") {
             this.fences.set(facts.name, Math.max(this.highestFence(facts.name), outcome.highestFence));
--- a/packages/controller/src/defaultControllerTimings.ts
+++ b/packages/controller/src/defaultControllerTimings.ts
@@ -3,7 +3,7 @@
 /** Times and bounds of a zone controller unless set otherwise. */
 export const defaultControllerTimings: ControllerTimings = {
     roundEveryMs: 200,
-    observationFreshMs: 3000,
+    observationFreshMs: 5000,
     memberLostAfterMs: 5000,
     vanishedAfterMs: 60_000,
     orderTimeoutMs: 1000,
--- a/packages/controller/tests/repair.test.ts
+++ b/packages/controller/tests/repair.test.ts
@@ -29,6 +29,24 @@
         await bench.close();
     });
 
+    it("moves a group that spans domains into one as soon as that has room, without closing it for the load", async () => {
+        const bench = await formed({ d1: 2, d2: 2 }, 3);
+        const record = { ...bench.engines.get("d1-1").record, name: "d1-3", enginePort: 50 };
+        bench.engines.add(record);
+        bench.vms.put(record);
+        let closedWhileLoading = false;
+        await bench.until("loaded", () => {
+            const isLoaded = bench.engines.get("d1-3").report().phase === "ready";
+            closedWhileLoading ||= !isLoaded && !bench.isReady("g");
+            return isLoaded;
+        });
+        expect(closedWhileLoading).to.equal(false);
+        await bench.until("moved", () => bench.isReady("g") && bench.ledger?.groups["g"]?.fabricDomain === "d1");
+        expect(bench.members("g")).to.deep.equal(["d1-1", "d1-2", "d1-3"]);
+        await bench.until("free", () => Object.keys(bench.ledger?.claims ?? {}).length === 3);
+        await bench.close();
+    });
+
     it("does not take a VM for free because it does not answer", async () => {
         const bench = await formed({ d1: 3, d2: 1 }, 3);
         const lost = bench.members("g")[1] ?? "";
--- /dev/null
+++ b/packages/coordination/src/placement/reuniteMembers.ts
@@ -0,0 +1,38 @@
+import type { FreeVm } from "./FreeVm.js";
+import type { PlacementPolicy } from "./PlacementPolicy.js";
+
+/** What a move into one fabric domain is chosen from. */
+interface ReunionOptions {
+    /** Members by rank, in several fabric domains. */
+    members: readonly FreeVm[];
+    free: readonly FreeVm[];
+    place: PlacementPolicy;
+}
+
+/**
+ * Moves a group that spans fabric domains into one of them: the one in which the most members can stay at their rank.
+ * Undefined when none has room.
+ */
+export function reuniteMembers({ free, members, place }: ReunionOptions): string[] | undefined {
+    const pool = [...members, ...free];
+    const domains = [...new Set(members.map(vm => vm.fabricDomain))]
+        .sort((left, right) => countIn(members, right) - countIn(members, left));
+    const home = domains.find(domain => countIn(pool, domain) >= members.length);
+    if (home !== undefined) {
+        return fillFrom(members, pool.filter(vm => vm.fabricDomain === home));
+    }
+    const elsewhere = place(free, members.length);
+    return elsewhere?.inOneDomain ? elsewhere.members : undefined;
+}
+
+/** Keeps every member that is in the pool and fills the other ranks with the rest of the pool. */
+function fillFrom(members: readonly FreeVm[], pool: readonly FreeVm[]): string[] {
+    const names = new Set(pool.map(vm => vm.name));
+    const current = new Set(members.map(vm => vm.name));
+    const spares = [...names].filter(name => !current.has(name)).sort();
+    return members.map(vm => names.has(vm.name) ? vm.name : spares.shift() ?? "");
+}
+
+function countIn(vms: readonly FreeVm[], fabricDomain: string): number {
+    return vms.filter(vm => vm.fabricDomain === fabricDomain).length;
+}
--- a/packages/testing/src/fakes/FakeEngines.ts
+++ b/packages/testing/src/fakes/FakeEngines.ts
@@ -1,7 +1,7 @@
 import {
     type EngineControl,
     type EngineOrder,
-    engineUrlOf,
+    engineUrl,
     type MemberReport,
     type OrderOutcome,
 } from "@fescuehaven/coordination";
@@ -78,10 +78,10 @@
         return orders.length;
     }
 
-    /** The report of the engine at `engineUrl`. */
-    async report(engineUrl: string, timeoutMs: number): Promise<MemberReport | undefined> {
+    /** The report of the engine at `url`. */
+    async report(url: string, timeoutMs: number): Promise<MemberReport | undefined> {
         this.calls.report += 1;
-        const engine = this.find(engineUrl);
+        const engine = this.find(url);
         if (!engine?.reachable) {
             await this.clock.sleep(timeoutMs);
             return undefined;
@@ -89,10 +89,10 @@
         return this.reportOf(engine);
     }
 
-    /** Hands an order to the engine at `engineUrl`. */
-    async order(engineUrl: string, order: EngineOrder, timeoutMs: number): Promise<OrderOutcome> {
+    /** Hands an order to the engine at `url`. */
+    async order(url: string, order: EngineOrder, timeoutMs: number): Promise<OrderOutcome> {
         this.calls.order += 1;
-        const engine = this.find(engineUrl);
+        const engine = this.find(url);
         if (!engine?.reachable) {
             await this.clock.sleep(timeoutMs);
             return { kind: "unknown" };
@@ -143,8 +143,8 @@
         };
     }
 
-    private find(engineUrl: string): FakeEngine | undefined {
-        return this.all().find(engine => engineUrlOf(engine.record) === engineUrl);
+    private find(url: string): FakeEngine | undefined {
+        return this.all().find(engine => engineUrl(engine.record) === url);
     }
 
     private nextBootId(): string {
--- a/packages/testing/src/fakes/FakeEvidence.ts
+++ b/packages/testing/src/fakes/FakeEvidence.ts
@@ -1,4 +1,4 @@
-import { engineUrlOf, type EvidenceView, type GroupEvidence, type MemberObservation } from "@fescuehaven/coordination";
+import { engineUrl, type EvidenceView, type GroupEvidence, type MemberObservation } from "@fescuehaven/coordination";
 import type { ZoneLedger } from "@fescuehaven/resources";
 import type { Clock } from "@fescuehaven/runtime";
 import type { FakeEngines } from "./FakeEngines.js";
@@ -38,7 +38,7 @@
             epoch: entry.epoch,
             modelVersion: entry.modelVersion,
             headVm: head.record.name,
-            headUrl: engineUrlOf(head.record),
+            headUrl: engineUrl(head.record),
             bootIds: entry.members.map(vm => this.engines.get(vm).bootId),
             reportedLoad: head.runningRequests,
             freshUntilMs: this.clock.monotonicMs() + 1000,
