--- /dev/null
+++ b/packages/controller/src/GroupReporter.ts
@@ -0,0 +1,79 @@
+import type { ConfigurationView } from "@fescuehaven/coordination";
+import type { ObjectStore, StoredObject } from "@fescuehaven/platform";
+import type { ServingGroup, ZoneLedger } from "@fescuehaven/resources";
+import type { Clock } from "@fescuehaven/runtime";
+import type { EventRecorder, Metrics } from "@fescuehaven/telemetry";
+import type { ControllerTimings } from "./ControllerTimings.js";
+import { describeGroup } from "./describeGroup.js";
+import { DowntimeAccounting } from "./DowntimeAccounting.js";
+import { StatusWriter } from "./StatusWriter.js";
+import type { ZoneFleet } from "./ZoneFleet.js";
+
+/** Dependencies of a `GroupReporter`. */
+interface GroupReporterOptions {
+    process: string;
+    zone: string;
+    store: ObjectStore;
+    configuration: ConfigurationView;
+    fleet: ZoneFleet;
+    clock: Clock;
+    recorder: EventRecorder;
+    metrics: Metrics;
+    timings: ControllerTimings;
+}
+
+/** Reports what became of each group: its status in the platform, its downtime and stranded accelerators. */
+export class GroupReporter {
+    private readonly status: StatusWriter;
+    private readonly accounting: DowntimeAccounting;
+
+    private constructor(private readonly options: GroupReporterOptions) {
+        this.status = StatusWriter.create(options);
+        this.accounting = DowntimeAccounting.create(options);
+    }
+
+    /** Creates a reporter that has reported nothing. */
+    static create(options: GroupReporterOptions): GroupReporter {
+        return new GroupReporter(options);
+    }
+
+    /** Forgets what was written, because another controller may have written since. */
+    reset(): void {
+        this.status.reset();
+    }
+
+    /** Takes in the groups as they are now and starts to write every status that has changed. */
+    report(
+        ledger: ZoneLedger,
+        specs: ReadonlyArray<StoredObject<ServingGroup>>,
+        isServing: (group: string) => boolean,
+    ): void {
+        const { configuration, fleet } = this.options;
+        this.accounting.update(ledger, specs, fleet, isServing);
+        const groups = new Set([
+            ...specs.map(spec => spec.name),
+            ...Object.keys(ledger.groups),
+            ...this.status.groups(),
+        ]);
+        for (const group of groups) {
+            const spec = specs.find(other => other.name === group);
+            const state = describeGroup({
+                ledger,
+                fleet,
+                group,
+                spec,
+                hasModelVersion: configuration.get("model-version", spec?.value.modelVersion ?? "") !== undefined,
+                isServing: isServing(group),
+                wasServing: this.accounting.wasServing(group, ledger.groups[group]?.epoch ?? 0),
+                isZoneOut: this.isZoneOut(),
+            });
+            this.status.publish(group, state);
+        }
+    }
+
+    private isZoneOut(): boolean {
+        return this.options.configuration.list("maintenance-intent").some(({ value: { target } }) =>
+            target.kind === "availability-zone" && target.name === this.options.zone
+        );
+    }
+}
--- a/packages/controller/src/ZoneController.ts
+++ b/packages/controller/src/ZoneController.ts
@@ -17,12 +17,10 @@
 import type { EventRecorder, Logger, Metrics } from "@fescuehaven/telemetry";
 import type { ControllerTimings } from "./ControllerTimings.js";
 import { defaultControllerTimings } from "./defaultControllerTimings.js";
-import { describeGroup } from "./describeGroup.js";
-import { DowntimeAccounting } from "./DowntimeAccounting.js";
 import { DrainWatch } from "./DrainWatch.js";
+import { GroupReporter } from "./GroupReporter.js";
 import { OrderDispatcher } from "./OrderDispatcher.js";
 import { planZone } from "./planZone.js";
-import { StatusWriter } from "./StatusWriter.js";
 import { ZoneFleet } from "./ZoneFleet.js";
 
 /** Dependencies of a `ZoneController`. */
@@ -58,8 +56,7 @@
     private readonly fleet: ZoneFleet;
     private readonly drains: DrainWatch;
     private readonly orders: OrderDispatcher;
-    private readonly status: StatusWriter;
-    private readonly accounting: DowntimeAccounting;
+    private readonly reporter: GroupReporter;
     private readonly timings: ControllerTimings;
     private activeFence: number | undefined;
 
@@ -76,8 +73,7 @@
         this.ledgers = ZoneLedgerStore.create(options);
         this.fleet = ZoneFleet.create(shared);
         this.drains = DrainWatch.create({ clock: options.clock, fleet: this.fleet, timings: this.timings });
-        this.status = StatusWriter.create(shared);
-        this.accounting = DowntimeAccounting.create(options);
+        this.reporter = GroupReporter.create({ ...shared, fleet: this.fleet });
         this.orders = OrderDispatcher.create({
             ...shared,
             fleet: this.fleet,
@@ -125,7 +121,7 @@
         if (ledger && this.isActive()) {
             this.orders.dispatchLoads(ledger);
             this.orders.dispatchUnloads(ledger, group => this.drains.isDrained(ledger, group));
-            this.report(ledger);
+            this.reporter.report(ledger, this.specs(), group => this.isServing(ledger, group));
         }
     }
 
@@ -143,7 +139,7 @@
             }
         }
         if (this.activeFence !== fence) {
-            this.status.reset();
+            this.reporter.reset();
         }
         this.activeFence = fence;
         return true;
@@ -219,33 +215,6 @@
         return isOpen && evidence !== undefined && evidence.epoch === entry?.epoch;
     }
 
-    private report(ledger: ZoneLedger): void {
-        const specs = this.specs();
-        const isServing = (group: string) => this.isServing(ledger, group);
-        this.accounting.update(ledger, specs, this.fleet, isServing);
-        const groups = new Set([
-            ...specs.map(spec => spec.name),
-            ...Object.keys(ledger.groups),
-            ...this.status.groups(),
-        ]);
-        for (const group of groups) {
-            const spec = specs.find(other => other.name === group);
-            this.status.publish(
-                group,
-                describeGroup({
-                    ledger,
-                    fleet: this.fleet,
-                    group,
-                    spec,
-                    hasModelVersion: this.modelVersion(spec?.value.modelVersion ?? "") !== undefined,
-                    isServing: isServing(group),
-                    wasServing: this.accounting.wasServing(group, ledger.groups[group]?.epoch ?? 0),
-                    isZoneOut: this.isZoneOut(),
-                }),
-            );
-        }
-    }
-
     private recordClaims(before: ZoneLedger, after: ZoneLedger): void {
         for (const [group, entry] of Object.entries(after.groups)) {
             if (before.groups[group]?.epoch !== entry.epoch) {
@@ -266,12 +235,6 @@
         return this.options.configuration.get("model-version", name)?.value;
     }
 
-    private isZoneOut(): boolean {
-        return this.options.configuration.list("maintenance-intent").some(({ value: { target } }) =>
-            target.kind === "availability-zone" && target.name === this.options.zone
-        );
-    }
-
     private async waitForWork(seen: number, signal: AbortSignal): Promise<void> {
         if (signal.aborted) {
             return;
--- a/packages/coordination/src/lease/ZoneLeaseKeeper.ts
+++ b/packages/coordination/src/lease/ZoneLeaseKeeper.ts
@@ -2,6 +2,7 @@
 import { type ZoneLease, zoneLeaseSchema } from "@fescuehaven/resources";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
+import { PauseDetector } from "../PauseDetector.js";
 import type { LeaseTimings } from "./LeaseTimings.js";
 
 /** Nonces of own updates that are remembered, so that one which takes effect late is recognised. */
@@ -31,14 +32,15 @@
     private revision: Revision = 0;
     private holds = false;
     private validUntilMs = -Infinity;
-    private lastBeatMs: number;
+    private readonly pauses: PauseDetector;
     private lastAnswerMs: number;
     private unchanged: { revision: Revision; sinceMs: number; } | undefined;
     private ownNonces: string[] = [];
 
     private constructor(private readonly options: ZoneLeaseKeeperOptions) {
-        this.lastBeatMs = options.clock.monotonicMs();
-        this.lastAnswerMs = this.lastBeatMs;
+        const { clock, timings } = options;
+        this.pauses = PauseDetector.create({ clock, boundMs: timings.beatEveryMs + timings.pauseToleranceMs });
+        this.lastAnswerMs = clock.monotonicMs();
     }
 
     /** Creates a keeper that does not hold the lease. */
@@ -202,18 +204,17 @@
         while (!signal.aborted) {
             await this.options.clock.sleep(this.options.timings.beatEveryMs, signal);
             this.noticePause();
-            this.lastBeatMs = this.options.clock.monotonicMs();
+            this.pauses.tick();
         }
     }
 
     /** Treats the lease as lapsed after a pause of the process, until the platform confirms it again. */
     private noticePause(): void {
-        const { beatEveryMs, pauseToleranceMs } = this.options.timings;
-        const pausedMs = this.options.clock.monotonicMs() - this.lastBeatMs - beatEveryMs;
-        if (pausedMs <= pauseToleranceMs) {
+        const pausedMs = this.pauses.pausedMs();
+        if (pausedMs === 0) {
             return;
         }
-        this.lastBeatMs = this.options.clock.monotonicMs();
+        this.pauses.tick();
         this.validUntilMs = -Infinity;
         this.unchanged = undefined;
         this.options.recorder.record({ kind: "process-paused", durationMs: pausedMs });
