--- a/packages/testing/tests/system/outages.test.ts
+++ b/packages/testing/tests/system/outages.test.ts
@@ -38,6 +38,26 @@
         expect(describeProblems(await traffic.finish())).to.deep.equal([]);
     });
 
+    it("refuses keyed calls in an outage without running them, and takes them afterwards", async () => {
+        await system.platform.setFaults({ outage: true });
+        const workload = { keyedPart: 1, maxAttempts: 1 };
+        traffic = await Traffic.start({ system, clock, seed: 32, workload });
+        await traffic.untilEnded(30);
+        const refused = await traffic.finish();
+        const runs = (await system.executions()).reduce((sum, one) => sum + one.total, 0);
+        expect(refused.map(record => record.finalClass)).to.not.include("whole");
+        expect(runs).to.equal(0);
+        await system.platform.setFaults({ outage: false });
+        traffic = await Traffic.start({
+            system,
+            clock,
+            seed: 33,
+            workload: { keyedPart: 1, maxAttempts: 10 },
+        });
+        await traffic.untilEnded(30);
+        expect(describeProblems(await traffic.finish())).to.deep.equal([]);
+    });
+
     it("serves in an availability zone that is cut off from the platform, and takes its changes up afterwards", async () => {
         await system.platform.setFaults({ blockedAddresses: system.addressesOf("zone-b") });
         traffic = await Traffic.start({ system, clock, seed: 34 });
