Bound what a shard's owner does for a router that gave it up

An owner went on with a claim for two seconds while the router that asked waited half a second. A claim that landed after that router's release stayed claimed until the retention was over. The owner's time is now the router's. The test fails with the longer time: the answer came after two seconds.

--- a/packages/coordination/src/journal/Journal.ts
+++ b/packages/coordination/src/journal/Journal.ts
@@ -62,7 +62,7 @@
         return new Journal(options, partition, ShardWriters.create(options), owners, cleaner);
     }
 
-    /** Claims the key for the attempt. After `signal` aborts, the outcome is `unknown`: release the key. */
+    /** BeginCall, ReadBack and GiveUp of the specification: claims the key for the attempt. After `signal` aborts, the outcome is `unknown`: release the key. */
     async claim(claim: JournalClaim, signal: AbortSignal): Promise<JournalClaimOutcome> {
         if (!this.isYoung(claim) || signal.aborted) {
             return { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
@@ -82,7 +82,7 @@
         return outcome;
     }
 
-    /** Records the whole answer of a key that the attempt claimed. */
+    /** FinishKey of the specification: records the whole answer of a key that the attempt claimed. */
     async finish(claim: JournalClaim, answer: JournalAnswer): Promise<JournalFinishOutcome> {
         const { shard, keyHash } = this.partition.place(claim);
         const { claimant } = claim;
@@ -94,7 +94,7 @@
             : this.writers.submit<"finish">(shard, { kind: "finish", keyHash, claimant, answer });
     }
 
-    /** Frees a key of which nothing ran. Only the attempt that claimed it may, and it claims nothing afterwards. */
+    /** ReleaseKey of the specification: frees a key of which nothing ran. Only the attempt that claimed it may, and it claims nothing afterwards. */
     async release(claim: JournalClaim): Promise<JournalReleaseOutcome> {
         const { shard, keyHash } = this.partition.place(claim);
         const { claimant } = claim;
@@ -144,7 +144,7 @@
         operation: OperationOf<K>,
     ): Promise<OperationOutcome[K]> {
         return this.partition.isLiveShard(shard, this.options.clock.now())
-            ? this.writers.submit<K>(shard, operation)
+            ? this.writers.submitForPeer<K>(shard, operation)
             : { kind: "unavailable", retryAfterMs: RETRY_AFTER_MS };
     }
 
--- a/packages/coordination/src/journal/ShardWriters.ts
+++ b/packages/coordination/src/journal/ShardWriters.ts
@@ -31,13 +31,22 @@
         return new ShardWriters(options);
     }
 
-    /** Carries out an operation on a shard. */
+    /** Carries out an operation of this process on a shard. */
     submit<K extends JournalOperation["kind"]>(
         shard: string,
         operation: OperationOf<K>,
     ): Promise<OperationOutcome[K]> {
         const { claimTimeoutMs, settleTimeoutMs } = this.options.settings;
-        return this.writerOf(shard).submit<K>(operation, operation.kind === "claim" ? claimTimeoutMs : settleTimeoutMs);
+        const timeoutMs = operation.kind === "claim" ? claimTimeoutMs : settleTimeoutMs;
+        return this.writerOf(shard).submit<K>(operation, timeoutMs);
+    }
+
+    /** Carries out an operation for another router, for no longer than that one waits. */
+    submitForPeer<K extends JournalOperation["kind"]>(
+        shard: string,
+        operation: OperationOf<K>,
+    ): Promise<OperationOutcome[K]> {
+        return this.writerOf(shard).submit<K>(operation, this.options.settings.ownerTimeoutMs);
     }
 
     /** The shard's writer, which becomes the most recently used. */
--- a/packages/coordination/tests/journal/Journal.test.ts
+++ b/packages/coordination/tests/journal/Journal.test.ts
@@ -1,3 +1,4 @@
+import { JournalService } from "@fescuehaven/protocol";
 import type { JournalShard } from "@fescuehaven/resources";
 import type { Clock } from "@fescuehaven/runtime";
 import { JournalRouters, ManualClock } from "@fescuehaven/testing";
@@ -144,6 +145,17 @@
         expect(recordsOf(routers).filter(record => record.claimant === "a")).to.have.length(1);
     });
 
+    it("does not go on for a router that has stopped waiting", async () => {
+        const routers = JournalRouters.create({ routerCount: 1 });
+        routers.store.faults.loseNextWrites = Number.MAX_SAFE_INTEGER;
+        const peer = { name: "router-0", zone: "zone-a", role: "router", url: "http://router-0" } as const;
+        const owner = routers.network.clientsOf("router-9").get(JournalService, peer);
+        const shard = `${Date.parse("2026-01-01T00:00:00Z")}-0`;
+        const asked = owner.claimKey({ shard, keyHash: "00", claimant: "a", requestDigest: "digest" });
+        expect(await routers.until(asked)).to.have.property("kind", "unknown");
+        expect(routers.clock.monotonicMs()).to.be.below(routers.settings.claimTimeoutMs);
+    });
+
     it("frees a key for a repeat, by the claimant alone", async () => {
         const routers = JournalRouters.create({ routerCount: 2 });
         const [one, other] = routers.journals;
