Test silent connections on real processes; add control-cost, config-spread, keyed-calls and overload

Cause of the hang seen in the first run of that test: the relay forgot a link once one end had closed, and the silent other end kept its server open. A link now stays known until both ends are closed; a test holds it.

--- a/packages/testing/src/bench/experiments/experiments.ts
+++ b/packages/testing/src/bench/experiments/experiments.ts
@@ -1,11 +1,19 @@
 import type { Experiment } from "../Experiment.js";
+import { configSpread } from "./configSpread.js";
+import { controlCost } from "./controlCost.js";
 import { groupDowntime } from "./groupDowntime.js";
+import { keyedCalls } from "./keyedCalls.js";
+import { overload } from "./overload.js";
 import { routerOverhead } from "./routerOverhead.js";
 import { zoneMove } from "./zoneMove.js";
 
 /** All experiments by name. */
 export const experiments: Record<string, Experiment> = {
+    "config-spread": configSpread,
+    "control-cost": controlCost,
     "group-downtime": groupDowntime,
+    "keyed-calls": keyedCalls,
+    overload,
     "router-overhead": routerOverhead,
     "zone-move": zoneMove,
 };
--- a/packages/testing/src/network/SilentRelay.ts
+++ b/packages/testing/src/network/SilentRelay.ts
@@ -41,7 +41,7 @@
         return `http://${host}:${(this.server.address() as AddressInfo).port}`;
     }
 
-    /** Connections that are open now. */
+    /** Connections of which one end at least is open. */
     get openConnections(): number {
         return this.links.size;
     }
@@ -85,7 +85,9 @@
         from.on("end", () => this.deliver(link, direction, () => to.end()));
         from.on("error", () => this.deliver(link, direction, () => to.destroy()));
         from.on("close", () => {
-            this.links.delete(link);
+            if (link.source.destroyed && link.target.destroyed) {
+                this.links.delete(link);
+            }
             this.deliver(link, direction, () => to.destroy());
         });
     }
--- a/packages/testing/src/system/RunningSystem.ts
+++ b/packages/testing/src/system/RunningSystem.ts
@@ -23,7 +23,9 @@
     random: Random;
     /** Folder of the built binaries. */
     binaries: string;
-    /** Everything but the network, which is chosen. */
+    /** Left out: chosen. */
+    network?: { octet: number; basePort: number; };
+    /** Everything but the network. */
     topology?: Omit<TopologyInput, "octet" | "basePort">;
     objects?: ObjectsInput;
 }
@@ -41,7 +43,7 @@
     /** Starts everything, writes the objects, and waits until every process is ready. Ends all when that fails. */
     static async start(options: RunningSystemOptions): Promise<RunningSystem> {
         const { clock, random, binaries } = options;
-        const network = await chooseNetwork(random);
+        const network = options.network ?? await chooseNetwork(random);
         const topology = SystemTopology.create({ ...options.topology, ...network });
         const objects = SystemObjects.create(topology, options.objects);
         const platform = PlatformAdmin.create(topology.platformUrl);
--- /dev/null
+++ b/packages/testing/tests/bench/util.test.ts
@@ -0,0 +1,73 @@
+import { expect } from "chai";
+import type { ExperimentResult } from "../../src/bench/ExperimentResult.js";
+import { drawChart } from "../../src/bench/util/drawChart.js";
+import { fitSlope } from "../../src/bench/util/fitSlope.js";
+import { formatTable } from "../../src/bench/util/formatTable.js";
+import { LatencyRecorder } from "../../src/bench/util/LatencyRecorder.js";
+import { readProcessUsage } from "../../src/bench/util/readProcessUsage.js";
+import { summarizeCalls } from "../../src/bench/util/summarizeCalls.js";
+import type { AnswerClass } from "../../src/callers/AnswerClass.js";
+import type { CallRecord } from "../../src/callers/CallRecord.js";
+
+const RESULT: ExperimentResult = {
+    baseline: "plain",
+    parameters: {},
+    rows: [
+        { variant: "plain", phase: "a", values: { callsPerSecond: 10 } },
+        { variant: "own & <new>", phase: "", values: { callsPerSecond: 20, p50Ms: 1.23456 } },
+    ],
+    chartColumn: "callsPerSecond",
+};
+
+function record(startedAtMs: number, classes: AnswerClass[], wholeMs: number): CallRecord {
+    const attempts = classes.map(answerClass => ({ requestId: "", router: "", answerClass, detail: "", endedAtMs: 0 }));
+    const finalClass = classes.at(-1) ?? "cut";
+    return { kind: "chat", account: "a", startedAtMs, attempts, finalClass, firstMs: wholeMs / 2, wholeMs };
+}
+
+describe("bench utilities", () => {
+    it("fit the slope of a line, also with noise on both sides", () => {
+        expect(fitSlope([{ x: 0, y: 1 }, { x: 1, y: 3 }, { x: 2, y: 5 }])).to.be.closeTo(2, 1e-9);
+        expect(fitSlope([{ x: 0, y: 0.5 }, { x: 1, y: 1 }, { x: 2, y: 0.5 }])).to.be.closeTo(0, 1e-9);
+        expect(fitSlope([{ x: 1, y: 1 }])).to.equal(0);
+    });
+
+    it("sum up the calls due in a span", () => {
+        const records = [
+            record(0, ["whole"], 10),
+            record(500, ["refused-did-not-run", "whole"], 30),
+            record(900, ["cut"], 99),
+            record(1000, ["whole"], 5),
+        ];
+        expect(summarizeCalls(records, 0, 1000)).to.include({
+            calls: 3,
+            goodputPerSecond: 2,
+            notWhole: 1,
+            refusedAttempts: 1,
+            cutAttempts: 1,
+            wrongAttempts: 0,
+        });
+    });
+
+    it("give percentiles within the histogram's resolution", () => {
+        const recorder = LatencyRecorder.of(Array.from({ length: 1000 }, (_, index) => index + 1));
+        expect(recorder.percentileMs(99)).to.be.closeTo(990, 1);
+        expect(LatencyRecorder.create().percentileMs(50)).to.equal(0);
+    });
+
+    it("print tables with a dash for what was not measured, and draw charts", () => {
+        expect(formatTable(RESULT).split("\n")).to.deep.equal([
+            "variant           phase  callsPerSecond  p50Ms",
+            "plain (baseline)  a      10              -",
+            "own & <new>              20              1.235",
+        ]);
+        expect(drawChart("t", RESULT)).to.include("own &amp; &lt;new>").and.to.match(/^<svg /);
+    });
+
+    it("read what this process uses", async () => {
+        const usage = await readProcessUsage(process.pid);
+        expect(usage.cpuSeconds).to.be.greaterThan(0);
+        expect(usage.residentMiB).to.be.greaterThan(10);
+        expect(usage.transferredBytes).to.be.greaterThan(0);
+    });
+});
--- a/packages/testing/tests/network/SilentRelay.test.ts
+++ b/packages/testing/tests/network/SilentRelay.test.ts
@@ -88,6 +88,17 @@
         expect(lost.closed()).to.equal(false);
     });
 
+    it("closes also the ends that outlived a lost connection", async () => {
+        const lost = dial();
+        lost.socket.write("a");
+        await until("echo", () => lost.text() === "echo a");
+        relay.loseOpenConnections();
+        lost.socket.destroy();
+        await until("one end left", () => relay.openConnections === 1);
+        await relay.close();
+        await until("no end left", () => relay.openConnections === 0);
+    });
+
     it("refuses connections", async () => {
         relay.set({ kind: "refuse" });
         const line = dial();
