Leave alone what a newer ledger unloaded, when cut off from the platform

A controller in an outage restores members that restarted. One that was cut off alone took a member that the active controller had unloaded for such a one: engines that ignore fencing loaded the old group again (safe, but the new group waited). Empty with the same boot id now means unloaded on purpose. Seen: without the check the new test counts more than 3 loads of the old group.

--- a/packages/controller/src/OrderDispatcher.ts
+++ b/packages/controller/src/OrderDispatcher.ts
@@ -35,6 +35,8 @@
     private readonly sent = new Map<string, { fence: number; atMs: number; needsWeights: boolean; }>();
     private readonly unloaded = new Map<string, number>();
     private readonly fences = new Map<string, number>();
+    /** Boot id under which each VM was last seen in line with its claim, and the claim's epoch. */
+    private readonly seenInLine = new Map<string, { bootId: string; epoch: number; }>();
 
     private constructor(private readonly options: OrderDispatcherOptions) {}
 
@@ -55,7 +57,19 @@
 
     /** Starts the load orders that are due: as many as may load at once, groups that lack the fewest members first. */
     dispatchLoads(ledger: ZoneLedger): void {
-        const due = this.findDueLoads(ledger).sort((left, right) => left.groupMissing - right.groupMissing);
+        this.startLoads(ledger, this.findDueLoads(ledger));
+    }
+
+    /**
+     * Starts the load orders that are due although the ledger may have moved on unseen. A member that has become empty
+     * without a restart was unloaded on purpose, under a newer ledger, and is left alone.
+     */
+    dispatchRepairs(ledger: ZoneLedger): void {
+        this.startLoads(ledger, this.findDueLoads(ledger).filter(load => !this.wasUnloaded(load)));
+    }
+
+    private startLoads(ledger: ZoneLedger, loads: DueLoad[]): void {
+        const due = loads.sort((left, right) => left.groupMissing - right.groupMissing);
         let slots = this.options.timings.maxConcurrentLoads - this.countLoading(ledger);
         for (const load of due) {
             if (load.needsWeights && slots <= 0) {
@@ -80,6 +94,11 @@
         }
     }
 
+    private wasUnloaded({ facts, order }: DueLoad): boolean {
+        const seen = this.seenInLine.get(facts.name);
+        return facts.report?.phase === "empty" && seen?.epoch === order.fence && seen.bootId === facts.report.bootId;
+    }
+
     private findDueLoads(ledger: ZoneLedger): DueLoad[] {
         return Object.entries(ledger.groups).flatMap(([group, entry]) =>
             [entry, entry.next].flatMap(formation => formation ? this.findDueOf(ledger, group, formation) : [])
@@ -97,6 +116,7 @@
         if (memberUrls.includes("") || formation.members.includes("")) {
             return [];
         }
+        members.forEach(facts => this.noteInLine(facts, group, formation.epoch));
         const groupMissing = members.filter(facts => !isInLine(facts, group, formation.epoch)).length;
         return members.flatMap((facts, rank) => {
             const claim = ledger.claims[facts.name];
@@ -110,6 +130,12 @@
         });
     }
 
+    private noteInLine(facts: VmFacts, group: string, epoch: number): void {
+        if (facts.report && isInLine(facts, group, epoch)) {
+            this.seenInLine.set(facts.name, { bootId: facts.report.bootId, epoch });
+        }
+    }
+
     /** A member is never ordered back from a fencing number past its claim's: this ledger may be an old one. */
     private isDue(facts: VmFacts, group: string, formation: Formation, rank: number): boolean {
         const { report } = facts;
--- a/packages/controller/src/ZoneController.ts
+++ b/packages/controller/src/ZoneController.ts
@@ -188,7 +188,7 @@
         }
         this.observe(ledger);
         if (this.isPlatformDown()) {
-            this.orders.dispatchLoads(ledger);
+            this.orders.dispatchRepairs(ledger);
         }
     }
 
--- a/packages/controller/tests/repair.test.ts
+++ b/packages/controller/tests/repair.test.ts
@@ -112,6 +112,30 @@
         await bench.close();
     });
 
+    for (const obeysFencing of [true, false]) {
+        it(`a controller that is cut off leaves alone what a newer ledger changed (fencing: ${obeysFencing})`, async () => {
+            const bench = ZoneBench.create({ d1: 3 }, { obeysFencing });
+            bench.spreadsLedger = false;
+            bench.addGroup("g", 3);
+            const cut = bench.start("c1");
+            await bench.until("ready", () => bench.isReady("g"));
+            cut.platformCut = true;
+            bench.start("c2");
+            await bench.until("c2 is active", () => bench.controllers[1]?.isActive() === true);
+            bench.configuration.remove("serving-group", "g");
+            bench.addGroup("h", 3);
+            await bench.until("h is ready", () => bench.isReady("h"), 20_000);
+            const orders = bench.engines.all().flatMap(engine => engine.obeyed);
+            const loadsOfG = orders.filter(order => order.kind === "load" && order.group === "g");
+            expect(loadsOfG, "loads of g, the first ones included").to.have.length(3);
+            bench.engines.restart("d1-2");
+            await bench.until("h is ready again", () => bench.isReady("h"), 10_000);
+            await bench.run(5000);
+            expect(bench.isReady("h")).to.equal(true);
+            await bench.close();
+        });
+    }
+
     it("forms groups while the platform is slow", async () => {
         const bench = ZoneBench.create({ d1: 4 });
         bench.store.faults.delayMs = 700;
--- a/packages/testing/src/fakes/FakeEngines.ts
+++ b/packages/testing/src/fakes/FakeEngines.ts
@@ -55,6 +55,11 @@
         return engine;
     }
 
+    /** The engine of a VM, or undefined. */
+    lookUp(vm: string): FakeEngine | undefined {
+        return this.engines.get(vm);
+    }
+
     /** All engines. */
     all(): FakeEngine[] {
         return [...this.engines.values()];
--- a/packages/testing/src/fakes/FakeEvidence.ts
+++ b/packages/testing/src/fakes/FakeEvidence.ts
@@ -67,7 +67,7 @@
     distrust(): void {}
 
     private look(vm: string): MemberObservation | undefined {
-        const engine = this.engines.all().find(other => other.record.name === vm);
+        const engine = this.engines.lookUp(vm);
         const observedAtMs = this.clock.monotonicMs();
         if (!engine) {
             return undefined;
--- a/packages/testing/src/fakes/FaultyProcess.ts
+++ b/packages/testing/src/fakes/FaultyProcess.ts
@@ -2,6 +2,8 @@
 import type { ObjectStore } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
 
+const UNAVAILABLE = { kind: "unavailable", retryAfterMs: 100 } as const;
+
 /** What a process sees of the outside, which `FaultyProcess` can take away. */
 interface Outside {
     clock: Clock;
@@ -18,6 +20,9 @@
     /** Calls to the platform and to engines so far. */
     callCount = 0;
 
+    /** Whether this process alone is cut off from the platform. */
+    platformCut = false;
+
     private paused = false;
     private killed = false;
     private killAtCall = Infinity;
@@ -84,12 +89,14 @@
     /** The process's way to the platform. */
     get store(): ObjectStore {
         const { store } = this.outside;
+        const reach = <T>(send: () => Promise<T>) =>
+            this.call<T | typeof UNAVAILABLE>(async () => this.platformCut ? UNAVAILABLE : send());
         return {
-            read: (key, callClass) => this.call(() => store.read(key, callClass)),
-            list: (kinds, callClass) => this.call(() => store.list(kinds, callClass)),
-            write: (key, value, expected, callClass) => this.call(() => store.write(key, value, expected, callClass)),
-            remove: (key, expected, callClass) => this.call(() => store.remove(key, expected, callClass)),
-            watch: (kinds, after, waitMs, signal) => this.call(() => store.watch(kinds, after, waitMs, signal)),
+            read: (key, callClass) => reach(() => store.read(key, callClass)),
+            list: (kinds, callClass) => reach(() => store.list(kinds, callClass)),
+            write: (key, value, expected, callClass) => reach(() => store.write(key, value, expected, callClass)),
+            remove: (key, expected, callClass) => reach(() => store.remove(key, expected, callClass)),
+            watch: (kinds, after, waitMs, signal) => reach(() => store.watch(kinds, after, waitMs, signal)),
         };
     }
 
