--- a/packages/coordination/src/ConfigurationState.ts
+++ b/packages/coordination/src/ConfigurationState.ts
@@ -1,12 +1,14 @@
 import type { ObjectKey, Revision, StoredObject } from "@fescuehaven/platform";
-import { type ResourceKind, resourceSchemas } from "@fescuehaven/resources";
-import { type Clock, describeFaults } from "@fescuehaven/runtime";
+import type { ResourceKind } from "@fescuehaven/resources";
+import type { Clock } from "@fescuehaven/runtime";
 import type { EventRecorder } from "@fescuehaven/telemetry";
 import type { AdoptOutcome } from "./AdoptOutcome.js";
 import type { DigestEntry } from "./DigestEntry.js";
 import { DigestHash } from "./DigestHash.js";
 import type { ForceRecord } from "./ForceRecord.js";
+import { RefusedObjects } from "./RefusedObjects.js";
 import { ChangeNotifier } from "./util/ChangeNotifier.js";
+import { validateObject } from "./validateObject.js";
 
 /**
  * Removals that are remembered. Older ones are dropped, but only up to the covered revision, under which an
@@ -43,7 +45,7 @@
 
     private readonly entries = new Map<string, Entry>();
     private readonly byKind = new Map<string, Map<string, StoredObject>>();
-    private readonly refusals = new Map<string, DigestEntry>();
+    private readonly refusals = RefusedObjects.create();
     private tombstoneCount = 0;
     private covered: Revision = 0;
     private whole = false;
@@ -112,15 +114,13 @@
 
     /** Objects that exist but whose newest value did not validate. */
     refused(): DigestEntry[] {
-        return [...this.refusals.values()];
+        return this.refusals.list();
     }
 
     /** Notes that a peer refused an object, which therefore exists: older values of it may be taken from others. */
     noteRefused(entry: DigestEntry): void {
-        const id = idOf(entry);
-        const knownRevision = Math.max(this.revisionOf(entry), this.refusals.get(id)?.revision ?? 0);
-        if (entry.revision > knownRevision && this.byKind.has(entry.kind)) {
-            this.refusals.set(id, entry);
+        if (entry.revision > this.revisionOf(entry) && this.byKind.has(entry.kind)) {
+            this.refusals.note(entry, entry.revision);
         }
     }
 
@@ -131,7 +131,7 @@
         if (entry ? object.revision <= entry.revision : !listed && this.isKnownRemoved(object)) {
             return OLDER;
         }
-        const checked = this.validate(object);
+        const checked = validateObject(object, this.options.kinds);
         if (checked.kind === "refused") {
             this.refuse(object, checked.reason, source);
             return checked;
@@ -165,9 +165,7 @@
     cover(revision: Revision, present: (key: ObjectKey) => boolean, source: string): void {
         const vanished = [...this.entries.values()].filter(entry => !entry.deleted && !present(entry));
         vanished.forEach(entry => this.remove(entry, revision, source));
-        [...this.refusals]
-            .filter(([, entry]) => entry.revision <= revision && !present(entry))
-            .forEach(([id]) => this.refusals.delete(id));
+        this.refusals.list().filter(entry => !present(entry)).forEach(entry => this.refusals.settle(entry, revision));
         this.advance(revision);
     }
 
@@ -182,34 +180,16 @@
     }
 
     private isKnownRemoved(object: StoredObject): boolean {
-        const refusedRevision = this.refusals.get(idOf(object))?.revision ?? 0;
-        return object.revision <= this.covered && object.revision > refusedRevision;
-    }
-
-    private validate(object: StoredObject): { kind: "valid"; object: StoredObject; } | {
-        kind: "refused";
-        reason: string;
-    } {
-        if (!this.byKind.has(object.kind)) {
-            return { kind: "refused", reason: "kind: not a kind of configuration" };
-        }
-        const parsed = resourceSchemas[object.kind as ResourceKind].safeParse(object.value);
-        if (!parsed.success) {
-            const faults = describeFaults(parsed.error).map(fault => `${fault.path}: ${fault.expected}`);
-            return { kind: "refused", reason: faults.join("; ") };
-        }
-        return { kind: "valid", object: { ...keyOf(object), revision: object.revision, value: parsed.data } };
+        return object.revision <= this.covered && object.revision > this.refusals.revisionOf(object);
     }
 
     private refuse(object: StoredObject, reason: string, source: string): void {
-        const id = idOf(object);
-        if (!this.byKind.has(object.kind) || object.revision <= (this.refusals.get(id)?.revision ?? 0)) {
+        if (!this.byKind.has(object.kind) || !this.refusals.note(object, object.revision)) {
             return;
         }
-        this.refusals.set(id, { ...keyOf(object), revision: object.revision, deleted: false });
         this.options.events.record({
             kind: "configuration-refused",
-            object: id,
+            object: idOf(object),
             revision: object.revision,
             reason: `${source}: ${reason}`,
         });
@@ -225,9 +205,7 @@
         if (next.object) {
             this.byKind.get(next.kind)?.set(next.name, next.object);
         }
-        if ((this.refusals.get(id)?.revision ?? Infinity) <= next.revision) {
-            this.refusals.delete(id);
-        }
+        this.refusals.settle(next, next.revision);
         this.changes.notify();
     }
 
@@ -253,7 +231,7 @@
         oldest.forEach(entry => this.forget(idOf(entry)));
     }
 
-    private record(object: DigestLine, source: string): void {
+    private record(object: ObjectKey & { revision: Revision; }, source: string): void {
         if (this.whole) {
             const { revision } = object;
             this.options.events.record({
@@ -266,8 +244,6 @@
     }
 }
 
-type DigestLine = ObjectKey & { revision: Revision; };
-
 function idOf(key: ObjectKey): string {
     return `${key.kind}/${key.name}`;
 }
--- a/packages/coordination/src/ConfigurationSync.ts
+++ b/packages/coordination/src/ConfigurationSync.ts
@@ -4,6 +4,7 @@
 import { type ResourceKind, type ResourceValue, spreadKinds } from "@fescuehaven/resources";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
+import { setMaxListeners } from "node:events";
 import { ConfigurationState } from "./ConfigurationState.js";
 import type { DigestEntry } from "./DigestEntry.js";
 import { DigestExchange } from "./DigestExchange.js";
@@ -104,6 +105,8 @@
 
     /** Watches the platform and exchanges digests until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
+        // Every call under way listens on the signal.
+        setMaxListeners(0, signal);
         await Promise.all([this.watch.run(signal), this.exchange.run(signal)]);
     }
 
--- a/packages/coordination/src/EvidenceExchange.ts
+++ b/packages/coordination/src/EvidenceExchange.ts
@@ -4,6 +4,7 @@
 import type { ZoneLedger } from "@fescuehaven/resources";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
+import { setMaxListeners } from "node:events";
 import { EngineProber } from "./EngineProber.js";
 import { EvidenceReceiver } from "./EvidenceReceiver.js";
 import { EvidenceSender } from "./EvidenceSender.js";
@@ -99,6 +100,8 @@
 
     /** Probes, listens and sends until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
+        // Every probe under way listens on the signal.
+        setMaxListeners(0, signal);
         this.pauses.tick();
         while (!signal.aborted) {
             this.checkPause();
--- /dev/null
+++ b/packages/coordination/src/validateObject.ts
@@ -0,0 +1,19 @@
+import type { StoredObject } from "@fescuehaven/platform";
+import { type ResourceKind, resourceSchemas } from "@fescuehaven/resources";
+import { describeFaults } from "@fescuehaven/runtime";
+import type { ValidationOutcome } from "./ValidationOutcome.js";
+
+/** Checks an object of one of `kinds` against its schema; a refusal lists every fault by its path. */
+export function validateObject(object: StoredObject, kinds: readonly ResourceKind[]): ValidationOutcome {
+    const kind = kinds.find(known => known === object.kind);
+    if (!kind) {
+        return { kind: "refused", reason: "kind: not a kind of configuration" };
+    }
+    const parsed = resourceSchemas[kind].safeParse(object.value);
+    if (!parsed.success) {
+        const faults = describeFaults(parsed.error).map(fault => `${fault.path}: ${fault.expected}`);
+        return { kind: "refused", reason: faults.join("; ") };
+    }
+    const { name, revision } = object;
+    return { kind: "valid", object: { kind, name, revision, value: parsed.data } };
+}
--- a/packages/testing/src/fakes/ManualClock.ts
+++ b/packages/testing/src/fakes/ManualClock.ts
@@ -11,7 +11,7 @@
 /** A clock that stands still until a test advances it. */
 export class ManualClock implements Clock {
     private elapsedMs = 0;
-    private sleepers: Sleeper[] = [];
+    private readonly sleepers: Sleeper[] = [];
 
     private constructor(private readonly startWallMs: number) {}
 
@@ -41,12 +41,15 @@
                 wakeAtMs: this.elapsedMs + Math.max(0, durationMs),
                 wake: () => {
                     signal?.removeEventListener("abort", sleeper.wake);
-                    this.sleepers = this.sleepers.filter(other => other !== sleeper);
+                    const index = this.sleepers.indexOf(sleeper);
+                    if (index >= 0) {
+                        this.sleepers.splice(index, 1);
+                    }
                     resolve();
                 },
             };
             signal?.addEventListener("abort", sleeper.wake, { once: true });
-            this.sleepers.push(sleeper);
+            this.sleepers.splice(this.placeOf(sleeper.wakeAtMs), 0, sleeper);
         });
     }
 
@@ -55,7 +58,7 @@
         const targetMs = this.elapsedMs + durationMs;
         await this.settle();
         for (;;) {
-            const next = this.earliestSleeper();
+            const next = this.sleepers[0];
             if (!next || next.wakeAtMs > targetMs) {
                 break;
             }
@@ -79,10 +82,19 @@
         }
     }
 
-    private earliestSleeper(): Sleeper | undefined {
-        return this.sleepers.reduce<Sleeper | undefined>(
-            (best, sleeper) => (!best || sleeper.wakeAtMs < best.wakeAtMs ? sleeper : best),
-            undefined,
-        );
+    /** Sleepers stand in the order of their wake times, those of one time in the order they came. */
+    private placeOf(wakeAtMs: number): number {
+        let low = 0;
+        let high = this.sleepers.length;
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            if ((this.sleepers[middle]?.wakeAtMs ?? Infinity) <= wakeAtMs) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        return low;
     }
 }
--- a/packages/testing/src/fakes/MemoryNetwork.ts
+++ b/packages/testing/src/fakes/MemoryNetwork.ts
@@ -1,4 +1,4 @@
-import type { DescService } from "@bufbuild/protobuf";
+import { type DescMessage, type DescService, type MessageShape, toBinary } from "@bufbuild/protobuf";
 import {
     type Client,
     Code,
@@ -24,6 +24,9 @@
     /** Called with every call that reached a process. */
     onCall: (from: string, to: string, method: string) => void = () => {};
 
+    /** Called with the size of every message that crossed a link, when set; sizes are without framing, bytes. */
+    onMessage: ((from: string, to: string, method: string, sizeBytes: number) => void) | undefined;
+
     private readonly routes = new Map<string, (router: ConnectRouter) => void>();
     private readonly links = new Map<string, LinkState>();
     private readonly silenced = new WeakSet<object>();
@@ -84,19 +87,34 @@
         const cross = (signal: AbortSignal) => this.cross(from, to, connection, signal);
         return next => async request => {
             await cross(request.signal);
-            this.onCall(from, to, request.method.name);
+            const { input, name, output } = request.method;
+            const count = (sender: string, receiver: string, schema: DescMessage, message: unknown) => {
+                const sizeBytes = this.onMessage ? toBinary(schema, message as MessageShape<DescMessage>).length : 0;
+                this.onMessage?.(sender, receiver, name, sizeBytes);
+            };
+            this.onCall(from, to, name);
+            if (!request.stream) {
+                count(from, to, input, request.message);
+            }
             const response = await next(request);
             await cross(request.signal);
             if (!response.stream) {
+                count(to, from, output, response.message);
                 return response;
             }
-            return { ...response, message: this.deliver(response.message, () => cross(request.signal)) };
+            return {
+                ...response,
+                message: this.deliver(response.message, async message => {
+                    await cross(request.signal);
+                    count(to, from, output, message);
+                }),
+            };
         };
     }
 
-    private async *deliver<T>(messages: AsyncIterable<T>, cross: () => Promise<void>): AsyncIterable<T> {
+    private async *deliver<T>(messages: AsyncIterable<T>, cross: (message: T) => Promise<void>): AsyncIterable<T> {
         for await (const message of messages) {
-            await cross();
+            await cross(message);
             yield message;
         }
     }
