Let no replay bring a removed configuration object back

Cause: after a listing that lags, the watch goes on from an older revision and replays a removal and the re-creation after it. With the removal held, the re-creation was taken for news although the whole state up to a later revision, without the object, was known. Found while the specification was compared with the code. Ruled out: moving the watch's cursor forward, which would skip changes that a lagging listing did not show. Before: the new test adopts revision 3 with everything up to 4 known. After: refused as older; all tests of the configuration pass.

--- a/.mocharc.cjs
+++ b/.mocharc.cjs
@@ -5,7 +5,9 @@
 function readKnownRed() {
     try {
         const text = readFileSync(path.join(__dirname, "KNOWN-RED.txt"), "utf8");
-        return text.split("\n").filter(line => line.startsWith("test: ")).map(line => line.slice("test: ".length).trim());
+        return text.split("\n").filter(line => line.startsWith("test: ")).map(line =>
+            line.slice("test: ".length).trim()
+        );
     }
     catch {
         return [];
--- a/packages/coordination/src/ConfigurationState.ts
+++ b/packages/coordination/src/ConfigurationState.ts
@@ -128,7 +128,7 @@
     adopt(object: StoredObject, source: string, listed = false): AdoptOutcome {
         const id = idOf(object);
         const entry = this.entries.get(id);
-        if (entry ? object.revision <= entry.revision : !listed && this.isKnownRemoved(object)) {
+        if (object.revision <= (entry?.revision ?? 0) || !listed && this.isKnownRemoved(object)) {
             return OLDER;
         }
         const checked = validateObject(object, this.options.kinds);
--- a/packages/coordination/tests/ConfigurationState.test.ts
+++ b/packages/coordination/tests/ConfigurationState.test.ts
@@ -46,6 +46,13 @@
         expect(state.adopt(object("a", 5), "platform", true).kind).to.equal("adopted");
     });
 
+    it("lets no replay of older changes bring back what a whole listing lacked", () => {
+        state.cover(4, () => false, "platform");
+        state.remove({ kind: KIND, name: "a" }, 2, "platform");
+        expect(state.adopt(object("a", 3), "platform").kind).to.equal("older");
+        expect(state.get(KIND, "a")).to.be.undefined;
+    });
+
     it("forgets a refused object that vanished", () => {
         state.adopt(object("a", 5, {}), "platform", true);
         expect(state.refused()).to.have.length(1);
