--- a/packages/coordination/tests/ConfigurationState.test.ts
+++ b/packages/coordination/tests/ConfigurationState.test.ts
@@ -53,6 +53,13 @@
         expect(state.get(KIND, "a")).to.be.undefined;
     });
 
+    it("takes no lower revision of an object, whatever else is known", () => {
+        state.adopt(object("a", 5), "peer");
+        expect(state.adopt(object("a", 4), "peer").kind).to.equal("older");
+        expect(state.adopt(object("a", 4), "platform", true).kind).to.equal("older");
+        expect(state.get(KIND, "a")?.revision).to.equal(5);
+    });
+
     it("forgets a refused object that vanished", () => {
         state.adopt(object("a", 5, {}), "platform", true);
         expect(state.refused()).to.have.length(1);
--- a/packages/coordination/tests/journal/Journal.test.ts
+++ b/packages/coordination/tests/journal/Journal.test.ts
@@ -123,6 +123,15 @@
         expect(await routers.until(claim)).to.deep.equal({ kind: "unknown" });
     });
 
+    it("says unknown when a silent owner may write the claim yet, although the platform refuses this router", async () => {
+        const routers = JournalRouters.create({ routerCount: 2 });
+        const [owner, other] = await ownerAndOther(routers);
+        routers.network.setLink(routers.names[other]!, routers.names[owner]!, "silent");
+        routers.store.faults.outage = true;
+        const claim = routers.journals[other]!.claim(claimOf("a"), never);
+        expect(await routers.until(claim)).to.deep.equal({ kind: "unknown" });
+    });
+
     it("lets one of two routers win a key, also when they cannot reach each other", async () => {
         for (const link of ["open", "refused", "silent"] as const) {
             const routers = JournalRouters.create({ routerCount: 2 });
