Survive peers that cannot be dialled and VM reads that are never answered

A peer URL that does not parse made the receiver's task reject, which would have stopped the process; a VM list that was never answered stopped the reading for good.

--- a/packages/coordination/src/DigestExchange.ts
+++ b/packages/coordination/src/DigestExchange.ts
@@ -213,12 +213,11 @@
             buckets: [...request.buckets ?? []],
             pushed: request.pushed ?? [],
         };
-        const client = clients.get(ConfigurationService, peer);
         const answer = await withDeadline(
             clock,
             CALL_TIMEOUT_MS,
             signal,
-            attempt => client.exchangeDigest(message, { signal: attempt }),
+            attempt => clients.get(ConfigurationService, peer).exchangeDigest(message, { signal: attempt }),
         );
         this.messages.take(answer?.newer ?? [], `peer ${peer.name}`);
         return answer;
--- a/packages/coordination/src/EvidenceReceiver.ts
+++ b/packages/coordination/src/EvidenceReceiver.ts
@@ -57,15 +57,13 @@
     }
 
     private async receive(signal: AbortSignal, onUpdate: () => void): Promise<void> {
-        const { clients, clock, peer, process } = this.options;
+        const { clock } = this.options;
         const closing = new AbortController();
         const stream = AbortSignal.any([signal, closing.signal]);
         const bound = PeerClockBound.create();
         const decoder = EvidenceDecoder.create(bound);
         const requestedAtMs = clock.monotonicMs();
-        const client = clients.get(EvidenceService, peer);
-        const updates = client.watchEvidence({ observer: process }, { signal: stream, timeoutMs: 0 });
-        const iterator = updates[Symbol.asyncIterator]();
+        const iterator = this.updates(stream);
         let incarnation: string | undefined;
         for (;;) {
             const next = await withDeadline(clock, evidenceTimes.streamSilenceMs, stream, () => iterator.next());
@@ -85,6 +83,13 @@
         closing.abort();
     }
 
+    /** The peer's updates; a peer that cannot be dialled fails the first read. */
+    private async *updates(signal: AbortSignal): AsyncGenerator<EvidenceUpdate> {
+        const { clients, peer, process } = this.options;
+        const client = clients.get(EvidenceService, peer);
+        yield* client.watchEvidence({ observer: process }, { signal, timeoutMs: 0 });
+    }
+
     private take(decoder: EvidenceDecoder, update: EvidenceUpdate): void {
         const { clock, events, peer, table } = this.options;
         const nowMs = clock.monotonicMs();
--- a/packages/coordination/src/VmListSync.ts
+++ b/packages/coordination/src/VmListSync.ts
@@ -2,9 +2,12 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { Logger } from "@fescuehaven/telemetry";
 import type { VmView } from "./ports/VmView.js";
+import { withDeadline } from "./util/withDeadline.js";
 
 /** Time between two reads of the list, ms. */
 const DEFAULT_REFRESH_MS = 2000;
+/** A read without an answer is given up after this long, ms. */
+const READ_TIMEOUT_MS = 10_000;
 /** Part of the refresh time by which each wait is shortened at random, so that processes spread out. */
 const JITTER = 0.3;
 
@@ -50,15 +53,19 @@
     async run(signal: AbortSignal): Promise<void> {
         const { clock, random, refreshMs = DEFAULT_REFRESH_MS } = this.options;
         while (!signal.aborted) {
-            await this.refresh();
+            await this.refresh(signal);
             await clock.sleep(refreshMs * (1 - JITTER * random.next()), signal);
         }
     }
 
-    private async refresh(): Promise<void> {
-        const outcome = await this.options.directory.listVms();
-        this.report(outcome.kind === "listed");
-        if (outcome.kind === "listed") {
+    private async refresh(signal: AbortSignal): Promise<void> {
+        const { clock, directory } = this.options;
+        const outcome = await withDeadline(clock, READ_TIMEOUT_MS, signal, () => directory.listVms());
+        if (signal.aborted) {
+            return;
+        }
+        this.report(outcome?.kind === "listed");
+        if (outcome?.kind === "listed") {
             this.adopt(outcome.vms);
         }
     }
--- a/packages/coordination/src/util/withDeadline.ts
+++ b/packages/coordination/src/util/withDeadline.ts
@@ -21,8 +21,9 @@
         attempt.abort();
         return undefined;
     });
+    const perform = async () => action(attempt.signal);
     try {
-        return await Promise.race([action(attempt.signal).catch(() => undefined), deadline]);
+        return await Promise.race([perform().catch(() => undefined), deadline]);
     }
     finally {
         finished.abort();
--- a/packages/coordination/tests/EvidenceReceiver.test.ts
+++ b/packages/coordination/tests/EvidenceReceiver.test.ts
@@ -41,4 +41,31 @@
         stop.abort();
         await clock.settle();
     });
+
+    it("goes on trying a peer that cannot be dialled", async () => {
+        const clock = ManualClock.create();
+        const stop = new AbortController();
+        let dials = 0;
+        const receiver = EvidenceReceiver.create({
+            process: "me",
+            peer: { name: "peer", zone: "a", role: "router", url: "not a URL" },
+            clients: {
+                get: () => {
+                    dials += 1;
+                    throw new Error("bad URL");
+                },
+                abandon: () => {},
+            },
+            table: ObservationTable.create(1000),
+            clock,
+            random: SeededRandom.create(1),
+            logger: SilentLogger.create(),
+            events: MemoryEventRecorder.create(),
+        });
+        const ended = receiver.run(stop.signal);
+        await clock.advance(10_000);
+        expect(dials).to.be.within(10, 25);
+        stop.abort();
+        await ended;
+    });
 });
