--- a/packages/coordination/tests/util/EvidenceRig.ts
+++ b/packages/coordination/tests/util/EvidenceRig.ts
@@ -87,6 +87,12 @@
         processes.forEach(process => process.engines.silent.add(urlOf(vm)));
     }
 
+    /** Lets a silent member answer one process again, or all. */
+    speak(vm: string, ...names: string[]): void {
+        const processes = names.length > 0 ? names.map(name => this.process(name)) : [...this.processes.values()];
+        processes.forEach(process => process.engines.silent.delete(urlOf(vm)));
+    }
+
     /** Stops everything. */
     async stop(): Promise<void> {
         this.processes.forEach(process => process.stop.abort());
