Send at once what was observed while an update was being written

A notification that came while a stream waited for its reader was missed, and the observation waited for the next one or the heartbeat, up to 250 ms. The new test fails without the check.

--- a/packages/coordination/src/EvidenceSender.ts
+++ b/packages/coordination/src/EvidenceSender.ts
@@ -27,8 +27,11 @@
         const { clock, incarnation, table } = this.options;
         const encoder = EvidenceEncoder.create(incarnation);
         while (!signal.aborted) {
+            const version = table.ownVersion;
             yield encoder.encode(table.own(), clock.monotonicMs());
-            await this.changeOrHeartbeat(signal);
+            if (table.ownVersion === version) {
+                await this.changeOrHeartbeat(signal);
+            }
             await clock.sleep(evidenceTimes.batchMs, signal);
         }
     }
--- a/packages/coordination/src/ObservationTable.ts
+++ b/packages/coordination/src/ObservationTable.ts
@@ -13,6 +13,7 @@
     /** Notified with every observation made by this process. */
     readonly ownChanges = ChangeNotifier.create();
 
+    private ownCount = 0;
     private readonly rows = new Map<string, Row>();
     /** Observations made at or before this are no longer taken, monotonic ms. */
     private floorMs = -Infinity;
@@ -24,10 +25,16 @@
         return new ObservationTable(ttlMs);
     }
 
+    /** Grows with every observation made by this process. */
+    get ownVersion(): number {
+        return this.ownCount;
+    }
+
     /** Takes in an observation made by this process. */
     putOwn(vm: string, observation: MemberObservation): void {
         if (this.isNewer(vm, observation, this.rows.get(vm)?.own)) {
             this.row(vm).own = observation;
+            this.ownCount += 1;
             this.ownChanges.notify();
         }
     }
