Do not take a pause of the controller, or missing evidence, for lost members

After a pause every member counted as unseen for its length, so a controller that got its lease back could re-form groups that served. Time before the process last resumed no longer counts. A roll-out took a group down without a drain when evidence of it was missing for a moment: now a member itself has to say that it is not ready. A group that moved to another zone had its status written by both zones' controllers. Each has a test.

--- a/packages/controller/src/GroupPlanner.ts
+++ b/packages/controller/src/GroupPlanner.ts
@@ -95,7 +95,7 @@
     }
 
     private rollOut(entry: Formation): void {
-        if (!this.input.isServing(this.group) && entry.members.length === this.spec.memberCount) {
+        if (this.isSurelyDown(entry) && entry.members.length === this.spec.memberCount) {
             return this.draft.form(this.group, this.planned(entry.members));
         }
         const surge = this.input.place(this.freeVms(), this.spec.memberCount);
@@ -175,6 +175,11 @@
         return formation.memberUrls?.some((url, rank) => url !== this.urlOf(formation.members[rank] ?? "")) ?? false;
     }
 
+    /** Whether a member itself says that it is not in service. The want of evidence alone does not say so. */
+    private isSurelyDown(entry: Formation): boolean {
+        return entry.members.some(vm => this.facts(vm).report !== undefined && !this.isReadyAt(vm, entry.epoch));
+    }
+
     private isComplete(entry: Formation): boolean {
         return entry.members.every(vm => vm !== "" && !this.facts(vm).lost);
     }
--- a/packages/controller/src/GroupReporter.ts
+++ b/packages/controller/src/GroupReporter.ts
@@ -56,6 +56,9 @@
             ...this.status.groups(),
         ]);
         for (const group of groups) {
+            if (this.isOfOtherZone(group)) {
+                continue;
+            }
             const spec = specs.find(other => other.name === group);
             const state = describeGroup({
                 ledger,
@@ -71,6 +74,12 @@
         }
     }
 
+    /** Whether operators have moved the group to another availability zone, whose controller reports it. */
+    private isOfOtherZone(group: string): boolean {
+        const zone = this.options.configuration.get("serving-group", group)?.value.zone;
+        return zone !== undefined && zone !== this.options.zone;
+    }
+
     private isZoneOut(): boolean {
         return this.options.configuration.list("maintenance-intent").some(({ value: { target } }) =>
             target.kind === "availability-zone" && target.name === this.options.zone
--- a/packages/controller/src/ZoneController.ts
+++ b/packages/controller/src/ZoneController.ts
@@ -71,7 +71,7 @@
             },
         });
         this.ledgers = ZoneLedgerStore.create(options);
-        this.fleet = ZoneFleet.create(shared);
+        this.fleet = ZoneFleet.create({ ...shared, runningSinceMs: () => this.lease.runningSinceMs() });
         this.drains = DrainWatch.create({ clock: options.clock, fleet: this.fleet, timings: this.timings });
         this.reporter = GroupReporter.create({ ...shared, fleet: this.fleet });
         this.orders = OrderDispatcher.create({
--- a/packages/controller/src/ZoneFleet.ts
+++ b/packages/controller/src/ZoneFleet.ts
@@ -14,6 +14,8 @@
     configuration: ConfigurationView;
     clock: Clock;
     timings: ControllerTimings;
+    /** When this process last resumed after a pause; time in which it could see nothing does not count. */
+    runningSinceMs: () => number;
 }
 
 /** The engine VMs of an availability zone: what the platform's list, the probes and the intents say of each. */
@@ -72,11 +74,11 @@
         listed: boolean,
         departureOf: (record: VmRecord) => DepartureReason | undefined,
     ): VmFacts {
-        const { clock, evidence, timings } = this.options;
+        const { clock, evidence, runningSinceMs, timings } = this.options;
         const nowMs = clock.monotonicMs();
         const observation = evidence.observation(name);
         const reportedAtMs = observation?.kind === "reported" ? observation.observedAtMs : -Infinity;
-        const seenMs = Math.max(this.lastSeenMs.get(name) ?? nowMs, reportedAtMs);
+        const seenMs = Math.max(this.lastSeenMs.get(name) ?? nowMs, reportedAtMs, runningSinceMs());
         this.lastSeenMs.set(name, seenMs);
         const listedMs = listed ? nowMs : this.lastListedMs.get(name) ?? nowMs;
         this.lastListedMs.set(name, listedMs);
--- a/packages/controller/tests/OrderDispatcher.test.ts
+++ b/packages/controller/tests/OrderDispatcher.test.ts
@@ -30,6 +30,7 @@
         configuration: FakeConfiguration.create(),
         clock,
         timings,
+        runningSinceMs: () => 0,
     });
     fleet.refresh(ledger);
     const dispatcher = OrderDispatcher.create({
--- a/packages/controller/tests/intents.test.ts
+++ b/packages/controller/tests/intents.test.ts
@@ -137,6 +137,28 @@
         await bench.close();
     });
 
+    it("does not take a group down at once because evidence of it is missing", async () => {
+        const bench = await formed({ d1: 3 }, 3);
+        bench.engines.get("d1-1").runningRequests = 1;
+        bench.evidence.blindTo.add("d1-3");
+        bench.addGroup("g", 3, "m-2");
+        await bench.run(2000);
+        expect(bench.ledger?.groups["g"]?.epoch).to.equal(1);
+        bench.evidence.blindTo.clear();
+        bench.engines.get("d1-1").runningRequests = 0;
+        await bench.until("rolled", () => bench.evidence.ready("g")?.modelVersion === "m-2");
+        await bench.close();
+    });
+
+    it("leaves the status of a group alone that has moved to another availability zone", async () => {
+        const bench = await formed({ d1: 3 }, 3);
+        const spec = bench.configuration.get("serving-group", "g")!.value;
+        bench.configuration.put("serving-group", "g", { ...spec, zone: "z2" });
+        await bench.until("free", () => bench.ledger?.groups["g"] === undefined);
+        expect(bench.status("g")?.phase).to.equal("ready");
+        await bench.close();
+    });
+
     it("does not roll to a version that is not known", async () => {
         const bench = await formed({ d1: 3 }, 3);
         bench.addGroup("g", 3, "m-9");
--- a/packages/controller/tests/repair.test.ts
+++ b/packages/controller/tests/repair.test.ts
@@ -75,6 +75,22 @@
         await bench.close();
     });
 
+    it("does not take a member for lost because it was itself paused", async () => {
+        const bench = ZoneBench.create({ d1: 4 });
+        bench.addGroup("g", 3);
+        const paused = bench.start("c1");
+        await bench.until("ready", () => bench.isReady("g"));
+        paused.pause();
+        await bench.run(20_000);
+        bench.evidence.blindTo.add("d1-2");
+        paused.resume();
+        await bench.run(4000);
+        bench.evidence.blindTo.clear();
+        await bench.run(5000);
+        expect(bench.ledger?.groups["g"]?.epoch).to.equal(1);
+        await bench.close();
+    });
+
     it("forms a group anew when a member's name stands for a VM at another address", async () => {
         const bench = await formed({ d1: 3 }, 3);
         const record = { ...bench.engines.get("d1-2").record, enginePort: 999 };
--- a/packages/coordination/src/lease/ZoneLeaseKeeper.ts
+++ b/packages/coordination/src/lease/ZoneLeaseKeeper.ts
@@ -34,6 +34,7 @@
     private validUntilMs = -Infinity;
     private readonly pauses: PauseDetector;
     private lastAnswerMs: number;
+    private resumedAtMs = -Infinity;
     private unchanged: { revision: Revision; sinceMs: number; } | undefined;
     private ownNonces: string[] = [];
 
@@ -60,6 +61,12 @@
         return this.options.clock.monotonicMs() - this.lastAnswerMs;
     }
 
+    /** When this process last resumed after a pause, on the monotonic clock; what it saw before may be long past. */
+    runningSinceMs(): number {
+        this.noticePause();
+        return this.resumedAtMs;
+    }
+
     /** Competes for the lease and renews it until `signal` aborts, then releases it. */
     async run(signal: AbortSignal): Promise<void> {
         const beats = this.beat(signal);
@@ -215,6 +222,7 @@
             return;
         }
         this.pauses.tick();
+        this.resumedAtMs = this.options.clock.monotonicMs();
         this.validUntilMs = -Infinity;
         this.unchanged = undefined;
         this.options.recorder.record({ kind: "process-paused", durationMs: pausedMs });
--- a/packages/testing/src/fakes/FakeEvidence.ts
+++ b/packages/testing/src/fakes/FakeEvidence.ts
@@ -8,6 +8,9 @@
     /** Time between two looks at an engine; 0 looks each time. */
     probeEveryMs = 0;
 
+    /** VMs of which nothing is known, as after a pause of the observer. */
+    readonly blindTo = new Set<string>();
+
     private readonly samples = new Map<string, MemberObservation>();
 
     private constructor(
@@ -52,6 +55,9 @@
 
     /** The engine of a VM as it was at the last look. */
     observation(vm: string): MemberObservation | undefined {
+        if (this.blindTo.has(vm)) {
+            return undefined;
+        }
         const sample = this.samples.get(vm);
         if (sample && this.clock.monotonicMs() - sample.observedAtMs < this.probeEveryMs) {
             return sample;
@@ -80,7 +86,7 @@
     private isPresent(ledger: ZoneLedger, group: string, vm: string, rank: number): boolean {
         const entry = ledger.groups[group];
         const claim = ledger.claims[vm];
-        const observation = this.look(vm);
+        const observation = this.blindTo.has(vm) ? undefined : this.look(vm);
         if (claim?.state !== "held" || observation?.kind !== "reported") {
             return false;
         }
