--- a/packages/controller/tests/randomFaults.test.ts
+++ b/packages/controller/tests/randomFaults.test.ts
@@ -41,6 +41,15 @@
         this.processes.set(name, this.bench.start(`${name}-${this.starts}`));
     }
 
+    /** The process that runs under a controller's name now. */
+    process(name: string): ReturnType<ZoneBench["start"]> {
+        const process = this.processes.get(name);
+        if (!process) {
+            throw new Error(`No controller ${name}.`);
+        }
+        return process;
+    }
+
     /** Ends all faults; late orders arrive, and everything that operators asked for stands. */
     heal(): void {
         const { bench } = this;
@@ -55,7 +64,12 @@
             bench.vms.put({ ...engine.record, state: "live" });
         }
         Object.entries(GROUPS).forEach(([group, count]) => bench.addGroup(group, count));
-        this.processes.forEach(process => process.resume());
+        bench.evidence.blindTo.clear();
+        bench.spreadsLedger = true;
+        this.processes.forEach(process => {
+            process.platformCut = false;
+            process.resume();
+        });
     }
 }
 
@@ -81,8 +95,13 @@
     fc.constantFrom(0, 0, 300, 900).map(delayMs => zone => void (zone.bench.store.faults.delayMs = delayMs)),
     fc.nat(2).map(count => zone => void (zone.bench.store.faults.loseNextAnswers = count)),
     fc.nat(2).map(count => zone => void (zone.bench.store.faults.loseNextWrites = count)),
-    controller.map(name => zone => zone.processes.get(name)?.pause()),
-    controller.map(name => zone => zone.processes.get(name)?.resume()),
+    controller.map(name => zone => zone.process(name).pause()),
+    fc.tuple(controller, flag).map(([name, on]) => zone => void (zone.process(name).platformCut = on)),
+    fc.tuple(vm, flag).map(([name, on]) => zone =>
+        void (on ? zone.bench.evidence.blindTo.add(name) : zone.bench.evidence.blindTo.delete(name))
+    ),
+    flag.map(on => zone => void (zone.bench.spreadsLedger = on)),
+    controller.map(name => zone => zone.process(name).resume()),
     controller.map(name => zone => zone.restart(name)),
     fc.tuple(vm, fc.constantFrom("live" as const, "leaving" as const)).map(([name, state]) => zone =>
         zone.bench.vms.put({ ...zone.bench.engines.get(name).record, state })
