--- a/packages/controller/src/DowntimeAccounting.ts
+++ b/packages/controller/src/DowntimeAccounting.ts
@@ -37,20 +37,22 @@
         isServing: (group: string) => boolean,
     ): void {
         for (const { name } of specs) {
-            this.noteGroup(name, ledger.groups[name]?.epoch ?? 0, isServing(name));
+            const claimed = Object.keys(ledger.claims).filter(vm => ledger.claims[vm]?.group === name);
+            this.noteGroup(name, ledger.groups[name]?.epoch ?? 0, isServing(name), countAccelerators(fleet, claimed));
         }
         const wanted = new Set(specs.map(spec => spec.name));
         [...this.closedAtMs.keys()].filter(name => !wanted.has(name)).forEach(name => this.closedAtMs.delete(name));
         this.noteAccelerators(ledger, specs, fleet, isServing);
     }
 
-    private noteGroup(group: string, epoch: number, isServing: boolean): void {
+    /** The event of a group that closes counts the accelerators that it strands. */
+    private noteGroup(group: string, epoch: number, isServing: boolean, accelerators: number): void {
         const { clock, metrics, recorder } = this.options;
         const closedAtMs = this.closedAtMs.get(group);
         if (!isServing && closedAtMs === undefined) {
             this.closedAtMs.set(group, clock.monotonicMs());
             if (this.servingEpoch.has(group)) {
-                recorder.record({ kind: "group-closed", group, epoch });
+                recorder.record({ kind: "group-closed", group, epoch, count: accelerators });
             }
         }
         if (isServing) {
@@ -71,12 +73,16 @@
         isServing: (group: string) => boolean,
     ): void {
         const tags = { zone: this.options.zone };
-        const count = (vms: string[]) => vms.reduce((sum, vm) => sum + (fleet.get(vm).record?.accelerators ?? 0), 0);
         const idle = Object.entries(ledger.claims).filter(([, claim]) => !isServing(claim.group)).map(([vm]) => vm);
         const free = fleet.free(ledger).map(vm => vm.name);
         const isAnyWaiting = specs.some(spec => !isServing(spec.name));
-        this.options.metrics.gauge("accelerators.free", count(free), tags);
-        this.options.metrics.gauge("accelerators.stranded", count(isAnyWaiting ? [...idle, ...free] : idle), tags);
+        this.options.metrics.gauge("accelerators.free", countAccelerators(fleet, free), tags);
+        const stranded = countAccelerators(fleet, isAnyWaiting ? [...idle, ...free] : idle);
+        this.options.metrics.gauge("accelerators.stranded", stranded, tags);
         this.options.metrics.gauge("groups.down", specs.filter(spec => !isServing(spec.name)).length, tags);
     }
 }
+
+function countAccelerators(fleet: ZoneFleet, vms: readonly string[]): number {
+    return vms.reduce((sum, vm) => sum + (fleet.get(vm).record?.accelerators ?? 0), 0);
+}
--- a/packages/controller/tests/ZoneController.test.ts
+++ b/packages/controller/tests/ZoneController.test.ts
@@ -21,6 +21,11 @@
         await bench.until("ready", () => bench.isReady("g"));
         bench.engines.restart("d1-2");
         await bench.until("ready again", () => bench.isReady("g"));
+        await bench.run(500);
+        expect(bench.recorder.ofKind("group-closed")).to.deep.equal([
+            { kind: "group-closed", group: "g", epoch: 1, count: 24 },
+        ]);
+        expect(bench.recorder.ofKind("group-ready").at(-1)?.durationMs).to.be.within(1000, 1500);
         expect(bench.ledger?.groups["g"]?.epoch).to.equal(1);
         await bench.close();
     });
