--- a/packages/router/src/ports/KeyJournal.ts
+++ b/packages/router/src/ports/KeyJournal.ts
@@ -6,7 +6,7 @@
 
 /** The record of idempotency keys, for calls that run at most once. No method rejects. */
 export interface KeyJournal {
-    /** Records that the claimant is about to send the call with this key. */
+    /** Records that the claimant is about to send the call with this key. When `signal` aborts, settles at once. */
     claim(claim: KeyClaim, signal: AbortSignal): Promise<KeyClaimOutcome>;
 
     /** Records the whole answer of a claimed key. */
--- a/packages/router/src/services/KeyedCalls.ts
+++ b/packages/router/src/services/KeyedCalls.ts
@@ -89,7 +89,7 @@
     }
 
     private async runOnce(call: ServiceCall, claim: KeyClaim, signal: AbortSignal): Promise<ServiceResult> {
-        const outcome = await this.options.journal.claim(claim, signal);
+        const outcome = await this.claim(call, claim, signal);
         if (outcome.kind !== "claimed") {
             return this.answerUnclaimed(outcome, call, claim);
         }
@@ -104,6 +104,16 @@
         return result;
     }
 
+    private async claim(call: ServiceCall, claim: KeyClaim, signal: AbortSignal): Promise<KeyClaimOutcome> {
+        const ended = new AbortController();
+        const deadline = new AbortController();
+        const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
+        void this.options.clock.sleep(remainingMs, ended.signal).then(() => deadline.abort());
+        const outcome = await this.options.journal.claim(claim, AbortSignal.any([signal, deadline.signal]));
+        ended.abort();
+        return outcome;
+    }
+
     private async finish(call: ServiceCall, claim: KeyClaim, answer: ServiceAnswer): Promise<void> {
         const { requestId } = call.request;
         const outcome = await this.options.journal.finish(claim, answer);
--- a/packages/router/tests/keyedCalls.test.ts
+++ b/packages/router/tests/keyedCalls.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import type { Socket } from "node:net";
 import { errorOf } from "./support/answers.js";
 import { RouterFixture } from "./support/RouterFixture.js";
 import { waitFor } from "./support/waitFor.js";
@@ -74,6 +75,15 @@
         expect((await book()).statusCode).to.equal(200);
     });
 
+    it("answers at its deadline a call whose claim is never answered, and frees the key", async () => {
+        fixture.journal.isSilent = true;
+        const pending = book("k1", { "x-timeout-ms": "300" });
+        await fixture.clock.advance(300);
+        expect(errorOf(await pending)).to.include({ type: "journal-unavailable", ran: "unknown" });
+        expect(fixture.service.executions).to.have.length(0);
+        expect(fixture.journal.records.size).to.equal(0);
+    });
+
     it("says that a call ran whose answer is no longer held", async () => {
         fixture.journal.dropAnswers = true;
         await book();
@@ -89,6 +99,12 @@
     it("runs a call on when its caller goes, so that a repeat finds the answer", async () => {
         fixture.service.steps.push("hold");
         const gone = new AbortController();
+        let isClosed = false;
+        fixture.router.server.http.server.once("connection", (socket: Socket) => {
+            socket.once("close", () => {
+                isClosed = true;
+            });
+        });
         const url = await fixture.router.server.listen("127.0.0.1", 0);
         const call = fetch(`${url}/v1/services/booking`, {
             method: "POST",
@@ -104,6 +120,8 @@
         await waitFor("the call", () => fixture.service.executions.length === 1);
         gone.abort();
         await call;
+        await waitFor("the end of the connection", () => isClosed);
+        await fixture.clock.settle();
         fixture.service.release();
         await waitFor("the record", () => fixture.events.ofKind("key-finished").length === 1);
         expect((await book()).json()).to.deep.equal({ count: 1 });
--- a/packages/router/tests/limits.test.ts
+++ b/packages/router/tests/limits.test.ts
@@ -91,6 +91,15 @@
         expect(seen).to.deep.equal([6, 9, 13, 20, 30, 32, 32, 32]);
     });
 
+    it("does not ramp before the router's whole share of calls has completed", async () => {
+        for (const allowed of [4, 4, 4, 6]) {
+            const lease = limits.tryAcquire(group);
+            await clock.advance(1000);
+            lease?.release({ kind: "completed" });
+            expect(limits.allowed(group)).to.equal(allowed);
+        }
+    });
+
     it("does not ramp faster than its steps allow, however fast calls complete", async () => {
         for (let round = 0; round < 100; round++) {
             fill(group).forEach(lease => lease.release({ kind: "completed" }));
--- a/packages/router/tests/support/MemoryKeyJournal.ts
+++ b/packages/router/tests/support/MemoryKeyJournal.ts
@@ -16,6 +16,8 @@
 export class MemoryKeyJournal implements KeyJournal {
     readonly records = new Map<string, KeyRecord>();
     outage = false;
+    /** Claims are recorded and never answered. */
+    isSilent = false;
     /** The next claims are recorded, but their answer is lost. */
     loseNextClaims = 0;
     /** Answers of finished keys are not kept. */
@@ -27,7 +29,7 @@
         return new MemoryKeyJournal();
     }
 
-    async claim(claim: KeyClaim): Promise<KeyClaimOutcome> {
+    async claim(claim: KeyClaim, signal: AbortSignal): Promise<KeyClaimOutcome> {
         if (this.outage) {
             return { kind: "unavailable", retryAfterMs: 1500 };
         }
@@ -36,6 +38,10 @@
             return describe(record, claim);
         }
         this.records.set(idOf(claim), { claimant: claim.claimant, digest: claim.requestDigest, state: "claimed" });
+        if (this.isSilent) {
+            await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
+            return { kind: "unknown" };
+        }
         if (this.loseNextClaims > 0) {
             this.loseNextClaims -= 1;
             return { kind: "unknown" };
--- a/packages/router/tests/support/ScriptedEngine.ts
+++ b/packages/router/tests/support/ScriptedEngine.ts
@@ -58,6 +58,7 @@
     maxRunning = 0;
     /** Calls whose connection the other side closed early. */
     abandoned = 0;
+    private readonly heldResponses = new Set<ServerResponse>();
     private held: Array<() => void> = [];
 
     private constructor(private readonly server: Server) {}
@@ -74,6 +75,11 @@
         return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
     }
 
+    /** Sends a heartbeat on every held call. */
+    beat(): void {
+        this.heldResponses.forEach(response => response.write(": heartbeat\n\n"));
+    }
+
     /** Lets all held calls go on. */
     release(): void {
         this.held.splice(0).forEach(go => go());
@@ -134,7 +140,9 @@
         response.writeHead(200, { "content-type": "text/event-stream" });
         response.write(": heartbeat\n\n");
         if (script.hold) {
+            this.heldResponses.add(response);
             await new Promise<void>(resolve => this.held.push(resolve));
+            this.heldResponses.delete(response);
         }
         for (let index = call.resumeFromToken; index <= call.maxTokens; index++) {
             const sent = index - call.resumeFromToken;
--- a/packages/router/tests/zones.test.ts
+++ b/packages/router/tests/zones.test.ts
@@ -175,7 +175,9 @@
         engineB.scripts.push({ hold: true });
         const pending = a.chat();
         await waitFor("the call", () => engineB.running === 1);
-        for (let second = 0; second < 3; second++) {
+        for (let second = 0; second < 8; second++) {
+            engineB.beat();
+            await clock.settle();
             await clock.advance(1000);
         }
         engineB.release();
