Share one weight store in group-downtime, and leave no files behind on Ctrl-C

Cause: with a process for each VM every VM had a weight store of its own, so four loads took as long as one. A member that is gone is now one that does not answer.

--- a/packages/testing/src/bench/experiments/groupDowntime.ts
+++ b/packages/testing/src/bench/experiments/groupDowntime.ts
@@ -18,7 +18,7 @@
 const DEADLINE_MS = 90_000;
 
 /** How a member fails. */
-type Failure = "member killed" | "member restarted";
+type Failure = "member gone" | "member restarted";
 
 interface Variant {
     name: string;
@@ -41,7 +41,7 @@
     run: async context => {
         const rows: ExperimentResult["rows"] = [];
         for (const variant of VARIANTS) {
-            for (const failure of ["member killed", "member restarted"] as const) {
+            for (const failure of ["member gone", "member restarted"] as const) {
                 context.note(`${variant.name}, ${failure}`);
                 rows.push({
                     variant: variant.name,
@@ -73,7 +73,6 @@
             zones: [ZONE],
             engineVmsPerZone: vms,
             vmsPerFabricDomain: vms / 2,
-            engineProcesses: "vm",
             weightStoreGiBPerSecond: WEIGHT_STORE_GIB_PER_SECOND,
             engineBehaviour: { keepsWeights: variant.keepsWeights },
         },
@@ -87,9 +86,7 @@
             const before = await countLoads(system);
             downtimesMs.push(await fail(context, system, failure, index));
             const after = await countLoads(system);
-            after.forEach((count, vm) => {
-                loads += Math.max(0, count - (before.get(vm) ?? 0));
-            });
+            loads += after - before;
         }
         const recorder = LatencyRecorder.of(downtimesMs);
         return {
@@ -115,29 +112,20 @@
     const before = await system.status(group);
     const victim = before?.members[1 + (index % (MEMBERS - 1))] ?? "";
     const startMs = clock.monotonicMs();
-    const handle = system.process(system.topology.engineProcessOf(victim));
-    if (failure === "member killed") {
-        await handle.kill();
-    }
-    else {
-        await system.engine(victim).setFaults({ restart: true });
-    }
+    const engine = system.engine(victim);
+    await engine.setFaults(failure === "member gone" ? { silent: true } : { restart: true });
     await untilTrue(clock, `${group} ready again`, DEADLINE_MS, async () => {
         const status = await system.status(group);
         return status?.phase === "ready" && status.since !== before?.since;
     });
     const downtimeMs = clock.monotonicMs() - startMs;
-    if (failure === "member killed") {
-        await handle.start();
-        await handle.untilReady(DEADLINE_MS);
+    if (failure === "member gone") {
+        await engine.setFaults({ silent: false, restart: true });
     }
     return downtimeMs;
 }
 
-/** Loads so far by VM; a VM whose engine was started anew counts from 0 again. */
-async function countLoads(system: RunningSystem): Promise<Map<string, number>> {
-    const counts = await Promise.all(
-        system.engines().map(async ({ vm, admin }) => [vm, (await admin.counters()).loads] as const),
-    );
-    return new Map(counts);
+async function countLoads(system: RunningSystem): Promise<number> {
+    const counts = await Promise.all(system.engines().map(async ({ admin }) => (await admin.counters()).loads));
+    return counts.reduce((sum, count) => sum + count, 0);
 }
--- a/packages/testing/src/launcher/Launcher.ts
+++ b/packages/testing/src/launcher/Launcher.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@fescuehaven/runtime";
+import { rmSync } from "node:fs";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
@@ -17,6 +18,7 @@
     private readonly killAll = () => this.handles.forEach(handle => handle.killNow());
     private readonly onSignal = () => {
         this.killAll();
+        rmSync(this.files, { recursive: true, force: true });
         process.exit(1);
     };
 
