--- a/packages/coordination/tests/EvidenceSender.test.ts
+++ b/packages/coordination/tests/EvidenceSender.test.ts
@@ -1,3 +1,4 @@
+import type { EvidenceUpdate } from "@fescuehaven/protocol";
 import { ManualClock } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { EvidenceSender } from "../src/EvidenceSender.js";
@@ -9,12 +10,13 @@
         const clock = ManualClock.create();
         const table = ObservationTable.create(1000);
         const stop = new AbortController();
-        const stream = EvidenceSender.create({ incarnation: "i", table, clock }).stream(stop.signal);
+        const sender = EvidenceSender.create({ incarnation: "i", table, clock });
+        const stream: AsyncGenerator<EvidenceUpdate, void> = sender.stream(stop.signal);
         await stream.next();
         table.putOwn("vm", { kind: "unreachable", vm: "vm", observedAtMs: 0 });
         let sent: string[] | undefined;
         void stream.next().then(update => {
-            sent = update.value?.reports.map(report => report.vm);
+            sent = update.done ? undefined : update.value.reports.map(report => report.vm);
         });
         await clock.advance(evidenceTimes.batchMs);
         expect(sent).to.deep.equal(["vm"]);
