--- a/packages/coordination/src/EvidenceSender.ts
+++ b/packages/coordination/src/EvidenceSender.ts
@@ -23,7 +23,7 @@
     }
 
     /** One stream: everything held, then each new observation, and heartbeats; until `signal` aborts. */
-    async *stream(signal: AbortSignal): AsyncGenerator<EvidenceUpdate> {
+    async *stream(signal: AbortSignal): AsyncGenerator<EvidenceUpdate, void> {
         const { clock, incarnation, table } = this.options;
         const encoder = EvidenceEncoder.create(incarnation);
         while (!signal.aborted) {
