--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -8,6 +8,7 @@
 import { GenerationAttempt } from "./generation/GenerationAttempt.js";
 import { GenerationDispatcher } from "./generation/GenerationDispatcher.js";
 import { RetryBudget } from "./generation/RetryBudget.js";
+import { StreamFollower } from "./generation/StreamFollower.js";
 import { UpstreamLimits } from "./limits/UpstreamLimits.js";
 import type { ConcurrencyShare } from "./ports/ConcurrencyShare.js";
 import type { EngineClient } from "./ports/EngineClient.js";
@@ -101,13 +102,17 @@
         clock,
         random,
         events,
-        metrics,
         access,
         engines: options.engines,
         forwarder,
         zone,
-        silenceMs: settings.streamSilenceMs,
-        progressMs: settings.streamProgressMs,
+        follower: StreamFollower.create({
+            clock,
+            events,
+            metrics,
+            silenceMs: settings.streamSilenceMs,
+            progressMs: settings.streamProgressMs,
+        }),
     });
     const generations = GenerationDispatcher.create({
         clock,
