Add the chaos experiment: faults drawn by a seed on the whole system

Stand-in's admin now throws when a read or removal is refused, where an outage looked like an absent object before; the audit holds refusals of repeatable service calls against the count as well.

--- a/packages/testing/src/bench/ExperimentResult.ts
+++ b/packages/testing/src/bench/ExperimentResult.ts
@@ -7,6 +7,8 @@
     rows: ResultRow[];
     /** Column that a chart draws. */
     chartColumn: string;
+    /** What must never happen and did; any makes the bench fail. */
+    violations?: string[];
 }
 
 interface ResultRow {
--- /dev/null
+++ b/packages/testing/src/bench/experiments/chaos.ts
@@ -0,0 +1,45 @@
+import { ChaosRun } from "../../chaos/ChaosRun.js";
+import { planFaults } from "../../chaos/planFaults.js";
+import type { RunningSystem } from "../../system/RunningSystem.js";
+import type { Experiment } from "../Experiment.js";
+import { summarizeCalls } from "../util/summarizeCalls.js";
+
+/** Length of the schedule, in phases. */
+const PHASES = 12;
+
+const VARIANT = "faults by seed";
+
+/** What must always hold, under a schedule of faults drawn by the seed. */
+export const chaos: Experiment = {
+    description: "checks what must always hold while faults drawn by the seed come several at once",
+    run: async context => {
+        const durationMs = PHASES * context.phaseMs;
+        const { violations, faults, records, counts } = await ChaosRun.run({
+            ...context,
+            keepLogs: true,
+            plan: (system, random) => planFaults(random, durationMs, targetsOf(system)),
+        });
+        const values = { ...summarizeCalls(records, 0, Infinity), ...counts, faults: faults.length };
+        delete (values as Record<string, number>)["goodputPerSecond"];
+        return {
+            baseline: VARIANT,
+            parameters: { durationMs },
+            rows: [{ variant: VARIANT, phase: "", values: { ...values, violations: violations.length } }],
+            chartColumn: "wholeP99Ms",
+            violations,
+        };
+    },
+};
+
+function targetsOf(system: RunningSystem) {
+    const { entryVms, engineVms, options } = system.topology;
+    const hosts = engineVms.map(vm => system.topology.engineProcessOf(vm.name));
+    return {
+        routers: entryVms.map(vm => vm.router.name),
+        controllers: entryVms.map(vm => vm.controller.name),
+        hosts: [...new Set(hosts)],
+        vms: engineVms.map(vm => vm.name),
+        zones: options.zones,
+        domains: [...new Set(engineVms.map(vm => vm.fabricDomain))],
+    };
+}
--- a/packages/testing/src/bench/experiments/experiments.ts
+++ b/packages/testing/src/bench/experiments/experiments.ts
@@ -1,4 +1,5 @@
 import type { Experiment } from "../Experiment.js";
+import { chaos } from "./chaos.js";
 import { configSpread } from "./configSpread.js";
 import { controlCost } from "./controlCost.js";
 import { groupDowntime } from "./groupDowntime.js";
@@ -9,6 +10,7 @@
 
 /** All experiments by name. */
 export const experiments: Record<string, Experiment> = {
+    chaos,
     "config-spread": configSpread,
     "control-cost": controlCost,
     "group-downtime": groupDowntime,
--- a/packages/testing/src/bin/fescue-bench.ts
+++ b/packages/testing/src/bin/fescue-bench.ts
@@ -37,6 +37,10 @@
         note: line => console.log(`  ${line}`),
     });
     console.log(formatTable(result));
+    for (const violation of result.violations ?? []) {
+        console.log(`VIOLATION (seed ${args.seed}): ${violation}`);
+        process.exitCode = 1;
+    }
     const folder = path.resolve(args.results);
     const files = await writeResult({ folder, name, seed: args.seed, startedAt, result, chart: args.chart });
     files.forEach(file => console.log(`wrote ${path.relative(process.cwd(), file)}`));
--- a/packages/testing/src/callers/CallerPool.ts
+++ b/packages/testing/src/callers/CallerPool.ts
@@ -16,6 +16,9 @@
 /** Characters that calls with a common prefix share. */
 const PREFIX_CHARACTERS = 300;
 
+/** Classes that two possible answers may yield, the one that counts first. */
+const PREFERENCE: readonly AnswerClass[] = ["whole", "refused-did-not-run", "refused-unknown", "cut", "duplicated"];
+
 interface CallerPoolOptions {
     clock: Clock;
     random: Random;
@@ -26,8 +29,8 @@
     accounts: readonly Account[];
     workload: Workload;
     model: string;
-    /** Name of the model version object that answers. */
-    modelVersion: string;
+    /** Names of the model version objects of which one answers. */
+    modelVersions: readonly string[];
     /** Names of the service routes. */
     routes: { repeatable: string; keyed: string; };
 }
@@ -97,7 +100,7 @@
     }
 
     private async callChat(dueMs: number): Promise<void> {
-        const { random, workload, model, modelVersion, client } = this.options;
+        const { random, workload, model, modelVersions, client } = this.options;
         const prefix = `prefix ${Math.floor(random.next() * workload.prefixes)} `.padEnd(PREFIX_CHARACTERS, "·");
         const range = workload.maxTokens - workload.minTokens + 1;
         const call: ChatCall = {
@@ -109,10 +112,11 @@
             stream: random.next() < workload.streamedPart,
             timeoutMs: workload.timeoutMs,
         };
-        const expected = expectedTokens(modelVersion, promptOf(call), call.maxTokens);
+        const prompt = promptOf(call);
+        const answers = modelVersions.map(version => expectedTokens(version, prompt, call.maxTokens));
         await this.repeat("chat", call, undefined, dueMs, async (router, requestId) => {
             const { outcome, timing } = await client.chat(router, { ...call, requestId });
-            return { outcome, answerClass: this.judge(expected, outcome), firstMs: timing.firstMs };
+            return { outcome, answerClass: this.judge(answers, outcome), firstMs: timing.firstMs };
         });
     }
 
@@ -133,7 +137,7 @@
             const hashed = outcome.kind === "answered"
                 ? { ...outcome, parts: [hashIn(outcome.parts.join(""))] }
                 : outcome;
-            return { outcome, answerClass: this.judge([bodySha256], hashed), firstMs: timing.firstMs };
+            return { outcome, answerClass: this.judge([[bodySha256]], hashed), firstMs: timing.firstMs };
         });
     }
 
@@ -177,8 +181,10 @@
         }
     }
 
-    private judge(expected: readonly string[], outcome: CallOutcome): AnswerClass {
-        return this.options.checker.classify(expected, outcome);
+    /** The class by the answer that fits best; each answer is one that the whole call may yield. */
+    private judge(answers: ReadonlyArray<readonly string[]>, outcome: CallOutcome): AnswerClass {
+        const classes = answers.map(expected => this.options.checker.classify(expected, outcome));
+        return PREFERENCE.find(answerClass => classes.includes(answerClass)) ?? "wrong";
     }
 
     private pickAccount(): Account {
--- a/packages/testing/src/callers/auditExecutions.ts
+++ b/packages/testing/src/callers/auditExecutions.ts
@@ -11,7 +11,7 @@
     answeredWithoutRun: string[];
 }
 
-/** Holds the records of keyed calls against what all endpoints of the service executed. */
+/** Holds the records of plain service calls against what all endpoints of the service executed. */
 export function auditExecutions(records: readonly CallRecord[], executions: readonly Executions[]): AuditFindings {
     const keyed = records.filter(record => record.kind === "keyed");
     const runs = (key: string) => executions.reduce((sum, one) => sum + (one.byKey[key] ?? 0), 0);
@@ -19,7 +19,7 @@
     const keys = keyed.map(record => record.idempotencyKey ?? "");
     return {
         ranTwice: keys.filter(key => runs(key) > 1),
-        falseRefusals: keyed.flatMap(record => record.attempts)
+        falseRefusals: records.filter(record => record.kind !== "chat").flatMap(record => record.attempts)
             .filter(attempt => attempt.answerClass === "refused-did-not-run" && hasRun(attempt.requestId))
             .map(attempt => attempt.requestId),
         answeredWithoutRun: keyed
--- a/packages/testing/src/system/Traffic.ts
+++ b/packages/testing/src/system/Traffic.ts
@@ -20,6 +20,8 @@
     clock: Clock;
     seed: number;
     workload?: Partial<Workload>;
+    /** Model versions of which one answers each call. Left out: the system's. */
+    modelVersions?: readonly string[];
 }
 
 /** Calls that arrive at a running system until told to end, each checked. */
@@ -34,6 +36,7 @@
 
     private constructor(private readonly clock: Clock, options: TrafficOptions) {
         const { system, seed, workload } = options;
+        const { model, modelVersion } = system.objects.options;
         const random = SeededRandom.create(seed, `s${seed}`);
         this.client = CallerClient.create({ clock });
         this.balancer = Balancer.create({ urls: system.routerUrls(), clock, random: SeededRandom.create(seed) });
@@ -45,8 +48,8 @@
             checker: this.checker,
             accounts: system.objects.accounts,
             workload: workloadSchema.parse(workload ?? {}),
-            model: system.objects.options.model,
-            modelVersion: system.objects.options.modelVersion,
+            model,
+            modelVersions: options.modelVersions ?? [modelVersion],
             routes: { repeatable: "lookup", keyed: "book" },
         });
     }
--- a/packages/testing/src/topology/PlatformAdmin.ts
+++ b/packages/testing/src/topology/PlatformAdmin.ts
@@ -19,6 +19,9 @@
     /** The object, or undefined when absent. */
     async get<K extends ResourceKind>(kind: K, name: string): Promise<StoredObject<ResourceValue<K>> | undefined> {
         const { status, body } = await this.call("GET", `/v1/objects/${kind}/${name}`);
+        if (status !== 200 && status !== 404) {
+            throw new Error(`Reading ${kind}/${name} gave ${status}: ${JSON.stringify(body)}.`);
+        }
         return status === 200 ? body as StoredObject<ResourceValue<K>> : undefined;
     }
 
@@ -45,7 +48,10 @@
         const current = await this.get(kind, name);
         if (current) {
             const headers = { "if-match": String(current.revision) };
-            await this.call("DELETE", `/v1/objects/${kind}/${name}`, undefined, headers);
+            const { status, body } = await this.call("DELETE", `/v1/objects/${kind}/${name}`, undefined, headers);
+            if (status !== 200) {
+                throw new Error(`Removing ${kind}/${name} gave ${status}: ${JSON.stringify(body)}.`);
+            }
         }
     }
 
--- a/packages/testing/tests/callers/CallerPool.test.ts
+++ b/packages/testing/tests/callers/CallerPool.test.ts
@@ -60,7 +60,7 @@
             accounts: [{ name: "a", apiKey: "k", share: 1 }],
             workload: workloadSchema.parse({ callsPerSecond: 200 }),
             model: "m",
-            modelVersion: "m-1",
+            modelVersions: ["m-1"],
             routes: { repeatable: "r", keyed: "k" },
         });
         const records = await pool.run(300);
