--- a/packages/testing/src/chaos/ChaosRun.ts
+++ b/packages/testing/src/chaos/ChaosRun.ts
@@ -10,6 +10,7 @@
 import type { FaultContext } from "./FaultContext.js";
 import { faultHandlers } from "./faultHandlers.js";
 import { findCallFaults } from "./findCallFaults.js";
+import { findUnrecovered } from "./findUnrecovered.js";
 import type { PlannedFault } from "./PlannedFault.js";
 import { RevisionWatch } from "./RevisionWatch.js";
 import { nextVersionOf } from "./util/nextVersionOf.js";
@@ -136,22 +137,15 @@
     }
 
     private async untilRecovered(): Promise<void> {
-        const { clock } = this.options;
-        const groups = this.system.objects.groupNames();
+        let unrecovered: string[] = [];
         try {
-            await this.system.untilPhase("ready", groups, RECOVERY_DEADLINE_MS);
-            await untilTrue(clock, "routers and controllers ready", RECOVERY_DEADLINE_MS, async () => {
-                const names = this.system.topology.daemons().map(({ name }) => name);
-                const areReady = await Promise.all(names.map(name => this.system.process(name).isReady()));
-                return areReady.every(isReady => isReady);
+            await untilTrue(this.options.clock, "recovered", RECOVERY_DEADLINE_MS, async () => {
+                unrecovered = await findUnrecovered(this.system, this.revisions.latest);
+                return unrecovered.length === 0;
             });
         }
         catch (error) {
-            const phases = await Promise.all(groups.map(async group => {
-                const status = await this.system.status(group);
-                return `${group} ${status?.phase} (${status?.reason}: ${status?.message})`;
-            }));
-            this.violations.push(`After the faults: ${(error as Error).message} ${phases.join("; ")}`);
+            this.violations.push(`After the faults: ${(error as Error).message} ${unrecovered.join(" ")}`);
         }
     }
 
--- a/packages/testing/src/chaos/RevisionWatch.ts
+++ b/packages/testing/src/chaos/RevisionWatch.ts
@@ -20,6 +20,8 @@
     readonly violations: string[] = [];
     /** Revisions read. */
     count = 0;
+    /** Revision that each process had in force at the last look; undefined where it was not reached. */
+    latest: ReadonlyMap<string, number | undefined> = new Map();
     /** Highest revision seen, by process and process id. */
     private readonly highest = new Map<string, number>();
     private readonly stopping = new AbortController();
@@ -45,6 +47,7 @@
             const pidsBefore = this.pids();
             const status = await this.readStatus();
             const pidsAfter = this.pids();
+            this.latest = new Map(status?.processes.map(one => [one.name, one.configurationRevision]));
             for (const { name, configurationRevision } of status?.processes ?? []) {
                 const pid = pidsBefore.get(name);
                 if (configurationRevision !== undefined && pid !== undefined && pid === pidsAfter.get(name)) {
--- /dev/null
+++ b/packages/testing/src/chaos/findLeftovers.ts
@@ -0,0 +1,21 @@
+import type { MemberReport } from "@fescuehaven/coordination";
+import type { ZoneLedger } from "@fescuehaven/resources";
+
+/** Says where a ledger and the reports of its zone's engines differ from a system at rest. */
+export function findLeftovers(ledger: ZoneLedger, reports: readonly MemberReport[]): string[] {
+    const faults: string[] = [];
+    for (const [group, { next }] of Object.entries(ledger.groups)) {
+        if (next) {
+            faults.push(`${group} still has a next formation at epoch ${next.epoch}.`);
+        }
+    }
+    for (const { vm, group, epoch, rank, phase } of reports) {
+        const claim = ledger.claims[vm];
+        const claimed = claim ? `${claim.state} ${claim.group} epoch ${claim.epoch} rank ${claim.rank}` : "empty";
+        const reported = group ? `held ${group} epoch ${epoch} rank ${rank}` : "empty";
+        if (claimed !== reported) {
+            faults.push(`${vm} is ${claimed} in the ledger and reports ${reported} (${phase}).`);
+        }
+    }
+    return faults;
+}
