--- a/packages/testing/src/bench/experiments/chaos.ts
+++ b/packages/testing/src/bench/experiments/chaos.ts
@@ -1,3 +1,4 @@
+import type { CallRecord } from "../../callers/CallRecord.js";
 import { ChaosRun } from "../../chaos/ChaosRun.js";
 import { planFaults } from "../../chaos/planFaults.js";
 import type { RunningSystem } from "../../system/RunningSystem.js";
@@ -19,6 +20,7 @@
             keepLogs: true,
             plan: (system, random) => planFaults(random, durationMs, targetsOf(system)),
         });
+        countRefusals(records).forEach(([reason, count]) => context.note(`${count} calls not whole: ${reason}`));
         const values = { ...summarizeCalls(records, 0, Infinity), ...counts, faults: faults.length };
         delete (values as Record<string, number>)["goodputPerSecond"];
         return {
@@ -31,6 +33,16 @@
     },
 };
 
+/** Calls that were not answered whole, by how their last attempt ended. */
+function countRefusals(records: readonly CallRecord[]): Array<[string, number]> {
+    const counts = new Map<string, number>();
+    for (const { kind, finalClass, attempts } of records.filter(record => record.finalClass !== "whole")) {
+        const reason = `${kind} ${finalClass} ${attempts.at(-1)?.detail ?? ""}`;
+        counts.set(reason, (counts.get(reason) ?? 0) + 1);
+    }
+    return [...counts];
+}
+
 function targetsOf(system: RunningSystem) {
     const { entryVms, engineVms, options } = system.topology;
     const hosts = engineVms.map(vm => system.topology.engineProcessOf(vm.name));
--- /dev/null
+++ b/packages/testing/tests/system/chaos.test.ts
@@ -0,0 +1,38 @@
+import { expect } from "chai";
+import { ChaosRun } from "../../src/chaos/ChaosRun.js";
+import type { PlannedFault } from "../../src/chaos/PlannedFault.js";
+import { systemTestOptions } from "./systemTestOptions.js";
+
+const SEED = 71;
+
+/** Faults that meet one another: a change of members while its controller, its platform and its zone are disturbed. */
+const SCHEDULE: PlannedFault[] = [
+    { kind: "platform-loses-answers", target: "", atMs: 500, durationMs: 4000 },
+    { kind: "engine-ignores-fencing", target: "vm-a-1", atMs: 500, durationMs: 12_000 },
+    { kind: "restart-engine", target: "vm-a-1", atMs: 1000, durationMs: 0 },
+    { kind: "service-loses-answers", target: "zone-b", atMs: 1000, durationMs: 0 },
+    { kind: "drain-zone", target: "zone-b", atMs: 1500, durationMs: 6000 },
+    { kind: "pause-process", target: "controller-a-1", atMs: 2000, durationMs: 7000 },
+    { kind: "kill-process", target: "controller-b-1", atMs: 2500, durationMs: 2000 },
+    { kind: "roll-out", target: "", atMs: 3000, durationMs: 0 },
+    { kind: "kill-process", target: "router-c-1", atMs: 4000, durationMs: 1500 },
+    { kind: "zone-cut-off", target: "zone-c", atMs: 5000, durationMs: 4000 },
+    { kind: "engine-crosses-answers", target: "vm-c-1", atMs: 6000, durationMs: 4000 },
+    { kind: "platform-outage", target: "", atMs: 9500, durationMs: 2500 },
+    { kind: "pause-process", target: "router-a-2", atMs: 10_000, durationMs: 2000 },
+];
+
+describe("several faults at once", () => {
+    it("cost no right answer, no VM a second group and no accepted configuration", async () => {
+        const { violations, records, counts } = await ChaosRun.run({
+            ...systemTestOptions,
+            seed: SEED,
+            plan: () => SCHEDULE,
+            note: () => undefined,
+        });
+        expect(violations).to.deep.equal([]);
+        expect(records.some(({ finalClass }) => finalClass === "whole")).to.equal(true);
+        expect(counts).to.include.keys("ledgerRevisions", "reports", "revisionsRead");
+        expect(Math.min(...Object.values(counts))).to.be.greaterThan(0);
+    });
+});
