--- a/packages/router/src/generation/GenerationDispatcher.ts
+++ b/packages/router/src/generation/GenerationDispatcher.ts
@@ -9,6 +9,7 @@
 import type { GroupSelector } from "../routing/GroupSelector.js";
 import type { PeerPlace } from "../routing/PeerPlace.js";
 import type { PeerSelector } from "../routing/PeerSelector.js";
+import { Deadline } from "../util/Deadline.js";
 import type { AttemptOutcome } from "./AttemptOutcome.js";
 import type { GenerationAttempt } from "./GenerationAttempt.js";
 import type { GenerationCall } from "./GenerationCall.js";
@@ -57,13 +58,10 @@
 
     /** Serves a call to its end. The sink gets each token once and in order, whatever broke on the way. */
     async run(call: GenerationCall, sink: TokenSink, signal: AbortSignal): Promise<GenerationOutcome> {
-        const ended = new AbortController();
-        const deadline = new AbortController();
-        const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
-        void this.options.clock.sleep(remainingMs, ended.signal).then(() => deadline.abort());
+        const deadline = Deadline.create(this.options.clock, call.deadlineMs);
         const progress = GenerationProgress.create(call, this.options.clock.monotonicMs());
         const outcome = await this.attempts(progress, sink, AbortSignal.any([signal, deadline.signal]), signal);
-        ended.abort();
+        deadline.end();
         if (progress.isAdmitted && call.origin === "caller") {
             this.options.queue.leave(call.caller.account);
         }
--- a/packages/router/src/services/ServiceDispatcher.ts
+++ b/packages/router/src/services/ServiceDispatcher.ts
@@ -10,6 +10,7 @@
 import type { EndpointSelector } from "../routing/EndpointSelector.js";
 import type { PeerPlace } from "../routing/PeerPlace.js";
 import type { PeerSelector } from "../routing/PeerSelector.js";
+import { Deadline } from "../util/Deadline.js";
 import type { ServiceCall } from "./ServiceCall.js";
 import type { ServiceOutcome } from "./ServiceOutcome.js";
 import type { ServiceResult } from "./ServiceResult.js";
@@ -60,10 +61,7 @@
      * is not sent again after an unknown outcome, and runs on when its caller goes, so that a repeat finds its answer.
      */
     async run(call: ServiceCall, repeatable: boolean, signal: AbortSignal): Promise<ServiceResult> {
-        const ended = new AbortController();
-        const deadline = new AbortController();
-        const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
-        void this.options.clock.sleep(remainingMs, ended.signal).then(() => deadline.abort());
+        const deadline = Deadline.create(this.options.clock, call.deadlineMs);
         const progress: Progress = {
             call,
             isAdmitted: false,
@@ -72,7 +70,7 @@
             progressedMs: this.options.clock.monotonicMs(),
         };
         const result = await this.attempts(progress, repeatable, signal, deadline.signal);
-        ended.abort();
+        deadline.end();
         if (progress.isAdmitted && call.origin === "caller") {
             this.options.queue.leave(call.caller.account);
         }
--- a/packages/testing/tests/system/members.test.ts
+++ b/packages/testing/tests/system/members.test.ts
@@ -4,42 +4,30 @@
 import type { ChatCall } from "../../src/callers/ChatCall.js";
 import { promptOf } from "../../src/callers/promptOf.js";
 import { expectedTokens } from "../../src/standins/expectedTokens.js";
-import { RunningSystem } from "../../src/system/RunningSystem.js";
-import { Traffic } from "../../src/system/Traffic.js";
 import { untilTrue } from "../../src/util/untilTrue.js";
 import { describeProblems } from "./describeProblems.js";
 import { systemTestOptions } from "./systemTestOptions.js";
+import { useSystem } from "./useSystem.js";
 
 const { clock } = systemTestOptions;
 const DEADLINE_MS = 30_000;
 const GROUP = "dive-report-a-1";
 
 describe("loss of members", () => {
-    let system: RunningSystem;
-    let traffic: Traffic | undefined;
-
-    before(async () => {
-        system = await RunningSystem.start({
-            ...systemTestOptions,
-            topology: { engineProcesses: "vm", engineVmsPerZone: 3, engineBehaviour: { tokenMs: 10 } },
-        });
-        await system.untilPhase("ready");
+    const running = useSystem({
+        topology: { engineProcesses: "vm", engineVmsPerZone: 3, engineBehaviour: { tokenMs: 10 } },
     });
 
-    afterEach(async () => traffic?.abandon());
-
-    after(async () => system.stop());
-
     it("keeps streams whole when a member is killed, and forms the group anew with a spare", async () => {
-        const before = await system.status(GROUP);
+        const before = await running.system.status(GROUP);
         const client = CallerClient.create({ clock });
         const checker = AnswerChecker.create();
-        const [account] = system.objects.accounts;
-        const [entry] = system.entryVmsOf("zone-a");
+        const [account] = running.system.objects.accounts;
+        const [entry] = running.system.entryVmsOf("zone-a");
         if (!account || !entry || !before) {
             throw new Error("The system is not whole.");
         }
-        const engine = system.engine(before.members[0] ?? "");
+        const engine = running.system.engine(before.members[0] ?? "");
         const streams = [1, 2, 3, 4].map(async number => {
             const call: ChatCall = {
                 requestId: `member-${number}`,
@@ -60,29 +48,29 @@
             async () => (await engine.report()).runningRequests > 0,
         );
         const victim = before.members[1] ?? "";
-        await system.process(system.topology.engineProcessOf(victim)).kill();
+        await running.system.process(running.system.topology.engineProcessOf(victim)).kill();
         expect(await Promise.all(streams)).to.deep.equal(["whole", "whole", "whole", "whole"]);
         await untilTrue(clock, "formed anew", DEADLINE_MS, async () => {
-            const status = await system.status(GROUP);
+            const status = await running.system.status(GROUP);
             return status?.phase === "ready" && status.epoch > before.epoch && !status.members.includes(victim);
         });
         await client.close();
     });
 
     it("never gives a cold replica more than it carries when engines start anew under load", async () => {
-        traffic = await Traffic.start({ system, clock, seed: 11, workload: { callsPerSecond: 40 } });
+        const traffic = await running.startTraffic(11, { callsPerSecond: 40 });
         await traffic.untilEnded(100);
-        const before = await system.status(GROUP);
-        const head = system.engine(before?.members[0] ?? "");
+        const before = await running.system.status(GROUP);
+        const head = running.system.engine(before?.members[0] ?? "");
         await head.setFaults({ restart: true });
         await untilTrue(clock, "ready again", DEADLINE_MS, async () => {
-            const status = await system.status(GROUP);
+            const status = await running.system.status(GROUP);
             return status?.phase === "ready" && status.since !== before?.since;
         });
         await traffic.untilEnded(200);
         const records = await traffic.finish();
         const counters = await Promise.all(
-            system.engines().map(engine => engine.admin.counters().catch(() => undefined)),
+            running.system.engines().map(engine => engine.admin.counters().catch(() => undefined)),
         );
         expect(counters.reduce((sum, counter) => sum + (counter?.overloadFalls ?? 0), 0)).to.equal(0);
         expect(describeProblems(records)).to.deep.equal([]);
--- a/packages/testing/tests/system/zoneMove.test.ts
+++ b/packages/testing/tests/system/zoneMove.test.ts
@@ -1,9 +1,9 @@
 import { expect } from "chai";
-import { RunningSystem } from "../../src/system/RunningSystem.js";
-import { Traffic } from "../../src/system/Traffic.js";
+import type { Traffic } from "../../src/system/Traffic.js";
 import { untilTrue } from "../../src/util/untilTrue.js";
 import { describeProblems } from "./describeProblems.js";
 import { systemTestOptions } from "./systemTestOptions.js";
+import { useSystem } from "./useSystem.js";
 
 const { clock } = systemTestOptions;
 const DEADLINE_MS = 30_000;
@@ -12,20 +12,10 @@
 const BOUND_MS = 5000;
 
 describe("an availability zone that leaves and returns", () => {
-    let system: RunningSystem;
-    let traffic: Traffic | undefined;
-
-    before(async () => {
-        system = await RunningSystem.start(systemTestOptions);
-        await system.untilPhase("ready");
-    });
-
-    afterEach(async () => traffic?.abandon());
-
-    after(async () => system.stop());
+    const running = useSystem();
 
     async function startedAt(zone: string): Promise<number> {
-        const engines = system.engines().filter(engine => engine.zone === zone);
+        const engines = running.system.engines().filter(engine => engine.zone === zone);
         const counters = await Promise.all(engines.map(engine => engine.admin.counters()));
         return counters.reduce((sum, counter) => sum + counter.started, 0);
     }
@@ -47,26 +37,26 @@
     }
 
     it("gets no new work within the bound, loses no answer, and takes its share again without falling over", async () => {
-        traffic = await Traffic.start({ system, clock, seed: 41, workload: { callsPerSecond: 30 } });
+        const traffic = await running.startTraffic(41, { callsPerSecond: 30 });
         await traffic.untilEnded(100);
         expect(await startedAt("zone-a")).to.be.greaterThan(0);
         const outMs = clock.monotonicMs();
-        await system.platform.put(system.objects.zoneOut("zone-a"));
+        await running.system.platform.put(running.system.objects.zoneOut("zone-a"));
         const { started, lastMs } = await lastNewWork("zone-a", traffic, 250);
         expect(lastMs - outMs).to.be.lessThan(BOUND_MS);
-        await system.platform.remove("maintenance-intent", "zone-a-out");
-        await system.untilPhase("ready", ["dive-report-a-1"]);
+        await running.system.platform.remove("maintenance-intent", "zone-a-out");
+        await running.system.untilPhase("ready", ["dive-report-a-1"]);
         await untilTrue(clock, "work again", DEADLINE_MS, async () => (await startedAt("zone-a")) > started + 50);
         expect(describeProblems(await traffic.finish())).to.deep.equal([]);
-        const counters = await Promise.all(system.engines().map(engine => engine.admin.counters()));
+        const counters = await Promise.all(running.system.engines().map(engine => engine.admin.counters()));
         expect(counters.map(counter => counter.overloadFalls)).to.deep.equal(counters.map(() => 0));
     });
 
     it("replaces all routers one after the other without cutting a call", async () => {
-        traffic = await Traffic.start({ system, clock, seed: 42 });
+        const traffic = await running.startTraffic(42);
         await traffic.untilEnded(30);
-        for (const vm of system.topology.entryVms) {
-            const router = system.process(vm.router.name);
+        for (const vm of running.system.topology.entryVms) {
+            const router = running.system.process(vm.router.name);
             expect(await router.stop()).to.equal(true);
             await router.start();
             await router.untilReady(DEADLINE_MS);
