Tell callers when to come back on every refusal that a repeat may pass

Cause: deadline, broken, outcome-unknown, no-upstream and internal carried no retry-after unless the router knew a time. The users ask that a request which is given up says when to come back. Before: the test of a passed deadline lacks the field.

--- a/packages/router/src/createRefusal.ts
+++ b/packages/router/src/createRefusal.ts
@@ -1,4 +1,5 @@
 import type { Refusal } from "./Refusal.js";
+import type { RefusalKind } from "./RefusalKind.js";
 import { refusalTable } from "./refusalTable.js";
 
 /** Makes a refusal of a known type. */
@@ -7,6 +8,12 @@
     ran: Refusal["ran"],
     details: { retryAfterMs?: number; message?: string; } = {},
 ): Refusal {
-    const { status, message } = refusalTable[type];
-    return { status, type, message: details.message ?? message, ran, retryAfterMs: details.retryAfterMs };
+    const kind: RefusalKind = refusalTable[type];
+    return {
+        status: kind.status,
+        type,
+        message: details.message ?? kind.message,
+        ran,
+        retryAfterMs: details.retryAfterMs ?? kind.retryAfterMs,
+    };
 }
--- a/packages/router/src/refusalTable.ts
+++ b/packages/router/src/refusalTable.ts
@@ -1,4 +1,9 @@
-/** Every refusal that callers may see, with its HTTP status and its sentence for people. */
+import type { RefusalKind } from "./RefusalKind.js";
+
+/** Advice for when to come back where nothing better is known, ms. */
+const RETRY_AFTER_MS = 1000;
+
+/** Every refusal that callers may see. */
 export const refusalTable = {
     "bad-request": { status: 400, message: "The call is not well formed." },
     "unauthorized": { status: 401, message: "No client account has this API key." },
@@ -24,14 +29,22 @@
         status: 503,
         message: "The record of keys cannot be reached. This call was not sent; an earlier one may have run.",
     },
-    "outcome-unknown": { status: 503, message: "The call was sent and its outcome is not known." },
+    "outcome-unknown": {
+        status: 503,
+        message: "The call was sent and its outcome is not known.",
+        retryAfterMs: RETRY_AFTER_MS,
+    },
     "too-many-requests": { status: 429, message: "The client account has too many calls waiting." },
     "overloaded": { status: 503, message: "The router's queues are full." },
-    "no-upstream": { status: 503, message: "No upstream can take the call." },
-    "deadline": { status: 504, message: "The deadline passed." },
+    "no-upstream": { status: 503, message: "No upstream can take the call.", retryAfterMs: RETRY_AFTER_MS },
+    "deadline": { status: 504, message: "The deadline passed.", retryAfterMs: RETRY_AFTER_MS },
     "deadline-unreachable": { status: 503, message: "The call cannot be served before its deadline." },
     "draining": { status: 503, message: "This router is shutting down." },
-    "broken": { status: 503, message: "The answer broke off and could not be resumed." },
+    "broken": {
+        status: 503,
+        message: "The answer broke off and could not be resumed.",
+        retryAfterMs: RETRY_AFTER_MS,
+    },
     "caller-gone": { status: 499, message: "The caller closed the connection." },
-    "internal": { status: 500, message: "The router failed on this call." },
-} as const satisfies Record<string, { status: number; message: string; }>;
+    "internal": { status: 500, message: "The router failed on this call.", retryAfterMs: RETRY_AFTER_MS },
+} as const satisfies Record<string, RefusalKind>;
--- a/packages/router/tests/keyedCalls.test.ts
+++ b/packages/router/tests/keyedCalls.test.ts
@@ -132,7 +132,9 @@
         const pending = book("k1", { "x-timeout-ms": "300" });
         await waitFor("the call", () => fixture.service.executions.length === 1);
         await fixture.clock.advance(300);
-        expect(errorOf(await pending)).to.include({ type: "deadline", ran: "unknown" });
+        const answer = await pending;
+        expect(errorOf(answer)).to.include({ type: "deadline", ran: "unknown", retryAfterMs: 1000 });
+        expect(answer.headers["retry-after"]).to.equal("1");
     });
 
     const day = 86_400_000;
