--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -11,8 +11,4 @@
 export type { ServiceClient } from "./ports/ServiceClient.js";
 export type { ZoneForwarder } from "./ports/ZoneForwarder.js";
 export { type RouterSettings, routerSettingsSchema } from "./RouterSettings.js";
-export type { KeyClaim } from "./services/KeyClaim.js";
-export type { KeyClaimOutcome } from "./services/KeyClaimOutcome.js";
-export type { KeyFinishOutcome } from "./services/KeyFinishOutcome.js";
-export type { KeyReleaseOutcome } from "./services/KeyReleaseOutcome.js";
 export type { ServiceAnswer } from "./services/ServiceAnswer.js";
--- a/packages/router/src/services/KeyedCalls.ts
+++ b/packages/router/src/services/KeyedCalls.ts
@@ -1,3 +1,4 @@
+import type { JournalClaim, JournalClaimOutcome } from "@fescuehaven/coordination";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger } from "@fescuehaven/telemetry";
 import { createHash } from "node:crypto";
@@ -5,8 +6,6 @@
 import { createRefusal } from "../createRefusal.js";
 import type { KeyJournal } from "../ports/KeyJournal.js";
 import { issuedAtRule } from "./issuedAtRule.js";
-import type { KeyClaim } from "./KeyClaim.js";
-import type { KeyClaimOutcome } from "./KeyClaimOutcome.js";
 import { parseIssuedAt } from "./parseIssuedAt.js";
 import type { ServiceAnswer } from "./ServiceAnswer.js";
 import type { ServiceCall } from "./ServiceCall.js";
@@ -27,7 +26,7 @@
     clockErrorMs: number;
 }
 
-type Unclaimed = Exclude<KeyClaimOutcome, { kind: "claimed"; }>;
+type Unclaimed = Exclude<JournalClaimOutcome, { kind: "claimed"; }>;
 
 const KEY_PATTERN = /^[\x20-\x7e]{1,256}$/;
 const HELD_RETRY_AFTER_MS = 1000;
@@ -64,7 +63,7 @@
         if (verdict.kind !== "fresh") {
             return { kind: "refused", refusal: createRefusal(verdict.kind, "unknown") };
         }
-        const claim: KeyClaim = {
+        const claim: JournalClaim = {
             clientAccount: call.caller.account,
             route: call.route,
             idempotencyKey: key,
@@ -88,7 +87,7 @@
         await Promise.all(this.writes);
     }
 
-    private async runOnce(call: ServiceCall, claim: KeyClaim, signal: AbortSignal): Promise<ServiceResult> {
+    private async runOnce(call: ServiceCall, claim: JournalClaim, signal: AbortSignal): Promise<ServiceResult> {
         const outcome = await this.claim(call, claim, signal);
         if (outcome.kind !== "claimed") {
             return this.answerUnclaimed(outcome, call, claim);
@@ -104,7 +103,7 @@
         return result;
     }
 
-    private async claim(call: ServiceCall, claim: KeyClaim, signal: AbortSignal): Promise<KeyClaimOutcome> {
+    private async claim(call: ServiceCall, claim: JournalClaim, signal: AbortSignal): Promise<JournalClaimOutcome> {
         const ended = new AbortController();
         const deadline = new AbortController();
         const remainingMs = call.deadlineMs - this.options.clock.monotonicMs();
@@ -114,7 +113,7 @@
         return outcome;
     }
 
-    private async finish(call: ServiceCall, claim: KeyClaim, answer: ServiceAnswer): Promise<void> {
+    private async finish(call: ServiceCall, claim: JournalClaim, answer: ServiceAnswer): Promise<void> {
         const { requestId } = call.request;
         const outcome = await this.options.journal.finish(claim, answer);
         if (outcome.kind === "recorded") {
@@ -125,7 +124,7 @@
         }
     }
 
-    private async release(call: ServiceCall, claim: KeyClaim): Promise<void> {
+    private async release(call: ServiceCall, claim: JournalClaim): Promise<void> {
         const { requestId } = call.request;
         const outcome = await this.options.journal.release(claim);
         if (outcome.kind === "released") {
@@ -150,7 +149,7 @@
     private async answerUnclaimed(
         outcome: Unclaimed,
         call: ServiceCall,
-        claim: KeyClaim,
+        claim: JournalClaim,
     ): Promise<ServiceResult> {
         switch (outcome.kind) {
             case "finished":
--- a/packages/router/tests/support/MemoryKeyJournal.ts
+++ b/packages/router/tests/support/MemoryKeyJournal.ts
@@ -1,8 +1,10 @@
+import type {
+    JournalClaim,
+    JournalClaimOutcome,
+    JournalFinishOutcome,
+    JournalReleaseOutcome,
+} from "@fescuehaven/coordination";
 import type { KeyJournal } from "../../src/ports/KeyJournal.js";
-import type { KeyClaim } from "../../src/services/KeyClaim.js";
-import type { KeyClaimOutcome } from "../../src/services/KeyClaimOutcome.js";
-import type { KeyFinishOutcome } from "../../src/services/KeyFinishOutcome.js";
-import type { KeyReleaseOutcome } from "../../src/services/KeyReleaseOutcome.js";
 import type { ServiceAnswer } from "../../src/services/ServiceAnswer.js";
 
 interface KeyRecord {
@@ -29,7 +31,7 @@
         return new MemoryKeyJournal();
     }
 
-    async claim(claim: KeyClaim, signal: AbortSignal): Promise<KeyClaimOutcome> {
+    async claim(claim: JournalClaim, signal: AbortSignal): Promise<JournalClaimOutcome> {
         if (this.outage) {
             return { kind: "unavailable", retryAfterMs: 1500 };
         }
@@ -49,7 +51,7 @@
         return { kind: "claimed" };
     }
 
-    async finish(claim: KeyClaim, answer: ServiceAnswer): Promise<KeyFinishOutcome> {
+    async finish(claim: JournalClaim, answer: ServiceAnswer): Promise<JournalFinishOutcome> {
         if (this.outage) {
             return { kind: "unavailable", retryAfterMs: 1500 };
         }
@@ -62,7 +64,7 @@
         return { kind: "recorded" };
     }
 
-    async release(claim: KeyClaim): Promise<KeyReleaseOutcome> {
+    async release(claim: JournalClaim): Promise<JournalReleaseOutcome> {
         if (this.outage) {
             return { kind: "unavailable", retryAfterMs: 1500 };
         }
@@ -73,7 +75,7 @@
     }
 }
 
-function describe(record: KeyRecord, claim: KeyClaim): KeyClaimOutcome {
+function describe(record: KeyRecord, claim: JournalClaim): JournalClaimOutcome {
     if (record.digest !== claim.requestDigest) {
         return { kind: "mismatched-request" };
     }
@@ -83,6 +85,6 @@
     return record.answer ? { kind: "finished", answer: record.answer } : { kind: "finished-without-answer" };
 }
 
-function idOf(claim: KeyClaim): string {
+function idOf(claim: JournalClaim): string {
     return `${claim.clientAccount}/${claim.route}/${claim.idempotencyKey}`;
 }
