--- a/packages/cli/src/adapters/ConnectProcessReader.ts
+++ b/packages/cli/src/adapters/ConnectProcessReader.ts
@@ -1,6 +1,7 @@
 import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
 import type { Peer } from "@fescuehaven/coordination";
+import type { TlsMaterial } from "@fescuehaven/daemon";
 import { type Event, IntrospectionService } from "@fescuehaven/protocol";
 import type { EventFilter, StampedEvent } from "@fescuehaven/telemetry";
 import type { ProcessReader } from "../ports/ProcessReader.js";
@@ -9,7 +10,7 @@
     /** Longest wait for each process, ms. */
     timeoutMs: number;
     /** PEM texts towards processes whose URL is https. */
-    tls?: { cert: string; key: string; ca: string; };
+    tls?: TlsMaterial;
 }
 
 /** Reads processes by connect-es. */
--- a/packages/cli/src/adapters/createCommandContext.ts
+++ b/packages/cli/src/adapters/createCommandContext.ts
@@ -1,8 +1,8 @@
+import { readTlsMaterial, type TlsFiles, type TlsMaterial } from "@fescuehaven/daemon";
 import { CallLimiter, HttpObjectStore, PlatformHttp } from "@fescuehaven/platform";
 import { loadSettings, type SchemaFault, SystemClock, SystemRandom } from "@fescuehaven/runtime";
-import { readFile } from "node:fs/promises";
 import { userInfo } from "node:os";
-import { type CliConfiguration, cliConfigurationSchema } from "../CliConfiguration.js";
+import { cliConfigurationSchema } from "../CliConfiguration.js";
 import type { CommandContext } from "../CommandContext.js";
 import type { ContextOutcome } from "../ContextOutcome.js";
 import type { GlobalArguments } from "../GlobalArguments.js";
@@ -39,17 +39,12 @@
 }
 
 type TlsOutcome =
-    | { kind: "read"; material: { cert: string; key: string; ca: string; }; }
+    | { kind: "read"; material: TlsMaterial; }
     | { kind: "invalid"; faults: SchemaFault[]; };
 
-async function readTls(files: NonNullable<CliConfiguration["tls"]>): Promise<TlsOutcome> {
+async function readTls(files: TlsFiles): Promise<TlsOutcome> {
     try {
-        const [cert, key, ca] = await Promise.all([
-            readFile(files.certificateFile, "utf8"),
-            readFile(files.keyFile, "utf8"),
-            readFile(files.authorityFile, "utf8"),
-        ]);
-        return { kind: "read", material: { cert, key, ca } };
+        return { kind: "read", material: await readTlsMaterial(files) };
     }
     catch (error) {
         return { kind: "invalid", faults: [{ path: "tls", expected: `readable files: ${(error as Error).message}` }] };
--- a/packages/daemon/src/adapters/TlsIdentity.ts
+++ b/packages/daemon/src/adapters/TlsIdentity.ts
@@ -1,9 +1,9 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { Logger } from "@fescuehaven/telemetry";
-import { readFile } from "node:fs/promises";
 import { createSecureContext } from "node:tls";
 import type { TlsFiles } from "../TlsFiles.js";
 import type { TlsMaterial } from "../TlsMaterial.js";
+import { readTlsMaterial } from "./readTlsMaterial.js";
 
 /** What a `TlsIdentity` is made of. */
 interface TlsIdentityOptions {
@@ -90,11 +90,7 @@
 
 /** Rejects when a file cannot be read or key and certificate do not fit. */
 async function readMaterial(files: TlsFiles): Promise<TlsMaterial> {
-    const [cert, key, ca] = await Promise.all([
-        readFile(files.certificateFile, "utf8"),
-        readFile(files.keyFile, "utf8"),
-        files.authorityFile === undefined ? undefined : readFile(files.authorityFile, "utf8"),
-    ]);
-    createSecureContext({ cert, key, ca });
-    return { cert, key, ca };
+    const material = await readTlsMaterial(files);
+    createSecureContext(material);
+    return material;
 }
--- /dev/null
+++ b/packages/daemon/src/adapters/readTlsMaterial.ts
@@ -0,0 +1,13 @@
+import { readFile } from "node:fs/promises";
+import type { TlsFiles } from "../TlsFiles.js";
+import type { TlsMaterial } from "../TlsMaterial.js";
+
+/** Reads TLS files as they are; whether key and certificate fit is not checked. Rejects when one cannot be read. */
+export async function readTlsMaterial(files: TlsFiles): Promise<TlsMaterial> {
+    const [cert, key, ca] = await Promise.all([
+        readFile(files.certificateFile, "utf8"),
+        readFile(files.keyFile, "utf8"),
+        files.authorityFile === undefined ? undefined : readFile(files.authorityFile, "utf8"),
+    ]);
+    return { cert, key, ca };
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,6 +2,7 @@
 export { hybridClockInterceptor } from "./adapters/hybridClockInterceptor.js";
 export { IntrospectionHandler } from "./adapters/IntrospectionHandler.js";
 export { PeerServer } from "./adapters/PeerServer.js";
+export { readTlsMaterial } from "./adapters/readTlsMaterial.js";
 export { TlsIdentity } from "./adapters/TlsIdentity.js";
 export { DaemonError } from "./DaemonError.js";
 export { type DaemonSettings, daemonSettingsSchema } from "./DaemonSettings.js";
