--- a/.mocharc.cjs
+++ b/.mocharc.cjs
@@ -22,7 +22,7 @@
 
 module.exports = {
     import: ["tsx"],
-    spec: ["packages/*/tests/**/*.test.ts"],
+    spec: ["packages/*/tests/**/*.test.ts", "platform/tests/**/*.test.ts"],
     timeout: 60000,
     parallel: false,
     forbidOnly: true,
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,9 +3,9 @@
 import { local } from "./scripts/lint/local.mjs";
 
 export default tseslint.config(
-    { ignores: ["**/node_modules/**", "**/dist/**", "**/gen/**", "**/results/**", "spec/out/**"] },
+    { ignores: ["**/node_modules/**", "**/dist/**", "target/**", "**/gen/**", "**/results/**", "spec/out/**"] },
     {
-        files: ["packages/*/{src,tests}/**/*.ts"],
+        files: ["{packages/*,platform}/{src,tests}/**/*.ts"],
         extends: [...tseslint.configs.recommendedTypeChecked],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
@@ -37,7 +37,7 @@
         },
     },
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["{packages/*,platform}/src/**/*.ts"],
         plugins: { jsdoc, local },
         rules: {
             "jsdoc/require-jsdoc": ["error", {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -44,5 +44,6 @@
 export type { PeerClients } from "./ports/PeerClients.js";
 export type { PeerView } from "./ports/PeerView.js";
 export type { VmView } from "./ports/VmView.js";
+export { Backoff } from "./util/Backoff.js";
 export { engineUrl } from "./util/engineUrl.js";
 export { VmListSync } from "./VmListSync.js";
--- /dev/null
+++ b/packages/gateway/src/ConfigurationHolder.ts
@@ -0,0 +1,59 @@
+import type { Route } from "./model/Route.js";
+import type { ServingConfiguration } from "./model/ServingConfiguration.js";
+import type { DecisionLog } from "./ports/DecisionLog.js";
+
+/** The configuration in force, which never goes back to an older version. */
+export class ConfigurationHolder {
+    private configuration: ServingConfiguration | undefined;
+    private routesByHost = new Map<string, Route[]>();
+    private readonly listeners = new Set<(configuration: ServingConfiguration) => void>();
+
+    private constructor(private readonly log: DecisionLog) {}
+
+    /** Creates a holder without a configuration. */
+    static create(log: DecisionLog): ConfigurationHolder {
+        return new ConfigurationHolder(log);
+    }
+
+    /** The configuration in force. */
+    get current(): ServingConfiguration | undefined {
+        return this.configuration;
+    }
+
+    /** Calls `listener` with every configuration that comes into force. */
+    onChange(listener: (configuration: ServingConfiguration) => void): void {
+        this.listeners.add(listener);
+    }
+
+    /** Puts a configuration into force unless a newer one is. */
+    adopt(configuration: ServingConfiguration): void {
+        const before = this.configuration?.version;
+        if (before !== undefined && configuration.version <= before) {
+            return;
+        }
+        this.configuration = configuration;
+        this.routesByHost = indexByHost(configuration.routes);
+        this.log.info("configuration in force", {
+            version: configuration.version,
+            before,
+            routes: configuration.routes.length,
+        });
+        this.listeners.forEach(listener => listener(configuration));
+    }
+
+    /** The route with the longest prefix of the path, among those of the host. */
+    match(hostHeader: string, target: string): Route | undefined {
+        const host = hostHeader.replace(/:\d+$/, "").toLowerCase();
+        const path = target.split("?", 1)[0] ?? "";
+        return this.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
+    }
+}
+
+function indexByHost(routes: readonly Route[]): Map<string, Route[]> {
+    const byHost = new Map<string, Route[]>();
+    for (const route of routes) {
+        byHost.set(route.host, [...byHost.get(route.host) ?? [], route]);
+    }
+    byHost.forEach(list => list.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length));
+    return byHost;
+}
--- /dev/null
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -0,0 +1,74 @@
+import { Counter, Histogram, Registry } from "prom-client";
+import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
+
+/** Upper bounds of the latency buckets, seconds: around the objectives of 0.15 to 0.5 s and the deadlines of 8 s. */
+const LATENCY_BUCKETS_S = [0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 2, 4, 8];
+
+const counterHelp = {
+    requests: "Requests by how they ended",
+    refusals: "Refused requests by reason",
+    retries: "Sendings beyond a request's first, by reason",
+    groupsLost: "Serving groups found lost, by reason",
+    orders: "Orders to upstreams by outcome",
+    storeFailures: "Failed calls to the platform's store, by kind",
+} as const;
+
+const histogramHelp = {
+    firstEvent: "Seconds until the first event of a stream",
+    answer: "Seconds until the whole answer of a plain request",
+    queueWait: "Seconds that a request waited for a place",
+    repair: "Seconds from a lost member until its group was open again",
+} as const;
+
+/** Counters and histograms in the text format that scrapers read. */
+export class PromGatewayMetrics implements GatewayMetrics {
+    private readonly registry = new Registry();
+    private readonly counters = mapValues(counterHelp, (name, help) =>
+        new Counter({
+            name: `fescue_${snakeCase(name)}_total`,
+            help,
+            labelNames: ["reason"],
+            registers: [this.registry],
+        }));
+    private readonly histograms = mapValues(histogramHelp, (name, help) =>
+        new Histogram({
+            name: `fescue_${snakeCase(name)}_seconds`,
+            help,
+            buckets: LATENCY_BUCKETS_S,
+            registers: [this.registry],
+        }));
+
+    private constructor() {}
+
+    /** Creates the registry. */
+    static create(): PromGatewayMetrics {
+        return new PromGatewayMetrics();
+    }
+
+    /** Counts an event by its reason. */
+    count(name: keyof typeof counterHelp, reason: string): void {
+        this.counters[name].inc({ reason });
+    }
+
+    /** Adds a time to a histogram, ms. */
+    observe(name: keyof typeof histogramHelp, durationMs: number): void {
+        this.histograms[name].observe(durationMs / 1000);
+    }
+
+    /** All values as text. */
+    render(): Promise<string> {
+        return this.registry.metrics();
+    }
+}
+
+function mapValues<K extends string, V>(
+    source: Readonly<Record<K, string>>,
+    make: (name: K, help: string) => V,
+): Record<K, V> {
+    const entries = (Object.entries(source) as Array<[K, string]>).map(([name, help]) => [name, make(name, help)]);
+    return Object.fromEntries(entries) as Record<K, V>;
+}
+
+function snakeCase(name: string): string {
+    return name.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -0,0 +1,636 @@
+import type { Clock } from "@fescuehaven/runtime";
+import type { ConfigurationHolder } from "../ConfigurationHolder.js";
+import type { EngineProfile } from "../model/EngineProfile.js";
+import type { ModelProfile } from "../model/ModelProfile.js";
+import type { Upstream } from "../model/Upstream.js";
+import type { LoadBook } from "../placement/LoadBook.js";
+import type { DecisionLog } from "../ports/DecisionLog.js";
+import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
+import type { UpstreamDirectory } from "../UpstreamDirectory.js";
+import { groupBy } from "../util/groupBy.js";
+import { chooseMembers } from "./chooseMembers.js";
+import type { ControllerLease } from "./ControllerLease.js";
+import type { Formation } from "./Formation.js";
+import type { LoadThrottle } from "./LoadThrottle.js";
+import type { LossDetector } from "./LossDetector.js";
+import type { ObservedGroup } from "./ObservedGroup.js";
+import { observeGroups } from "./observeGroups.js";
+import type { OrderSender } from "./OrderSender.js";
+import { planGroups } from "./planGroups.js";
+import { standbyGroups } from "./standbyGroups.js";
+import type { StandbyPool } from "./StandbyPool.js";
+
+/** What a `FleetController` is made of. */
+interface FleetControllerOptions {
+    clock: Clock;
+    log: DecisionLog;
+    metrics: GatewayMetrics;
+    configuration: ConfigurationHolder;
+    upstreams: UpstreamDirectory;
+    loads: LoadBook;
+    lease: ControllerLease;
+    orders: OrderSender;
+    detector: LossDetector;
+    throttle: LoadThrottle;
+    standby: StandbyPool;
+    /** Time for which a group stands still before its head gives it up, ms. */
+    groupStallMs: number;
+    /** Tells all gateways that a group is lost. */
+    announceLost: (epoch: number, reason: string) => void;
+}
+
+/** One service's engines as one turn sees them. */
+interface ServiceView {
+    service: string;
+    engine: EngineProfile;
+    upstreams: Upstream[];
+    observed: Map<string, ObservedGroup>;
+}
+
+/** Pause between two turns, ms: short against the 200 ms of a warm join. */
+const TICK_MS = 40;
+/** Epochs of one term: the term stands in the bits above. */
+const EPOCHS_PER_TERM = 65_536;
+/** No upstream has registered for this long: the fleet is as complete as it gets, ms; a few heartbeats. */
+const SETTLED_AFTER_MS = 1200;
+/** Silence of a group, as all gateways see it, after which its members are asked, ms: above the longest pass. */
+const SILENCE_MS = 320;
+/** Silence after which a group is formed anew though all its members answer, ms. */
+const STUCK_MS = 1500;
+/** Pause between two rounds of asking the members of one group, ms. */
+const CHECK_PAUSE_MS = 400;
+/** Pause between two rounds of asking members whose entries are gone, ms: each question is priced. */
+const ENTRY_CHECK_PAUSE_MS = 1500;
+/** A group at least this old is held to its epoch in reports, ms: reports lag by some hundred ms. */
+const REPORTS_CAUGHT_UP_MS = 1000;
+/** A member that does not show a join after this time is asked, ms. */
+const JOIN_SHOWS_AFTER_MS = 1200;
+/** An opening that does not show after this time is ordered again, ms. */
+const OPEN_SHOWS_AFTER_MS = 900;
+/** Requests of a closing group get this long to end, ms: most answers take about two seconds. */
+const CLOSE_WAIT_MS = 2000;
+/** A group without enough members is given up after this time, ms; members that restart are back before. */
+const SHORT_AFTER_MS = 1500;
+/** Added to the stall time of a head that cannot be asked, ms: its members leave at slightly different moments. */
+const STALL_MARGIN_MS = 600;
+/** A lost upstream is asked again after this time, ms. */
+const LOST_RECHECK_MS = 2500;
+/** Members that may load at once beyond the weight store's full speed, as a factor, while there is no traffic. */
+const EARLY_LOADS_FACTOR = 1.5;
+
+/** Forms, watches and repairs the serving groups, while this gateway is the controller. */
+export class FleetController {
+    private formations = new Map<string, Formation>();
+    /** Lives that did not answer, and when they were asked last, monotonic ms. */
+    private readonly lostLives = new Map<string, number>();
+    /** Upstreams that may not change groups before a time, because the head of theirs cannot be asked, ms. */
+    private readonly fencedUntilMs = new Map<string, number>();
+    private term = 0;
+    private nextEpochOfTerm = 1;
+    private knownIds = "";
+    private settledSinceMs = 0;
+
+    private constructor(private readonly options: FleetControllerOptions) {}
+
+    /** Creates a controller; it acts once `run` and while it holds the lease. */
+    static create(options: FleetControllerOptions): FleetController {
+        return new FleetController(options);
+    }
+
+    /** Acts until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock, lease } = this.options;
+        while (!signal.aborted) {
+            if (lease.isController) {
+                this.turn();
+            }
+            else if (this.term !== 0) {
+                this.stepDown();
+            }
+            await clock.sleep(TICK_MS, signal);
+        }
+    }
+
+    private stepDown(): void {
+        this.options.log.info("no longer the controller", { term: this.term });
+        this.term = 0;
+        this.formations = new Map();
+        this.lostLives.clear();
+        this.fencedUntilMs.clear();
+    }
+
+    private turn(): void {
+        const { lease, log, configuration, upstreams } = this.options;
+        if (lease.term !== this.term) {
+            this.stepDown();
+            this.term = lease.term;
+            this.nextEpochOfTerm = 1;
+            log.info("acting as the controller", { term: this.term });
+        }
+        this.noteSettled();
+        for (const [service, { engine }] of configuration.current?.services ?? []) {
+            if (!engine) {
+                continue;
+            }
+            const members = [...upstreams.all()].filter(upstream => upstream.service === service);
+            const view: ServiceView = { service, engine, upstreams: members, observed: observeGroups(members) };
+            this.adoptGroups(view);
+            [...this.formations.values()].filter(item => item.service === service).forEach(item =>
+                this.advance(view, item)
+            );
+            this.releaseStrays(view);
+            this.formNewGroups(view);
+            this.options.standby.keep(
+                service,
+                engine,
+                this.freeUpstreams(view),
+                this.formations,
+                () => this.newEpoch(),
+            );
+        }
+    }
+
+    /** Takes over groups that an earlier controller formed. */
+    private adoptGroups(view: ServiceView): void {
+        for (const group of view.observed.values()) {
+            const head = group.members.get(0);
+            const known = this.formations.get(group.name);
+            if (standbyGroups.isStandby(group.name) || (known && known.epoch >= group.epoch)) {
+                continue;
+            }
+            const any = head ?? [...group.members.values()][0];
+            const model = view.engine.models.find(item => item.name === any?.model)
+                ?? view.engine.models.find(item => group.name.endsWith(groupSuffix(item)));
+            if (!any || !model) {
+                continue;
+            }
+            const members = [...group.members].sort(([left], [right]) => left - right).map(([, member]) => member);
+            const isOpen = head?.group?.phase === "open";
+            const formation: Formation = {
+                name: group.name,
+                service: view.service,
+                domain: any.domain,
+                model,
+                epoch: group.epoch,
+                members,
+                phase: isOpen ? "open" : "joining",
+                phaseSinceMs: this.nowMs(),
+                checkedAtMs: 0,
+                isChecking: false,
+            };
+            this.options.log.info("group adopted", {
+                group: group.name,
+                epoch: group.epoch,
+                members: members.length,
+                of: model.memberCount,
+                phase: head?.group?.phase,
+            });
+            this.formations.set(group.name, formation);
+            if (members.length < model.memberCount) {
+                this.reform(view, formation, "a member is not registered", new Set());
+            }
+        }
+    }
+
+    private advance(view: ServiceView, formation: Formation): void {
+        this.phaseHandlers[formation.phase](view, formation);
+    }
+
+    private readonly phaseHandlers: Record<Formation["phase"], (view: ServiceView, formation: Formation) => void> = {
+        joining: (view, formation) => this.advanceJoining(view, formation),
+        opening: (view, formation) => this.advanceOpening(view, formation),
+        open: (view, formation) => this.watchOpen(view, formation),
+        closing: (view, formation) => this.advanceClosing(view, formation),
+        short: (view, formation) => this.advanceShort(view, formation),
+    };
+
+    private advanceJoining(view: ServiceView, formation: Formation): void {
+        const unusable = formation.members.filter(member => !this.isUsable(member));
+        if (unusable.length > 0) {
+            this.reform(view, formation, "a member was lost while joining", idsOf(unusable));
+            return;
+        }
+        const current = formation.members.map(member => this.options.upstreams.get(member.id));
+        if (current.every(member => isReadyIn(member, formation))) {
+            this.setPhase(formation, "opening");
+            void this.openGroup(formation);
+            return;
+        }
+        const ageMs = this.nowMs() - formation.phaseSinceMs;
+        const hidden = formation.members.filter((member, rank) =>
+            current[rank]?.group?.epoch !== formation.epoch && !this.options.orders.isBusy(member)
+        );
+        if (ageMs > JOIN_SHOWS_AFTER_MS && hidden.length > 0 && this.mayCheck(formation, CHECK_PAUSE_MS)) {
+            void this.check(formation, hidden, undefined).then(lost => {
+                if (this.formations.get(formation.name) === formation && formation.phase === "joining") {
+                    this.reform(this.freshView(view), formation, "a join did not show", lost);
+                }
+            });
+        }
+    }
+
+    private async openGroup(formation: Formation): Promise<void> {
+        const head = formation.members[0];
+        if (head) {
+            const { name, epoch } = formation;
+            await this.options.orders.give(head, { kind: "open", group: name, epoch });
+        }
+    }
+
+    private advanceOpening(view: ServiceView, formation: Formation): void {
+        const unusable = formation.members.filter(member => !this.isUsable(member));
+        if (unusable.length > 0) {
+            this.reform(view, formation, "a member was lost while opening", idsOf(unusable));
+            return;
+        }
+        const head = formation.members[0] && this.options.upstreams.get(formation.members[0].id);
+        const ageMs = this.nowMs() - formation.phaseSinceMs;
+        if (head?.group?.epoch === formation.epoch && head.group.phase === "open") {
+            const repairMs = formation.lostAtMs === undefined ? undefined : this.nowMs() - formation.lostAtMs;
+            if (repairMs !== undefined) {
+                this.options.metrics.observe("repair", repairMs);
+            }
+            this.options.log.info("group open", { group: formation.name, epoch: formation.epoch, repairMs });
+            formation.lostAtMs = undefined;
+            this.setPhase(formation, "open");
+        }
+        else if (ageMs > OPEN_SHOWS_AFTER_MS && head && !this.options.orders.isBusy(head)) {
+            this.setPhase(formation, "joining");
+        }
+    }
+
+    private watchOpen(view: ServiceView, formation: Formation): void {
+        const head = formation.members[0] && this.options.upstreams.get(formation.members[0].id);
+        if (!head || head.bornMs !== formation.members[0]?.bornMs) {
+            this.loseGroup(view, formation, "the head is no longer registered", idsOf(formation.members.slice(0, 1)));
+            return;
+        }
+        if (head.group?.epoch !== formation.epoch || head.group.phase !== "open") {
+            const phase = head.group?.epoch === formation.epoch ? head.group.phase : "another epoch";
+            const handled = phase === "closing" ? () => this.setPhase(formation, "closing") : undefined;
+            (handled ?? (() => this.loseGroup(view, formation, `the head says ${phase}`, new Set())))();
+            return;
+        }
+        if (formation.members.some(member => this.options.upstreams.get(member.id)?.state === "draining")) {
+            this.startDrain(formation, head);
+            return;
+        }
+        this.watchMembers(view, formation);
+    }
+
+    /** Asks members that seem lost: by the group's silence or because their entries are gone. */
+    private watchMembers(view: ServiceView, formation: Formation): void {
+        const load = this.options.loads.figures(String(formation.epoch));
+        const ageMs = this.nowMs() - formation.phaseSinceMs;
+        const isSilent = load.inFlight > 0 && load.silentMs > SILENCE_MS && ageMs > SILENCE_MS;
+        const reborn = formation.members.filter(member => {
+            const current = this.options.upstreams.get(member.id);
+            return current && (current.bornMs !== member.bornMs || current.group?.epoch !== formation.epoch);
+        });
+        if (reborn.length > 0 && ageMs > REPORTS_CAUGHT_UP_MS) {
+            this.loseGroup(view, formation, "a member has restarted or left", new Set());
+            return;
+        }
+        const unlisted = formation.members.filter(member => !this.options.upstreams.get(member.id));
+        const isDue = isSilent
+            ? this.mayCheck(formation, CHECK_PAUSE_MS)
+            : unlisted.length > 0 && this.mayCheck(formation, ENTRY_CHECK_PAUSE_MS);
+        if (!isDue) {
+            return;
+        }
+        const asked = isSilent ? formation.members : unlisted;
+        const epoch = ageMs > REPORTS_CAUGHT_UP_MS ? formation.epoch : undefined;
+        this.options.log.info("group asked", {
+            group: formation.name,
+            epoch: formation.epoch,
+            silentMs: Math.round(load.silentMs),
+            inFlight: load.inFlight,
+            unlisted: unlisted.length,
+        });
+        void this.check(formation, asked, epoch).then(lost => {
+            if (this.formations.get(formation.name) !== formation || formation.phase !== "open") {
+                return;
+            }
+            const isStuck = isSilent && this.options.loads.figures(String(formation.epoch)).silentMs > STUCK_MS;
+            if (lost.size > 0 || isStuck) {
+                const reason = lost.size > 0 ? "members do not answer" : "silent though all members answer";
+                this.loseGroup(this.freshView(view), formation, reason, lost);
+            }
+        });
+    }
+
+    /** Asks members; those that do not answer count as lost. */
+    private async check(
+        formation: Formation,
+        members: readonly Upstream[],
+        epoch: number | undefined,
+    ): Promise<Set<string>> {
+        formation.isChecking = true;
+        const lost = await this.options.detector.findLost(members, epoch);
+        formation.isChecking = false;
+        formation.checkedAtMs = this.nowMs();
+        for (const member of members) {
+            const reason = lost.get(member.id);
+            if (reason !== undefined) {
+                this.options.log.info("member lost", { group: formation.name, upstream: member.id, reason });
+                if (!reason.startsWith("belongs")) {
+                    this.lostLives.set(lifeOf(member), this.nowMs());
+                }
+            }
+        }
+        return new Set(lost.keys());
+    }
+
+    private startDrain(formation: Formation, head: Upstream): void {
+        this.options.log.info("group closes: a member drains", { group: formation.name, epoch: formation.epoch });
+        this.setPhase(formation, "closing");
+        if (!this.options.orders.isBusy(head)) {
+            void this.options.orders.give(head, { kind: "close", group: formation.name, epoch: formation.epoch });
+        }
+    }
+
+    private advanceClosing(view: ServiceView, formation: Formation): void {
+        const head = formation.members[0] && this.options.upstreams.get(formation.members[0].id);
+        const isClosed = !head || head.group?.epoch !== formation.epoch || head.group.phase === "ready";
+        if (isClosed || this.nowMs() - formation.phaseSinceMs > CLOSE_WAIT_MS) {
+            formation.lostAtMs ??= formation.phaseSinceMs;
+            this.reform(view, formation, "a member drains", new Set());
+        }
+    }
+
+    private advanceShort(view: ServiceView, formation: Formation): void {
+        if (this.reform(view, formation, "members are free again", new Set())) {
+            return;
+        }
+        if (this.nowMs() - formation.phaseSinceMs > SHORT_AFTER_MS) {
+            this.dissolve(formation);
+        }
+    }
+
+    private loseGroup(view: ServiceView, formation: Formation, reason: string, lost: ReadonlySet<string>): void {
+        this.options.metrics.count("groupsLost", reason);
+        formation.lostAtMs ??= this.nowMs();
+        this.options.announceLost(formation.epoch, reason);
+        this.reform(view, formation, reason, lost);
+    }
+
+    /** Forms a group anew under its name, with a higher epoch; false: its domain has too few VMs. */
+    private reform(view: ServiceView, formation: Formation, reason: string, lost: ReadonlySet<string>): boolean {
+        const staying = formation.members
+            .filter(member => !lost.has(member.id) && this.isUsable(member))
+            .map(member => this.options.upstreams.get(member.id) ?? member);
+        const free = this.freeUpstreams(view).filter(upstream => upstream.domain === formation.domain);
+        const members = chooseMembers(formation.model.name, formation.model.memberCount, staying, free);
+        if (!members) {
+            if (formation.phase !== "short") {
+                this.options.log.info("group short of members", {
+                    group: formation.name,
+                    reason,
+                    staying: staying.length,
+                    free: free.length,
+                });
+                this.formations.set(formation.name, { ...formation, members: staying });
+                this.setPhase(this.formations.get(formation.name)!, "short");
+            }
+            return false;
+        }
+        this.begin(
+            view.service,
+            formation.name,
+            formation.domain,
+            formation.model,
+            members,
+            reason,
+            formation.lostAtMs,
+        );
+        return true;
+    }
+
+    private begin(
+        service: string,
+        name: string,
+        domain: string,
+        model: ModelProfile,
+        members: readonly Upstream[],
+        reason: string,
+        lostAtMs?: number,
+    ): void {
+        const epoch = this.newEpoch();
+        const formation: Formation = {
+            name,
+            service,
+            domain,
+            model,
+            epoch,
+            members,
+            phase: "joining",
+            phaseSinceMs: this.nowMs(),
+            lostAtMs,
+            checkedAtMs: 0,
+            isChecking: false,
+        };
+        this.formations.set(name, formation);
+        const ids = members.map(member => member.id);
+        this.options.log.info("group formed", {
+            group: name,
+            epoch,
+            model: model.name,
+            reason,
+            members: ids.join(" "),
+        });
+        for (const member of members) {
+            void this.options.orders
+                .give(member, { kind: "join", group: name, epoch, model: model.name, members: ids })
+                .then(outcome => {
+                    if (outcome === "lost") {
+                        this.lostLives.set(lifeOf(member), this.nowMs());
+                    }
+                });
+        }
+    }
+
+    /** Gives a group up whose domain has too few VMs; its members become free. */
+    private dissolve(formation: Formation): void {
+        this.options.log.info("group given up", { group: formation.name, epoch: formation.epoch });
+        this.formations.delete(formation.name);
+        const observed = observeGroups(this.options.upstreams.all()).get(formation.name);
+        const head = observed?.members.get(0);
+        const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
+        for (const member of observed?.members.values() ?? []) {
+            if (!head || !this.isUsable(head)) {
+                this.fencedUntilMs.set(member.id, untilMs);
+            }
+            if (member.group && this.isUsable(member)) {
+                const { name, epoch } = member.group;
+                void this.options.orders.give(member, { kind: "leave", group: name, epoch });
+            }
+        }
+    }
+
+    /** Takes upstreams out of groups in which the controller does not count them. */
+    private releaseStrays(view: ServiceView): void {
+        for (const upstream of view.upstreams) {
+            const { group } = upstream;
+            if (!group || standbyGroups.isStandby(group.name) || this.options.orders.isBusy(upstream)) {
+                continue;
+            }
+            const formation = this.formations.get(group.name);
+            const belongs = formation?.members.some(member => member.id === upstream.id);
+            if (belongs || !this.isUsable(upstream)) {
+                continue;
+            }
+            this.options.log.info("upstream released", {
+                upstream: upstream.id,
+                group: group.name,
+                epoch: group.epoch,
+                currentEpoch: formation?.epoch,
+            });
+            void this.options.orders.give(upstream, { kind: "leave", group: group.name, epoch: group.epoch });
+        }
+    }
+
+    private formNewGroups(view: ServiceView): void {
+        const { engine, service } = view;
+        const free = this.freeUpstreams(view);
+        const byDomain = groupBy(free, upstream => upstream.domain);
+        const counts = new Map<string, number>();
+        for (const formation of this.formations.values()) {
+            if (formation.service === service && formation.phase !== "short") {
+                counts.set(formation.model.name, (counts.get(formation.model.name) ?? 0) + 1);
+            }
+        }
+        const domains = [...byDomain].map(([domain, members]) => ({ domain, freeCount: members.length }));
+        for (const planned of planGroups(engine.models, counts, domains, this.isSettled())) {
+            const model = engine.models.find(item => item.name === planned.model);
+            const inDomain = this.freeUpstreams(view).filter(upstream => upstream.domain === planned.domain);
+            const members = model && chooseMembers(model.name, model.memberCount, [], inDomain);
+            if (!model || !members) {
+                continue;
+            }
+            const loads = members.filter(member => !member.stagedModels.includes(model.name)).length;
+            if (!this.mayLoad(engine, loads)) {
+                return;
+            }
+            const name = this.freeName(planned.domain, model);
+            this.begin(service, name, planned.domain, model, members, "planned");
+        }
+    }
+
+    private mayLoad(engine: EngineProfile, count: number): boolean {
+        if (count === 0) {
+            return true;
+        }
+        const loading = [...this.formations.values()].filter(item => item.phase === "joining").reduce(
+            (sum, item) => sum + item.members.length,
+            0,
+        );
+        const isCrowded = loading > 0 && loading + count > engine.concurrentLoads * EARLY_LOADS_FACTOR;
+        return !isCrowded && this.options.throttle.tryTake(count, engine.loadsPerSecond);
+    }
+
+    private freeName(domain: string, model: ModelProfile): string {
+        for (let index = 1;; index++) {
+            const name = `${domain}.${index}${groupSuffix(model)}`;
+            if (!this.formations.has(name)) {
+                return name;
+            }
+        }
+    }
+
+    /** Upstreams that may join a group: in none, or only in one of their own that keeps weights in memory. */
+    private freeUpstreams(view: ServiceView): Upstream[] {
+        const taken = new Set<string>();
+        for (const formation of this.formations.values()) {
+            formation.members.forEach(member => taken.add(member.id));
+        }
+        return view.upstreams.filter(upstream =>
+            this.isUsable(upstream) && !taken.has(upstream.id)
+            && (!upstream.group || standbyGroups.isStandby(upstream.group.name))
+            && (this.fencedUntilMs.get(upstream.id) ?? 0) <= this.nowMs()
+        );
+    }
+
+    /** True if the upstream is registered in the life that was chosen, stays and answers. */
+    private isUsable(chosen: Upstream): boolean {
+        const current = this.options.upstreams.get(chosen.id);
+        if (!current || current.bornMs !== chosen.bornMs || current.state !== "ready") {
+            return false;
+        }
+        const lostAtMs = this.lostLives.get(lifeOf(chosen));
+        if (lostAtMs === undefined) {
+            return true;
+        }
+        this.recheck(chosen, lostAtMs);
+        return false;
+    }
+
+    /** Asks a lost upstream again that is still registered. */
+    private recheck(upstream: Upstream, lostAtMs: number): void {
+        const life = lifeOf(upstream);
+        if (this.nowMs() - lostAtMs < LOST_RECHECK_MS) {
+            return;
+        }
+        this.lostLives.set(life, this.nowMs());
+        void this.options.detector.isAlive(upstream).then(isAlive => {
+            if (isAlive) {
+                this.options.log.info("upstream answers again", { upstream: upstream.id });
+                this.lostLives.delete(life);
+            }
+        });
+    }
+
+    private noteSettled(): void {
+        const ids = [...this.options.upstreams.all()].map(upstream => lifeOf(upstream)).sort().join(" ");
+        if (ids !== this.knownIds) {
+            this.knownIds = ids;
+            this.settledSinceMs = this.nowMs();
+        }
+    }
+
+    private isSettled(): boolean {
+        return this.nowMs() - this.settledSinceMs >= SETTLED_AFTER_MS;
+    }
+
+    private mayCheck(formation: Formation, pauseMs: number): boolean {
+        return !formation.isChecking && this.nowMs() - formation.checkedAtMs >= pauseMs;
+    }
+
+    private setPhase(formation: Formation, phase: Formation["phase"]): void {
+        formation.phase = phase;
+        formation.phaseSinceMs = this.nowMs();
+    }
+
+    /** The view may have changed while members were asked. */
+    private freshView(view: ServiceView): ServiceView {
+        const upstreams = [...this.options.upstreams.all()].filter(upstream => upstream.service === view.service);
+        return { ...view, upstreams, observed: observeGroups(upstreams) };
+    }
+
+    private newEpoch(): number {
+        const epoch = this.term * EPOCHS_PER_TERM + this.nextEpochOfTerm;
+        this.nextEpochOfTerm += 1;
+        return epoch;
+    }
+
+    private nowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+}
+
+function groupSuffix(model: ModelProfile): string {
+    return `.${model.name}`;
+}
+
+function isReadyIn(member: Upstream | undefined, formation: Formation): boolean {
+    const group = member?.group;
+    return group !== undefined && group.name === formation.name && group.epoch === formation.epoch
+        && (group.phase === "ready" || group.phase === "open");
+}
+
+function idsOf(members: readonly Upstream[]): Set<string> {
+    return new Set(members.map(member => member.id));
+}
+
+function lifeOf(upstream: Upstream): string {
+    return `${upstream.id}@${upstream.bornMs}`;
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -0,0 +1,135 @@
+import type { Clock } from "@fescuehaven/runtime";
+import type { Upstream } from "../model/Upstream.js";
+import type { DecisionLog } from "../ports/DecisionLog.js";
+import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
+import type { GroupOrder } from "../ports/GroupOrder.js";
+import type { UpstreamControl } from "../ports/UpstreamControl.js";
+import type { UpstreamReport } from "../ports/UpstreamReport.js";
+
+/** What an `OrderSender` is made of. */
+interface OrderSenderOptions {
+    clock: Clock;
+    log: DecisionLog;
+    metrics: GatewayMetrics;
+    control: UpstreamControl;
+}
+
+/** Result of giving an order until it is settled. */
+type SettledOrder = "carried-out" | "rejected" | "lost";
+
+/** Tries for one order: a lost answer costs a timeout each. */
+const MAX_TRIES = 5;
+/** Longest wait for a report, ms: an upstream answers within a few. */
+const REPORT_TIMEOUT_MS = 300;
+
+/**
+ * Gives orders to upstreams. Each order names the number of orders that the upstream had accepted when it was last
+ * seen, so that one which is carried out late, after a newer one, is rejected there.
+ */
+export class OrderSender {
+    /** Accepted orders of each life, as far as known. */
+    private readonly orderCounts = new Map<string, number>();
+    private readonly busy = new Set<string>();
+
+    private constructor(private readonly options: OrderSenderOptions) {}
+
+    /** Creates a sender that knows nothing of the upstreams yet. */
+    static create(options: OrderSenderOptions): OrderSender {
+        return new OrderSender(options);
+    }
+
+    /** True while an order to the upstream is being settled. */
+    isBusy(upstream: Upstream): boolean {
+        return this.busy.has(lifeOf(upstream));
+    }
+
+    /** Gives an order; repeats it while its answer is lost. One order at a time goes to an upstream. */
+    async give(upstream: Upstream, order: GroupOrder): Promise<SettledOrder> {
+        const life = lifeOf(upstream);
+        this.busy.add(life);
+        try {
+            return await this.settle(upstream, life, order);
+        }
+        finally {
+            this.busy.delete(life);
+        }
+    }
+
+    /** Asks for the upstream's state and takes its order count over. */
+    async report(upstream: Upstream, timeoutMs = REPORT_TIMEOUT_MS): Promise<UpstreamReport> {
+        const report = await this.options.control.report(upstream, timeoutMs);
+        if (report.kind === "reported" && report.bornMs === upstream.bornMs) {
+            const known = this.orderCounts.get(lifeOf(upstream)) ?? 0;
+            // Reports lag behind; an own accepted order is newer.
+            this.orderCounts.set(lifeOf(upstream), Math.max(known, report.orderCount));
+        }
+        return report;
+    }
+
+    private async settle(upstream: Upstream, life: string, order: GroupOrder): Promise<SettledOrder> {
+        const { control, log, metrics } = this.options;
+        let wasUnanswered = false;
+        for (let tries = 1; tries <= MAX_TRIES; tries++) {
+            const expected = this.orderCounts.get(life) ?? 0;
+            const outcome = await control.order(upstream, order, expected);
+            metrics.count("orders", `${order.kind} ${outcome.kind}`);
+            log.info("order given", {
+                upstream: upstream.id,
+                order: order.kind,
+                epoch: "epoch" in order ? order.epoch : undefined,
+                expectedOrderCount: expected,
+                outcome: outcome.kind,
+                status: "status" in outcome ? outcome.status : undefined,
+                tries,
+            });
+            if (outcome.kind === "accepted") {
+                this.orderCounts.set(life, expected + 1);
+                return "carried-out";
+            }
+            if (outcome.kind === "done") {
+                return "carried-out";
+            }
+            if (outcome.kind === "other-instance") {
+                return "lost";
+            }
+            if (outcome.kind === "refused") {
+                return "rejected";
+            }
+            if (outcome.kind === "unknown") {
+                wasUnanswered = true;
+                continue;
+            }
+            const next = await this.afterConflict(upstream, life, order, expected, wasUnanswered);
+            if (next) {
+                return next;
+            }
+        }
+        return "lost";
+    }
+
+    /** Finds out why an order was rejected; undefined: worth another try. */
+    private async afterConflict(
+        upstream: Upstream,
+        life: string,
+        order: GroupOrder,
+        expected: number,
+        wasUnanswered: boolean,
+    ): Promise<SettledOrder | undefined> {
+        const report = await this.report(upstream);
+        if (report.kind !== "reported") {
+            return report.kind === "other-instance" ? "lost" : undefined;
+        }
+        if (report.bornMs !== upstream.bornMs) {
+            return "lost";
+        }
+        if ("epoch" in order && order.kind !== "leave" && wasUnanswered && report.group?.epoch === order.epoch) {
+            return "carried-out";
+        }
+        const isStale = (this.orderCounts.get(life) ?? 0) !== expected;
+        return isStale ? undefined : "rejected";
+    }
+}
+
+function lifeOf(upstream: Upstream): string {
+    return `${upstream.id}@${upstream.bornMs}`;
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/planGroups.ts
@@ -0,0 +1,60 @@
+import type { ModelProfile } from "../model/ModelProfile.js";
+
+/** A fabric domain as the plan sees it. */
+interface DomainState {
+    domain: string;
+    /** VMs that belong to no group. */
+    freeCount: number;
+}
+
+/** A group to be formed. */
+interface PlannedGroup {
+    domain: string;
+    model: string;
+}
+
+/**
+ * Plans groups for the free VMs of each fabric domain, the model first whose groups have most work each. A group never
+ * spans domains. While VMs are still registering (`isSettled` false), a model for which there is no room yet is waited
+ * for, so that small groups do not take the VMs of large ones.
+ */
+export function planGroups(
+    models: readonly ModelProfile[],
+    groupCounts: ReadonlyMap<string, number>,
+    domains: readonly DomainState[],
+    isSettled: boolean,
+): PlannedGroup[] {
+    const counts = new Map(groupCounts);
+    const free = new Map(domains.map(({ domain, freeCount }) => [domain, freeCount]));
+    const planned: PlannedGroup[] = [];
+    for (;;) {
+        const ordered = [...models].sort((left, right) => workPerGroup(right, counts) - workPerGroup(left, counts));
+        const choice = pick(isSettled ? ordered : ordered.slice(0, 1), free);
+        if (!choice) {
+            return planned;
+        }
+        planned.push({ domain: choice.domain, model: choice.model.name });
+        counts.set(choice.model.name, (counts.get(choice.model.name) ?? 0) + 1);
+        free.set(choice.domain, (free.get(choice.domain) ?? 0) - choice.model.memberCount);
+    }
+}
+
+/** Work of a model for each of its groups; a group at half the pace factor does twice the work. */
+function workPerGroup(model: ModelProfile, counts: ReadonlyMap<string, number>): number {
+    const count = counts.get(model.name) ?? 0;
+    return count === 0 ? Infinity : model.demandShare * model.pace / count;
+}
+
+function pick(
+    ordered: readonly ModelProfile[],
+    free: ReadonlyMap<string, number>,
+): { domain: string; model: ModelProfile; } | undefined {
+    for (const model of ordered) {
+        const fitting = [...free].filter(([, count]) => count >= model.memberCount);
+        const [fullest] = fitting.sort((left, right) => right[1] - left[1] || left[0].localeCompare(right[0]));
+        if (fullest) {
+            return { domain: fullest[0], model };
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -0,0 +1,151 @@
+import type { Clock, Random } from "@fescuehaven/runtime";
+import type { ConfigurationHolder } from "../ConfigurationHolder.js";
+import type { ClientAccount } from "../model/ClientAccount.js";
+import type { IncomingRequest } from "../model/IncomingRequest.js";
+import type { Route } from "../model/Route.js";
+import type { RetryAllowance } from "../placement/RetryAllowance.js";
+import type { CallerReply } from "../ports/CallerReply.js";
+import type { DecisionLog } from "../ports/DecisionLog.js";
+import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
+import type { ForwardedCall } from "./ForwardedCall.js";
+import type { PlainDispatcher } from "./PlainDispatcher.js";
+import type { StreamDispatcher } from "./StreamDispatcher.js";
+
+/** What a `RequestForwarder` is made of. */
+interface RequestForwarderOptions {
+    clock: Clock;
+    random: Random;
+    log: DecisionLog;
+    metrics: GatewayMetrics;
+    configuration: ConfigurationHolder;
+    retries: RetryAllowance;
+    streams: StreamDispatcher;
+    plain: PlainDispatcher;
+}
+
+/** Advice while no configuration is known, ms: a start takes about this long. */
+const UNCONFIGURED_RETRY_AFTER_MS = 500;
+
+/** Takes requests: finds their route and account, sets their deadline and hands them to the fitting dispatcher. */
+export class RequestForwarder {
+    private active = 0;
+
+    private constructor(private readonly options: RequestForwarderOptions) {}
+
+    /** Creates a forwarder. */
+    static create(options: RequestForwarderOptions): RequestForwarder {
+        return new RequestForwarder(options);
+    }
+
+    /** Requests in progress. */
+    get inProgress(): number {
+        return this.active;
+    }
+
+    /** Serves one request to its end. Never rejects. */
+    async handle(request: IncomingRequest, reply: CallerReply): Promise<void> {
+        this.active += 1;
+        const ended = new AbortController();
+        try {
+            const call = this.open(request, reply, ended.signal);
+            if (call) {
+                const { engine } = call.service;
+                await (engine && call.route.kind === "stream"
+                    ? this.options.streams.run(call, engine)
+                    : this.options.plain.run(call));
+            }
+        }
+        catch (error) {
+            this.options.log.warn("request failed by a fault of the gateway", {
+                request: request.id,
+                error: error instanceof Error ? error.stack : String(error),
+            });
+            if (reply.hasBegun) {
+                reply.breakOff();
+            }
+            else {
+                reply.refuse({ kind: "outcome-unknown", reason: "internal fault" });
+            }
+        }
+        finally {
+            ended.abort();
+            this.active -= 1;
+        }
+    }
+
+    private open(request: IncomingRequest, reply: CallerReply, ended: AbortSignal): ForwardedCall | undefined {
+        const { configuration, clock, log, metrics, retries } = this.options;
+        const current = configuration.current;
+        if (!current) {
+            const reason = "no configuration is known yet";
+            metrics.count("refusals", reason);
+            log.info("request refused", { request: request.id, reason });
+            reply.refuse({ kind: "not-run", retryAfterMs: UNCONFIGURED_RETRY_AFTER_MS, reason });
+            return undefined;
+        }
+        const route = configuration.match(request.host, request.target);
+        if (!route) {
+            this.reject(request, reply, current.version, { kind: "no-route" });
+            return undefined;
+        }
+        const needsKey = current.hasAccounts && !route.isPublic;
+        const account = request.apiKey === undefined ? undefined : current.accountsByKey.get(request.apiKey);
+        if (needsKey && !account) {
+            this.reject(request, reply, current.version, { kind: "unknown-key" });
+            return undefined;
+        }
+        const service = current.services.get(this.pickService(route));
+        if (!service) {
+            this.reject(request, reply, current.version, { kind: "no-route" });
+            return undefined;
+        }
+        retries.noteRequest(service.name);
+        const allowedMs = Math.min(request.patienceMs ?? route.timeoutMs, route.timeoutMs);
+        const deadlineMs = request.receivedAtMs + allowedMs;
+        const deadline = new AbortController();
+        void clock.sleep(deadlineMs - clock.monotonicMs(), ended).then(() => deadline.abort());
+        return {
+            request,
+            reply,
+            route,
+            service,
+            account: needsKey ? account?.name : undefined,
+            priority: priorityOf(route, account),
+            deadlineMs,
+            deadline: deadline.signal,
+            configurationVersion: current.version,
+        };
+    }
+
+    private reject(
+        request: IncomingRequest,
+        reply: CallerReply,
+        version: number,
+        refusal: { kind: "no-route" | "unknown-key"; },
+    ): void {
+        this.options.metrics.count("refusals", refusal.kind);
+        this.options.log.info("request rejected", {
+            request: request.id,
+            reason: refusal.kind,
+            configuration: version,
+            host: request.host,
+        });
+        reply.refuse(refusal);
+    }
+
+    private pickService(route: Route): string {
+        const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+        let left = this.options.random.next() * total;
+        for (const target of route.targets) {
+            left -= target.weight;
+            if (left < 0) {
+                return target.service;
+            }
+        }
+        return route.targets.at(-1)?.service ?? "";
+    }
+}
+
+function priorityOf(route: Route, account: ClientAccount | undefined): number {
+    return account?.priority ?? route.priority;
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/SilenceGuard.ts
@@ -0,0 +1,58 @@
+import type { Clock } from "@fescuehaven/runtime";
+
+/** One exchange that must not fall silent. */
+interface GuardedExchange {
+    /** Restarts the wait, with the limit for what follows. */
+    touch(limitMs: number): void;
+
+    /** The exchange has ended. */
+    end(): void;
+}
+
+interface Entry {
+    untilMs: number;
+    onSilence: () => void;
+}
+
+/** Exchanges are looked at this often, ms: a small part of the shortest limit. */
+const SWEEP_MS = 50;
+
+/** Notices exchanges in which nothing has come for too long. */
+export class SilenceGuard {
+    private readonly entries = new Set<Entry>();
+
+    private constructor(private readonly clock: Clock) {}
+
+    /** Creates a guard without exchanges. */
+    static create(clock: Clock): SilenceGuard {
+        return new SilenceGuard(clock);
+    }
+
+    /** Watches an exchange. */
+    watch(limitMs: number, onSilence: () => void): GuardedExchange {
+        const entry: Entry = { untilMs: this.clock.monotonicMs() + limitMs, onSilence };
+        this.entries.add(entry);
+        return {
+            touch: nextLimitMs => {
+                entry.untilMs = this.clock.monotonicMs() + nextLimitMs;
+            },
+            end: () => {
+                this.entries.delete(entry);
+            },
+        };
+    }
+
+    /** Sweeps until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.clock.sleep(SWEEP_MS, signal);
+            const nowMs = this.clock.monotonicMs();
+            for (const entry of [...this.entries]) {
+                if (entry.untilMs <= nowMs) {
+                    this.entries.delete(entry);
+                    entry.onSilence();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -0,0 +1,339 @@
+import type { Clock } from "@fescuehaven/runtime";
+import type { EngineProfile } from "../model/EngineProfile.js";
+import type { AdmissionOutcome } from "../placement/AdmissionOutcome.js";
+import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
+import { chooseGroup } from "../placement/chooseGroup.js";
+import type { ColdLimiter } from "../placement/ColdLimiter.js";
+import type { FailureMemory } from "../placement/FailureMemory.js";
+import type { GroupCandidate } from "../placement/GroupCandidate.js";
+import type { GroupDirectory } from "../placement/GroupDirectory.js";
+import type { LoadBook } from "../placement/LoadBook.js";
+import type { OpenCall } from "../placement/OpenCall.js";
+import type { RetryAllowance } from "../placement/RetryAllowance.js";
+import type { DecisionLog } from "../ports/DecisionLog.js";
+import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
+import type { UpstreamClient } from "../ports/UpstreamClient.js";
+import type { AttemptResult } from "./AttemptResult.js";
+import { EventFramer } from "./EventFramer.js";
+import type { ForwardedCall } from "./ForwardedCall.js";
+import { readWhole } from "./readWhole.js";
+import type { SilenceGuard } from "./SilenceGuard.js";
+
+/** What a `StreamDispatcher` is made of. */
+interface StreamDispatcherOptions {
+    clock: Clock;
+    log: DecisionLog;
+    metrics: GatewayMetrics;
+    queue: AdmissionQueue;
+    groups: GroupDirectory;
+    loads: LoadBook;
+    cold: ColdLimiter;
+    failures: FailureMemory;
+    retries: RetryAllowance;
+    guard: SilenceGuard;
+    client: UpstreamClient;
+    zone: string;
+    /** Time since the view of upstreams was last heard, ms. */
+    viewAgeMs: () => number;
+}
+
+/** A place at a group, counted in. */
+interface GroupPlace {
+    candidate: GroupCandidate;
+    firstEventMs: number;
+    open: OpenCall;
+    lost: AbortController;
+}
+
+/** How far a stream has come. */
+interface StreamProgress {
+    lastEventId?: string;
+    hasEvents: boolean;
+    /** Sendings that may have run at an upstream that is not known to be lost. */
+    countedRuns: number;
+    mayHaveRun: boolean;
+    wasOffered: boolean;
+    /** Heads that did not run it. */
+    rejections: number;
+}
+
+/**
+ * Longest wait for a stream's first event beyond the prediction, ms. A group that reads others' prompts needs some
+ * hundred ms; callers give up after two seconds.
+ */
+const FIRST_EVENT_MARGIN_MS = 900;
+/** Longest pause between two events, ms: several of the longest passes, and well under the callers' two seconds. */
+const PAUSE_LIMIT_MS = 750;
+/** Rejections after which a request is refused: the view is wrong about more than one group. */
+const MAX_REJECTIONS = 3;
+/** Time in which a group that is being formed can be expected to open, ms: warm joins take about a second. */
+const FORMING_OUTLOOK_MS = 800;
+/** Part of the time that is left that a request may spend waiting; the rest is for the answer itself. */
+const WAITING_PART = 0.45;
+
+/** Serves streams: waits for a place at a group, forwards events as they come, goes on elsewhere when one breaks. */
+export class StreamDispatcher {
+    private constructor(private readonly options: StreamDispatcherOptions) {}
+
+    /** Creates a dispatcher. */
+    static create(options: StreamDispatcherOptions): StreamDispatcher {
+        return new StreamDispatcher(options);
+    }
+
+    /** Serves one request to its end. */
+    async run(call: ForwardedCall, engine: EngineProfile): Promise<void> {
+        const progress: StreamProgress = {
+            lastEventId: call.request.lastEventId,
+            hasEvents: false,
+            countedRuns: 0,
+            mayHaveRun: false,
+            wasOffered: false,
+            rejections: 0,
+        };
+        for (;;) {
+            const placed = await this.acquire(call, engine, progress);
+            if (placed.kind !== "placed") {
+                this.giveUp(call, progress, placed);
+                return;
+            }
+            const result = await this.attempt(call, placed.place, progress);
+            if (this.settle(call, progress, placed.place, result)) {
+                return;
+            }
+        }
+    }
+
+    private acquire(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+    ): Promise<AdmissionOutcome<GroupPlace>> {
+        const { clock, queue, groups } = this.options;
+        const nowMs = clock.monotonicMs();
+        const { request, route, service } = call;
+        return queue.acquire<GroupPlace>({
+            pool: `${service.name}/${request.model ?? ""}`,
+            // A stream that has begun goes on before others start.
+            priority: progress.hasEvents ? -1 : call.priority,
+            onTimeUntilMs: request.receivedAtMs + route.targetLatencyMs,
+            usefulUntilMs: nowMs + (call.deadlineMs - nowMs) * WAITING_PART,
+            place: () => this.place(call, engine),
+            outlookMs: () => {
+                if (groups.candidates(service.name, engine, request.model).length > 0) {
+                    return 0;
+                }
+                return groups.isForming(service.name, request.model) ? FORMING_OUTLOOK_MS : Infinity;
+            },
+        }, AbortSignal.any([call.reply.gone, call.deadline]));
+    }
+
+    private place(call: ForwardedCall, engine: EngineProfile): GroupPlace | undefined {
+        const { groups, loads, cold, clock, zone } = this.options;
+        const { request, route, service } = call;
+        const nowMs = clock.monotonicMs();
+        const candidates = groups.candidates(service.name, engine, request.model).filter(({ head }) =>
+            head.coldUntilMs <= nowMs || cold.hasRoom(head.id, service.coldRequestsPerSecond)
+        );
+        const choice = chooseGroup(engine, candidates, {
+            zone,
+            promptTokens: request.promptTokens,
+            targetGapMs: route.targetGapMs,
+        });
+        if (!choice) {
+            return undefined;
+        }
+        const { head, epoch } = choice.candidate;
+        if (head.coldUntilMs > nowMs) {
+            cold.note(head.id);
+        }
+        const lost = new AbortController();
+        const open = loads.open(String(epoch), request.promptTokens, reason => lost.abort(reason));
+        return { ...choice, open, lost };
+    }
+
+    private async attempt(call: ForwardedCall, place: GroupPlace, progress: StreamProgress): Promise<AttemptResult> {
+        const { clock, client, guard, failures } = this.options;
+        const { head } = place.candidate;
+        this.logPlaced(call, place, progress);
+        progress.wasOffered = true;
+        const silent = new AbortController();
+        const guarded = guard.watch(place.firstEventMs + FIRST_EVENT_MARGIN_MS, () => silent.abort());
+        const signal = AbortSignal.any([call.reply.gone, call.deadline, place.lost.signal, silent.signal]);
+        try {
+            const answer = await client.send(head, {
+                request: call.request,
+                remainingMs: call.deadlineMs - clock.monotonicMs(),
+                account: call.account,
+                resumeAfter: progress.lastEventId,
+            }, signal);
+            if (answer.kind === "not-run") {
+                failures.note(head.id, true);
+                return { kind: "not-run", reason: answer.reason };
+            }
+            if (answer.kind === "unknown") {
+                return this.broken(call, place, silent.signal, answer.reason);
+            }
+            if (answer.head.status < 200 || answer.head.status > 299 || !answer.isSigned) {
+                const body = await readWhole(answer.body);
+                failures.note(head.id, true);
+                return body.kind === "whole" && answer.head.status >= 300
+                    ? { kind: "failure-answer", head: answer.head, body: body.bytes }
+                    : { kind: "broken", reason: "unusable answer", isUpstreamLost: false };
+            }
+            const framer = EventFramer.create();
+            for await (const part of answer.body) {
+                const events = framer.push(part);
+                if (!events) {
+                    continue;
+                }
+                guarded.touch(PAUSE_LIMIT_MS);
+                place.open.noteEvent();
+                if (!call.reply.hasBegun) {
+                    call.reply.begin(answer.head);
+                    this.options.metrics.observe("firstEvent", clock.monotonicMs() - call.request.receivedAtMs);
+                }
+                progress.hasEvents = true;
+                progress.lastEventId = framer.lastEventId ?? progress.lastEventId;
+                await call.reply.write(events.bytes);
+            }
+            if (framer.hasRest || signal.aborted) {
+                return this.broken(call, place, silent.signal, "the stream ended inside an event");
+            }
+            if (!call.reply.hasBegun) {
+                call.reply.begin(answer.head);
+            }
+            call.reply.end();
+            failures.note(head.id, false);
+            return { kind: "delivered" };
+        }
+        catch (error) {
+            return this.broken(call, place, silent.signal, error instanceof Error ? error.message : String(error));
+        }
+        finally {
+            guarded.end();
+            place.open.end();
+            this.options.queue.pump();
+        }
+    }
+
+    private broken(call: ForwardedCall, place: GroupPlace, silent: AbortSignal, reason: string): AttemptResult {
+        if (call.reply.gone.aborted || call.deadline.aborted) {
+            return { kind: "stopped" };
+        }
+        const isLost = place.lost.signal.aborted;
+        if (!isLost) {
+            this.options.failures.note(place.candidate.head.id, true);
+        }
+        const cause = isLost ? String(place.lost.signal.reason) : silent.aborted ? "silent for too long" : reason;
+        return { kind: "broken", reason: cause, isUpstreamLost: isLost };
+    }
+
+    /** Decides what follows an attempt; true: the request has its final answer. */
+    private settle(
+        call: ForwardedCall,
+        progress: StreamProgress,
+        place: GroupPlace,
+        result: AttemptResult,
+    ): boolean {
+        this.logEnded(call, place, progress, result);
+        if (result.kind === "delivered") {
+            this.options.metrics.count("requests", "delivered");
+            return true;
+        }
+        if (result.kind === "stopped") {
+            progress.mayHaveRun = true;
+            this.giveUp(call, progress, { kind: "aborted" });
+            return true;
+        }
+        if (result.kind === "not-run") {
+            progress.rejections += 1;
+        }
+        else {
+            progress.mayHaveRun = true;
+            const isLost = result.kind === "broken" && result.isUpstreamLost;
+            progress.countedRuns += isLost ? 0 : 1;
+        }
+        const isRepeatable = call.route.isResumable || result.kind === "not-run";
+        const hasTries = progress.countedRuns < call.route.maxAttempts && progress.rejections < MAX_REJECTIONS;
+        if (isRepeatable && hasTries && this.options.retries.tryTake(call.service.name)) {
+            this.options.metrics.count("retries", result.kind);
+            return false;
+        }
+        if (result.kind === "failure-answer" && !call.reply.hasBegun) {
+            call.reply.sendWhole(result.head, result.body);
+            this.options.metrics.count("requests", "failure answer");
+            return true;
+        }
+        const reason = result.kind === "failure-answer" ? "the upstream failed" : result.reason;
+        this.fail(call, progress, reason);
+        return true;
+    }
+
+    private giveUp(
+        call: ForwardedCall,
+        progress: StreamProgress,
+        outcome: AdmissionOutcome<GroupPlace> & { kind: "refused" | "aborted"; },
+    ): void {
+        const { log, metrics } = this.options;
+        if (call.reply.gone.aborted) {
+            metrics.count("requests", "caller gone");
+            log.info("caller gone", { request: call.request.id });
+            return;
+        }
+        if (outcome.kind === "refused" && !progress.mayHaveRun) {
+            metrics.count("refusals", outcome.reason);
+            log.info("request refused", {
+                request: call.request.id,
+                reason: outcome.reason,
+                retryAfterMs: Math.round(outcome.retryAfterMs),
+                viewAgeMs: Math.round(this.options.viewAgeMs()),
+            });
+            call.reply.refuse({ kind: "not-run", retryAfterMs: outcome.retryAfterMs, reason: outcome.reason });
+            return;
+        }
+        this.fail(call, progress, outcome.kind === "refused" ? outcome.reason : "the time is over");
+    }
+
+    private fail(call: ForwardedCall, progress: StreamProgress, reason: string): void {
+        this.options.metrics.count("requests", "failed");
+        this.options.log.info("request failed", { request: call.request.id, reason, hasBegun: call.reply.hasBegun });
+        if (call.reply.hasBegun) {
+            call.reply.breakOff();
+        }
+        else if (!progress.mayHaveRun) {
+            call.reply.refuse({ kind: "not-run", retryAfterMs: FORMING_OUTLOOK_MS, reason });
+        }
+        else {
+            call.reply.refuse(call.deadline.aborted ? { kind: "timed-out" } : { kind: "outcome-unknown", reason });
+        }
+    }
+
+    private logPlaced(call: ForwardedCall, place: GroupPlace, progress: StreamProgress): void {
+        const { candidate } = place;
+        this.options.log.info("request placed", {
+            request: call.request.id,
+            route: call.route.name,
+            configuration: call.configurationVersion,
+            upstream: candidate.head.id,
+            epoch: candidate.epoch,
+            inFlight: candidate.load.inFlight,
+            unreadTokens: candidate.load.unreadTokens,
+            predictedMs: Math.round(place.firstEventMs),
+            waitedMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
+            viewAgeMs: Math.round(this.options.viewAgeMs()),
+            resumeAfter: progress.lastEventId,
+        });
+    }
+
+    private logEnded(call: ForwardedCall, place: GroupPlace, progress: StreamProgress, result: AttemptResult): void {
+        this.options.log.info("attempt ended", {
+            request: call.request.id,
+            upstream: place.candidate.head.id,
+            epoch: place.candidate.epoch,
+            outcome: result.kind,
+            reason: "reason" in result ? result.reason : undefined,
+            lastEventId: progress.lastEventId,
+            durationMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
+        });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/model/ModelProfile.ts
@@ -0,0 +1,14 @@
+/** A model that a service's groups serve. */
+export interface ModelProfile {
+    name: string;
+    /** VMs that form one group. */
+    memberCount: number;
+    /** Part of the service's work that asks for this model. */
+    demandShare: number;
+    /** Factor on the engine's times. */
+    pace: number;
+    /** Time to load the weights from the weight store, ms. */
+    loadMs: number;
+    /** Time to load the weights from the host's memory, ms. */
+    warmMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/peers/PeerFeed.ts
@@ -0,0 +1,80 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter, HandlerContext } from "@connectrpc/connect";
+import { GatewayService, type GatewayUpdate, GatewayUpdateSchema } from "@fescuehaven/protocol";
+import type { Clock } from "@fescuehaven/runtime";
+import type { PeerState } from "./PeerState.js";
+
+/** What a `PeerFeed` is made of. */
+interface PeerFeedOptions {
+    clock: Clock;
+    snapshot: () => PeerState;
+}
+
+/** Pause between two updates while there is something to tell, ms: short against the time of a request. */
+const UPDATE_MS = 100;
+/** Longest pause between two updates, ms: peers count a sender as silent after several. */
+const HEARTBEAT_MS = 400;
+
+/** Streams this gateway's state to its peers. */
+export class PeerFeed {
+    private readonly urgent = new Set<() => void>();
+
+    private constructor(private readonly options: PeerFeedOptions) {}
+
+    /** Creates the feed. */
+    static create(options: PeerFeedOptions): PeerFeed {
+        return new PeerFeed(options);
+    }
+
+    /** Adds the feed to a server. */
+    registerOn(router: ConnectRouter): void {
+        router.service(GatewayService, {
+            watchGateway: (_request, context: HandlerContext) => this.stream(context.signal),
+        });
+    }
+
+    /** Sends an update without waiting for the next turn. */
+    flush(): void {
+        this.urgent.forEach(wake => wake());
+    }
+
+    private async *stream(signal: AbortSignal): AsyncGenerator<GatewayUpdate> {
+        let sent = "";
+        let sentAtMs = -Infinity;
+        while (!signal.aborted) {
+            const state = this.options.snapshot();
+            const text = JSON.stringify(state);
+            const nowMs = this.options.clock.monotonicMs();
+            if (text !== sent || nowMs - sentAtMs >= HEARTBEAT_MS) {
+                sent = text;
+                sentAtMs = nowMs;
+                yield toUpdate(state);
+            }
+            await this.pause(signal);
+        }
+    }
+
+    private async pause(signal: AbortSignal): Promise<void> {
+        const woken = new AbortController();
+        const wake = () => woken.abort();
+        this.urgent.add(wake);
+        await this.options.clock.sleep(UPDATE_MS, AbortSignal.any([signal, woken.signal]));
+        this.urgent.delete(wake);
+    }
+}
+
+function toUpdate(state: PeerState): GatewayUpdate {
+    return create(GatewayUpdateSchema, {
+        term: state.term,
+        isController: state.isController,
+        configurationVersion: state.configurationVersion,
+        loads: state.loads.map(([place, load]) => ({
+            epoch: Number(place),
+            inFlight: load.inFlight,
+            unreadTokens: Math.round(load.unreadTokens),
+            silentMs: Math.round(load.silentMs),
+        })),
+        lostEpochs: [...state.lostEpochs],
+        isLeaving: state.isLeaving,
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/placement/FailureMemory.ts
@@ -0,0 +1,47 @@
+import type { Clock } from "@fescuehaven/runtime";
+
+interface Tally {
+    attempts: number;
+    failures: number;
+    atMs: number;
+}
+
+/** Half-life of what is remembered, ms: a fault that has ended is forgotten within some ten seconds. */
+const HALF_LIFE_MS = 3000;
+/** Attempts that are assumed to have gone well, so that a single failure weighs little. */
+const PRIOR_ATTEMPTS = 4;
+
+/** Share of recent attempts that failed at each upstream, older ones weighing less. */
+export class FailureMemory {
+    private readonly tallies = new Map<string, Tally>();
+
+    private constructor(private readonly clock: Clock) {}
+
+    /** Creates a memory without attempts. */
+    static create(clock: Clock): FailureMemory {
+        return new FailureMemory(clock);
+    }
+
+    /** Counts an attempt. */
+    note(upstreamId: string, hasFailed: boolean): void {
+        const tally = this.decayed(upstreamId);
+        this.tallies.set(upstreamId, {
+            attempts: tally.attempts + 1,
+            failures: tally.failures + (hasFailed ? 1 : 0),
+            atMs: tally.atMs,
+        });
+    }
+
+    /** Share of recent attempts that failed, 0 to 1. */
+    share(upstreamId: string): number {
+        const { attempts, failures } = this.decayed(upstreamId);
+        return failures / (attempts + PRIOR_ATTEMPTS);
+    }
+
+    private decayed(upstreamId: string): Tally {
+        const nowMs = this.clock.monotonicMs();
+        const tally = this.tallies.get(upstreamId) ?? { attempts: 0, failures: 0, atMs: nowMs };
+        const factor = 0.5 ** ((nowMs - tally.atMs) / HALF_LIFE_MS);
+        return { attempts: tally.attempts * factor, failures: tally.failures * factor, atMs: nowMs };
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/placement/GroupCandidate.ts
@@ -0,0 +1,14 @@
+import type { ModelProfile } from "../model/ModelProfile.js";
+import type { Upstream } from "../model/Upstream.js";
+import type { LoadFigures } from "./LoadFigures.js";
+
+/** An open group that may take a request. */
+export interface GroupCandidate {
+    name: string;
+    epoch: number;
+    model: ModelProfile;
+    head: Upstream;
+    load: LoadFigures;
+    /** Share of recent requests that failed at the head, 0 to 1. */
+    failureShare: number;
+}
--- /dev/null
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -0,0 +1,73 @@
+import type { EngineProfile } from "../model/EngineProfile.js";
+import type { Upstream } from "../model/Upstream.js";
+import type { UpstreamDirectory } from "../UpstreamDirectory.js";
+import type { FailureMemory } from "./FailureMemory.js";
+import type { GroupCandidate } from "./GroupCandidate.js";
+import type { LoadBook } from "./LoadBook.js";
+
+/** What a `GroupDirectory` is made of. */
+interface GroupDirectoryOptions {
+    upstreams: UpstreamDirectory;
+    loads: LoadBook;
+    failures: FailureMemory;
+    /** True if operators have taken the zone out. */
+    isEvacuated: (zone: string) => boolean;
+}
+
+/** Groups that take requests, read from what their heads say. */
+export class GroupDirectory {
+    private readonly lostEpochs = new Set<number>();
+
+    private constructor(private readonly options: GroupDirectoryOptions) {}
+
+    /** Creates the directory. */
+    static create(options: GroupDirectoryOptions): GroupDirectory {
+        return new GroupDirectory(options);
+    }
+
+    /** Leaves a group out that was found lost, whatever its head says; its requests go elsewhere. */
+    markLost(epoch: number): boolean {
+        const isNew = !this.lostEpochs.has(epoch);
+        this.lostEpochs.add(epoch);
+        return isNew;
+    }
+
+    /** Groups of a service that take requests for a model. */
+    candidates(service: string, engine: EngineProfile, modelName: string | undefined): GroupCandidate[] {
+        const candidates: GroupCandidate[] = [];
+        for (const head of this.options.upstreams.all()) {
+            const { group } = head;
+            if (
+                head.service !== service || head.model !== modelName || group?.phase !== "open" || !this.isUsable(head)
+            ) {
+                continue;
+            }
+            const model = engine.models.find(item => item.name === modelName);
+            if (model) {
+                const load = this.options.loads.figures(String(group.epoch));
+                const failureShare = this.options.failures.share(head.id);
+                candidates.push({ name: group.name, epoch: group.epoch, model, head, load, failureShare });
+            }
+        }
+        return candidates;
+    }
+
+    /** True if a group of the model is being formed. */
+    isForming(service: string, modelName: string | undefined): boolean {
+        for (const upstream of this.options.upstreams.all()) {
+            const phase = upstream.group?.phase;
+            const isComing = phase === "joining" || phase === "ready" || phase === "closing";
+            if (upstream.service === service && isComing && (!upstream.model || upstream.model === modelName)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** True if the head may get requests. */
+    private isUsable(head: Upstream): boolean {
+        const { group } = head;
+        return group !== undefined && group.rank === 0 && head.state === "ready"
+            && !this.lostEpochs.has(group.epoch) && !this.options.isEvacuated(head.zone);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/placement/LoadBook.ts
@@ -0,0 +1,113 @@
+import type { Clock } from "@fescuehaven/runtime";
+import type { LoadFigures } from "./LoadFigures.js";
+import type { OpenCall } from "./OpenCall.js";
+
+/** Load that this process put on one place. */
+interface OwnLoad {
+    calls: Set<TrackedCall>;
+    lastEventMs: number;
+}
+
+interface TrackedCall {
+    startedMs: number;
+    unreadTokens: number;
+    abandon: (reason: string) => void;
+}
+
+interface PeerLoad {
+    figures: LoadFigures;
+    receivedMs: number;
+}
+
+/** A peer's figures count for this long, ms: several of its heartbeats. */
+const PEER_LOAD_TTL_MS = 1500;
+
+/** Requests in flight at each place (a group's epoch, or an upstream's id), by this process and by its peers. */
+export class LoadBook {
+    private readonly own = new Map<string, OwnLoad>();
+    private readonly peers = new Map<string, Map<string, PeerLoad>>();
+
+    private constructor(private readonly clock: Clock) {}
+
+    /** Creates an empty book. */
+    static create(clock: Clock): LoadBook {
+        return new LoadBook(clock);
+    }
+
+    /** Counts a request in. `abandon` is called when the place is found lost. */
+    open(place: string, promptTokens: number, abandon: (reason: string) => void): OpenCall {
+        const nowMs = this.clock.monotonicMs();
+        const load = this.own.get(place) ?? { calls: new Set(), lastEventMs: nowMs };
+        this.own.set(place, load);
+        const call: TrackedCall = { startedMs: nowMs, unreadTokens: promptTokens, abandon };
+        load.calls.add(call);
+        return {
+            noteEvent: () => {
+                call.unreadTokens = 0;
+                load.lastEventMs = this.clock.monotonicMs();
+            },
+            end: () => {
+                load.calls.delete(call);
+                if (load.calls.size === 0) {
+                    this.own.delete(place);
+                }
+            },
+        };
+    }
+
+    /** Ends all own requests at a place that was found lost. */
+    abandon(place: string, reason: string): number {
+        const calls = [...this.own.get(place)?.calls ?? []];
+        calls.forEach(call => call.abandon(reason));
+        return calls.length;
+    }
+
+    /** What this process has at a place. */
+    ownFigures(place: string): LoadFigures {
+        const load = this.own.get(place);
+        if (!load) {
+            return { inFlight: 0, unreadTokens: 0, silentMs: 0 };
+        }
+        let unreadTokens = 0;
+        let oldestMs = Infinity;
+        for (const call of load.calls) {
+            unreadTokens += call.unreadTokens;
+            oldestMs = Math.min(oldestMs, call.startedMs);
+        }
+        const silentMs = this.clock.monotonicMs() - Math.max(load.lastEventMs, oldestMs);
+        return { inFlight: load.calls.size, unreadTokens, silentMs: Math.max(0, silentMs) };
+    }
+
+    /** Places with own requests, and their figures. */
+    ownPlaces(): Array<[string, LoadFigures]> {
+        return [...this.own.keys()].map(place => [place, this.ownFigures(place)]);
+    }
+
+    /** Takes what a peer says of its requests, in full. */
+    putPeer(peer: string, loads: ReadonlyArray<readonly [string, LoadFigures]>): void {
+        const receivedMs = this.clock.monotonicMs();
+        this.peers.set(peer, new Map(loads.map(([place, figures]) => [place, { figures, receivedMs }])));
+    }
+
+    /** Forgets a peer that is gone. */
+    dropPeer(peer: string): void {
+        this.peers.delete(peer);
+    }
+
+    /** What all processes together have at a place. Silence is the shortest of those with requests there. */
+    figures(place: string): LoadFigures {
+        const own = this.ownFigures(place);
+        const total = { ...own, silentMs: own.inFlight > 0 ? own.silentMs : Infinity };
+        const nowMs = this.clock.monotonicMs();
+        for (const loads of this.peers.values()) {
+            const load = loads.get(place);
+            if (!load || nowMs - load.receivedMs > PEER_LOAD_TTL_MS || load.figures.inFlight === 0) {
+                continue;
+            }
+            total.inFlight += load.figures.inFlight;
+            total.unreadTokens += load.figures.unreadTokens;
+            total.silentMs = Math.min(total.silentMs, load.figures.silentMs + nowMs - load.receivedMs);
+        }
+        return total.inFlight > 0 ? total : { inFlight: 0, unreadTokens: 0, silentMs: 0 };
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/placement/chooseGroup.ts
@@ -0,0 +1,62 @@
+import type { EngineProfile } from "../model/EngineProfile.js";
+import type { GroupCandidate } from "./GroupCandidate.js";
+import { predictPass } from "./predictPass.js";
+
+/** What is placed. */
+interface PlacedRequest {
+    zone: string;
+    promptTokens: number;
+    /** Longest pause between events that the route allows, ms. */
+    targetGapMs: number;
+}
+
+/** Result of a choice. */
+type GroupChoice = { candidate: GroupCandidate; firstEventMs: number; } | undefined;
+
+/**
+ * Silence of a group after which it gets new requests only if no other can take them, ms. A pass that reads a full
+ * chunk at each step lasts some 250 ms.
+ */
+const SUSPECT_SILENCE_MS = 300;
+/** Another zone's group must be faster by this much, ms: bytes between zones are priced. */
+const OTHER_ZONE_PENALTY_MS = 25;
+/** A silent group counts as slower by this much, ms: more than any queue at a live one. */
+const SUSPECT_PENALTY_MS = 10_000;
+/** A group whose requests all fail counts as slower by this much, ms: a retry costs a wait and a second reading. */
+const FAILURE_PENALTY_MS = 1500;
+/** Part of the allowed pause that a pass may fill; the rest is for the way of an event to the caller. */
+const GAP_PART = 0.85;
+
+/**
+ * Chooses the group that answers first, among those with a free slot whose writing requests are not held up beyond the
+ * pause that their route allows. Made for prompts of up to several thousand tokens, which hold up a whole group while
+ * they are read, and for groups that die in the middle of their work.
+ */
+export function chooseGroup(
+    engine: EngineProfile,
+    candidates: readonly GroupCandidate[],
+    request: PlacedRequest,
+): GroupChoice {
+    let best: GroupChoice;
+    let bestCostMs = Infinity;
+    for (const candidate of candidates) {
+        const { load, model, head } = candidate;
+        if (load.inFlight >= engine.slots) {
+            continue;
+        }
+        const { firstEventMs, passMs } = predictPass(engine, model, load, request.promptTokens);
+        const holdsUpOthers = load.unreadTokens > 0 && passMs > request.targetGapMs * GAP_PART;
+        if (holdsUpOthers) {
+            continue;
+        }
+        const costMs = firstEventMs
+            + (head.zone === request.zone ? 0 : OTHER_ZONE_PENALTY_MS)
+            + candidate.failureShare * FAILURE_PENALTY_MS
+            + (load.silentMs > SUSPECT_SILENCE_MS ? SUSPECT_PENALTY_MS + load.silentMs : 0);
+        if (costMs < bestCostMs) {
+            best = { candidate, firstEventMs };
+            bestCostMs = costMs;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/packages/gateway/src/placement/predictPass.ts
@@ -0,0 +1,36 @@
+import type { EngineProfile } from "../model/EngineProfile.js";
+import type { ModelProfile } from "../model/ModelProfile.js";
+
+/** Predicted times of one more request at a group. */
+interface PassPrediction {
+    /** Time until the request's first event, ms. */
+    firstEventMs: number;
+    /** Longest pass while its prompt is read, ms; writing requests of the group pause for it. */
+    passMs: number;
+}
+
+/** On average a request arrives in the middle of a pass. */
+const MEAN_PART_OF_PASS_LEFT = 0.5;
+
+/** Predicts what a group's next passes cost if it gets a prompt on top of its load. */
+export function predictPass(
+    engine: EngineProfile,
+    model: ModelProfile,
+    load: { inFlight: number; unreadTokens: number; },
+    promptTokens: number,
+): PassPrediction {
+    const contextTokens = engine.usual.promptTokens + engine.usual.answerTokens / 2;
+    const stepMsOf = (requests: number) =>
+        engine.stepMs + requests * (engine.stepMsPerRequest + engine.stepMsPerThousandTokens * contextTokens / 1000);
+    const writePassMs = engine.stepsPerPass * stepMsOf(load.inFlight) * model.pace;
+    const nextPassMs = engine.stepsPerPass * stepMsOf(load.inFlight + 1) * model.pace;
+    const tokens = load.unreadTokens + promptTokens;
+    const readMs = (tokens / engine.readTokensPerMs
+        + engine.readMsPerMillionPairs * promptTokens * promptTokens / 2e6) * model.pace;
+    const passTokens = engine.stepsPerPass * engine.chunkTokens;
+    const passes = Math.max(1, Math.ceil(tokens / passTokens));
+    return {
+        firstEventMs: writePassMs * MEAN_PART_OF_PASS_LEFT + readMs + nextPassMs * passes,
+        passMs: nextPassMs + readMs / passes,
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -0,0 +1,8 @@
+/** Counters and latency histograms. */
+export interface GatewayMetrics {
+    /** Counts an event by its reason. */
+    count(name: "requests" | "refusals" | "retries" | "groupsLost" | "orders" | "storeFailures", reason: string): void;
+
+    /** Adds a time to a histogram, ms. */
+    observe(name: "firstEvent" | "answer" | "queueWait" | "repair", durationMs: number): void;
+}
--- /dev/null
+++ b/packages/gateway/src/ports/UpstreamAnswer.ts
@@ -0,0 +1,19 @@
+import type { AnswerHead } from "./AnswerHead.js";
+
+/** Result of sending a request to an upstream. */
+export type UpstreamAnswer =
+    | {
+        kind: "answered";
+        head: AnswerHead;
+        /** The answer bears the upstream's signature. */
+        isSigned: boolean;
+        /** Throws when the answer ends early. */
+        body: AsyncIterable<Buffer>;
+    }
+    /** The upstream did not run it and never will. */
+    | { kind: "not-run"; reason: NotRunReason; faultyUpstream?: string; }
+    /** It may have run. */
+    | { kind: "unknown"; reason: string; };
+
+/** Why an upstream did not run a request. */
+type NotRunReason = "overloaded" | "not-connected" | "other-instance" | "aborted";
--- a/packages/platform/src/adapters/PlatformHttp.ts
+++ b/packages/platform/src/adapters/PlatformHttp.ts
@@ -15,7 +15,7 @@
 
 /** One call. */
 interface PlatformCall {
-    method: "GET" | "PUT" | "DELETE";
+    method: "GET" | "POST" | "PUT" | "DELETE";
     path: string;
     headers?: Record<string, string>;
     body?: unknown;
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,17 +2,25 @@
 import { chmod, readdir } from "node:fs/promises";
 import path from "node:path";
 
-// Bundles every packages/*/src/bin/NAME.ts into one executable file, dist/NAME.js.
+// Bundles every src/bin/NAME.ts of packages/* and platform into one executable file, OUT/NAME.js.
+// Usage: node scripts/build.mjs [OUT [NAME...]]; without names, all of them.
 const root = path.resolve(import.meta.dirname, "..");
+const [out = "dist", ...only] = process.argv.slice(2);
 const entries = [];
-for (const name of await readdir(path.join(root, "packages"))) {
-    const folder = path.join(root, "packages", name, "src", "bin");
+const members = (await readdir(path.join(root, "packages"))).map(name => path.join("packages", name));
+for (const member of [...members, "platform"]) {
+    const folder = path.join(root, member, "src", "bin");
     const files = await readdir(folder).catch(() => []);
-    entries.push(...files.filter(file => file.endsWith(".ts")).map(file => path.join(folder, file)));
+    entries.push(
+        ...files.filter(file =>
+            file.endsWith(".ts") && (only.length === 0 || only.includes(path.basename(file, ".ts")))
+        )
+            .map(file => path.join(folder, file)),
+    );
 }
 await build({
     entryPoints: entries,
-    outdir: path.join(root, "dist"),
+    outdir: path.join(root, out),
     entryNames: "[name]",
     bundle: true,
     platform: "node",
@@ -27,5 +35,5 @@
     },
 });
 for (const entry of entries) {
-    await chmod(path.join(root, "dist", `${path.basename(entry, ".ts")}.js`), 0o755);
+    await chmod(path.join(root, out, `${path.basename(entry, ".ts")}.js`), 0o755);
 }
