--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -110,6 +110,7 @@
             log,
             store,
             vm: settings.vm,
+            incarnation: random.uniqueId(),
             peerSilenceMs: vm => vm === settings.vm ? 0 : this.links.silenceMs(vm),
             candidateRank: () => this.links.inTouch().filter(peer => peer < settings.vm).length,
             hearsMostPeers: () => this.links.inTouch().length * 2 >= this.links.names().length,
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -10,6 +10,8 @@
     store: ObjectStore;
     /** Name of this VM. */
     vm: string;
+    /** Names this run of the process: a restarted one does not hold what the one before it held. */
+    incarnation: string;
     /** Time since the peer was last heard, ms; Infinity: never. */
     peerSilenceMs: (vm: string) => number;
     /** Place of this VM among those in touch, 0 first; later ones wait longer before they take over. */
@@ -19,7 +21,9 @@
 }
 
 const leaseSchema = z.object({
-    holder: z.string(),
+    /** VM and run of the process that holds it; an empty VM: nobody. */
+    vm: z.string(),
+    incarnation: z.string(),
     term: z.int().nonnegative(),
     /** Grows with every renewal, so that each one changes the object. */
     renewals: z.int().nonnegative(),
@@ -30,9 +34,9 @@
 /** Pause between two looks at the lease, ms. */
 const TICK_MS = 100;
 /** Time between renewals, ms: each one is an event for all gateways. */
-const RENEW_MS = 1500;
+const RENEW_MS = 1300;
 /** A holder whose renewals are older and who is silent towards its peer counts as gone, ms. */
-const EXPIRE_MS = 3200;
+const EXPIRE_MS = 2600;
 /** A holder that speaks to its peers is alive, ms since its last word. */
 const PEER_WORD_MS = 1200;
 /** Added to the wait per place among the candidates, ms: a few round trips to the store. */
@@ -77,7 +81,7 @@
 
     /** True while this gateway acts as the controller. */
     get isController(): boolean {
-        const isHolder = this.lease?.holder === this.options.vm && this.lease.term === this.highestTerm;
+        const isHolder = this.isOwn && this.lease?.term === this.highestTerm;
         if (!isHolder || this.mustRenew) {
             return false;
         }
@@ -95,9 +99,9 @@
             this.options.log.warn("lease object unreadable", { revision: object.revision });
             return;
         }
-        if (this.lease?.holder !== parsed.data.holder || this.lease.term !== parsed.data.term) {
+        if (this.lease?.incarnation !== parsed.data.incarnation || this.lease.term !== parsed.data.term) {
             this.options.log.info("controller changed", {
-                holder: parsed.data.holder,
+                holder: parsed.data.vm,
                 term: parsed.data.term,
                 revision: object.revision,
             });
@@ -128,7 +132,7 @@
             const nowMs = clock.monotonicMs();
             if (nowMs - this.lastTickMs > PAUSE_MS) {
                 log.warn("process stood still", { pausedMs: Math.round(nowMs - this.lastTickMs) });
-                this.mustRenew = this.lease?.holder === this.options.vm;
+                this.mustRenew = this.isOwn;
                 this.changedAtMs = Math.max(this.changedAtMs, nowMs - EXPIRE_MS / 2);
             }
             this.lastTickMs = nowMs;
@@ -143,30 +147,38 @@
 
     /** Gives the lease up, so that another gateway takes it at once. */
     async release(): Promise<void> {
-        if (this.lease?.holder === this.options.vm) {
-            await this.write({ holder: "", term: this.lease.term, renewals: this.lease.renewals + 1 });
+        if (this.lease && this.isOwn) {
+            await this.write({ vm: "", incarnation: "", term: this.lease.term, renewals: this.lease.renewals + 1 });
         }
     }
 
+    private get isOwn(): boolean {
+        return this.lease?.incarnation === this.options.incarnation;
+    }
+
     private async step(nowMs: number): Promise<void> {
-        const { vm } = this.options;
-        if (this.lease?.holder === vm && this.lease.term === this.highestTerm) {
+        const { vm, incarnation } = this.options;
+        if (this.lease && this.isOwn && this.lease.term === this.highestTerm) {
             if (this.mustRenew || nowMs - this.renewedAtMs >= RENEW_MS) {
                 await this.write({ ...this.lease, renewals: this.lease.renewals + 1 });
             }
             return;
         }
         if (this.hasExpired(nowMs)) {
-            await this.write({ holder: vm, term: this.highestTerm + 1, renewals: 0 });
+            await this.write({ vm, incarnation, term: this.highestTerm + 1, renewals: 0 });
         }
     }
 
     private hasExpired(nowMs: number): boolean {
         const rankMs = this.options.candidateRank() * RANK_STEP_MS;
-        if (!this.lease || this.lease.holder === "") {
+        if (!this.lease || this.lease.vm === "") {
             return nowMs - this.changedAtMs >= rankMs;
         }
-        const isSilent = this.options.peerSilenceMs(this.lease.holder) > PEER_WORD_MS;
+        if (this.lease.vm === this.options.vm && !this.isOwn) {
+            // Held by an earlier run of this process, which is gone for certain.
+            return true;
+        }
+        const isSilent = this.options.peerSilenceMs(this.lease.vm) > PEER_WORD_MS;
         return isSilent && nowMs - this.changedAtMs >= EXPIRE_MS + rankMs;
     }
 
@@ -185,7 +197,10 @@
             if (current.kind === "found") {
                 this.observe(current.object);
                 const own = leaseSchema.safeParse(current.object.value);
-                if (own.success && own.data.holder === this.options.vm && own.data.renewals === lease.renewals) {
+                if (
+                    own.success && own.data.incarnation === this.options.incarnation
+                    && own.data.renewals === lease.renewals
+                ) {
                     this.renewedAtMs = clock.monotonicMs();
                     this.mustRenew = false;
                 }
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -65,6 +65,8 @@
 const REPORTS_CAUGHT_UP_MS = 1000;
 /** A member that does not show a join after this time is asked, ms. */
 const JOIN_SHOWS_AFTER_MS = 1200;
+/** A group whose join was rejected is formed anew after this time, ms: the view has caught up by then. */
+const REJECTED_PAUSE_MS = 150;
 /** An opening that does not show after this time is ordered again, ms. */
 const OPEN_SHOWS_AFTER_MS = 900;
 /** Requests of a closing group get this long to end, ms: most answers take about two seconds. */
@@ -217,13 +219,23 @@
             return;
         }
         const ageMs = this.nowMs() - formation.phaseSinceMs;
+        if (formation.isRejected && ageMs > REJECTED_PAUSE_MS) {
+            this.reform(view, formation, "a join was rejected", new Set());
+            return;
+        }
         const hidden = formation.members.filter((member, rank) =>
             current[rank]?.group?.epoch !== formation.epoch && !this.options.orders.isBusy(member)
         );
         if (ageMs > JOIN_SHOWS_AFTER_MS && hidden.length > 0 && this.mayCheck(formation, CHECK_PAUSE_MS)) {
             void this.check(formation, hidden, undefined).then(lost => {
-                if (this.formations.get(formation.name) === formation && formation.phase === "joining") {
-                    this.reform(this.freshView(view), formation, "a join did not show", lost);
+                if (this.formations.get(formation.name) !== formation || formation.phase !== "joining") {
+                    return;
+                }
+                if (lost.size > 0) {
+                    this.reform(this.freshView(view), formation, "a member does not answer", lost);
+                }
+                else {
+                    this.orderJoins(formation, hidden);
                 }
             });
         }
@@ -430,14 +442,14 @@
             isChecking: false,
         };
         this.formations.set(name, formation);
-        const ids = members.map(member => member.id);
-        this.options.log.info("group formed", {
-            group: name,
-            epoch,
-            model: model.name,
-            reason,
-            members: ids.join(" "),
-        });
+        const ids = members.map(member => member.id).join(" ");
+        this.options.log.info("group formed", { group: name, epoch, model: model.name, reason, members: ids });
+        this.orderJoins(formation, members);
+    }
+
+    private orderJoins(formation: Formation, members: readonly Upstream[]): void {
+        const { name, epoch, model } = formation;
+        const ids = formation.members.map(member => member.id);
         for (const member of members) {
             void this.options.orders
                 .give(member, { kind: "join", group: name, epoch, model: model.name, members: ids })
@@ -445,6 +457,10 @@
                     if (outcome === "lost") {
                         this.lostLives.set(lifeOf(member), this.nowMs());
                     }
+                    if (outcome === "rejected") {
+                        // The member has seen a higher epoch, or another order came between; a new epoch settles it.
+                        formation.isRejected = true;
+                    }
                 });
         }
     }
@@ -607,9 +623,12 @@
     }
 
     private newEpoch(): number {
-        const epoch = this.term * EPOCHS_PER_TERM + this.nextEpochOfTerm;
-        this.nextEpochOfTerm += 1;
-        return epoch;
+        let highest = this.term * EPOCHS_PER_TERM + this.nextEpochOfTerm - 1;
+        for (const upstream of this.options.upstreams.all()) {
+            highest = Math.max(highest, upstream.group?.epoch ?? 0);
+        }
+        this.nextEpochOfTerm = highest + 2 - this.term * EPOCHS_PER_TERM;
+        return highest + 1;
     }
 
     private nowMs(): number {
--- a/packages/gateway/src/fleet/Formation.ts
+++ b/packages/gateway/src/fleet/Formation.ts
@@ -18,4 +18,6 @@
     /** When its members were last asked whether they still belong to it, monotonic ms. */
     checkedAtMs: number;
     isChecking: boolean;
+    /** A member rejected its join. */
+    isRejected?: boolean;
 }
--- /dev/null
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -0,0 +1,132 @@
+import { SeededRandom } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { FleetRig } from "../support/FleetRig.js";
+
+/** Time in which all groups of two domains are formed, ms: the loads of a large model, and its opening. */
+const FORMING_MS = 40_000;
+/** Target for the median repair of one lost member, ms, from the time at which callers see silence. */
+const REPAIR_TARGET_MS = 3000;
+
+async function formedRig(): Promise<FleetRig> {
+    const rig = FleetRig.create(2, 11);
+    rig.startController("first");
+    await rig.run(FORMING_MS);
+    return rig;
+}
+
+describe("FleetController", () => {
+    it("forms one group of each model in each domain and keeps two spares in memory", async () => {
+        const rig = await formedRig();
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        const standby = [...rig.directory.all()].filter(upstream => upstream.group?.name.startsWith("standby."));
+        expect(standby.map(upstream => upstream.model).sort()).to.deep.equal(["large", "large", "small", "small"]);
+        rig.stopController();
+    });
+
+    for (const rank of [0, 1, 5]) {
+        it(`repairs a group whose member of rank ${rank} went dark`, async () => {
+            const rig = await formedRig();
+            const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+            const member = [...rig.directory.all()].find(item =>
+                item.group?.epoch === head.group?.epoch && item.group?.rank === rank
+            )!;
+            rig.fleet.darken(member.id);
+            await rig.run(REPAIR_TARGET_MS);
+            expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+            expect(rig.lost).to.include(head.group?.epoch);
+            expect(rig.fleet.violations).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
+
+    it("keeps a group that serves although a member's entry is gone", async () => {
+        const rig = await formedRig();
+        const head = rig.fleet.openHeads()[0]!;
+        const member = [...rig.directory.all()].find(item =>
+            item.group?.epoch === head.group?.epoch && item.group?.rank === 1
+        )!;
+        rig.directory.remove(member.id, "partitioned from the store");
+        await rig.run(5000);
+        expect(rig.lost).to.deep.equal([]);
+        expect(rig.fleet.openHeads().map(item => item.group?.epoch)).to.include(head.group?.epoch);
+        rig.stopController();
+    });
+
+    it("replaces a draining member", async () => {
+        const rig = await formedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "small")!;
+        rig.fleet.drain(head.id);
+        await rig.run(REPAIR_TARGET_MS);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.openHeads().map(item => item.id)).not.to.include(head.id);
+        rig.stopController();
+    });
+
+    it("repairs a group while orders stay unanswered and are carried out late", async () => {
+        const rig = await formedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        rig.fleet.lateOrders = 8;
+        rig.fleet.darken(head.id);
+        await rig.run(12_000);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
+    it("takes groups over from an earlier controller as they are", async () => {
+        const rig = await formedRig();
+        const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
+        rig.startController("second");
+        await rig.run(5000);
+        expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
+        rig.stopController();
+    });
+
+    it("finishes a formation that an earlier controller began", async () => {
+        const rig = await formedRig();
+        rig.fleet.darken(rig.fleet.openHeads()[0]!.id);
+        await rig.run(900);
+        rig.startController("second");
+        await rig.run(8000);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
+    it("uses fewer VMs than a large group needs for a small one", async () => {
+        const rig = FleetRig.create(1, 5);
+        rig.startController("first");
+        await rig.run(FORMING_MS);
+        expect(rig.wholeGroups()).to.deep.equal({ small: 1 });
+        rig.stopController();
+    });
+
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+        it(`never opens a group without its members, whatever fails (seed ${seed})`, async () => {
+            const random = SeededRandom.create(seed);
+            const rig = await formedRig();
+            for (let round = 0; round < 12; round++) {
+                const ids = [...rig.directory.all()].map(upstream => upstream.id);
+                const id = ids[Math.floor(random.next() * ids.length)]!;
+                const acts = [
+                    () => rig.fleet.darken(id),
+                    () => rig.fleet.restart(id),
+                    () => {
+                        rig.fleet.lateOrders = 6;
+                    },
+                    () => rig.startController(`round-${round}`),
+                ];
+                acts[Math.floor(random.next() * acts.length)]!();
+                await rig.run(500 + random.next() * 2500);
+            }
+            await rig.run(30_000);
+            expect(rig.fleet.violations).to.deep.equal([]);
+            const open = rig.fleet.openHeads();
+            const broken = open.filter(head => rig.directory.get(head.id) && !rig.fleet.isWhole(head));
+            expect(broken.map(head => head.group?.name)).to.deep.equal([]);
+            expect(open.length).to.be.greaterThan(0);
+            rig.stopController();
+        });
+    }
+});
--- /dev/null
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -0,0 +1,135 @@
+import { ManualClock, MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
+import { ConfigurationHolder } from "../../src/ConfigurationHolder.js";
+import { ControllerLease } from "../../src/fleet/ControllerLease.js";
+import { FleetController } from "../../src/fleet/FleetController.js";
+import { LoadThrottle } from "../../src/fleet/LoadThrottle.js";
+import { LossDetector } from "../../src/fleet/LossDetector.js";
+import { OrderSender } from "../../src/fleet/OrderSender.js";
+import { StandbyPool } from "../../src/fleet/StandbyPool.js";
+import type { Upstream } from "../../src/model/Upstream.js";
+import { LoadBook } from "../../src/placement/LoadBook.js";
+import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
+import { exampleEngine } from "./exampleEngine.js";
+import { exampleUpstream } from "./exampleUpstream.js";
+import { noMetrics } from "./noMetrics.js";
+import { SilentDecisionLog } from "./SilentDecisionLog.js";
+import { SimulatedUpstreams } from "./SimulatedUpstreams.js";
+
+/** Requests that each open group always has in flight, so that its silence shows. */
+const IN_FLIGHT = 5;
+const STEP_MS = 100;
+
+/** A fleet of simulated upstreams under one or more controllers. */
+export class FleetRig {
+    readonly clock = ManualClock.create();
+    readonly log = SilentDecisionLog.create();
+    readonly store = MemoryObjectStore.create(this.clock);
+    readonly directory = UpstreamDirectory.create({ clock: this.clock, log: this.log, returnGraceMs: 2000 });
+    readonly fleet = SimulatedUpstreams.create(this.clock, exampleEngine, this.directory);
+    readonly lost: number[] = [];
+    private readonly loads = LoadBook.create(this.clock);
+    private readonly configuration = ConfigurationHolder.create(this.log);
+    private stop = new AbortController();
+
+    private constructor() {
+        const service = { name: "llm", connectionLimit: 100, coldRequestsPerSecond: 0, engine: exampleEngine };
+        this.configuration.adopt({
+            version: 1,
+            routes: [],
+            services: new Map([["llm", service]]),
+            hasAccounts: false,
+            accountsByKey: new Map(),
+            limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+        });
+    }
+
+    /** Creates a fleet of `domains` fabric domains with `size` VMs each. */
+    static create(domains: number, size: number): FleetRig {
+        const rig = new FleetRig();
+        for (let domain = 0; domain < domains; domain++) {
+            for (let index = 0; index < size; index++) {
+                rig.fleet.add(exampleUpstream(`d${domain}-${String(index).padStart(2, "0")}`, { domain: `d${domain}` }));
+            }
+        }
+        return rig;
+    }
+
+    /** Starts a controller process; an earlier one is gone. */
+    startController(incarnation: string, hasTraffic = true): void {
+        this.stop.abort();
+        this.stop = new AbortController();
+        const { clock, log, store } = this;
+        const orders = OrderSender.create({ clock, log, metrics: noMetrics, control: this.fleet });
+        const throttle = LoadThrottle.create({ clock, windowMs: 5000, hasTraffic: () => hasTraffic });
+        const lease = ControllerLease.create({
+            clock,
+            log,
+            store,
+            vm: "vm-1",
+            incarnation,
+            peerSilenceMs: () => Infinity,
+            candidateRank: () => 0,
+            hearsMostPeers: () => true,
+        });
+        const controller = FleetController.create({
+            clock,
+            log,
+            metrics: noMetrics,
+            configuration: this.configuration,
+            upstreams: this.directory,
+            loads: this.loads,
+            lease,
+            orders,
+            detector: LossDetector.create({ clock, orders }),
+            throttle,
+            standby: StandbyPool.create({ clock, log, orders, throttle, hasTraffic: () => hasTraffic }),
+            groupStallMs: 4000,
+            announceLost: epoch => this.lost.push(epoch),
+        });
+        void store.list(["fescue_controllers"]).then(listed => {
+            if (listed.kind === "listed") {
+                listed.objects.forEach(object => lease.observe(object));
+            }
+            lease.noteListed();
+        });
+        void lease.run(this.stop.signal);
+        void controller.run(this.stop.signal);
+    }
+
+    /** Ends the controller. */
+    stopController(): void {
+        this.stop.abort();
+    }
+
+    /** Lets time pass while every open group has requests in flight; one with a dark member is silent. */
+    async run(durationMs: number): Promise<void> {
+        const silentSinceMs = new Map<number, number>();
+        for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+            const nowMs = this.clock.monotonicMs();
+            const loads = this.listedHeads().map(head => {
+                const epoch = head.group?.epoch ?? 0;
+                const isServing = this.fleet.openHeads().some(open => open.id === head.id) && this.fleet.isWhole(head);
+                silentSinceMs.set(epoch, isServing ? nowMs : silentSinceMs.get(epoch) ?? nowMs);
+                const silentMs = nowMs - silentSinceMs.get(epoch)!;
+                return [String(epoch), { inFlight: IN_FLIGHT, unreadTokens: 0, silentMs }] as const;
+            });
+            this.loads.putPeer("callers", loads);
+            await this.clock.advance(STEP_MS);
+        }
+    }
+
+    /** Whole open groups by model. */
+    wholeGroups(): Record<string, number> {
+        const counts: Record<string, number> = {};
+        for (const head of this.fleet.openHeads()) {
+            if (this.fleet.isWhole(head)) {
+                counts[head.model ?? ""] = (counts[head.model ?? ""] ?? 0) + 1;
+            }
+        }
+        return counts;
+    }
+
+    private listedHeads(): Upstream[] {
+        return [...this.directory.all()].filter(upstream => upstream.group?.phase === "open");
+    }
+}
