--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -219,7 +219,7 @@
             return;
         }
         const ageMs = this.nowMs() - formation.phaseSinceMs;
-        if (formation.isRejected && ageMs > REJECTED_PAUSE_MS) {
+        if (formation.isRejected && ageMs > REJECTED_PAUSE_MS * 2 ** Math.min(formation.rejections ?? 0, 4)) {
             this.reform(view, formation, "a join was rejected", new Set());
             return;
         }
@@ -394,30 +394,34 @@
         const free = this.freeUpstreams(view).filter(upstream => upstream.domain === formation.domain);
         const members = chooseMembers(formation.model.name, formation.model.memberCount, staying, free);
         if (!members) {
-            if (formation.phase !== "short") {
-                this.options.log.info("group short of members", {
-                    group: formation.name,
-                    reason,
-                    staying: staying.length,
-                    free: free.length,
-                });
-                this.formations.set(formation.name, { ...formation, members: staying });
-                this.setPhase(this.formations.get(formation.name)!, "short");
-            }
+            this.markShort(formation, staying, reason);
             return false;
         }
-        this.begin(
-            view.service,
-            formation.name,
-            formation.domain,
-            formation.model,
-            members,
-            reason,
-            formation.lostAtMs,
-        );
+        const isLoaded = (member: Upstream) =>
+            member.stagedModels.includes(formation.model.name) || member.model === formation.model.name;
+        const loads = members.filter(member => !isLoaded(member)).length;
+        if (loads > 0 && !this.options.throttle.tryTake(loads, view.engine.loadsPerSecond)) {
+            this.markShort(formation, staying, "the weight store's rate is used up");
+            return true;
+        }
+        const rejections = formation.isRejected ? (formation.rejections ?? 0) + 1 : 0;
+        const { name, domain, model, lostAtMs } = formation;
+        this.begin(view.service, name, domain, model, members, reason, { lostAtMs, rejections });
         return true;
     }
 
+    /** Keeps the members that are left until the group can be formed anew. */
+    private markShort(formation: Formation, staying: readonly Upstream[], reason: string): void {
+        if (formation.phase === "short") {
+            return;
+        }
+        const { name, model } = formation;
+        this.options.log.info("group short", { group: name, reason, staying: staying.length, of: model.memberCount });
+        const short: Formation = { ...formation, members: staying };
+        this.formations.set(name, short);
+        this.setPhase(short, "short");
+    }
+
     private begin(
         service: string,
         name: string,
@@ -425,7 +429,7 @@
         model: ModelProfile,
         members: readonly Upstream[],
         reason: string,
-        lostAtMs?: number,
+        past: { lostAtMs?: number; rejections?: number; } = {},
     ): void {
         const epoch = this.newEpoch();
         const formation: Formation = {
@@ -437,7 +441,7 @@
             members,
             phase: "joining",
             phaseSinceMs: this.nowMs(),
-            lostAtMs,
+            ...past,
             checkedAtMs: 0,
             isChecking: false,
         };
--- a/packages/gateway/src/fleet/Formation.ts
+++ b/packages/gateway/src/fleet/Formation.ts
@@ -20,4 +20,6 @@
     isChecking: boolean;
     /** A member rejected its join. */
     isRejected?: boolean;
+    /** Formations in a row that ended with a rejected join. */
+    rejections?: number;
 }
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -17,8 +17,12 @@
 /** Result of giving an order until it is settled. */
 type SettledOrder = "carried-out" | "rejected" | "lost";
 
-/** Tries for one order: a lost answer costs a timeout each. */
-const MAX_TRIES = 5;
+/** Tries for one order. */
+const MAX_TRIES = 8;
+/** Pause after a conflict, ms: reports catch up meanwhile. */
+const CONFLICT_PAUSE_MS = 70;
+/** Conflicts that a report may fail to explain because it lags behind. */
+const MIN_CONFLICTS = 3;
 /** Longest wait for a report, ms: an upstream answers within a few. */
 const REPORT_TIMEOUT_MS = 300;
 
@@ -29,6 +33,8 @@
 export class OrderSender {
     /** Accepted orders of each life, as far as known. */
     private readonly orderCounts = new Map<string, number>();
+    /** Order counts of the last reports, which lag behind by some hundred ms. */
+    private readonly reportedCounts = new Map<string, number>();
     private readonly busy = new Set<string>();
 
     private constructor(private readonly options: OrderSenderOptions) {}
@@ -55,13 +61,11 @@
         }
     }
 
-    /** Asks for the upstream's state and takes its order count over. */
+    /** Asks for the upstream's state. */
     async report(upstream: Upstream, timeoutMs = REPORT_TIMEOUT_MS): Promise<UpstreamReport> {
         const report = await this.options.control.report(upstream, timeoutMs);
         if (report.kind === "reported" && report.bornMs === upstream.bornMs) {
-            const known = this.orderCounts.get(lifeOf(upstream)) ?? 0;
-            // Reports lag behind; an own accepted order is newer.
-            this.orderCounts.set(lifeOf(upstream), Math.max(known, report.orderCount));
+            this.reportedCounts.set(lifeOf(upstream), report.orderCount);
         }
         return report;
     }
@@ -70,7 +74,7 @@
         const { control, log, metrics } = this.options;
         let wasUnanswered = false;
         for (let tries = 1; tries <= MAX_TRIES; tries++) {
-            const expected = this.orderCounts.get(life) ?? 0;
+            const expected = this.orderCounts.get(life) ?? this.reportedCounts.get(life) ?? 0;
             const outcome = await control.order(upstream, order, expected);
             metrics.count("orders", `${order.kind} ${outcome.kind}`);
             log.info("order given", {
@@ -99,7 +103,7 @@
                 wasUnanswered = true;
                 continue;
             }
-            const next = await this.afterConflict(upstream, life, order, expected, wasUnanswered);
+            const next = await this.afterConflict(upstream, life, order, expected, wasUnanswered, tries);
             if (next) {
                 return next;
             }
@@ -114,6 +118,7 @@
         order: GroupOrder,
         expected: number,
         wasUnanswered: boolean,
+        tries: number,
     ): Promise<SettledOrder | undefined> {
         const report = await this.report(upstream);
         if (report.kind !== "reported") {
@@ -125,8 +130,11 @@
         if ("epoch" in order && order.kind !== "leave" && wasUnanswered && report.group?.epoch === order.epoch) {
             return "carried-out";
         }
-        const isStale = (this.orderCounts.get(life) ?? 0) !== expected;
-        return isStale ? undefined : "rejected";
+        const isStale = report.orderCount !== expected;
+        // The report may be older than an order of the last moments; a further conflict brings a newer one.
+        this.orderCounts.set(life, report.orderCount);
+        await this.options.clock.sleep(CONFLICT_PAUSE_MS);
+        return isStale || tries <= MIN_CONFLICTS ? undefined : "rejected";
     }
 }
 
--- a/packages/gateway/src/fleet/StandbyPool.ts
+++ b/packages/gateway/src/fleet/StandbyPool.ts
@@ -26,8 +26,8 @@
 
 /** Gets spare VMs ready for the models that are most likely to need a member next. */
 export class StandbyPool {
-    /** Until when the last order to a life is expected to be at work, monotonic ms. */
-    private readonly busyUntilMs = new Map<string, number>();
+    /** Orders to lives, and until when each is expected to be at work, monotonic ms. */
+    private readonly atWorkUntilMs = new Map<string, number>();
 
     private constructor(private readonly options: StandbyPoolOptions) {}
 
@@ -72,14 +72,15 @@
 
     private prepare(spare: Upstream, model: ModelProfile, engine: EngineProfile, newEpoch: () => number): void {
         const { clock, orders, throttle, log, hasTraffic } = this.options;
-        const life = `${spare.id}@${spare.bornMs}`;
+        const isStaged = spare.stagedModels.includes(model.name);
+        const work = `${spare.id}@${spare.bornMs} ${isStaged ? "join" : "stage"} ${model.name}`;
         const nowMs = clock.monotonicMs();
         const isReady = spare.model === model.name && spare.group !== undefined;
-        if (isReady || orders.isBusy(spare) || (this.busyUntilMs.get(life) ?? 0) > nowMs) {
+        if (isReady || orders.isBusy(spare) || (this.atWorkUntilMs.get(work) ?? 0) > nowMs) {
             return;
         }
-        if (spare.stagedModels.includes(model.name)) {
-            this.busyUntilMs.set(life, nowMs + model.warmMs + ORDER_SETTLES_MS);
+        if (isStaged) {
+            this.atWorkUntilMs.set(work, nowMs + model.warmMs + ORDER_SETTLES_MS);
             const group = standbyGroups.nameOf(spare.id);
             log.info("spare takes a model into memory", { upstream: spare.id, model: model.name });
             const join = { kind: "join", group, epoch: newEpoch(), model: model.name, members: [spare.id] } as const;
@@ -90,7 +91,7 @@
             return;
         }
         const loadMs = model.loadMs * (hasTraffic() ? 1 : EARLY_LOAD_FACTOR);
-        this.busyUntilMs.set(life, nowMs + loadMs * 2 + ORDER_SETTLES_MS);
+        this.atWorkUntilMs.set(work, nowMs + loadMs * 2 + ORDER_SETTLES_MS);
         log.info("spare stages a model", { upstream: spare.id, model: model.name });
         void orders.give(spare, { kind: "stage", model: model.name });
     }
