--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -38,8 +38,11 @@
 const URGENT_WATCH_MS = 2200;
 /** Longest wait of a watch for the gateways' own objects, ms; peers notice most changes on their own. */
 const OWN_WATCH_MS = 8000;
-/** Pause before a watch of upstreams is renewed, ms, so that changes gather. The controller waits for members. */
-const UPSTREAM_PAUSE_MS = 120;
+/**
+ * Pause before a watch of upstreams is renewed, ms, so that changes gather. The controller waits for members, and tells
+ * the others when a group has opened.
+ */
+const UPSTREAM_PAUSE_MS = 400;
 const CONTROLLER_PAUSE_MS = 15;
 /** Pause before other watches are renewed, ms. */
 const OTHER_PAUSE_MS = 50;
@@ -55,6 +58,7 @@
     private readonly evacuated = new Set<string>();
     private readonly loads: LoadBook;
     private readonly groups: GroupDirectory;
+    private readonly retries: RetryAllowance;
     private readonly queue: AdmissionQueue;
     private readonly guard: SilenceGuard;
     private readonly lease: ControllerLease;
@@ -68,6 +72,10 @@
     private readonly upstreamWatch: StoreWatch;
     private readonly lostEpochs = new Map<number, number>();
     private readonly stop = new AbortController();
+    /** Peers, and whether each hears the controller. */
+    private readonly peersHearing = new Map<string, boolean>();
+    /** Changes of the fleet that the controller has told of. */
+    private fleetChanges = 0;
     private hasTraffic = false;
     private isLeaving = false;
 
@@ -92,6 +100,7 @@
         const gatewayCount = () => this.links.names().length + 1;
         const cold = ColdLimiter.create({ clock, gatewayCount });
         const retries = RetryAllowance.create({ clock, ...settings.retryBudget, gatewayCount });
+        this.retries = retries;
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const shared = { clock, log, metrics, queue: this.queue, loads: this.loads, cold, failures, retries };
         const sending = { ...shared, guard: this.guard, client, zone: settings.zone, viewAgeMs };
@@ -113,6 +122,10 @@
             incarnation: random.uniqueId(),
             peerSilenceMs: vm => vm === settings.vm ? 0 : this.links.silenceMs(vm),
             candidateRank: () => this.links.inTouch().filter(peer => peer < settings.vm).length,
+            isHeardByNobody: () => {
+                const peers = this.links.inTouch();
+                return peers.length > 0 && !peers.some(peer => this.peersHearing.get(peer));
+            },
             hearsMostPeers: () => this.links.inTouch().length * 2 >= this.links.names().length,
         });
         const orders = OrderSender.create({ clock, log, metrics, control });
@@ -131,7 +144,9 @@
             throttle,
             standby: StandbyPool.create({ clock, log, orders, throttle, hasTraffic }),
             groupStallMs: settings.groupStallMs,
+            isZoneInSight: zone => zone === settings.zone || this.links.isZoneInSight(zone),
             announceLost: (epoch, reason) => this.announceLost(epoch, reason),
+            announceChange: () => this.feed.flush(),
         });
         this.feed = PeerFeed.create({ clock, snapshot: () => this.peerState() });
         this.server = PeerServer.create({
@@ -147,6 +162,7 @@
             store,
             key: { kind: REGISTRATION_KIND, name: settings.vm },
             address: `${settings.host}:${settings.peerPort}`,
+            zone: settings.zone,
         });
         this.upstreamWatch = this.watchUpstreams();
         this.watches = [
@@ -220,9 +236,12 @@
     private peerState(): PeerState {
         return {
             term: this.lease.term,
+            fleetChanges: this.controller.changeCount,
+            hearsController: this.lease.hearsHolder,
             isController: this.lease.isController,
             configurationVersion: this.configuration.current?.version ?? 0,
             loads: this.loads.ownPlaces().filter(([place]) => isEpoch(place)),
+            retries: this.retries.counts(),
             lostEpochs: this.lease.isController ? [...this.lostEpochs.keys()] : [],
             isLeaving: this.isLeaving,
         };
@@ -231,8 +250,14 @@
     private takePeerState(peer: string, state: PeerState): void {
         this.lease.observeTerm(state.term);
         this.loads.putPeer(peer, state.loads);
+        this.retries.putPeer(peer, state.retries);
         this.hasTraffic ||= state.loads.length > 0;
+        this.peersHearing.set(peer, state.hearsController);
         if (state.isController && state.term >= this.lease.term) {
+            if (state.fleetChanges !== this.fleetChanges) {
+                this.fleetChanges = state.fleetChanges;
+                this.upstreamWatch.hurry();
+            }
             state.lostEpochs.forEach(epoch => this.loseGroup(epoch, `${peer} found the group lost`));
         }
     }
@@ -371,9 +396,9 @@
 
     private watchGateways(): StoreWatch {
         const put = (object: StoredObject) => {
-            const address = this.registration.addressOf(object);
-            if (address !== undefined) {
-                this.links.add(object.name, address);
+            const registered = this.registration.read(object);
+            if (registered) {
+                this.links.add(object.name, registered.address, registered.zone);
             }
         };
         return this.watch(
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -16,6 +16,8 @@
     peerSilenceMs: (vm: string) => number;
     /** Place of this VM among those in touch, 0 first; later ones wait longer before they take over. */
     candidateRank: () => number;
+    /** True if peers are in touch and none of them hears the holder either. */
+    isHeardByNobody: () => boolean;
     /** True while most registered peers are in touch. */
     hearsMostPeers: () => boolean;
 }
@@ -34,9 +36,9 @@
 /** Pause between two looks at the lease, ms. */
 const TICK_MS = 100;
 /** Time between renewals, ms: each one is an event for all gateways. */
-const RENEW_MS = 1300;
-/** A holder whose renewals are older and who is silent towards its peer counts as gone, ms. */
-const EXPIRE_MS = 2600;
+const RENEW_MS = 2500;
+/** A holder that is silent here and whose renewals are older counts as gone, ms, whatever others hear. */
+const EXPIRE_MS = 5500;
 /** A holder that speaks to its peers is alive, ms since its last word. */
 const PEER_WORD_MS = 1200;
 /** Added to the wait per place among the candidates, ms: a few round trips to the store. */
@@ -44,7 +46,7 @@
 /** A gap between two looks that is longer means that the process stood still, ms. */
 const PAUSE_MS = 700;
 /** Actions need a renewal that is not older, ms, while the store answers. */
-const ACT_MS = 5000;
+const ACT_MS = 6000;
 
 /**
  * Decides which gateway acts as the fleet's controller: the holder of a lease object that changes hands by conditional
@@ -89,6 +91,11 @@
         return isFresh || this.options.hearsMostPeers();
     }
 
+    /** True if the holder is heard, or is this gateway. */
+    get hearsHolder(): boolean {
+        return this.isOwn || (this.lease !== undefined && this.options.peerSilenceMs(this.lease.vm) <= PEER_WORD_MS);
+    }
+
     /** Takes the lease object as the store holds it. */
     observe(object: StoredObject): void {
         if (object.kind !== LEASE_KEY.kind || object.name !== LEASE_KEY.name || object.revision < this.revision) {
@@ -178,8 +185,12 @@
             // Held by an earlier run of this process, which is gone for certain.
             return true;
         }
-        const isSilent = this.options.peerSilenceMs(this.lease.vm) > PEER_WORD_MS;
-        return isSilent && nowMs - this.changedAtMs >= EXPIRE_MS + rankMs;
+        if (this.hearsHolder) {
+            return false;
+        }
+        // A change of the lease within the last moments is a holder that peers are yet to hear.
+        const graceMs = this.options.isHeardByNobody() ? PEER_WORD_MS : EXPIRE_MS;
+        return nowMs - this.changedAtMs >= graceMs + rankMs;
     }
 
     private async write(lease: z.infer<typeof leaseSchema>): Promise<void> {
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -35,8 +35,12 @@
     standby: StandbyPool;
     /** Time for which a group stands still before its head gives it up, ms. */
     groupStallMs: number;
+    /** False while a zone seems to be cut off from this one: what it looks like from here says nothing. */
+    isZoneInSight: (zone: string) => boolean;
     /** Tells all gateways that a group is lost. */
     announceLost: (epoch: number, reason: string) => void;
+    /** Tells all gateways that groups have changed. */
+    announceChange: () => void;
 }
 
 /** One service's engines as one turn sees them. */
@@ -87,6 +91,7 @@
     private readonly lostLives = new Map<string, number>();
     /** Upstreams that may not change groups before a time, because the head of theirs cannot be asked, ms. */
     private readonly fencedUntilMs = new Map<string, number>();
+    private changes = 0;
     private term = 0;
     private nextEpochOfTerm = 1;
     private knownIds = "";
@@ -99,6 +104,11 @@
         return new FleetController(options);
     }
 
+    /** Grows with every group that has opened. */
+    get changeCount(): number {
+        return this.changes;
+    }
+
     /** Acts until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, lease } = this.options;
@@ -134,11 +144,13 @@
             if (!engine) {
                 continue;
             }
-            const members = [...upstreams.all()].filter(upstream => upstream.service === service);
+            const members = [...upstreams.all()].filter(upstream =>
+                upstream.service === service && this.options.isZoneInSight(upstream.zone)
+            );
             const view: ServiceView = { service, engine, upstreams: members, observed: observeGroups(members) };
             this.adoptGroups(view);
-            [...this.formations.values()].filter(item => item.service === service).forEach(item =>
-                this.advance(view, item)
+            [...this.formations.values()].filter(item => item.service === service && this.isInSight(item)).forEach(
+                item => this.advance(view, item),
             );
             this.releaseStrays(view);
             this.formNewGroups(view);
@@ -194,6 +206,10 @@
         }
     }
 
+    private isInSight(formation: Formation): boolean {
+        return formation.members.every(member => this.options.isZoneInSight(member.zone));
+    }
+
     private advance(view: ServiceView, formation: Formation): void {
         this.phaseHandlers[formation.phase](view, formation);
     }
@@ -265,6 +281,8 @@
             this.options.log.info("group open", { group: formation.name, epoch: formation.epoch, repairMs });
             formation.lostAtMs = undefined;
             this.setPhase(formation, "open");
+            this.changes += 1;
+            this.options.announceChange();
         }
         else if (ageMs > OPEN_SHOWS_AFTER_MS && head && !this.options.orders.isBusy(head)) {
             this.setPhase(formation, "joining");
@@ -622,7 +640,9 @@
 
     /** The view may have changed while members were asked. */
     private freshView(view: ServiceView): ServiceView {
-        const upstreams = [...this.options.upstreams.all()].filter(upstream => upstream.service === view.service);
+        const upstreams = [...this.options.upstreams.all()].filter(upstream =>
+            upstream.service === view.service && this.options.isZoneInSight(upstream.zone)
+        );
         return { ...view, upstreams, observed: observeGroups(upstreams) };
     }
 
--- a/packages/gateway/src/peers/PeerFeed.ts
+++ b/packages/gateway/src/peers/PeerFeed.ts
@@ -66,6 +66,8 @@
 function toUpdate(state: PeerState): GatewayUpdate {
     return create(GatewayUpdateSchema, {
         term: state.term,
+        fleetChanges: state.fleetChanges,
+        hearsController: state.hearsController,
         isController: state.isController,
         configurationVersion: state.configurationVersion,
         loads: state.loads.map(([place, load]) => ({
@@ -74,6 +76,7 @@
             unreadTokens: Math.round(load.unreadTokens),
             silentMs: Math.round(load.silentMs),
         })),
+        retries: state.retries.map(([service, counts]) => ({ service, ...counts })),
         lostEpochs: [...state.lostEpochs],
         isLeaving: state.isLeaving,
     });
--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -19,13 +19,18 @@
 
 interface Link {
     address: string;
+    zone: string;
     stop: AbortController;
     heardAtMs: number;
+    /** Since when it has been heard without a gap. */
+    steadySinceMs: number;
     isLost: boolean;
 }
 
 /** A peer is redialled after this silence, ms: three of its heartbeats. */
 const SILENCE_MS = 1200;
+/** After a cut a peer counts as heard steadily after this time, ms: entries of upstreams are back by then. */
+const STEADY_MS = 2200;
 /** Waits between dials, ms. */
 const BACKOFF_FIRST_MS = 150;
 const BACKOFF_MAX_MS = 2000;
@@ -42,13 +47,20 @@
     }
 
     /** Follows a registered peer. */
-    add(peer: string, address: string): void {
+    add(peer: string, address: string, zone: string): void {
         const known = this.links.get(peer);
         if (peer === this.options.vm || known?.address === address) {
             return;
         }
         known?.stop.abort();
-        const link: Link = { address, stop: new AbortController(), heardAtMs: -Infinity, isLost: true };
+        const link: Link = {
+            address,
+            zone,
+            stop: new AbortController(),
+            heardAtMs: -Infinity,
+            steadySinceMs: 0,
+            isLost: true,
+        };
         this.links.set(peer, link);
         void this.follow(peer, link);
     }
@@ -75,6 +87,15 @@
         return [...this.links.keys()];
     }
 
+    /** False while a zone has gateways and none of them has been heard steadily: it seems to be cut off. */
+    isZoneInSight(zone: string): boolean {
+        const links = [...this.links.values()].filter(link => link.zone === zone);
+        const nowMs = this.options.clock.monotonicMs();
+        const isSteady = (link: Link) =>
+            nowMs - link.heardAtMs <= SILENCE_MS && nowMs - link.steadySinceMs >= STEADY_MS;
+        return links.length === 0 || links.some(isSteady);
+    }
+
     /** Peers that were heard lately. */
     inTouch(): string[] {
         return this.names().filter(peer => this.silenceMs(peer) <= SILENCE_MS);
@@ -106,7 +127,11 @@
         const client = createClient(GatewayService, transport);
         const any = AbortSignal.any([signal, link.stop.signal]);
         for await (const update of client.watchGateway({ observer: this.options.vm }, { signal: any })) {
-            link.heardAtMs = this.options.clock.monotonicMs();
+            const nowMs = this.options.clock.monotonicMs();
+            if (link.heardAtMs !== -Infinity && nowMs - link.heardAtMs > SILENCE_MS) {
+                link.steadySinceMs = nowMs;
+            }
+            link.heardAtMs = nowMs;
             onUpdate();
             if (link.isLost) {
                 link.isLost = false;
@@ -141,11 +166,14 @@
 function toState(update: GatewayUpdate): PeerState {
     return {
         term: update.term,
+        fleetChanges: update.fleetChanges,
+        hearsController: update.hearsController,
         isController: update.isController,
         configurationVersion: update.configurationVersion,
         loads: update.loads.map(({ epoch, inFlight, unreadTokens, silentMs }) =>
             [String(epoch), { inFlight, unreadTokens, silentMs }] as const
         ),
+        retries: update.retries.map(({ service, requests, retries }) => [service, { requests, retries }] as const),
         lostEpochs: update.lostEpochs,
         isLeaving: update.isLeaving,
     };
--- a/packages/gateway/src/placement/RetryAllowance.ts
+++ b/packages/gateway/src/placement/RetryAllowance.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@fescuehaven/runtime";
+import type { RetryCounts } from "./RetryCounts.js";
 
 /** What a `RetryAllowance` is made of. */
 interface RetryAllowanceOptions {
@@ -12,13 +13,24 @@
     gatewayCount: () => number;
 }
 
-/** Part of the allowance that is used: the window slides, and gateways count in windows of their own. */
-const USED_PART = 0.8;
+interface PeerUse {
+    counts: ReadonlyMap<string, RetryCounts>;
+    receivedMs: number;
+}
+
+/** Part of the budget that is used: gateways hear of each other's retries a little late. */
+const USED_PART = 0.72;
+/** A peer's counts are known for this long, ms; without them only its requests' part is left to it. */
+const PEER_COUNTS_TTL_MS = 1500;
 
-/** Keeps the sendings beyond each request's first under this process's part of a service's budget. */
+/**
+ * Keeps the sendings beyond each request's first under a service's budget, which all gateways share. Made for groups
+ * that break with all their streams: one gateway may then use what the others, as they say, have left.
+ */
 export class RetryAllowance {
     private readonly requestsAtMs = new Map<string, number[]>();
     private readonly retriesAtMs = new Map<string, number[]>();
+    private readonly peers = new Map<string, PeerUse>();
 
     private constructor(private readonly options: RetryAllowanceOptions) {}
 
@@ -34,17 +46,40 @@
 
     /** Takes one retry if the allowance has it. */
     tryTake(service: string): boolean {
-        const { ratio, slack, gatewayCount } = this.options;
-        const requests = this.recent(this.requestsAtMs, service).length;
-        const retries = this.recent(this.retriesAtMs, service);
-        const allowed = USED_PART * (ratio * requests + slack / Math.max(1, gatewayCount()));
-        if (retries.length + 1 > allowed) {
+        const { ratio, slack, gatewayCount, clock } = this.options;
+        const nowMs = clock.monotonicMs();
+        const own = this.recent(this.retriesAtMs, service);
+        let requests = this.recent(this.requestsAtMs, service).length;
+        let retries = own.length;
+        let known = 1;
+        for (const { counts, receivedMs } of this.peers.values()) {
+            if (nowMs - receivedMs <= PEER_COUNTS_TTL_MS) {
+                known += 1;
+                requests += counts.get(service)?.requests ?? 0;
+                retries += counts.get(service)?.retries ?? 0;
+            }
+        }
+        const sharedSlack = slack * Math.min(1, known / Math.max(1, gatewayCount()));
+        if (retries + 1 > USED_PART * (ratio * requests + sharedSlack)) {
             return false;
         }
-        retries.push(this.options.clock.monotonicMs());
+        own.push(nowMs);
         return true;
     }
 
+    /** What this gateway has counted in the window. */
+    counts(): Array<readonly [string, RetryCounts]> {
+        return [...this.requestsAtMs.keys()].map(service => {
+            const requests = this.recent(this.requestsAtMs, service).length;
+            return [service, { requests, retries: this.recent(this.retriesAtMs, service).length }] as const;
+        });
+    }
+
+    /** Takes what a peer has counted. */
+    putPeer(peer: string, counts: ReadonlyArray<readonly [string, RetryCounts]>): void {
+        this.peers.set(peer, { counts: new Map(counts), receivedMs: this.options.clock.monotonicMs() });
+    }
+
     private recent(history: Map<string, number[]>, service: string): number[] {
         const sinceMs = this.options.clock.monotonicMs() - this.options.windowMs;
         const times = history.get(service) ?? [];
--- a/packages/gateway/src/placement/predictPass.ts
+++ b/packages/gateway/src/placement/predictPass.ts
@@ -31,6 +31,6 @@
     const passes = Math.max(1, Math.ceil(tokens / passTokens));
     return {
         firstEventMs: writePassMs * MEAN_PART_OF_PASS_LEFT + readMs + nextPassMs * passes,
-        passMs: nextPassMs + readMs / passes,
+        passMs: nextPassMs + readMs * Math.min(1, passTokens / Math.max(1, tokens)),
     };
 }
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -53,6 +53,20 @@
         rig.stopController();
     });
 
+    it("leaves the groups of a zone alone that is cut off", async () => {
+        const rig = await formedRig();
+        const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
+        rig.zonesOutOfSight.add("a");
+        const entries = [...rig.directory.all()];
+        entries.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
+        await rig.run(6000);
+        entries.forEach(upstream => rig.directory.put(rig.fleet.state(upstream.id)));
+        rig.zonesOutOfSight.clear();
+        await rig.run(3000);
+        expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
+        rig.stopController();
+    });
+
     it("replaces a draining member", async () => {
         const rig = await formedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "small")!;
--- /dev/null
+++ b/packages/gateway/tests/fleet/planning.test.ts
@@ -0,0 +1,75 @@
+import { expect } from "chai";
+import { chooseMembers } from "../../src/fleet/chooseMembers.js";
+import { planGroups } from "../../src/fleet/planGroups.js";
+import { exampleEngine } from "../support/exampleEngine.js";
+import { exampleUpstream } from "../support/exampleUpstream.js";
+
+const { models } = exampleEngine;
+
+function domains(...freeCounts: number[]) {
+    return freeCounts.map((freeCount, index) => ({ domain: `d${index}`, freeCount }));
+}
+
+function countOf(planned: ReturnType<typeof planGroups>, model: string): number {
+    return planned.filter(group => group.model === model).length;
+}
+
+describe("planGroups", () => {
+    it("gives each domain of eleven one large and one small group", () => {
+        const planned = planGroups(models, new Map(), domains(11, 11, 11, 11, 11, 11), true);
+        expect([countOf(planned, "large"), countOf(planned, "small")]).to.deep.equal([6, 6]);
+    });
+
+    it("serves every model before it adds to one", () => {
+        const planned = planGroups(models, new Map(), domains(6, 6), true);
+        expect(new Set(planned.map(group => group.model))).to.deep.equal(new Set(["large", "small"]));
+    });
+
+    it("does not spend the VMs of a large group on small ones while VMs still register", () => {
+        const planned = planGroups(models, new Map([["small", 1]]), domains(4, 5, 3), false);
+        expect(planned).to.deep.equal([]);
+    });
+
+    it("uses what is left for small groups once all VMs are there", () => {
+        const planned = planGroups(models, new Map([["large", 2], ["small", 1]]), domains(4, 5, 2), true);
+        expect(planned).to.deep.equal([{ domain: "d1", model: "small" }, { domain: "d0", model: "small" }]);
+    });
+
+    it("plans larger groups of larger fleets", () => {
+        const large = models.map(model => ({ ...model, memberCount: model.memberCount * 2 }));
+        const planned = planGroups(large, new Map(), domains(27, 27, 27, 27, 27, 27, 27, 27), true);
+        expect(countOf(planned, "large")).to.be.greaterThan(8);
+        expect(countOf(planned, "small")).to.be.greaterThan(3);
+    });
+});
+
+describe("chooseMembers", () => {
+    const staying = [exampleUpstream("m1"), exampleUpstream("m2")];
+    const free = [
+        exampleUpstream("f1"),
+        exampleUpstream("f2", { stagedModels: ["small"] }),
+        exampleUpstream("f3", { stagedModels: ["large"] }),
+        exampleUpstream("f4", { stagedModels: ["large"], model: "large" }),
+    ];
+
+    const cases: ReadonlyArray<{ title: string; count: number; expected?: string[]; }> = [
+        {
+            title: "keeps who stays, in order, and adds the one that has the model in memory",
+            count: 3,
+            expected: ["m1", "m2", "f4"],
+        },
+        { title: "then the one that has it on its host", count: 4, expected: ["m1", "m2", "f4", "f3"] },
+        {
+            title: "then an empty one before one with another model",
+            count: 5,
+            expected: ["m1", "m2", "f4", "f3", "f1"],
+        },
+        { title: "takes no more than needed", count: 2, expected: ["m1", "m2"] },
+        { title: "says so if there are too few", count: 7, expected: undefined },
+    ];
+    for (const { title, count, expected } of cases) {
+        it(title, () => {
+            expect(chooseMembers("large", count, staying, free)?.map(member => member.id)).to.deep.equal(expected);
+        });
+    }
+});
--- /dev/null
+++ b/packages/gateway/tests/placement/chooseGroup.test.ts
@@ -0,0 +1,76 @@
+import { expect } from "chai";
+import { chooseGroup } from "../../src/placement/chooseGroup.js";
+import type { GroupCandidate } from "../../src/placement/GroupCandidate.js";
+import { exampleEngine } from "../support/exampleEngine.js";
+import { exampleUpstream } from "../support/exampleUpstream.js";
+
+const [large] = exampleEngine.models;
+
+function group(
+    name: string,
+    changes: Partial<GroupCandidate["load"]> = {},
+    zone = "a",
+    failureShare = 0,
+): GroupCandidate {
+    return {
+        name,
+        epoch: 1,
+        model: large!,
+        head: exampleUpstream(name, { zone }),
+        load: { inFlight: 0, unreadTokens: 0, silentMs: 0, ...changes },
+        failureShare,
+    };
+}
+
+const cases: ReadonlyArray<{ title: string; groups: GroupCandidate[]; promptTokens?: number; expected?: string; }> = [
+    { title: "no group", groups: [], expected: undefined },
+    { title: "an idle group", groups: [group("g1")], expected: "g1" },
+    {
+        title: "the group with fewer requests",
+        groups: [group("g1", { inFlight: 9 }), group("g2", { inFlight: 2 })],
+        expected: "g2",
+    },
+    {
+        title: "the group that reads fewer prompts, though it writes more answers",
+        groups: [group("g1", { inFlight: 3, unreadTokens: 6000 }), group("g2", { inFlight: 6 })],
+        expected: "g2",
+    },
+    { title: "none whose slots are taken", groups: [group("g1", { inFlight: 18 })], expected: undefined },
+    { title: "the own zone's among equals", groups: [group("g1", {}, "b"), group("g2", {}, "a")], expected: "g2" },
+    {
+        title: "another zone's if the own zone's is busy",
+        groups: [group("g1", { inFlight: 12, unreadTokens: 4000 }, "a"), group("g2", {}, "b")],
+        expected: "g2",
+    },
+    {
+        title: "a busy group rather than a silent one",
+        groups: [group("g1", { inFlight: 2, silentMs: 500 }), group("g2", { inFlight: 15 })],
+        expected: "g2",
+    },
+    {
+        title: "a silent group if there is no other",
+        groups: [group("g1", { inFlight: 2, silentMs: 500 })],
+        expected: "g1",
+    },
+    {
+        title: "a sound group rather than one whose requests fail",
+        groups: [group("g1", {}, "a", 0.5), group("g2", { inFlight: 8 }, "a")],
+        expected: "g2",
+    },
+    {
+        title: "none where the prompt would hold up the others beyond their allowed pause",
+        groups: [group("g1", { inFlight: 8, unreadTokens: 9000 })],
+        promptTokens: 4000,
+        expected: undefined,
+    },
+    { title: "an idle group for a prompt of any size", groups: [group("g1")], promptTokens: 60_000, expected: "g1" },
+];
+
+describe("chooseGroup", () => {
+    for (const { title, groups, promptTokens = 1000, expected } of cases) {
+        it(`chooses ${title}`, () => {
+            const choice = chooseGroup(exampleEngine, groups, { zone: "a", promptTokens, targetGapMs: 250 });
+            expect(choice?.candidate.name).to.equal(expected);
+        });
+    }
+});
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -27,6 +27,7 @@
     readonly directory = UpstreamDirectory.create({ clock: this.clock, log: this.log, returnGraceMs: 2000 });
     readonly fleet = SimulatedUpstreams.create(this.clock, exampleEngine, this.directory);
     readonly lost: number[] = [];
+    readonly zonesOutOfSight = new Set<string>();
     private readonly loads = LoadBook.create(this.clock);
     private readonly configuration = ConfigurationHolder.create(this.log);
     private stop = new AbortController();
@@ -71,6 +72,7 @@
             incarnation,
             peerSilenceMs: () => Infinity,
             candidateRank: () => 0,
+            isHeardByNobody: () => false,
             hearsMostPeers: () => true,
         });
         const controller = FleetController.create({
@@ -86,7 +88,9 @@
             throttle,
             standby: StandbyPool.create({ clock, log, orders, throttle, hasTraffic: () => hasTraffic }),
             groupStallMs: 4000,
+            isZoneInSight: zone => !this.zonesOutOfSight.has(zone),
             announceLost: epoch => this.lost.push(epoch),
+            announceChange: () => undefined,
         });
         void store.list(["fescue_controllers"]).then(listed => {
             if (listed.kind === "listed") {
