Test the data path with scripted upstreams

Streams that break, fall silent or lose their group; plain requests that may and may not be repeated; refusals. 28 cases, none needs the network.

--- /dev/null
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -0,0 +1,318 @@
+import { expect } from "chai";
+import type { Upstream } from "../../src/model/Upstream.js";
+import type { UpstreamAnswer } from "../../src/ports/UpstreamAnswer.js";
+import { answers } from "../support/answers.js";
+import { exampleUpstream } from "../support/exampleUpstream.js";
+import { ForwarderRig } from "../support/ForwarderRig.js";
+import type { RecordedReply } from "../support/RecordedReply.js";
+
+function head(id: string, epoch: number, changes: Partial<Upstream> = {}): Upstream {
+    const group = { name: id, epoch, rank: 0, phase: "open" as const };
+    return exampleUpstream(id, { model: "large", group, ...changes });
+}
+
+function idsOf(reply: RecordedReply): number[] {
+    return [...reply.text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+}
+
+const NOT_RUN: UpstreamAnswer = { kind: "not-run", reason: "overloaded" };
+const UNKNOWN: UpstreamAnswer = { kind: "unknown", reason: "reset" };
+
+describe("forwarding", () => {
+    let rig: ForwarderRig;
+
+    beforeEach(() => {
+        rig = ForwarderRig.create();
+    });
+
+    afterEach(() => rig.close());
+
+    describe("of streams", () => {
+        beforeEach(() => {
+            rig.configure();
+            rig.directory.put(head("g1", 1));
+            rig.directory.put(head("g2", 2));
+        });
+
+        it("passes a stream on and ends it as complete", async () => {
+            rig.client.script(() => answers.stream(1, 5));
+            const reply = rig.send();
+            await rig.clock.settle();
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3, 4, 5], "complete"]);
+            expect(rig.client.sent[0]?.call.account).to.equal("acme");
+        });
+
+        it("goes on after the last whole event at another group when a stream breaks", async () => {
+            rig.client.script(() => answers.brokenStream(1, 3), () => answers.stream(4, 6));
+            const reply = rig.send();
+            await rig.clock.advance(100);
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3, 4, 5, 6], "complete"]);
+            expect(rig.client.sent.map(({ call }) => call.resumeAfter)).to.deep.equal([undefined, "3"]);
+            expect(new Set(rig.client.sent.map(({ upstream }) => upstream)).size).to.equal(2);
+        });
+
+        it("goes on elsewhere when a group falls silent in the middle of a stream", async () => {
+            rig.client.script((_, signal) => answers.silentStream(1, 3, signal), () => answers.stream(4, 6));
+            const reply = rig.send();
+            await rig.clock.advance(1000);
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3, 4, 5, 6], "complete"]);
+        });
+
+        it("goes on elsewhere at once when its group is found lost, beyond the route's attempts", async () => {
+            rig.client.script(
+                (_, signal) => answers.silentStream(1, 1, signal),
+                (_, signal) => answers.silentStream(2, 2, signal),
+                () => answers.stream(3, 4),
+            );
+            const reply = rig.send();
+            for (let times = 0; times < 2; times++) {
+                await rig.clock.settle();
+                const { upstream } = rig.client.sent.at(-1)!;
+                rig.loads.abandon(upstream === "g1" ? "1" : "2", "lost");
+            }
+            await rig.clock.settle();
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+        });
+
+        it("breaks a stream off, so that it does not look complete, when it may not be resumed", async () => {
+            rig.configure({ isResumable: false }, 2);
+            rig.client.script(() => answers.brokenStream(1, 3));
+            const reply = rig.send();
+            await rig.clock.settle();
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3], "broken-off"]);
+            expect(rig.client.sent.length).to.equal(1);
+        });
+
+        it("sends no more often than the route's attempts", async () => {
+            rig.client.script(() => answers.brokenStream(1, 1), () => answers.brokenStream(2, 2));
+            const reply = rig.send();
+            await rig.clock.advance(100);
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2], "broken-off"]);
+        });
+
+        it("tries another group when one says that it has not run the request", async () => {
+            rig.client.script(() => NOT_RUN, () => answers.stream(1, 2));
+            const reply = rig.send();
+            await rig.clock.settle();
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2], "complete"]);
+        });
+
+        it("says that the request has not run when no group has run it", async () => {
+            rig.client.script(() => NOT_RUN, () => NOT_RUN, () => NOT_RUN);
+            const reply = rig.send();
+            await rig.clock.advance(100);
+            expect(reply.refusal?.kind).to.equal("not-run");
+        });
+
+        it("does not say so when one may have run it", async () => {
+            rig.client.script(() => UNKNOWN, () => UNKNOWN);
+            const reply = rig.send();
+            await rig.clock.advance(100);
+            expect(reply.refusal?.kind).to.equal("outcome-unknown");
+        });
+
+        it("refuses at once when no group serves the model and none is formed", async () => {
+            const reply = rig.send({ model: "unheard of" });
+            await rig.clock.settle();
+            expect(reply.refusal?.kind).to.equal("not-run");
+        });
+
+        it("waits for a group that is being formed", async () => {
+            const group = { name: "g", epoch: 3, rank: 0, phase: "joining" as const };
+            rig.directory.put(exampleUpstream("g3", { model: "small", group }));
+            rig.client.script(() => answers.stream(1, 1));
+            const reply = rig.send({ model: "small" });
+            await rig.clock.advance(500);
+            expect(reply.ending).to.equal("open");
+            rig.directory.put(exampleUpstream("g3", { model: "small", group: { ...group, phase: "open" } }));
+            await rig.clock.advance(100);
+            expect(reply.ending).to.equal("complete");
+        });
+
+        it("sends nothing to a zone that is taken out, a head that drains or a group that closes", async () => {
+            rig.evacuated.add("b");
+            rig.directory.put(head("g1", 1, { zone: "b" }));
+            rig.directory.put(head("g2", 2, { state: "draining" }));
+            const group = { name: "g3", epoch: 3, rank: 0, phase: "closing" as const };
+            rig.directory.put(head("g3", 3, { group }));
+            const reply = rig.send();
+            await rig.clock.advance(3600);
+            expect(reply.refusal?.kind).to.equal("not-run");
+            expect(rig.client.sent).to.deep.equal([]);
+        });
+
+        it("stops at the group at once when the caller leaves", async () => {
+            let aborted = false;
+            rig.client.script((_, signal) => {
+                signal.addEventListener("abort", () => {
+                    aborted = true;
+                });
+                return answers.silentStream(1, 1, signal);
+            });
+            const reply = rig.send();
+            await rig.clock.settle();
+            reply.controller.abort();
+            await rig.clock.settle();
+            expect(aborted).to.equal(true);
+            expect(rig.client.sent.length).to.equal(1);
+        });
+
+        it("ends with a final answer when the route's time is over", async () => {
+            rig.configure({ timeoutMs: 500, maxAttempts: 1 }, 2);
+            rig.client.script((_, signal) =>
+                new Promise(resolve => signal.addEventListener("abort", () => resolve(UNKNOWN)))
+            );
+            const reply = rig.send();
+            await rig.clock.advance(510);
+            expect(reply.refusal?.kind).to.equal("timed-out");
+        });
+    });
+
+    describe("of plain requests", () => {
+        beforeEach(() => {
+            rig.directory.put(exampleUpstream("p1", { service: "app", slots: 2 }));
+            rig.directory.put(exampleUpstream("p2", { service: "app", slots: 2 }));
+        });
+
+        function configure(kind: "once" | "repeatable"): void {
+            rig.configure({ kind, targets: [{ service: "app", weight: 1 }], targetLatencyMs: 200, timeoutMs: 2000 });
+        }
+
+        const cases: ReadonlyArray<{
+            title: string;
+            kind: "once" | "repeatable";
+            scripts: UpstreamAnswer[];
+            sendings: number;
+            status?: number;
+            refusal?: string;
+        }> = [
+            {
+                title: "passes an answer on",
+                kind: "once",
+                scripts: [answers.whole(200, "ok")],
+                sendings: 1,
+                status: 200,
+            },
+            {
+                title: "never repeats one that may have run",
+                kind: "once",
+                scripts: [UNKNOWN],
+                sendings: 1,
+                refusal: "outcome-unknown",
+            },
+            {
+                title: "never delivers half an answer",
+                kind: "once",
+                scripts: [answers.short()],
+                sendings: 1,
+                refusal: "outcome-unknown",
+            },
+            {
+                title: "repeats one that has not run",
+                kind: "once",
+                scripts: [NOT_RUN, answers.whole(200, "ok")],
+                sendings: 2,
+                status: 200,
+            },
+            {
+                title: "passes an upstream's failure on",
+                kind: "once",
+                scripts: [answers.whole(500, "no")],
+                sendings: 1,
+                status: 500,
+            },
+            {
+                title: "repeats a repeatable one after a failure",
+                kind: "repeatable",
+                scripts: [answers.whole(500, "no"), answers.whole(200, "ok")],
+                sendings: 2,
+                status: 200,
+            },
+            {
+                title: "repeats a repeatable one after half an answer",
+                kind: "repeatable",
+                scripts: [answers.short(), answers.whole(200, "ok")],
+                sendings: 2,
+                status: 200,
+            },
+            {
+                title: "passes the second failure on",
+                kind: "repeatable",
+                scripts: [answers.whole(500, "no"), answers.whole(500, "no")],
+                sendings: 2,
+                status: 500,
+            },
+            {
+                title: "does not deliver a success without a signature",
+                kind: "once",
+                scripts: [answers.whole(200, "ok", false)],
+                sendings: 1,
+                refusal: "outcome-unknown",
+            },
+            {
+                title: "tells who may come back",
+                kind: "once",
+                scripts: [NOT_RUN, NOT_RUN],
+                sendings: 2,
+                refusal: "not-run",
+            },
+        ];
+        for (const { title, kind, scripts, sendings, status, refusal } of cases) {
+            it(title, async () => {
+                configure(kind);
+                rig.client.script(...scripts.map(answer => () => answer));
+                const reply = rig.send({ model: undefined });
+                await rig.clock.advance(1200);
+                expect([reply.status, reply.refusal?.kind]).to.deep.equal([status, refusal]);
+                expect(rig.client.sent.length).to.equal(sendings);
+            });
+        }
+
+        it("sends a repeatable one to a second upstream when the first is silent", async () => {
+            configure("repeatable");
+            rig.client.script(
+                (_, signal) => new Promise(resolve => signal.addEventListener("abort", () => resolve(UNKNOWN))),
+                () => answers.whole(200, "ok"),
+            );
+            const reply = rig.send({ model: undefined });
+            await rig.clock.advance(400);
+            expect(reply.status).to.equal(200);
+        });
+
+        it("lets one that may not be repeated run on when its caller leaves", async () => {
+            configure("once");
+            let aborted = false;
+            rig.client.script((_, signal) =>
+                new Promise(() =>
+                    signal.addEventListener("abort", () => {
+                        aborted = true;
+                    })
+                )
+            );
+            const reply = rig.send({ model: undefined });
+            await rig.clock.settle();
+            reply.controller.abort();
+            await rig.clock.settle();
+            expect(aborted).to.equal(false);
+        });
+    });
+
+    describe("of what it may not serve", () => {
+        it("asks to come back while no configuration is known", async () => {
+            const reply = rig.send();
+            await rig.clock.settle();
+            expect(reply.refusal).to.include({ kind: "not-run", retryAfterMs: 500 });
+        });
+
+        it("rejects unknown keys and routes", async () => {
+            rig.configure();
+            const replies = [
+                rig.send({ apiKey: "other" }),
+                rig.send({ apiKey: undefined }),
+                rig.send({ host: "other" }),
+            ];
+            await rig.clock.settle();
+            expect(replies.map(reply => reply.refusal?.kind)).to.deep.equal(["unknown-key", "unknown-key", "no-route"]);
+        });
+    });
+});
--- /dev/null
+++ b/packages/gateway/tests/support/ScriptedUpstreamClient.ts
@@ -0,0 +1,33 @@
+import type { Upstream } from "../../src/model/Upstream.js";
+import type { UpstreamAnswer } from "../../src/ports/UpstreamAnswer.js";
+import type { UpstreamClient } from "../../src/ports/UpstreamClient.js";
+import type { UpstreamRequest } from "../../src/ports/UpstreamRequest.js";
+
+/** What an upstream does with one sending. */
+type Script = (call: UpstreamRequest, signal: AbortSignal) => Promise<UpstreamAnswer> | UpstreamAnswer;
+
+/** Plays one script for each sending, in turn. */
+export class ScriptedUpstreamClient implements UpstreamClient {
+    readonly sent: Array<{ upstream: string; call: UpstreamRequest; }> = [];
+    private readonly scripts: Script[] = [];
+
+    /** Creates a client without scripts. */
+    static create(): ScriptedUpstreamClient {
+        return new ScriptedUpstreamClient();
+    }
+
+    /** Adds scripts for the sendings to come. */
+    script(...scripts: Script[]): void {
+        this.scripts.push(...scripts);
+    }
+
+    /** Plays the next script. */
+    async send(upstream: Upstream, call: UpstreamRequest, signal: AbortSignal): Promise<UpstreamAnswer> {
+        this.sent.push({ upstream: upstream.id, call });
+        const script = this.scripts.shift();
+        if (!script) {
+            throw new Error(`no script for a sending to ${upstream.id}`);
+        }
+        return script(call, signal);
+    }
+}
