Form groups by reports while the store is away; act on a zone only while it is in sight

Members are asked while the view is not kept up to date, the controller tells gateways of open groups, loss counts only with a gateway of the zone in sight, and draining members are replaced a few groups at a time. Tests on simulated upstreams: a repair with the store away fails without it.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -46,8 +46,8 @@
 const CONTROLLER_PAUSE_MS = 15;
 /** Pause before other watches are renewed, ms. */
 const OTHER_PAUSE_MS = 50;
-/** A lost group is announced for this long, ms; its successor has a higher epoch. */
-const LOST_ANNOUNCED_MS = 5000;
+/** A lost group is announced for this long, ms: a link that broke is back within a few seconds. */
+const ANNOUNCED_MS = 5000;
 const SWEEP_MS = 200;
 const REGISTRATION_KIND = "fescue_gateways";
 
@@ -74,8 +74,6 @@
     private readonly stop = new AbortController();
     /** Peers, and whether each hears the controller. */
     private readonly peersHearing = new Map<string, boolean>();
-    /** Changes of the fleet that the controller has told of. */
-    private fleetChanges = 0;
     private hasTraffic = false;
     private isLeaving = false;
 
@@ -146,7 +144,8 @@
             groupStallMs: settings.groupStallMs,
             isZoneInSight: zone => zone === settings.zone || this.links.isZoneInSight(zone),
             announceLost: (epoch, reason) => this.announceLost(epoch, reason),
-            announceChange: () => this.feed.flush(),
+            isViewFresh: () => this.upstreamWatch.isInTouch,
+            announceOpen: () => this.feed.flush(),
         });
         this.feed = PeerFeed.create({ clock, snapshot: () => this.peerState() });
         this.server = PeerServer.create({
@@ -236,7 +235,7 @@
     private peerState(): PeerState {
         return {
             term: this.lease.term,
-            fleetChanges: this.controller.changeCount,
+            openGroups: this.lease.isController ? this.controller.recentlyOpened() : [],
             hearsController: this.lease.hearsHolder,
             isController: this.lease.isController,
             configurationVersion: this.configuration.current?.version ?? 0,
@@ -254,10 +253,7 @@
         this.hasTraffic ||= state.loads.length > 0;
         this.peersHearing.set(peer, state.hearsController);
         if (state.isController && state.term >= this.lease.term) {
-            if (state.fleetChanges !== this.fleetChanges) {
-                this.fleetChanges = state.fleetChanges;
-                this.upstreamWatch.hurry();
-            }
+            state.openGroups.forEach(group => this.upstreams.noteOpen(group));
             state.lostEpochs.forEach(epoch => this.loseGroup(epoch, `${peer} found the group lost`));
         }
     }
@@ -280,7 +276,7 @@
         while (!signal.aborted) {
             await clock.sleep(SWEEP_MS, signal);
             this.upstreams.sweep();
-            const sinceMs = clock.monotonicMs() - LOST_ANNOUNCED_MS;
+            const sinceMs = clock.monotonicMs() - ANNOUNCED_MS;
             this.lostEpochs.forEach((atMs, epoch) => atMs < sinceMs && this.lostEpochs.delete(epoch));
         }
     }
--- a/packages/gateway/src/StoreWatch.ts
+++ b/packages/gateway/src/StoreWatch.ts
@@ -33,7 +33,6 @@
     private failures = 0;
     private cursor: Revision | undefined;
     private heardAtMs = -Infinity;
-    private pause = new AbortController();
 
     private constructor(private readonly options: StoreWatchOptions) {
         this.backoff = Backoff.create({ random: options.random, firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS });
@@ -54,20 +53,12 @@
         return this.options.clock.monotonicMs() - this.heardAtMs;
     }
 
-    /** Ends a pause between two watches: there is news. */
-    hurry(): void {
-        if (this.isInTouch) {
-            this.pause.abort();
-        }
-    }
-
     /** Lists and watches until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             const pauseMs = this.cursor === undefined ? await this.list() : await this.watch(this.cursor, signal);
             if (pauseMs > 0) {
-                this.pause = new AbortController();
-                await this.options.clock.sleep(pauseMs, AbortSignal.any([signal, this.pause.signal]));
+                await this.options.clock.sleep(pauseMs, signal);
             }
         }
     }
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { Upstream } from "./model/Upstream.js";
+import type { OpenGroup } from "./peers/OpenGroup.js";
 import type { DecisionLog } from "./ports/DecisionLog.js";
 
 /** What an `UpstreamDirectory` is made of. */
@@ -53,6 +54,16 @@
         this.changed();
     }
 
+    /** Takes the word of the controller that a group has opened, which may be here before the head's own. */
+    noteOpen({ head, name, epoch, model }: OpenGroup): void {
+        const known = this.upstreams.get(head);
+        const knownEpoch = known?.group?.epoch ?? 0;
+        const isForming = known?.group?.phase === "joining" || known?.group?.phase === "ready";
+        if (known && (knownEpoch < epoch || (knownEpoch === epoch && isForming))) {
+            this.put({ ...known, model, group: { name, epoch, rank: 0, phase: "open" } });
+        }
+    }
+
     /** Takes an upstream out whose entry was removed. */
     remove(id: string, reason: string): void {
         this.missingSinceMs.delete(id);
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -3,6 +3,7 @@
 import type { EngineProfile } from "../model/EngineProfile.js";
 import type { ModelProfile } from "../model/ModelProfile.js";
 import type { Upstream } from "../model/Upstream.js";
+import type { OpenGroup } from "../peers/OpenGroup.js";
 import type { LoadBook } from "../placement/LoadBook.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
@@ -39,8 +40,10 @@
     isZoneInSight: (zone: string) => boolean;
     /** Tells all gateways that a group is lost. */
     announceLost: (epoch: number, reason: string) => void;
-    /** Tells all gateways that groups have changed. */
-    announceChange: () => void;
+    /** False while the view of upstreams is not kept up to date. */
+    isViewFresh: () => boolean;
+    /** Tells all gateways that a group has opened. */
+    announceOpen: () => void;
 }
 
 /** One service's engines as one turn sees them. */
@@ -71,10 +74,18 @@
 const JOIN_SHOWS_AFTER_MS = 1200;
 /** A group whose join was rejected is formed anew after this time, ms: the view has caught up by then. */
 const REJECTED_PAUSE_MS = 150;
+/** Pause between two rounds of reports while the store is away, ms: reports lag behind by some 200 ms. */
+const REPORT_PAUSE_MS = 200;
 /** An opening that does not show after this time is ordered again, ms. */
 const OPEN_SHOWS_AFTER_MS = 900;
 /** Requests of a closing group get this long to end, ms: most answers take about two seconds. */
 const CLOSE_WAIT_MS = 2000;
+/** A draining member stays while its head has work, up to ten seconds; it is replaced before, ms. */
+const DRAIN_PATIENCE_MS = 6000;
+/** Part of a model's groups that may be away at once for members that drain. */
+const AWAY_PART = 0.3;
+/** An open group is announced for this long, ms: the heads' own words are everywhere by then. */
+const ANNOUNCED_MS = 3000;
 /** A group without enough members is given up after this time, ms; members that restart are back before. */
 const SHORT_AFTER_MS = 1500;
 /** Added to the stall time of a head that cannot be asked, ms: its members leave at slightly different moments. */
@@ -91,7 +102,6 @@
     private readonly lostLives = new Map<string, number>();
     /** Upstreams that may not change groups before a time, because the head of theirs cannot be asked, ms. */
     private readonly fencedUntilMs = new Map<string, number>();
-    private changes = 0;
     private term = 0;
     private nextEpochOfTerm = 1;
     private knownIds = "";
@@ -104,9 +114,12 @@
         return new FleetController(options);
     }
 
-    /** Grows with every group that has opened. */
-    get changeCount(): number {
-        return this.changes;
+    /** Groups that opened lately; all open ones while the store does not tell of them. */
+    recentlyOpened(): OpenGroup[] {
+        const sinceMs = this.options.isViewFresh() ? this.nowMs() - ANNOUNCED_MS : -Infinity;
+        return [...this.formations.values()]
+            .filter(({ phase, phaseSinceMs }) => phase === "open" && phaseSinceMs >= sinceMs)
+            .map(({ members, name, epoch, model }) => ({ head: members[0]?.id ?? "", name, epoch, model: model.name }));
     }
 
     /** Acts until `signal` aborts. */
@@ -229,6 +242,7 @@
             return;
         }
         const current = formation.members.map(member => this.options.upstreams.get(member.id));
+        this.refreshFromReports(formation);
         if (current.every(member => isReadyIn(member, formation))) {
             this.setPhase(formation, "opening");
             void this.openGroup(formation);
@@ -271,6 +285,7 @@
             this.reform(view, formation, "a member was lost while opening", idsOf(unusable));
             return;
         }
+        this.refreshFromReports(formation);
         const head = formation.members[0] && this.options.upstreams.get(formation.members[0].id);
         const ageMs = this.nowMs() - formation.phaseSinceMs;
         if (head?.group?.epoch === formation.epoch && head.group.phase === "open") {
@@ -281,14 +296,34 @@
             this.options.log.info("group open", { group: formation.name, epoch: formation.epoch, repairMs });
             formation.lostAtMs = undefined;
             this.setPhase(formation, "open");
-            this.changes += 1;
-            this.options.announceChange();
+            this.options.announceOpen();
         }
         else if (ageMs > OPEN_SHOWS_AFTER_MS && head && !this.options.orders.isBusy(head)) {
             this.setPhase(formation, "joining");
         }
     }
 
+    /** Asks members for their state while the store does not tell it. */
+    private refreshFromReports(formation: Formation): void {
+        const { upstreams, orders, isViewFresh } = this.options;
+        if (isViewFresh() || !this.mayCheck(formation, REPORT_PAUSE_MS)) {
+            return;
+        }
+        formation.isChecking = true;
+        const asked = formation.members.map(async member => {
+            const report = await orders.report(member);
+            const current = upstreams.get(member.id);
+            if (report.kind === "reported" && current?.bornMs === report.bornMs && !isViewFresh()) {
+                const { group, model, stagedModels } = report;
+                upstreams.put({ ...current, group, model, stagedModels });
+            }
+        });
+        void Promise.all(asked).then(() => {
+            formation.isChecking = false;
+            formation.checkedAtMs = this.nowMs();
+        });
+    }
+
     private watchOpen(view: ServiceView, formation: Formation): void {
         const head = formation.members[0] && this.options.upstreams.get(formation.members[0].id);
         if (!head || head.bornMs !== formation.members[0]?.bornMs) {
@@ -301,7 +336,11 @@
             (handled ?? (() => this.loseGroup(view, formation, `the head says ${phase}`, new Set())))();
             return;
         }
-        if (formation.members.some(member => this.options.upstreams.get(member.id)?.state === "draining")) {
+        const draining = formation.members.filter(member =>
+            this.options.upstreams.get(member.id)?.state === "draining"
+        );
+        formation.drainSeenMs = draining.length > 0 ? formation.drainSeenMs ?? this.nowMs() : undefined;
+        if (draining.length > 0 && (head.state === "draining" || this.mayReplace(formation))) {
             this.startDrain(formation, head);
             return;
         }
@@ -341,7 +380,8 @@
             if (this.formations.get(formation.name) !== formation || formation.phase !== "open") {
                 return;
             }
-            const isStuck = isSilent && this.options.loads.figures(String(formation.epoch)).silentMs > STUCK_MS;
+            const isStuck = isSilent && this.isInSight(formation)
+                && this.options.loads.figures(String(formation.epoch)).silentMs > STUCK_MS;
             if (lost.size > 0 || isStuck) {
                 const reason = lost.size > 0 ? "members do not answer" : "silent though all members answer";
                 this.loseGroup(this.freshView(view), formation, reason, lost);
@@ -359,6 +399,9 @@
         const lost = await this.options.detector.findLost(members, epoch);
         formation.isChecking = false;
         formation.checkedAtMs = this.nowMs();
+        if (!this.isInSight(formation)) {
+            return new Set();
+        }
         for (const member of members) {
             const reason = lost.get(member.id);
             if (reason !== undefined) {
@@ -371,6 +414,18 @@
         return new Set(lost.keys());
     }
 
+    /** True if enough other groups of the model serve, or if the draining member will not stay much longer. */
+    private mayReplace(formation: Formation): boolean {
+        if (this.nowMs() - (formation.drainSeenMs ?? 0) > DRAIN_PATIENCE_MS) {
+            return true;
+        }
+        const ofModel = [...this.formations.values()].filter(item =>
+            item.service === formation.service && item.model.name === formation.model.name
+        );
+        const away = ofModel.filter(item => item.phase !== "open").length;
+        return away < Math.max(1, Math.floor(ofModel.length * AWAY_PART));
+    }
+
     private startDrain(formation: Formation, head: Upstream): void {
         this.options.log.info("group closes: a member drains", { group: formation.name, epoch: formation.epoch });
         this.setPhase(formation, "closing");
--- a/packages/gateway/src/fleet/Formation.ts
+++ b/packages/gateway/src/fleet/Formation.ts
@@ -18,6 +18,8 @@
     /** When its members were last asked whether they still belong to it, monotonic ms. */
     checkedAtMs: number;
     isChecking: boolean;
+    /** Since when a member drains, monotonic ms. */
+    drainSeenMs?: number;
     /** A member rejected its join. */
     isRejected?: boolean;
     /** Formations in a row that ended with a rejected join. */
--- a/packages/gateway/src/peers/PeerFeed.ts
+++ b/packages/gateway/src/peers/PeerFeed.ts
@@ -66,7 +66,7 @@
 function toUpdate(state: PeerState): GatewayUpdate {
     return create(GatewayUpdateSchema, {
         term: state.term,
-        fleetChanges: state.fleetChanges,
+        openGroups: state.openGroups.map(group => ({ ...group })),
         hearsController: state.hearsController,
         isController: state.isController,
         configurationVersion: state.configurationVersion,
--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -29,6 +29,8 @@
 
 /** A peer is redialled after this silence, ms: three of its heartbeats. */
 const SILENCE_MS = 1200;
+/** A zone is in sight while one of its gateways was heard within this time, ms: a heartbeat and a half. */
+const IN_SIGHT_MS = 650;
 /** After a cut a peer counts as heard steadily after this time, ms: entries of upstreams are back by then. */
 const STEADY_MS = 2200;
 /** Waits between dials, ms. */
@@ -92,7 +94,7 @@
         const links = [...this.links.values()].filter(link => link.zone === zone);
         const nowMs = this.options.clock.monotonicMs();
         const isSteady = (link: Link) =>
-            nowMs - link.heardAtMs <= SILENCE_MS && nowMs - link.steadySinceMs >= STEADY_MS;
+            nowMs - link.heardAtMs <= IN_SIGHT_MS && nowMs - link.steadySinceMs >= STEADY_MS;
         return links.length === 0 || links.some(isSteady);
     }
 
@@ -166,7 +168,7 @@
 function toState(update: GatewayUpdate): PeerState {
     return {
         term: update.term,
-        fleetChanges: update.fleetChanges,
+        openGroups: update.openGroups.map(({ head, name, epoch, model }) => ({ head, name, epoch, model })),
         hearsController: update.hearsController,
         isController: update.isController,
         configurationVersion: update.configurationVersion,
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -1,11 +1,12 @@
 import type { LoadFigures } from "../placement/LoadFigures.js";
 import type { RetryCounts } from "../placement/RetryCounts.js";
+import type { OpenGroup } from "./OpenGroup.js";
 
 /** What gateways tell each other. */
 export interface PeerState {
     term: number;
-    /** Grows with every change of the fleet that the sender has ordered. */
-    fleetChanges: number;
+    /** Groups that the controller has seen open lately. */
+    openGroups: readonly OpenGroup[];
     /** The sender hears the controller that it knows of, or is it. */
     hearsController: boolean;
     isController: boolean;
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -67,6 +67,18 @@
         rig.stopController();
     });
 
+    it("repairs a group while the store is away", async () => {
+        const rig = await formedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        rig.isViewFresh = false;
+        rig.fleet.isPublishing = false;
+        rig.fleet.darken(head.id, 1e9);
+        await rig.run(REPAIR_TARGET_MS);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("replaces a draining member", async () => {
         const rig = await formedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "small")!;
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -27,6 +27,7 @@
     readonly directory = UpstreamDirectory.create({ clock: this.clock, log: this.log, returnGraceMs: 2000 });
     readonly fleet = SimulatedUpstreams.create(this.clock, exampleEngine, this.directory);
     readonly lost: number[] = [];
+    isViewFresh = true;
     readonly zonesOutOfSight = new Set<string>();
     private readonly loads = LoadBook.create(this.clock);
     private readonly configuration = ConfigurationHolder.create(this.log);
@@ -90,7 +91,8 @@
             groupStallMs: 4000,
             isZoneInSight: zone => !this.zonesOutOfSight.has(zone),
             announceLost: epoch => this.lost.push(epoch),
-            announceChange: () => undefined,
+            isViewFresh: () => this.isViewFresh,
+            announceOpen: () => undefined,
         });
         void store.list(["fescue_controllers"]).then(listed => {
             if (listed.kind === "listed") {
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -33,6 +33,8 @@
     /** Leaves the next orders unanswered and carries them out late. */
     lateOrders = 0;
     orders = 0;
+    /** False: the store is away, and no entry changes. */
+    isPublishing = true;
     private readonly vms = new Map<string, Vm>();
     private readonly opened = new Map<string, Set<string>>();
 
@@ -233,7 +235,9 @@
     private change(vm: Vm, changes: Partial<Upstream>): void {
         vm.version += 1;
         vm.upstream = { ...vm.upstream, ...changes };
-        this.directory.put(vm.upstream);
+        if (this.isPublishing) {
+            this.directory.put(vm.upstream);
+        }
     }
 
     private modelOf(name: string) {
