--- a/packages/platform/src/adapters/PlatformHttp.ts
+++ b/packages/platform/src/adapters/PlatformHttp.ts
@@ -64,7 +64,7 @@
         try {
             const response = await request(new URL(call.path, this.options.url), {
                 method: call.method,
-                headers: { "content-type": "application/json", ...call.headers },
+                headers: { ...(call.body !== undefined && { "content-type": "application/json" }), ...call.headers },
                 body: call.body === undefined ? undefined : JSON.stringify(call.body),
                 dispatcher: agent,
                 signal,
