--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -98,7 +98,8 @@
 
     /** Takes the lease object as the store holds it. */
     observe(object: StoredObject): void {
-        if (object.kind !== LEASE_KEY.kind || object.name !== LEASE_KEY.name || object.revision < this.revision) {
+        const isNews = object.revision > this.revision;
+        if (object.kind !== LEASE_KEY.kind || object.name !== LEASE_KEY.name || !isNews) {
             return;
         }
         const parsed = leaseSchema.safeParse(object.value);
