--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -60,8 +60,8 @@
 const EPOCHS_PER_TERM = 65_536;
 /** No upstream has registered for this long: the fleet is as complete as it gets, ms; a few heartbeats. */
 const SETTLED_AFTER_MS = 1200;
-/** Silence of a group, as all gateways see it, after which its members are asked, ms: above the longest pass. */
-const SILENCE_MS = 320;
+/** Silence of a group, as all gateways see it, after which its members are asked, ms: above most passes. */
+const SILENCE_MS = 220;
 /** Silence after which a group is formed anew though all its members answer, ms. */
 const STUCK_MS = 1500;
 /** Pause between two rounds of asking the members of one group, ms. */
--- a/packages/gateway/src/fleet/LossDetector.ts
+++ b/packages/gateway/src/fleet/LossDetector.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { Upstream } from "../model/Upstream.js";
+import type { UpstreamReport } from "../ports/UpstreamReport.js";
 import type { OrderSender } from "./OrderSender.js";
 
 /** What a `LossDetector` is made of. */
@@ -8,9 +9,10 @@
     orders: OrderSender;
 }
 
-/** Waits for a report, ms. The second one covers a lost packet, which TCP sends again after some 200 ms. */
-const FIRST_TIMEOUT_MS = 150;
-const SECOND_TIMEOUT_MS = 300;
+/** Longest wait for a report, ms: an upstream answers within a few. */
+const REPORT_TIMEOUT_MS = 250;
+/** A second question follows the first after this time, ms, and covers a lost packet, which is sent again later. */
+const SECOND_AFTER_MS = 100;
 
 /** Asks the members of a group whether they still belong to it. */
 export class LossDetector {
@@ -38,20 +40,12 @@
 
     /** Asks one upstream whether it answers in the life that is known of it. */
     async isAlive(upstream: Upstream): Promise<boolean> {
-        const { orders } = this.options;
-        let report = await orders.report(upstream, FIRST_TIMEOUT_MS);
-        if (report.kind === "unreachable") {
-            report = await orders.report(upstream, SECOND_TIMEOUT_MS);
-        }
+        const report = await this.ask(upstream);
         return report.kind === "reported" && report.bornMs === upstream.bornMs;
     }
 
     private async checkMember(member: Upstream, epoch: number | undefined): Promise<string | undefined> {
-        const { orders } = this.options;
-        let report = await orders.report(member, FIRST_TIMEOUT_MS);
-        if (report.kind === "unreachable") {
-            report = await orders.report(member, SECOND_TIMEOUT_MS);
-        }
+        const report = await this.ask(member);
         if (report.kind === "unreachable") {
             return report.reason;
         }
@@ -63,4 +57,23 @@
         }
         return undefined;
     }
+
+    /** Asks twice, the second time a little later; unreachable only if neither question is answered. */
+    private async ask(upstream: Upstream): Promise<UpstreamReport> {
+        const { clock, orders } = this.options;
+        let firstReport: UpstreamReport | undefined;
+        const first = orders.report(upstream, REPORT_TIMEOUT_MS).then(report => {
+            firstReport = report;
+            return report;
+        });
+        const second = clock.sleep(SECOND_AFTER_MS).then(() =>
+            firstReport?.kind === "reported" ? firstReport : orders.report(upstream, REPORT_TIMEOUT_MS)
+        );
+        const early = await Promise.race([first, second]);
+        if (early.kind !== "unreachable") {
+            return early;
+        }
+        const [one, other] = await Promise.all([first, second]);
+        return other.kind === "unreachable" ? one : other;
+    }
 }
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -43,6 +43,8 @@
     firstEventMs: number;
     open: OpenCall;
     lost: AbortController;
+    /** It ended without an event before the engine could have finished a pass, so that it did not run. */
+    wasTooShort?: boolean;
 }
 
 /** How far a stream has come. */
@@ -64,6 +66,8 @@
 const FIRST_EVENT_MARGIN_MS = 900;
 /** Longest pause between two events, ms: several of the longest passes, and well under the callers' two seconds. */
 const PAUSE_LIMIT_MS = 750;
+/** A stream cannot have its first event sooner, ms: the shortest pass of an engine. */
+const SHORTEST_RUN_MS = 20;
 /** Rejections after which a request is refused: the view is wrong about more than one group. */
 const MAX_REJECTIONS = 3;
 /** Time in which a group that is being formed can be expected to open, ms: warm joins take about a second. */
@@ -157,6 +161,8 @@
         this.logPlaced(call, place, progress);
         progress.wasOffered = true;
         const silent = new AbortController();
+        const sentAtMs = clock.monotonicMs();
+        let hasEvents = false;
         const guarded = guard.watch(place.firstEventMs + FIRST_EVENT_MARGIN_MS, () => silent.abort());
         const signal = AbortSignal.any([call.reply.gone, call.deadline, place.lost.signal, silent.signal]);
         try {
@@ -192,6 +198,7 @@
                     call.reply.begin(answer.head);
                     this.options.metrics.observe("firstEvent", clock.monotonicMs() - call.request.receivedAtMs);
                 }
+                hasEvents = true;
                 progress.hasEvents = true;
                 progress.lastEventId = framer.lastEventId ?? progress.lastEventId;
                 await call.reply.write(events.bytes);
@@ -211,6 +218,7 @@
         }
         finally {
             guarded.end();
+            place.wasTooShort = !hasEvents && clock.monotonicMs() - sentAtMs < SHORTEST_RUN_MS;
             place.open.end();
             this.options.queue.pump();
         }
@@ -220,11 +228,17 @@
         if (call.reply.gone.aborted || call.deadline.aborted) {
             return { kind: "stopped" };
         }
-        const isLost = place.lost.signal.aborted;
+        const { silentMs } = this.options.loads.figures(String(place.candidate.epoch));
+        // A group that is silent for all its requests has lost a member, whether or not that is confirmed yet.
+        const isLost = place.lost.signal.aborted || (silent.aborted && silentMs >= PAUSE_LIMIT_MS);
         if (!isLost) {
             this.options.failures.note(place.candidate.head.id, true);
         }
-        const cause = isLost ? String(place.lost.signal.reason) : silent.aborted ? "silent for too long" : reason;
+        const cause = place.lost.signal.aborted
+            ? String(place.lost.signal.reason)
+            : silent.aborted
+            ? "silent for too long"
+            : reason;
         return { kind: "broken", reason: cause, isUpstreamLost: isLost };
     }
 
@@ -251,7 +265,7 @@
         else {
             progress.mayHaveRun = true;
             const isLost = result.kind === "broken" && result.isUpstreamLost;
-            progress.countedRuns += isLost ? 0 : 1;
+            progress.countedRuns += isLost || place.wasTooShort ? 0 : 1;
         }
         const isRepeatable = call.route.isResumable || result.kind === "not-run";
         const hasTries = progress.countedRuns < call.route.maxAttempts && progress.rejections < MAX_REJECTIONS;
--- a/packages/gateway/src/placement/chooseGroup.ts
+++ b/packages/gateway/src/placement/chooseGroup.ts
@@ -17,7 +17,7 @@
  * Silence of a group after which it gets new requests only if no other can take them, ms. A pass that reads a full
  * chunk at each step lasts some 250 ms.
  */
-const SUSPECT_SILENCE_MS = 300;
+const SUSPECT_SILENCE_MS = 270;
 /** Another zone's group must be faster by this much, ms: bytes between zones are priced. */
 const OTHER_ZONE_PENALTY_MS = 25;
 /** A silent group counts as slower by this much, ms: more than any queue at a live one. */
