Pass loads and the view of the store through hubs in zones of four gateways and more

Cause: readers times events is the slope of the price of store calls, and a full mesh of gateways its counterpart in messages. Hubs follow their whole zone and the hubs of other zones; the others follow their zone's hubs and read the store through the working one, directly when it falls silent.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -15,9 +15,11 @@
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { IncomingRequest } from "./model/IncomingRequest.js";
 import type { Upstream } from "./model/Upstream.js";
+import { HubObjectStore } from "./peers/HubObjectStore.js";
 import { PeerFeed } from "./peers/PeerFeed.js";
 import { PeerLinks } from "./peers/PeerLinks.js";
 import type { PeerState } from "./peers/PeerState.js";
+import { ViewFeed } from "./peers/ViewFeed.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
 import { ColdLimiter } from "./placement/ColdLimiter.js";
 import { FailureMemory } from "./placement/FailureMemory.js";
@@ -28,6 +30,7 @@
 import { Registration } from "./Registration.js";
 import { StoreWatch } from "./StoreWatch.js";
 import { UpstreamDirectory } from "./UpstreamDirectory.js";
+import { ViewCache } from "./ViewCache.js";
 
 /** Upstreams may come back within this time after an outage of the store, ms: two of their usual heartbeats. */
 const RETURN_GRACE_MS = 1800;
@@ -44,11 +47,18 @@
  */
 const UPSTREAM_PAUSE_MS = 400;
 const CONTROLLER_PAUSE_MS = 15;
+const HUB_PAUSE_MS = 150;
 /** Pause before other watches are renewed, ms. */
 const OTHER_PAUSE_MS = 50;
 /** A lost group is announced for this long, ms: a link that broke is back within a few seconds. */
 const ANNOUNCED_MS = 5000;
 const SWEEP_MS = 200;
+/** Candidates for the control that are not hubs come after them: a whole zone would write at once. */
+const RANK_OF_OTHERS = 10;
+/** Hops over which the controller is still heard: member, hub, hub, member. */
+const MAX_DISTANCE = 3;
+/** Distance of a controller that is not heard. */
+const UNREACHABLE = 9;
 const REGISTRATION_KIND = "fescue_gateways";
 
 /** One gateway: takes requests, places them, and takes part in the control of the fleet. */
@@ -68,17 +78,23 @@
     private readonly server: PeerServer;
     private readonly registration: Registration;
     private readonly forwarder: RequestForwarder;
+    private readonly caches = new Map<string, ViewCache>();
+    private readonly hubStore: HubObjectStore;
     private readonly watches: StoreWatch[];
     private readonly upstreamWatch: StoreWatch;
     private readonly lostEpochs = new Map<number, number>();
     private readonly stop = new AbortController();
-    /** Peers, and whether each hears the controller. */
-    private readonly peersHearing = new Map<string, boolean>();
+    /** What each peer said last. */
+    private readonly peerStates = new Map<string, PeerState>();
+    private readonly vm: string;
+    private readonly zone: string;
     private hasTraffic = false;
     private isLeaving = false;
 
     private constructor(settings: GatewaySettings, private readonly ports: GatewayPorts) {
         const { clock, random, log, metrics, store, client, control } = ports;
+        this.vm = settings.vm;
+        this.zone = settings.zone;
         this.configuration = ConfigurationHolder.create(log);
         this.upstreams = UpstreamDirectory.create({ clock, log, returnGraceMs: RETURN_GRACE_MS });
         this.loads = LoadBook.create(clock);
@@ -92,12 +108,14 @@
             random,
             log,
             vm: settings.vm,
+            zone: settings.zone,
             onState: (peer, state) => this.takePeerState(peer, state),
-            onLost: peer => this.loads.dropPeer(peer),
+            onLost: peer => this.dropPeer(peer),
         });
-        const gatewayCount = () => this.links.names().length + 1;
+        const gatewayCount = () => this.links.gatewayCount;
+        const knownGateways = () => this.links.hasHubs && this.links.inTouch().length > 0 ? gatewayCount() : undefined;
         const cold = ColdLimiter.create({ clock, gatewayCount });
-        const retries = RetryAllowance.create({ clock, ...settings.retryBudget, gatewayCount });
+        const retries = RetryAllowance.create({ clock, ...settings.retryBudget, gatewayCount, knownGateways });
         this.retries = retries;
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const shared = { clock, log, metrics, queue: this.queue, loads: this.loads, cold, failures, retries };
@@ -118,12 +136,12 @@
             store,
             vm: settings.vm,
             incarnation: random.uniqueId(),
-            peerSilenceMs: vm => vm === settings.vm ? 0 : this.links.silenceMs(vm),
-            candidateRank: () => this.links.inTouch().filter(peer => peer < settings.vm).length,
-            isHeardByNobody: () => {
-                const peers = this.links.inTouch();
-                return peers.length > 0 && !peers.some(peer => this.peersHearing.get(peer));
+            peerSilenceMs: vm => this.silenceMs(vm),
+            candidateRank: () => {
+                const rank = this.links.inTouch().filter(peer => peer < settings.vm).length;
+                return this.links.hasHubs && !this.links.isHub ? rank + RANK_OF_OTHERS : rank;
             },
+            isHeardByNobody: () => this.links.inTouch().length > 0 && this.peerDistance() > MAX_DISTANCE,
             hearsMostPeers: () => this.links.inTouch().length * 2 >= this.links.names().length,
         });
         const orders = OrderSender.create({ clock, log, metrics, control });
@@ -147,11 +165,14 @@
             isViewFresh: () => this.upstreamWatch.isInTouch,
             announceOpen: () => this.feed.flush(),
         });
-        this.feed = PeerFeed.create({ clock, snapshot: () => this.peerState() });
+        this.feed = PeerFeed.create({ clock, snapshot: observer => this.peerState(observer) });
         this.server = PeerServer.create({
             host: settings.host,
             port: settings.peerPort,
-            services: [router => this.feed.registerOn(router)],
+            services: [
+                router => this.feed.registerOn(router),
+                router => ViewFeed.create(this.caches).registerOn(router),
+            ],
             interceptors: [],
         });
         this.registration = Registration.create({
@@ -163,6 +184,9 @@
             address: `${settings.host}:${settings.peerPort}`,
             zone: settings.zone,
         });
+        // The controller reads the store itself: its turns wait for members' words.
+        const hub = () => this.lease.isController ? undefined : this.links.hubInTouch();
+        this.hubStore = HubObjectStore.create({ clock, store, hub });
         this.upstreamWatch = this.watchUpstreams();
         this.watches = [
             this.watchConfiguration(),
@@ -232,30 +256,92 @@
         await this.server.close();
     }
 
-    private peerState(): PeerState {
+    /** What a peer is told: a hub speaks for its zone, and to its zone for all others. */
+    private peerState(observer: string): PeerState {
+        const isMember = (peer: string) => this.links.zoneOf(peer) === this.zone;
+        const isToOwnZone = isMember(observer);
+        const speaksForOthers = this.links.hasHubs && this.links.isHub;
+        const isToHub = isToOwnZone && this.links.names().includes(observer) && this.isOtherHub(observer);
+        const isIncluded = (peer: string) =>
+            speaksForOthers && !isToHub && peer !== observer && (isToOwnZone || isMember(peer));
+        const fleet = this.lease.isController
+            ? { lostEpochs: [...this.lostEpochs.keys()], openGroups: this.controller.recentlyOpened() }
+            : this.relayedFleet();
         return {
             term: this.lease.term,
-            openGroups: this.lease.isController ? this.controller.recentlyOpened() : [],
-            hearsController: this.lease.hearsHolder,
-            isController: this.lease.isController,
+            controllerDistance: this.lease.isController ? 0 : Math.min(this.peerDistance() + 1, UNREACHABLE),
             configurationVersion: this.configuration.current?.version ?? 0,
-            loads: this.loads.ownPlaces().filter(([place]) => isEpoch(place)),
-            retries: this.retries.counts(),
-            lostEpochs: this.lease.isController ? [...this.lostEpochs.keys()] : [],
+            loads: this.loads.places(isIncluded).filter(([place]) => isEpoch(place)),
+            retries: this.retries.counts(isIncluded),
+            ...fleet,
             isLeaving: this.isLeaving,
         };
     }
 
     private takePeerState(peer: string, state: PeerState): void {
         this.lease.observeTerm(state.term);
-        this.loads.putPeer(peer, state.loads);
-        this.retries.putPeer(peer, state.retries);
+        this.peerStates.set(peer, state);
+        if (this.speaksToMe(peer)) {
+            this.loads.putPeer(peer, state.loads);
+            this.retries.putPeer(peer, state.retries);
+        }
+        else {
+            this.loads.dropPeer(peer);
+            this.retries.dropPeer(peer);
+        }
         this.hasTraffic ||= state.loads.length > 0;
-        this.peersHearing.set(peer, state.hearsController);
-        if (state.isController && state.term >= this.lease.term) {
+        if (state.controllerDistance <= MAX_DISTANCE && state.term >= this.lease.term) {
             state.openGroups.forEach(group => this.upstreams.noteOpen(group));
-            state.lostEpochs.forEach(epoch => this.loseGroup(epoch, `${peer} found the group lost`));
+            state.lostEpochs.forEach(epoch => this.loseGroup(epoch, `${peer} told that the group is lost`));
+        }
+    }
+
+    private dropPeer(peer: string): void {
+        this.loads.dropPeer(peer);
+        this.retries.dropPeer(peer);
+        this.peerStates.delete(peer);
+    }
+
+    /** True unless another hub of the peer's zone speaks for it. */
+    private speaksToMe(peer: string): boolean {
+        if (!this.links.hasHubs) {
+            return true;
         }
+        const peerZone = this.links.zoneOf(peer) ?? "";
+        const isOwnMember = peerZone === this.zone && this.links.isHub;
+        return isOwnMember || this.links.hubOf(peerZone) === peer;
+    }
+
+    private isOtherHub(peer: string): boolean {
+        return this.links.isHub && this.links.hubOf(this.zone) !== undefined
+            && [this.links.hubOf(this.zone), this.links.secondHubOf(this.zone)].includes(peer);
+    }
+
+    /** Hops from the nearest peer in touch to the controller of the highest term. */
+    private peerDistance(): number {
+        const distances = this.links.inTouch().map(peer => {
+            const state = this.peerStates.get(peer);
+            return state && state.term >= this.lease.term ? state.controllerDistance : UNREACHABLE;
+        });
+        return Math.min(UNREACHABLE, ...distances);
+    }
+
+    /** Silence of a gateway: of its own link, or 0 if peers in touch are near enough to it as the controller. */
+    private silenceMs(vm: string): number {
+        if (vm === this.vm || (this.links.hasHubs && this.peerDistance() <= MAX_DISTANCE)) {
+            return 0;
+        }
+        return this.links.silenceMs(vm);
+    }
+
+    /** What the nearest peer knows of the controller's fleet. */
+    private relayedFleet(): Pick<PeerState, "lostEpochs" | "openGroups"> {
+        const near = this.links.hasHubs
+            ? this.links.inTouch().map(peer => this.peerStates.get(peer)).find(state =>
+                state && state.term >= this.lease.term && state.controllerDistance <= MAX_DISTANCE
+            )
+            : undefined;
+        return { lostEpochs: near?.lostEpochs ?? [], openGroups: near?.openGroups ?? [] };
     }
 
     private announceLost(epoch: number, reason: string): void {
@@ -276,6 +362,7 @@
         while (!signal.aborted) {
             await clock.sleep(SWEEP_MS, signal);
             this.upstreams.sweep();
+            this.links.update();
             const sinceMs = clock.monotonicMs() - ANNOUNCED_MS;
             this.lostEpochs.forEach((atMs, epoch) => atMs < sinceMs && this.lostEpochs.delete(epoch));
         }
@@ -288,8 +375,29 @@
         onListing: (objects: readonly StoredObject[], isAfterOutage: boolean) => void,
         onChange: (change: ObjectChange) => void,
     ): StoreWatch {
-        const { store, clock, random, log, metrics } = this.ports;
-        return StoreWatch.create({ store, kind, clock, random, log, metrics, waitMs, pauseMs, onListing, onChange });
+        const { clock, random, log, metrics } = this.ports;
+        const cache: ViewCache = ViewCache.create(clock, () => watch.isInTouch);
+        this.caches.set(kind, cache);
+        const watch: StoreWatch = StoreWatch.create({
+            store: this.hubStore,
+            kind,
+            clock,
+            random,
+            log,
+            metrics,
+            waitMs,
+            pauseMs,
+            onListing: (objects, isAfterOutage) => {
+                cache.takeListing(objects);
+                onListing(objects, isAfterOutage);
+            },
+            onChange: change => {
+                cache.takeChange(change);
+                onChange(change);
+            },
+            onRevision: revision => cache.advance(revision),
+        });
+        return watch;
     }
 
     private watchConfiguration(): StoreWatch {
@@ -320,7 +428,7 @@
         return this.watch(
             kind,
             URGENT_WATCH_MS,
-            () => this.lease.isController ? CONTROLLER_PAUSE_MS : UPSTREAM_PAUSE_MS,
+            () => this.upstreamPauseMs(),
             (objects, isAfterOutage) => {
                 const decoded = objects.map(object => this.decodeUpstream(object)).filter(item => item !== undefined);
                 this.upstreams.replaceAll(decoded, isAfterOutage);
@@ -340,6 +448,14 @@
         );
     }
 
+    private upstreamPauseMs(): number {
+        if (this.lease.isController) {
+            return CONTROLLER_PAUSE_MS;
+        }
+        // A hub's followers wait for it in turn.
+        return this.links.isHub ? HUB_PAUSE_MS : UPSTREAM_PAUSE_MS;
+    }
+
     private decodeUpstream(object: StoredObject): Upstream | undefined {
         const nowMs = this.ports.clock.monotonicMs();
         const decoded = this.ports.objects.upstreams.decode(object.name, object.value, nowMs);
--- a/packages/gateway/src/StoreWatch.ts
+++ b/packages/gateway/src/StoreWatch.ts
@@ -19,6 +19,8 @@
     /** Takes all objects of the kind; `isAfterOutage`: objects may be missing that come back at once. */
     onListing: (objects: readonly StoredObject[], isAfterOutage: boolean) => void;
     onChange: (change: ObjectChange) => void;
+    /** The view now reflects this revision of the store. */
+    onRevision?: (revision: Revision) => void;
 }
 
 /** Waits after failures, ms: the first well under the shortest bound on a change, the longest under a second. */
@@ -79,6 +81,7 @@
             isAfterOutage,
         });
         this.options.onListing(outcome.objects, isAfterOutage);
+        this.options.onRevision?.(outcome.revision);
         return 0;
     }
 
@@ -92,6 +95,7 @@
             this.succeed();
             outcome.changes.forEach(change => this.options.onChange(change));
             this.cursor = outcome.revision;
+            this.options.onRevision?.(outcome.revision);
             return this.options.pauseMs();
         },
         compacted: () => {
--- a/packages/gateway/src/peers/PeerFeed.ts
+++ b/packages/gateway/src/peers/PeerFeed.ts
@@ -7,7 +7,8 @@
 /** What a `PeerFeed` is made of. */
 interface PeerFeedOptions {
     clock: Clock;
-    snapshot: () => PeerState;
+    /** What to tell a peer. */
+    snapshot: (observer: string) => PeerState;
 }
 
 /** Pause between two updates while there is something to tell, ms: short against the time of a request. */
@@ -29,7 +30,7 @@
     /** Adds the feed to a server. */
     registerOn(router: ConnectRouter): void {
         router.service(GatewayService, {
-            watchGateway: (_request, context: HandlerContext) => this.stream(context.signal),
+            watchGateway: (request, context: HandlerContext) => this.stream(request.observer, context.signal),
         });
     }
 
@@ -38,11 +39,11 @@
         this.urgent.forEach(wake => wake());
     }
 
-    private async *stream(signal: AbortSignal): AsyncGenerator<GatewayUpdate> {
+    private async *stream(observer: string, signal: AbortSignal): AsyncGenerator<GatewayUpdate> {
         let sent = "";
         let sentAtMs = -Infinity;
         while (!signal.aborted) {
-            const state = this.options.snapshot();
+            const state = this.options.snapshot(observer);
             const text = JSON.stringify(state);
             const nowMs = this.options.clock.monotonicMs();
             if (text !== sent || nowMs - sentAtMs >= HEARTBEAT_MS) {
@@ -67,8 +68,7 @@
     return create(GatewayUpdateSchema, {
         term: state.term,
         openGroups: state.openGroups.map(group => ({ ...group })),
-        hearsController: state.hearsController,
-        isController: state.isController,
+        controllerDistance: state.controllerDistance,
         configurationVersion: state.configurationVersion,
         loads: state.loads.map(([place, load]) => ({
             epoch: Number(place),
--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -5,25 +5,33 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { PeerState } from "./PeerState.js";
+import { Topology } from "./Topology.js";
 
 /** What `PeerLinks` are made of. */
 interface PeerLinksOptions {
     clock: Clock;
     random: Random;
     log: DecisionLog;
-    /** Name of this VM. */
+    /** Name and zone of this VM. */
     vm: string;
+    zone: string;
     onState: (peer: string, state: PeerState) => void;
     onLost: (peer: string) => void;
 }
 
-interface Link {
+interface Registered {
     address: string;
     zone: string;
+}
+
+interface Link extends Registered {
     stop: AbortController;
     heardAtMs: number;
     /** Since when it has been heard without a gap. */
     steadySinceMs: number;
+    followedSinceMs: number;
+    /** Aborts when the peer falls silent; a new one when it is heard again. */
+    silent: AbortController;
     isLost: boolean;
 }
 
@@ -33,50 +41,122 @@
 const IN_SIGHT_MS = 650;
 /** After a cut a peer counts as heard steadily after this time, ms: entries of upstreams are back by then. */
 const STEADY_MS = 2200;
+/** A hub that is silent for longer is passed over, ms: several redials. */
+const GIVEN_UP_MS = 3000;
 /** Waits between dials, ms. */
 const BACKOFF_FIRST_MS = 150;
 const BACKOFF_MAX_MS = 2000;
 
 /** Follows the state of every registered peer, one task for each. */
 export class PeerLinks {
+    private readonly registered = new Map<string, Registered>();
     private readonly links = new Map<string, Link>();
+    private readonly topology: Topology;
 
-    private constructor(private readonly options: PeerLinksOptions) {}
+    private constructor(private readonly options: PeerLinksOptions) {
+        this.topology = Topology.create(options.vm, options.zone);
+    }
 
     /** Creates links to nobody. */
     static create(options: PeerLinksOptions): PeerLinks {
         return new PeerLinks(options);
     }
 
-    /** Follows a registered peer. */
-    add(peer: string, address: string, zone: string): void {
-        const known = this.links.get(peer);
-        if (peer === this.options.vm || known?.address === address) {
-            return;
+    /** Takes a registered gateway in, this one included. */
+    add(vm: string, address: string, zone: string): void {
+        this.registered.set(vm, { address, zone });
+        this.update();
+    }
+
+    /** Takes a gateway out whose registration is gone. */
+    remove(vm: string): void {
+        this.registered.delete(vm);
+        this.update();
+    }
+
+    /** Follows who is to be followed now, and nobody else. */
+    update(): void {
+        for (const link of this.links.values()) {
+            if (this.options.clock.monotonicMs() - link.heardAtMs > IN_SIGHT_MS) {
+                link.silent.abort();
+            }
+        }
+        const followed = this.topology.followed(this.members(), vm => this.isSilent(vm));
+        for (const [vm, link] of [...this.links]) {
+            const isSame = this.registered.get(vm)?.address === link.address;
+            // One that fell silent is still dialled, so that it is noticed when it is back.
+            if (!isSame || (!followed.has(vm) && !this.isSilent(vm))) {
+                link.stop.abort();
+                this.links.delete(vm);
+                this.options.onLost(vm);
+            }
+        }
+        for (const vm of followed) {
+            const known = this.registered.get(vm);
+            if (known && !this.links.has(vm)) {
+                const nowMs = this.options.clock.monotonicMs();
+                const link: Link = {
+                    ...known,
+                    stop: new AbortController(),
+                    heardAtMs: -Infinity,
+                    steadySinceMs: 0,
+                    followedSinceMs: nowMs,
+                    silent: new AbortController(),
+                    isLost: true,
+                };
+                this.links.set(vm, link);
+                void this.follow(vm, link);
+            }
         }
-        known?.stop.abort();
-        const link: Link = {
-            address,
-            zone,
-            stop: new AbortController(),
-            heardAtMs: -Infinity,
-            steadySinceMs: 0,
-            isLost: true,
-        };
-        this.links.set(peer, link);
-        void this.follow(peer, link);
-    }
-
-    /** Stops to follow a peer whose registration is gone. */
-    remove(peer: string): void {
-        this.links.get(peer)?.stop.abort();
-        this.links.delete(peer);
-        this.options.onLost(peer);
     }
 
     /** Stops all links. */
     close(): void {
-        [...this.links.keys()].forEach(peer => this.remove(peer));
+        this.links.forEach(link => link.stop.abort());
+        this.links.clear();
+    }
+
+    /** Registered gateways, this one included. */
+    get gatewayCount(): number {
+        return Math.max(1, this.registered.size);
+    }
+
+    /** True if gateways speak through hubs. */
+    get hasHubs(): boolean {
+        return this.topology.hasHubs(this.members());
+    }
+
+    /** True if this gateway is a hub of its zone. */
+    get isHub(): boolean {
+        return this.topology.isHub(this.members(), vm => this.isSilent(vm));
+    }
+
+    /** Zone of a registered gateway. */
+    zoneOf(vm: string): string | undefined {
+        return this.registered.get(vm)?.zone;
+    }
+
+    /** The working hub of a zone. */
+    hubOf(zone: string): string | undefined {
+        return this.topology.hubsOf(zone, this.members(), vm => this.isSilent(vm))[0];
+    }
+
+    /** The hub that this gateway follows, if it was heard lately, with a signal that aborts when it falls silent. */
+    hubInTouch(): { address: string; silent: AbortSignal; } | undefined {
+        const hub = this.hasHubs ? this.hubOf(this.options.zone) : undefined;
+        const link = hub === undefined || hub === this.options.vm ? undefined : this.links.get(hub);
+        const isHeard = link && this.options.clock.monotonicMs() - link.heardAtMs <= IN_SIGHT_MS;
+        return isHeard ? { address: link.address, silent: link.silent.signal } : undefined;
+    }
+
+    /** The hub of a zone that takes over from the working one. */
+    secondHubOf(zone: string): string | undefined {
+        return this.topology.hubsOf(zone, this.members(), vm => this.isSilent(vm))[1];
+    }
+
+    /** Where a gateway is reached, HOST:PORT. */
+    addressOf(vm: string): string | undefined {
+        return this.registered.get(vm)?.address;
     }
 
     /** Time since a peer was last heard, ms; Infinity: never. */
@@ -84,7 +164,7 @@
         return this.options.clock.monotonicMs() - (this.links.get(peer)?.heardAtMs ?? -Infinity);
     }
 
-    /** Registered peers. */
+    /** Followed peers. */
     names(): string[] {
         return [...this.links.keys()];
     }
@@ -103,6 +183,17 @@
         return this.names().filter(peer => this.silenceMs(peer) <= SILENCE_MS);
     }
 
+    private members(): Array<{ vm: string; zone: string; }> {
+        return [...this.registered].map(([vm, { zone }]) => ({ vm, zone }));
+    }
+
+    /** True for a followed peer that has not been heard for a while. */
+    private isSilent(vm: string): boolean {
+        const link = this.links.get(vm);
+        const sinceMs = Math.max(link?.heardAtMs ?? 0, link?.followedSinceMs ?? 0);
+        return link !== undefined && this.options.clock.monotonicMs() - sinceMs > GIVEN_UP_MS;
+    }
+
     private async follow(peer: string, link: Link): Promise<void> {
         const { clock, random } = this.options;
         const backoff = Backoff.create({ random, firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS });
@@ -134,6 +225,9 @@
                 link.steadySinceMs = nowMs;
             }
             link.heardAtMs = nowMs;
+            if (link.silent.signal.aborted) {
+                link.silent = new AbortController();
+            }
             onUpdate();
             if (link.isLost) {
                 link.isLost = false;
@@ -169,8 +263,7 @@
     return {
         term: update.term,
         openGroups: update.openGroups.map(({ head, name, epoch, model }) => ({ head, name, epoch, model })),
-        hearsController: update.hearsController,
-        isController: update.isController,
+        controllerDistance: update.controllerDistance,
         configurationVersion: update.configurationVersion,
         loads: update.loads.map(({ epoch, inFlight, unreadTokens, silentMs }) =>
             [String(epoch), { inFlight, unreadTokens, silentMs }] as const
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -7,14 +7,13 @@
     term: number;
     /** Groups that the controller has seen open lately. */
     openGroups: readonly OpenGroup[];
-    /** The sender hears the controller that it knows of, or is it. */
-    hearsController: boolean;
-    isController: boolean;
+    /** Hops from the sender to the controller that it knows of; 0: it is the controller. */
+    controllerDistance: number;
     /** 0: none known. */
     configurationVersion: number;
-    /** Groups, by epoch, with requests of the sender in flight. */
+    /** Groups, by epoch, with requests in flight of the sender and of those for whom it speaks. */
     loads: ReadonlyArray<readonly [string, LoadFigures]>;
-    /** Requests and retries of the sender, by service. */
+    /** Requests and retries of the sender and of those for whom it speaks, by service. */
     retries: ReadonlyArray<readonly [string, RetryCounts]>;
     /** Groups that the controller found lost. */
     lostEpochs: readonly number[];
--- /dev/null
+++ b/packages/gateway/src/peers/Topology.ts
@@ -0,0 +1,59 @@
+/** A registered gateway. */
+interface Member {
+    vm: string;
+    zone: string;
+}
+
+/** Zones with at least this many gateways pass what they say through hubs; below, a full mesh costs less. */
+const HUBS_FROM = 4;
+/** Hubs of a zone: one that works, and one that takes over. */
+const HUBS = 2;
+
+/**
+ * Decides which gateways follow each other. In small fleets each one follows all others. In larger ones the first
+ * gateways of a zone are its hubs: they follow their whole zone and the hubs of other zones, the others only them.
+ */
+export class Topology {
+    private constructor(private readonly vm: string, private readonly zone: string) {}
+
+    /** Creates the topology as one gateway sees it. */
+    static create(vm: string, zone: string): Topology {
+        return new Topology(vm, zone);
+    }
+
+    /** True if gateways pass what they say through hubs. */
+    hasHubs(members: readonly Member[]): boolean {
+        const sizes = new Map<string, number>();
+        members.forEach(({ zone }) => sizes.set(zone, (sizes.get(zone) ?? 0) + 1));
+        return [...sizes.values()].some(size => size >= HUBS_FROM);
+    }
+
+    /** The hubs of a zone, the working one first. Gateways that fell silent here are passed over. */
+    hubsOf(zone: string, members: readonly Member[], isSilent: (vm: string) => boolean): string[] {
+        const names = members.filter(member => member.zone === zone && !isSilent(member.vm)).map(member => member.vm);
+        return names.sort().slice(0, HUBS);
+    }
+
+    /** True if this gateway is a hub of its zone. */
+    isHub(members: readonly Member[], isSilent: (vm: string) => boolean): boolean {
+        return this.hasHubs(members) && this.hubsOf(this.zone, members, isSilent).includes(this.vm);
+    }
+
+    /** Gateways that this one follows. */
+    followed(members: readonly Member[], isSilent: (vm: string) => boolean): Set<string> {
+        const all = members.map(member => member.vm).filter(vm => vm !== this.vm);
+        if (!this.hasHubs(members)) {
+            return new Set(all);
+        }
+        const zones = new Set(members.map(member => member.zone));
+        const ownHubs = this.hubsOf(this.zone, members, isSilent);
+        if (!ownHubs.includes(this.vm)) {
+            return new Set(ownHubs);
+        }
+        const ownZone = members.filter(member => member.zone === this.zone).map(member => member.vm);
+        const otherHubs = [...zones].filter(zone => zone !== this.zone).flatMap(zone =>
+            this.hubsOf(zone, members, isSilent)
+        );
+        return new Set([...ownZone, ...otherHubs].filter(vm => vm !== this.vm));
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/ViewFeed.ts
@@ -0,0 +1,43 @@
+import type { ConnectRouter, HandlerContext } from "@connectrpc/connect";
+import type { ObjectChange, StoredObject } from "@fescuehaven/platform";
+import { ViewService } from "@fescuehaven/protocol";
+import type { ViewCache } from "../ViewCache.js";
+
+/** Serves this gateway's view of the store to others, so that few gateways read it. */
+export class ViewFeed {
+    private constructor(private readonly caches: ReadonlyMap<string, ViewCache>) {}
+
+    /** Creates the feed over one cache for each kind of object. */
+    static create(caches: ReadonlyMap<string, ViewCache>): ViewFeed {
+        return new ViewFeed(caches);
+    }
+
+    /** Adds the feed to a server. */
+    registerOn(router: ConnectRouter): void {
+        router.service(ViewService, {
+            listObjects: ({ kind }) => {
+                const outcome = this.caches.get(kind)?.list();
+                return outcome?.kind === "listed"
+                    ? { isAvailable: true, objects: outcome.objects.map(toMessage), revision: outcome.revision }
+                    : { isAvailable: false };
+            },
+            watchObjects: async ({ kind, after, waitMs }, context: HandlerContext) => {
+                const outcome = await this.caches.get(kind)?.watch(after, waitMs, context.signal);
+                if (outcome?.kind !== "changed") {
+                    return { isAvailable: outcome?.kind === "compacted", isCompacted: true };
+                }
+                return { isAvailable: true, changes: outcome.changes.map(toChange), revision: outcome.revision };
+            },
+        });
+    }
+}
+
+function toMessage({ name, revision, value }: StoredObject) {
+    return { name, revision, valueJson: JSON.stringify(value) ?? "" };
+}
+
+function toChange(change: ObjectChange) {
+    return change.kind === "written"
+        ? { isRemoved: false, object: toMessage(change.object) }
+        : { isRemoved: true, object: { name: change.object.name, revision: change.object.revision, valueJson: "" } };
+}
--- a/packages/gateway/src/placement/LoadBook.ts
+++ b/packages/gateway/src/placement/LoadBook.ts
@@ -78,9 +78,17 @@
         return { inFlight: load.calls.size, unreadTokens, silentMs: Math.max(0, silentMs) };
     }
 
-    /** Places with own requests, and their figures. */
-    ownPlaces(): Array<[string, LoadFigures]> {
-        return [...this.own.keys()].map(place => [place, this.ownFigures(place)]);
+    /** Places with requests of this process and of the peers that `isIncluded` names, and their figures. */
+    places(isIncluded: (peer: string) => boolean): Array<[string, LoadFigures]> {
+        const names = new Set(this.own.keys());
+        for (const [peer, loads] of this.peers) {
+            if (isIncluded(peer)) {
+                [...loads.keys()].forEach(place => names.add(place));
+            }
+        }
+        return [...names]
+            .map((place): [string, LoadFigures] => [place, this.figures(place, isIncluded)])
+            .filter(([, figures]) => figures.inFlight > 0);
     }
 
     /** Takes what a peer says of its requests, in full. */
@@ -95,13 +103,15 @@
     }
 
     /** What all processes together have at a place. Silence is the shortest of those with requests there. */
-    figures(place: string): LoadFigures {
+    figures(place: string, isIncluded: (peer: string) => boolean = () => true): LoadFigures {
         const own = this.ownFigures(place);
         const total = { ...own, silentMs: own.inFlight > 0 ? own.silentMs : Infinity };
         const nowMs = this.clock.monotonicMs();
-        for (const loads of this.peers.values()) {
+        for (const [peer, loads] of this.peers) {
             const load = loads.get(place);
-            if (!load || nowMs - load.receivedMs > PEER_LOAD_TTL_MS || load.figures.inFlight === 0) {
+            if (
+                !load || !isIncluded(peer) || nowMs - load.receivedMs > PEER_LOAD_TTL_MS || load.figures.inFlight === 0
+            ) {
                 continue;
             }
             total.inFlight += load.figures.inFlight;
--- a/packages/gateway/src/placement/RetryAllowance.ts
+++ b/packages/gateway/src/placement/RetryAllowance.ts
@@ -11,6 +11,8 @@
     windowMs: number;
     /** Gateways that share the slack. */
     gatewayCount: () => number;
+    /** Gateways whose counts arrive through hubs, this one included; left out: each peer speaks for itself. */
+    knownGateways?: () => number | undefined;
 }
 
 interface PeerUse {
@@ -51,10 +53,11 @@
         const own = this.recent(this.retriesAtMs, service);
         let requests = this.recent(this.requestsAtMs, service).length;
         let retries = own.length;
-        let known = 1;
+        const throughHubs = this.options.knownGateways?.();
+        let known = throughHubs ?? 1;
         for (const { counts, receivedMs } of this.peers.values()) {
             if (nowMs - receivedMs <= PEER_COUNTS_TTL_MS) {
-                known += 1;
+                known += throughHubs === undefined ? 1 : 0;
                 requests += counts.get(service)?.requests ?? 0;
                 retries += counts.get(service)?.retries ?? 0;
             }
@@ -67,14 +70,34 @@
         return true;
     }
 
-    /** What this gateway has counted in the window. */
-    counts(): Array<readonly [string, RetryCounts]> {
-        return [...this.requestsAtMs.keys()].map(service => {
-            const requests = this.recent(this.requestsAtMs, service).length;
-            return [service, { requests, retries: this.recent(this.retriesAtMs, service).length }] as const;
+    /** What this gateway and the peers that `isIncluded` names have counted in the window. */
+    counts(isIncluded: (peer: string) => boolean): Array<readonly [string, RetryCounts]> {
+        const nowMs = this.options.clock.monotonicMs();
+        const known = [...this.peers].filter(([peer, { receivedMs }]) =>
+            isIncluded(peer) && nowMs - receivedMs <= PEER_COUNTS_TTL_MS
+        );
+        const services = new Set([
+            ...this.requestsAtMs.keys(),
+            ...known.flatMap(([, { counts }]) => [...counts.keys()]),
+        ]);
+        return [...services].map(service => {
+            const total = {
+                requests: this.recent(this.requestsAtMs, service).length,
+                retries: this.recent(this.retriesAtMs, service).length,
+            };
+            for (const [, { counts }] of known) {
+                total.requests += counts.get(service)?.requests ?? 0;
+                total.retries += counts.get(service)?.retries ?? 0;
+            }
+            return [service, total] as const;
         });
     }
 
+    /** Forgets a peer that is gone, or whose counts come through another one. */
+    dropPeer(peer: string): void {
+        this.peers.delete(peer);
+    }
+
     /** Takes what a peer has counted. */
     putPeer(peer: string, counts: ReadonlyArray<readonly [string, RetryCounts]>): void {
         this.peers.set(peer, { counts: new Map(counts), receivedMs: this.options.clock.monotonicMs() });
