--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -99,7 +99,7 @@
                     ...known,
                     stop: new AbortController(),
                     heardAtMs: -Infinity,
-                    steadySinceMs: 0,
+                    steadySinceMs: -Infinity,
                     followedSinceMs: nowMs,
                     silent: new AbortController(),
                     isLost: true,
--- /dev/null
+++ b/packages/gateway/tests/ViewCache.test.ts
@@ -0,0 +1,64 @@
+import type { StoredObject } from "@fescuehaven/platform";
+import { ManualClock } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { ViewCache } from "../src/ViewCache.js";
+
+function object(name: string, revision: number): StoredObject {
+    return { kind: "things", name, revision, value: revision };
+}
+
+describe("ViewCache", () => {
+    let clock: ManualClock;
+    let cache: ViewCache;
+    let isInTouch: boolean;
+    const { signal } = new AbortController();
+
+    beforeEach(() => {
+        clock = ManualClock.create();
+        isInTouch = true;
+        cache = ViewCache.create(clock, () => isInTouch);
+        cache.takeListing([object("a", 3)]);
+        cache.advance(5);
+    });
+
+    it("lists what it has, as of the store's revision", () => {
+        expect(cache.list()).to.deep.equal({ kind: "listed", objects: [object("a", 3)], revision: 5 });
+    });
+
+    it("tells a waiting follower of a change", async () => {
+        const watching = cache.watch(5, 1000, signal);
+        await clock.settle();
+        cache.takeChange({ kind: "written", object: object("b", 7) });
+        cache.takeChange({ kind: "removed", object: object("a", 3) });
+        cache.advance(8);
+        const seen = await watching;
+        expect(seen.kind === "changed" && seen.changes.map(change => [change.kind, change.object.name])).to.deep.equal([
+            ["written", "b"],
+            ["removed", "a"],
+        ]);
+        expect(seen.kind === "changed" && seen.revision).to.equal(8);
+        expect(cache.list()).to.deep.include({ objects: [object("b", 7)] });
+    });
+
+    it("ends a wait without changes", async () => {
+        const watching = cache.watch(5, 1000, signal);
+        await clock.advance(1001);
+        expect(await watching).to.deep.equal({ kind: "changed", changes: [], revision: 5 });
+    });
+
+    it("waits for a follower that knows a newer revision, and does not take it back", async () => {
+        const watching = cache.watch(9, 500, signal);
+        await clock.advance(501);
+        expect(await watching).to.deep.equal({ kind: "changed", changes: [], revision: 9 });
+    });
+
+    it("sends followers to a listing when they are behind its own", async () => {
+        expect(await cache.watch(4, 1000, signal)).to.deep.equal({ kind: "compacted" });
+    });
+
+    it("does not answer while its own view is not kept up to date", async () => {
+        isInTouch = false;
+        expect(cache.list().kind).to.equal("unavailable");
+        expect((await cache.watch(5, 1000, signal)).kind).to.equal("unavailable");
+    });
+});
--- /dev/null
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -0,0 +1,153 @@
+import { PeerServer } from "@fescuehaven/daemon";
+import { SystemClock, SystemRandom } from "@fescuehaven/runtime";
+import { ManualClock, MemoryObjectStore } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { type AddressInfo, createServer } from "node:net";
+import { HubObjectStore } from "../../src/peers/HubObjectStore.js";
+import { PeerFeed } from "../../src/peers/PeerFeed.js";
+import { PeerLinks } from "../../src/peers/PeerLinks.js";
+import type { PeerState } from "../../src/peers/PeerState.js";
+import { ViewFeed } from "../../src/peers/ViewFeed.js";
+import { ViewCache } from "../../src/ViewCache.js";
+import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
+
+async function freePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+const state: PeerState = {
+    term: 3,
+    controllerDistance: 0,
+    configurationVersion: 17,
+    loads: [["65537", { inFlight: 4, unreadTokens: 1200, silentMs: 15 }]],
+    retries: [["llm", { requests: 40, retries: 2 }]],
+    lostEpochs: [65536],
+    openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
+    isLeaving: false,
+};
+
+describe("what gateways tell each other", () => {
+    const clock = SystemClock.create();
+    let server: PeerServer;
+    let port: number;
+    let cache: ViewCache;
+    let isInTouch: boolean;
+    let asked: string[];
+
+    beforeEach(async () => {
+        port = await freePort();
+        isInTouch = true;
+        asked = [];
+        cache = ViewCache.create(clock, () => isInTouch);
+        cache.takeListing([{ kind: "things", name: "a", revision: 3, value: { x: 1 } }]);
+        cache.advance(5);
+        const feed = PeerFeed.create({
+            clock,
+            snapshot: observer => {
+                asked.push(observer);
+                return state;
+            },
+        });
+        server = PeerServer.create({
+            host: "127.0.0.1",
+            port,
+            services: [
+                router => feed.registerOn(router),
+                router => ViewFeed.create(new Map([["things", cache]])).registerOn(router),
+            ],
+            interceptors: [],
+        });
+        await server.listen();
+    });
+
+    afterEach(() => server.close());
+
+    it("arrives as it was sent, and a lost peer is told", async () => {
+        let onLost: (peer: string) => void = () => undefined;
+        const gone = new Promise<string>(resolve => {
+            onLost = resolve;
+        });
+        const links = await new Promise<PeerLinks>(resolve => {
+            const created = PeerLinks.create({
+                clock,
+                random: SystemRandom.create(),
+                log: SilentDecisionLog.create(),
+                vm: "me",
+                zone: "a",
+                onState: (peer, received) => {
+                    expect([peer, received]).to.deep.equal(["other", state]);
+                    resolve(created);
+                },
+                onLost: peer => onLost(peer),
+            });
+            created.add("me", "127.0.0.1:1", "a");
+            created.add("other", `127.0.0.1:${port}`, "b");
+        });
+        expect(asked[0]).to.equal("me");
+        expect(links.inTouch()).to.deep.equal(["other"]);
+        expect(links.isZoneInSight("b")).to.equal(true);
+        expect(links.gatewayCount).to.equal(2);
+        await server.close();
+        expect(await gone).to.equal("other");
+        links.close();
+    });
+
+    describe("of the store", () => {
+        let direct: MemoryObjectStore;
+        let silent: AbortController;
+        let store: HubObjectStore;
+        const { signal } = new AbortController();
+
+        beforeEach(async () => {
+            direct = MemoryObjectStore.create(ManualClock.create());
+            await direct.write({ kind: "things", name: "direct" }, 1, 0);
+            silent = new AbortController();
+            const hub = () => ({ address: `127.0.0.1:${port}`, silent: silent.signal });
+            store = HubObjectStore.create({ clock, store: direct, hub });
+        });
+
+        it("lists and watches through the hub", async () => {
+            const listed = await store.list(["things"], "read");
+            expect(listed).to.deep.equal({
+                kind: "listed",
+                objects: [{ kind: "things", name: "a", revision: 3, value: { x: 1 } }],
+                revision: 5,
+            });
+            const watching = store.watch(["things"], 5, 2000, signal);
+            cache.takeChange({ kind: "removed", object: { kind: "things", name: "a", revision: 6 } });
+            cache.advance(6);
+            const seen = await watching;
+            expect(seen.kind === "changed" && seen.changes.map(change => [change.kind, change.object.name])).to.deep
+                .equal([
+                    ["removed", "a"],
+                ]);
+            expect(direct.calls).to.include({ list: 0, watch: 0 });
+        });
+
+        it("says so when the hub does not remember so far back", async () => {
+            expect(await store.watch(["things"], 1, 2000, signal)).to.deep.equal({ kind: "compacted" });
+        });
+
+        it("reads directly while the hub's own view is not kept up to date", async () => {
+            isInTouch = false;
+            const listed = await store.list(["things"], "read");
+            expect(listed.kind === "listed" && listed.objects.map(item => item.name)).to.deep.equal(["direct"]);
+        });
+
+        it("leaves a hub that falls silent in the middle of a watch", async () => {
+            const watching = store.watch(["things"], 5, 2000, signal);
+            setTimeout(() => silent.abort(), 50);
+            direct.faults.outage = true;
+            expect((await watching).kind).to.equal("unavailable");
+            expect(direct.calls.watch).to.equal(1);
+        });
+
+        it("writes directly", async () => {
+            expect((await store.write({ kind: "things", name: "b" }, 1, 0, "claim")).kind).to.equal("committed");
+        });
+    });
+});
