--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -80,6 +80,7 @@
                 return;
             }
             const { upstream } = placed.place;
+            this.options.metrics.observe("queueWait", placed.waitedMs);
             progress.tried.add(upstream.id);
             const result = await this.attempt(call, placed.place, progress);
             this.options.log.info("attempt ended", {
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -100,6 +100,7 @@
                 this.giveUp(call, progress, placed);
                 return;
             }
+            this.options.metrics.observe("queueWait", placed.waitedMs);
             const result = await this.attempt(call, placed.place, progress);
             if (this.settle(call, progress, placed.place, result)) {
                 return;
