Replace members that hold their group up, and place by the pauses that callers see

Reports tell the slow ones: they are replaced where spares are in memory, and groups whose streams crawl get fewer requests.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -90,6 +90,8 @@
 const SHORT_AFTER_MS = 1500;
 /** Added to the stall time of a head that cannot be asked, ms: its members leave at slightly different moments. */
 const STALL_MARGIN_MS = 600;
+/** An upstream that was slow is not chosen while there are others, ms; slow spells last some seconds. */
+const SLOW_REMEMBERED_MS = 6000;
 /** A lost upstream is asked again after this time, ms. */
 const LOST_RECHECK_MS = 2500;
 /** Members that may load at once beyond the weight store's full speed, as a factor, while there is no traffic. */
@@ -102,6 +104,8 @@
     private readonly lostLives = new Map<string, number>();
     /** Upstreams that may not change groups before a time, because the head of theirs cannot be asked, ms. */
     private readonly fencedUntilMs = new Map<string, number>();
+    /** When upstreams last said that they work slowly, monotonic ms. */
+    private readonly slowSinceMs = new Map<string, number>();
     private term = 0;
     private nextEpochOfTerm = 1;
     private knownIds = "";
@@ -141,6 +145,7 @@
         this.term = 0;
         this.formations = new Map();
         this.lostLives.clear();
+        this.slowSinceMs.clear();
         this.fencedUntilMs.clear();
     }
 
@@ -382,9 +387,14 @@
             }
             const isStuck = isSilent && this.isInSight(formation)
                 && this.options.loads.figures(String(formation.epoch)).silentMs > STUCK_MS;
+            const fresh = this.freshView(view);
+            const slow = this.replaceableSlow(fresh, formation);
             if (lost.size > 0 || isStuck) {
                 const reason = lost.size > 0 ? "members do not answer" : "silent though all members answer";
-                this.loseGroup(this.freshView(view), formation, reason, lost);
+                this.loseGroup(fresh, formation, reason, new Set([...lost, ...slow]));
+            }
+            else if (slow.size > 0) {
+                this.loseGroup(fresh, formation, "members are slow", slow);
             }
         });
     }
@@ -396,7 +406,7 @@
         epoch: number | undefined,
     ): Promise<Set<string>> {
         formation.isChecking = true;
-        const lost = await this.options.detector.findLost(members, epoch);
+        const { lost, slow } = await this.options.detector.examine(members, epoch);
         formation.isChecking = false;
         formation.checkedAtMs = this.nowMs();
         if (!this.isInSight(formation)) {
@@ -411,9 +421,26 @@
                 }
             }
         }
+        slow.forEach((factor, id) => {
+            this.options.log.info("member slow", { group: formation.name, upstream: id, factor });
+            this.slowSinceMs.set(id, this.nowMs());
+        });
         return new Set(lost.keys());
     }
 
+    /** Members that hold their group up, if the domain has spares in memory for all of them. */
+    private replaceableSlow(view: ServiceView, formation: Formation): Set<string> {
+        const slow = formation.members.filter(member => this.isSlow(member.id));
+        const spares = this.freeUpstreams(view).filter(upstream =>
+            upstream.domain === formation.domain && upstream.model === formation.model.name && !this.isSlow(upstream.id)
+        );
+        return spares.length >= slow.length ? idsOf(slow) : new Set();
+    }
+
+    private isSlow(id: string): boolean {
+        return this.nowMs() - (this.slowSinceMs.get(id) ?? -Infinity) < SLOW_REMEMBERED_MS;
+    }
+
     /** True if enough other groups of the model serve, or if the draining member will not stay much longer. */
     private mayReplace(formation: Formation): boolean {
         if (this.nowMs() - (formation.drainSeenMs ?? 0) > DRAIN_PATIENCE_MS) {
@@ -465,7 +492,10 @@
             .filter(member => !lost.has(member.id) && this.isUsable(member))
             .map(member => this.options.upstreams.get(member.id) ?? member);
         const free = this.freeUpstreams(view).filter(upstream => upstream.domain === formation.domain);
-        const members = chooseMembers(formation.model.name, formation.model.memberCount, staying, free);
+        const quick = free.filter(upstream => !this.isSlow(upstream.id));
+        const { name: modelName, memberCount } = formation.model;
+        const members = chooseMembers(modelName, memberCount, staying, quick)
+            ?? chooseMembers(modelName, memberCount, staying, free);
         if (!members) {
             this.markShort(formation, staying, reason);
             return false;
--- a/packages/gateway/src/fleet/LossDetector.ts
+++ b/packages/gateway/src/fleet/LossDetector.ts
@@ -14,6 +14,17 @@
 /** A second question follows the first after this time, ms, and covers a lost packet, which is sent again later. */
 const SECOND_AFTER_MS = 100;
 
+/** A member that says it works this many times as long holds its whole group up. */
+const SLOW_FACTOR = 1.8;
+
+/** What was found out about members, by their ids. */
+interface MemberFindings {
+    /** Why each lost member counts as lost. */
+    lost: Map<string, string>;
+    /** How many times as long each slow member works. */
+    slow: Map<string, number>;
+}
+
 /** Asks the members of a group whether they still belong to it. */
 export class LossDetector {
     private constructor(private readonly options: LossDetectorOptions) {}
@@ -24,18 +35,22 @@
     }
 
     /**
-     * Finds the members that are unreachable or no longer belong to the group. Without an epoch only reachability
+     * Finds the members that are unreachable, no longer belong to the group, or hold it up. Without an epoch only reachability
      * counts: reports lag behind, so that those of a group that has just been formed may still show the one before.
      */
-    async findLost(members: readonly Upstream[], epoch: number | undefined): Promise<Map<string, string>> {
-        const lost = new Map<string, string>();
+    async examine(members: readonly Upstream[], epoch: number | undefined): Promise<MemberFindings> {
+        const findings: MemberFindings = { lost: new Map(), slow: new Map() };
         await Promise.all(members.map(async member => {
-            const reason = await this.checkMember(member, epoch);
+            const report = await this.ask(member);
+            const reason = lossReason(member, report, epoch);
             if (reason !== undefined) {
-                lost.set(member.id, reason);
+                findings.lost.set(member.id, reason);
+            }
+            else if (report.kind === "reported" && report.slowdown >= SLOW_FACTOR) {
+                findings.slow.set(member.id, report.slowdown);
             }
         }));
-        return lost;
+        return findings;
     }
 
     /** Asks one upstream whether it answers in the life that is known of it. */
@@ -44,20 +59,6 @@
         return report.kind === "reported" && report.bornMs === upstream.bornMs;
     }
 
-    private async checkMember(member: Upstream, epoch: number | undefined): Promise<string | undefined> {
-        const report = await this.ask(member);
-        if (report.kind === "unreachable") {
-            return report.reason;
-        }
-        if (report.kind === "other-instance" || report.bornMs !== member.bornMs) {
-            return "another instance answers";
-        }
-        if (epoch !== undefined && report.group?.epoch !== epoch) {
-            return "belongs to another group or epoch";
-        }
-        return undefined;
-    }
-
     /** Asks twice, the second time a little later; unreachable only if neither question is answered. */
     private async ask(upstream: Upstream): Promise<UpstreamReport> {
         const { clock, orders } = this.options;
@@ -77,3 +78,14 @@
         return other.kind === "unreachable" ? one : other;
     }
 }
+
+/** Why a member counts as lost; undefined: it does not. */
+function lossReason(member: Upstream, report: UpstreamReport, epoch: number | undefined): string | undefined {
+    if (report.kind === "unreachable") {
+        return report.reason;
+    }
+    if (report.kind === "other-instance" || report.bornMs !== member.bornMs) {
+        return "another instance answers";
+    }
+    return epoch !== undefined && report.group?.epoch !== epoch ? "belongs to another group or epoch" : undefined;
+}
--- a/packages/gateway/src/placement/GroupCandidate.ts
+++ b/packages/gateway/src/placement/GroupCandidate.ts
@@ -9,6 +9,8 @@
     model: ModelProfile;
     head: Upstream;
     load: LoadFigures;
+    /** Mean pause between two events of its streams lately, ms, as seen here; undefined: not known. */
+    meanPauseMs?: number;
     /** Share of recent requests that failed at the head, 0 to 1. */
     failureShare: number;
 }
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -46,7 +46,8 @@
             if (model) {
                 const load = this.options.loads.figures(String(group.epoch));
                 const failureShare = this.options.failures.share(head.id);
-                candidates.push({ name: group.name, epoch: group.epoch, model, head, load, failureShare });
+                const meanPauseMs = this.options.loads.meanPauseMs(String(group.epoch));
+                candidates.push({ name: group.name, epoch: group.epoch, model, head, load, meanPauseMs, failureShare });
             }
         }
         return candidates;
--- a/packages/gateway/src/placement/LoadBook.ts
+++ b/packages/gateway/src/placement/LoadBook.ts
@@ -8,9 +8,16 @@
     lastEventMs: number;
 }
 
+/** Pauses between events at a place, as seen here. */
+interface PauseRecord {
+    meanMs: number;
+    atMs: number;
+}
+
 interface TrackedCall {
     startedMs: number;
     unreadTokens: number;
+    lastEventMs?: number;
     abandon: (reason: string) => void;
 }
 
@@ -21,11 +28,16 @@
 
 /** A peer's figures count for this long, ms: several of its heartbeats. */
 const PEER_LOAD_TTL_MS = 1500;
+/** Weight of the newest pause in the mean: some ten events make it up. */
+const PAUSE_WEIGHT = 0.1;
+/** A place's mean pause is known for this long after its last event, ms. */
+const PAUSE_TTL_MS = 2500;
 
 /** Requests in flight at each place (a group's epoch, or an upstream's id), by this process and by its peers. */
 export class LoadBook {
     private readonly own = new Map<string, OwnLoad>();
     private readonly peers = new Map<string, Map<string, PeerLoad>>();
+    private readonly pauses = new Map<string, PauseRecord>();
 
     private constructor(private readonly clock: Clock) {}
 
@@ -43,8 +55,13 @@
         load.calls.add(call);
         return {
             noteEvent: () => {
+                const eventMs = this.clock.monotonicMs();
+                if (call.lastEventMs !== undefined) {
+                    this.notePause(place, eventMs - call.lastEventMs, eventMs);
+                }
+                call.lastEventMs = eventMs;
                 call.unreadTokens = 0;
-                load.lastEventMs = this.clock.monotonicMs();
+                load.lastEventMs = eventMs;
             },
             end: () => {
                 load.calls.delete(call);
@@ -55,6 +72,18 @@
         };
     }
 
+    /** Mean pause between two events of a stream at a place lately, ms; undefined: not known here. */
+    meanPauseMs(place: string): number | undefined {
+        const record = this.pauses.get(place);
+        return record && this.clock.monotonicMs() - record.atMs <= PAUSE_TTL_MS ? record.meanMs : undefined;
+    }
+
+    private notePause(place: string, pauseMs: number, atMs: number): void {
+        const knownMs = this.meanPauseMs(place);
+        const meanMs = knownMs === undefined ? pauseMs : knownMs + PAUSE_WEIGHT * (pauseMs - knownMs);
+        this.pauses.set(place, { meanMs, atMs });
+    }
+
     /** Ends all own requests at a place that was found lost. */
     abandon(place: string, reason: string): number {
         const calls = [...this.own.get(place)?.calls ?? []];
--- a/packages/gateway/src/placement/chooseGroup.ts
+++ b/packages/gateway/src/placement/chooseGroup.ts
@@ -22,6 +22,8 @@
 const OTHER_ZONE_PENALTY_MS = 25;
 /** A silent group counts as slower by this much, ms: more than any queue at a live one. */
 const SUSPECT_PENALTY_MS = 10_000;
+/** Pauses up to this many times the predicted pass are those of a group that also reads prompts. */
+const USUAL_SLOWNESS = 2.5;
 /** A group whose requests all fail counts as slower by this much, ms: a retry costs a wait and a second reading. */
 const FAILURE_PENALTY_MS = 1500;
 /** Part of the allowed pause that a pass may fill; the rest is for the way of an event to the caller. */
@@ -44,7 +46,10 @@
         if (load.inFlight >= engine.slots) {
             continue;
         }
-        const { firstEventMs, passMs } = predictPass(engine, model, load, request.promptTokens);
+        const predicted = predictPass(engine, model, load, request.promptTokens);
+        const slowness = slownessOf(candidate.meanPauseMs, predicted.writePassMs);
+        const firstEventMs = predicted.firstEventMs * slowness;
+        const passMs = predicted.passMs * slowness;
         const holdsUpOthers = load.unreadTokens > 0 && passMs > request.targetGapMs * GAP_PART;
         if (holdsUpOthers) {
             continue;
@@ -60,3 +65,8 @@
     }
     return best;
 }
+
+/** How many times as long a group takes as it should, read from the pauses of its streams; 1: not slow. */
+function slownessOf(meanPauseMs: number | undefined, writePassMs: number): number {
+    return meanPauseMs === undefined ? 1 : Math.max(1, meanPauseMs / (writePassMs * USUAL_SLOWNESS));
+}
--- a/packages/gateway/src/placement/predictPass.ts
+++ b/packages/gateway/src/placement/predictPass.ts
@@ -5,6 +5,8 @@
 interface PassPrediction {
     /** Time until the request's first event, ms. */
     firstEventMs: number;
+    /** Length of a pass in which nothing is read, at the load of before, ms. */
+    writePassMs: number;
     /** Longest pass while its prompt is read, ms; writing requests of the group pause for it. */
     passMs: number;
 }
@@ -30,6 +32,7 @@
     const passTokens = engine.stepsPerPass * engine.chunkTokens;
     const passes = Math.max(1, Math.ceil(tokens / passTokens));
     return {
+        writePassMs,
         firstEventMs: writePassMs * MEAN_PART_OF_PASS_LEFT + readMs + nextPassMs * passes,
         passMs: nextPassMs + readMs * Math.min(1, passTokens / Math.max(1, tokens)),
     };
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -67,6 +67,20 @@
         rig.stopController();
     });
 
+    it("replaces a member that holds its group up", async () => {
+        const rig = await formedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        const member = [...rig.directory.all()].find(item =>
+            item.group?.epoch === head.group?.epoch && item.group?.rank === 2
+        )!;
+        rig.fleet.slowDown(member.id, 4);
+        await rig.run(REPAIR_TARGET_MS);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.openHeads().filter(item => rig.fleet.isSlow(item))).to.deep.equal([]);
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("repairs a group while the store is away", async () => {
         const rig = await formedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
--- a/packages/gateway/tests/placement/chooseGroup.test.ts
+++ b/packages/gateway/tests/placement/chooseGroup.test.ts
@@ -57,6 +57,16 @@
         groups: [group("g1", {}, "a", 0.5), group("g2", { inFlight: 8 }, "a")],
         expected: "g2",
     },
+    {
+        title: "a busy group rather than one whose streams crawl",
+        groups: [{ ...group("g1", { inFlight: 1 }), meanPauseMs: 900 }, group("g2", { inFlight: 10 })],
+        expected: "g2",
+    },
+    {
+        title: "the emptier group though its pauses show that it reads",
+        groups: [{ ...group("g1", { inFlight: 1 }), meanPauseMs: 90 }, group("g2", { inFlight: 10 })],
+        expected: "g1",
+    },
     {
         title: "none where the prompt would hold up the others beyond their allowed pause",
         groups: [group("g1", { inFlight: 8, unreadTokens: 9000 })],
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -116,8 +116,11 @@
             const nowMs = this.clock.monotonicMs();
             const loads = this.listedHeads().map(head => {
                 const epoch = head.group?.epoch ?? 0;
-                const isServing = this.fleet.openHeads().some(open => open.id === head.id) && this.fleet.isWhole(head);
-                silentSinceMs.set(epoch, isServing ? nowMs : silentSinceMs.get(epoch) ?? nowMs);
+                const isOpen = this.fleet.openHeads().some(open => open.id === head.id);
+                const isServing = isOpen && this.fleet.isWhole(head);
+                // A slow group's events come every 400 ms.
+                const isPausing = this.fleet.isSlow(head) && nowMs % 400 !== 0;
+                silentSinceMs.set(epoch, isServing && !isPausing ? nowMs : silentSinceMs.get(epoch) ?? nowMs);
                 const silentMs = nowMs - silentSinceMs.get(epoch)!;
                 return [String(epoch), { inFlight: IN_FLIGHT, unreadTokens: 0, silentMs }] as const;
             });
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -16,6 +16,8 @@
     lastModel?: string;
     /** Answers nothing; its entry stays. */
     isDark: boolean;
+    /** Times as long as usual that it works. */
+    slowdown: number;
     /** Grows with every change of state, so that an earlier timer does nothing. */
     version: number;
 }
@@ -57,6 +59,7 @@
             highestEpoch: 0,
             members: [],
             isDark: false,
+            slowdown: 1,
             version: 0,
         });
         this.directory.put(upstream);
@@ -68,6 +71,16 @@
         void this.clock.sleep(entryGoneAfterMs).then(() => this.directory.remove(id, "silent"));
     }
 
+    /** The VM works slowly from now on. */
+    slowDown(id: string, factor: number): void {
+        this.vm(id).slowdown = factor;
+    }
+
+    /** True if a member of the head's group works slowly. */
+    isSlow(head: Upstream): boolean {
+        return this.vm(head.id).members.some(id => this.vm(id).slowdown > 1);
+    }
+
     /** The VM is about to leave. */
     drain(id: string): void {
         this.change(this.vm(id), { state: "draining" });
@@ -108,7 +121,15 @@
             return { kind: "unreachable", reason: "no answer" };
         }
         const { bornMs, group, model, stagedModels } = vm.upstream;
-        return { kind: "reported", bornMs, orderCount: vm.orderCount, group, model, stagedModels, slowdown: 1 };
+        return {
+            kind: "reported",
+            bornMs,
+            orderCount: vm.orderCount,
+            group,
+            model,
+            stagedModels,
+            slowdown: vm.slowdown,
+        };
     }
 
     /** Gives an order. */
