--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,9 +16,9 @@
 import type { IncomingRequest } from "./model/IncomingRequest.js";
 import type { Upstream } from "./model/Upstream.js";
 import { HubObjectStore } from "./peers/HubObjectStore.js";
+import { PeerExchange } from "./peers/PeerExchange.js";
 import { PeerFeed } from "./peers/PeerFeed.js";
 import { PeerLinks } from "./peers/PeerLinks.js";
-import type { PeerState } from "./peers/PeerState.js";
 import { ViewFeed } from "./peers/ViewFeed.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
 import { ColdLimiter } from "./placement/ColdLimiter.js";
@@ -50,15 +50,9 @@
 const HUB_PAUSE_MS = 150;
 /** Pause before other watches are renewed, ms. */
 const OTHER_PAUSE_MS = 50;
-/** A lost group is announced for this long, ms: a link that broke is back within a few seconds. */
-const ANNOUNCED_MS = 5000;
 const SWEEP_MS = 200;
 /** Candidates for the control that are not hubs come after them: a whole zone would write at once. */
 const RANK_OF_OTHERS = 10;
-/** Hops over which the controller is still heard: member, hub, hub, member. */
-const MAX_DISTANCE = 3;
-/** Distance of a controller that is not heard. */
-const UNREACHABLE = 9;
 const REGISTRATION_KIND = "fescue_gateways";
 
 /** One gateway: takes requests, places them, and takes part in the control of the fleet. */
@@ -68,7 +62,6 @@
     private readonly evacuated = new Set<string>();
     private readonly loads: LoadBook;
     private readonly groups: GroupDirectory;
-    private readonly retries: RetryAllowance;
     private readonly queue: AdmissionQueue;
     private readonly guard: SilenceGuard;
     private readonly lease: ControllerLease;
@@ -82,19 +75,13 @@
     private readonly hubStore: HubObjectStore;
     private readonly watches: StoreWatch[];
     private readonly upstreamWatch: StoreWatch;
-    private readonly lostEpochs = new Map<number, number>();
     private readonly stop = new AbortController();
-    /** What each peer said last. */
-    private readonly peerStates = new Map<string, PeerState>();
-    private readonly vm: string;
-    private readonly zone: string;
+    private readonly exchange: PeerExchange;
     private hasTraffic = false;
     private isLeaving = false;
 
     private constructor(settings: GatewaySettings, private readonly ports: GatewayPorts) {
         const { clock, random, log, metrics, store, client, control } = ports;
-        this.vm = settings.vm;
-        this.zone = settings.zone;
         this.configuration = ConfigurationHolder.create(log);
         this.upstreams = UpstreamDirectory.create({ clock, log, returnGraceMs: RETURN_GRACE_MS });
         this.loads = LoadBook.create(clock);
@@ -109,14 +96,13 @@
             log,
             vm: settings.vm,
             zone: settings.zone,
-            onState: (peer, state) => this.takePeerState(peer, state),
-            onLost: peer => this.dropPeer(peer),
+            onState: (peer, state) => this.exchange.take(peer, state),
+            onLost: peer => this.exchange.drop(peer),
         });
         const gatewayCount = () => this.links.gatewayCount;
         const knownGateways = () => this.links.hasHubs && this.links.inTouch().length > 0 ? gatewayCount() : undefined;
         const cold = ColdLimiter.create({ clock, gatewayCount });
         const retries = RetryAllowance.create({ clock, ...settings.retryBudget, gatewayCount, knownGateways });
-        this.retries = retries;
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const shared = { clock, log, metrics, queue: this.queue, loads: this.loads, cold, failures, retries };
         const sending = { ...shared, guard: this.guard, client, zone: settings.zone, viewAgeMs };
@@ -136,12 +122,12 @@
             store,
             vm: settings.vm,
             incarnation: random.uniqueId(),
-            peerSilenceMs: vm => this.silenceMs(vm),
+            peerSilenceMs: vm => this.exchange.silenceMs(vm),
             candidateRank: () => {
                 const rank = this.links.inTouch().filter(peer => peer < settings.vm).length;
                 return this.links.hasHubs && !this.links.isHub ? rank + RANK_OF_OTHERS : rank;
             },
-            isHeardByNobody: () => this.links.inTouch().length > 0 && this.peerDistance() > MAX_DISTANCE,
+            isHeardByNobody: () => this.links.inTouch().length > 0 && !this.exchange.isControllerHeard,
             hearsMostPeers: () => this.links.inTouch().length * 2 >= this.links.names().length,
         });
         const orders = OrderSender.create({ clock, log, metrics, control });
@@ -161,11 +147,30 @@
             standby: StandbyPool.create({ clock, log, orders, throttle, hasTraffic }),
             groupStallMs: settings.groupStallMs,
             isZoneInSight: zone => zone === settings.zone || this.links.isZoneInSight(zone),
-            announceLost: (epoch, reason) => this.announceLost(epoch, reason),
+            announceLost: (epoch, reason) => this.exchange.announceLost(epoch, reason),
             isViewFresh: () => this.upstreamWatch.isInTouch,
             announceOpen: () => this.feed.flush(),
         });
-        this.feed = PeerFeed.create({ clock, snapshot: observer => this.peerState(observer) });
+        this.exchange = PeerExchange.create({
+            clock,
+            log,
+            vm: settings.vm,
+            zone: settings.zone,
+            links: this.links,
+            lease: this.lease,
+            controller: this.controller,
+            loads: this.loads,
+            retries,
+            upstreams: this.upstreams,
+            groups: this.groups,
+            configurationVersion: () => this.configuration.current?.version ?? 0,
+            isLeaving: () => this.isLeaving,
+            onTraffic: () => {
+                this.hasTraffic = true;
+            },
+            flush: () => this.feed.flush(),
+        });
+        this.feed = PeerFeed.create({ clock, snapshot: observer => this.exchange.stateFor(observer) });
         this.server = PeerServer.create({
             host: settings.host,
             port: settings.peerPort,
@@ -256,115 +261,13 @@
         await this.server.close();
     }
 
-    /** What a peer is told: a hub speaks for its zone, and to its zone for all others. */
-    private peerState(observer: string): PeerState {
-        const isMember = (peer: string) => this.links.zoneOf(peer) === this.zone;
-        const isToOwnZone = isMember(observer);
-        const speaksForOthers = this.links.hasHubs && this.links.isHub;
-        const isToHub = isToOwnZone && this.links.names().includes(observer) && this.isOtherHub(observer);
-        const isIncluded = (peer: string) =>
-            speaksForOthers && !isToHub && peer !== observer && (isToOwnZone || isMember(peer));
-        const fleet = this.lease.isController
-            ? { lostEpochs: [...this.lostEpochs.keys()], openGroups: this.controller.recentlyOpened() }
-            : this.relayedFleet();
-        return {
-            term: this.lease.term,
-            controllerDistance: this.lease.isController ? 0 : Math.min(this.peerDistance() + 1, UNREACHABLE),
-            configurationVersion: this.configuration.current?.version ?? 0,
-            loads: this.loads.places(isIncluded).filter(([place]) => isEpoch(place)),
-            retries: this.retries.counts(isIncluded),
-            ...fleet,
-            isLeaving: this.isLeaving,
-        };
-    }
-
-    private takePeerState(peer: string, state: PeerState): void {
-        this.lease.observeTerm(state.term);
-        this.peerStates.set(peer, state);
-        if (this.speaksToMe(peer)) {
-            this.loads.putPeer(peer, state.loads);
-            this.retries.putPeer(peer, state.retries);
-        }
-        else {
-            this.loads.dropPeer(peer);
-            this.retries.dropPeer(peer);
-        }
-        this.hasTraffic ||= state.loads.length > 0;
-        if (state.controllerDistance <= MAX_DISTANCE && state.term >= this.lease.term) {
-            state.openGroups.forEach(group => this.upstreams.noteOpen(group));
-            state.lostEpochs.forEach(epoch => this.loseGroup(epoch, `${peer} told that the group is lost`));
-        }
-    }
-
-    private dropPeer(peer: string): void {
-        this.loads.dropPeer(peer);
-        this.retries.dropPeer(peer);
-        this.peerStates.delete(peer);
-    }
-
-    /** True unless another hub of the peer's zone speaks for it. */
-    private speaksToMe(peer: string): boolean {
-        if (!this.links.hasHubs) {
-            return true;
-        }
-        const peerZone = this.links.zoneOf(peer) ?? "";
-        const isOwnMember = peerZone === this.zone && this.links.isHub;
-        return isOwnMember || this.links.hubOf(peerZone) === peer;
-    }
-
-    private isOtherHub(peer: string): boolean {
-        return this.links.isHub && this.links.hubOf(this.zone) !== undefined
-            && [this.links.hubOf(this.zone), this.links.secondHubOf(this.zone)].includes(peer);
-    }
-
-    /** Hops from the nearest peer in touch to the controller of the highest term. */
-    private peerDistance(): number {
-        const distances = this.links.inTouch().map(peer => {
-            const state = this.peerStates.get(peer);
-            return state && state.term >= this.lease.term ? state.controllerDistance : UNREACHABLE;
-        });
-        return Math.min(UNREACHABLE, ...distances);
-    }
-
-    /** Silence of a gateway: of its own link, or 0 if peers in touch are near enough to it as the controller. */
-    private silenceMs(vm: string): number {
-        if (vm === this.vm || (this.links.hasHubs && this.peerDistance() <= MAX_DISTANCE)) {
-            return 0;
-        }
-        return this.links.silenceMs(vm);
-    }
-
-    /** What the nearest peer knows of the controller's fleet. */
-    private relayedFleet(): Pick<PeerState, "lostEpochs" | "openGroups"> {
-        const near = this.links.hasHubs
-            ? this.links.inTouch().map(peer => this.peerStates.get(peer)).find(state =>
-                state && state.term >= this.lease.term && state.controllerDistance <= MAX_DISTANCE
-            )
-            : undefined;
-        return { lostEpochs: near?.lostEpochs ?? [], openGroups: near?.openGroups ?? [] };
-    }
-
-    private announceLost(epoch: number, reason: string): void {
-        this.lostEpochs.set(epoch, this.ports.clock.monotonicMs());
-        this.loseGroup(epoch, reason);
-        this.feed.flush();
-    }
-
-    private loseGroup(epoch: number, reason: string): void {
-        if (this.groups.markLost(epoch)) {
-            const moved = this.loads.abandon(String(epoch), reason);
-            this.ports.log.info("group lost", { epoch, reason, requests: moved });
-        }
-    }
-
     private async sweep(signal: AbortSignal): Promise<void> {
         const { clock } = this.ports;
         while (!signal.aborted) {
             await clock.sleep(SWEEP_MS, signal);
             this.upstreams.sweep();
             this.links.update();
-            const sinceMs = clock.monotonicMs() - ANNOUNCED_MS;
-            this.lostEpochs.forEach((atMs, epoch) => atMs < sinceMs && this.lostEpochs.delete(epoch));
+            this.exchange.sweep();
         }
     }
 
@@ -522,7 +425,3 @@
         );
     }
 }
-
-function isEpoch(place: string): boolean {
-    return /^\d+$/.test(place);
-}
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -11,7 +11,9 @@
 import { groupBy } from "../util/groupBy.js";
 import { chooseMembers } from "./chooseMembers.js";
 import type { ControllerLease } from "./ControllerLease.js";
+import { EpochSource } from "./EpochSource.js";
 import type { Formation } from "./Formation.js";
+import { lifeOf } from "./lifeOf.js";
 import type { LoadThrottle } from "./LoadThrottle.js";
 import type { LossDetector } from "./LossDetector.js";
 import type { ObservedGroup } from "./ObservedGroup.js";
@@ -20,6 +22,7 @@
 import { planGroups } from "./planGroups.js";
 import { standbyGroups } from "./standbyGroups.js";
 import type { StandbyPool } from "./StandbyPool.js";
+import { UpstreamHealth } from "./UpstreamHealth.js";
 
 /** What a `FleetController` is made of. */
 interface FleetControllerOptions {
@@ -56,8 +59,6 @@
 
 /** Pause between two turns, ms: short against the 200 ms of a warm join. */
 const TICK_MS = 40;
-/** Epochs of one term: the term stands in the bits above. */
-const EPOCHS_PER_TERM = 65_536;
 /** No upstream has registered for this long: the fleet is as complete as it gets, ms; a few heartbeats. */
 const SETTLED_AFTER_MS = 1200;
 /** Silence of a group, as all gateways see it, after which its members are asked, ms: above most passes. */
@@ -90,28 +91,22 @@
 const SHORT_AFTER_MS = 1500;
 /** Added to the stall time of a head that cannot be asked, ms: its members leave at slightly different moments. */
 const STALL_MARGIN_MS = 600;
-/** An upstream that was slow is not chosen while there are others, ms; slow spells last some seconds. */
-const SLOW_REMEMBERED_MS = 6000;
-/** A lost upstream is asked again after this time, ms. */
-const LOST_RECHECK_MS = 2500;
 /** Members that may load at once beyond the weight store's full speed, as a factor, while there is no traffic. */
 const EARLY_LOADS_FACTOR = 1.5;
 
 /** Forms, watches and repairs the serving groups, while this gateway is the controller. */
 export class FleetController {
     private formations = new Map<string, Formation>();
-    /** Lives that did not answer, and when they were asked last, monotonic ms. */
-    private readonly lostLives = new Map<string, number>();
-    /** Upstreams that may not change groups before a time, because the head of theirs cannot be asked, ms. */
-    private readonly fencedUntilMs = new Map<string, number>();
-    /** When upstreams last said that they work slowly, monotonic ms. */
-    private readonly slowSinceMs = new Map<string, number>();
+    private readonly health: UpstreamHealth;
+    private readonly epochs: EpochSource;
     private term = 0;
-    private nextEpochOfTerm = 1;
     private knownIds = "";
     private settledSinceMs = 0;
 
-    private constructor(private readonly options: FleetControllerOptions) {}
+    private constructor(private readonly options: FleetControllerOptions) {
+        this.health = UpstreamHealth.create(options);
+        this.epochs = EpochSource.create(options.upstreams);
+    }
 
     /** Creates a controller; it acts once `run` and while it holds the lease. */
     static create(options: FleetControllerOptions): FleetController {
@@ -144,9 +139,7 @@
         this.options.log.info("no longer the controller", { term: this.term });
         this.term = 0;
         this.formations = new Map();
-        this.lostLives.clear();
-        this.slowSinceMs.clear();
-        this.fencedUntilMs.clear();
+        this.health.clear();
     }
 
     private turn(): void {
@@ -154,7 +147,7 @@
         if (lease.term !== this.term) {
             this.stepDown();
             this.term = lease.term;
-            this.nextEpochOfTerm = 1;
+            this.epochs.start(this.term);
             log.info("acting as the controller", { term: this.term });
         }
         this.noteSettled();
@@ -177,7 +170,7 @@
                 engine,
                 this.freeUpstreams(view),
                 this.formations,
-                () => this.newEpoch(),
+                () => this.epochs.next(),
             );
         }
     }
@@ -241,7 +234,7 @@
     };
 
     private advanceJoining(view: ServiceView, formation: Formation): void {
-        const unusable = formation.members.filter(member => !this.isUsable(member));
+        const unusable = formation.members.filter(member => !this.health.isUsable(member));
         if (unusable.length > 0) {
             this.reform(view, formation, "a member was lost while joining", idsOf(unusable));
             return;
@@ -285,7 +278,7 @@
     }
 
     private advanceOpening(view: ServiceView, formation: Formation): void {
-        const unusable = formation.members.filter(member => !this.isUsable(member));
+        const unusable = formation.members.filter(member => !this.health.isUsable(member));
         if (unusable.length > 0) {
             this.reform(view, formation, "a member was lost while opening", idsOf(unusable));
             return;
@@ -417,30 +410,27 @@
             if (reason !== undefined) {
                 this.options.log.info("member lost", { group: formation.name, upstream: member.id, reason });
                 if (!reason.startsWith("belongs")) {
-                    this.lostLives.set(lifeOf(member), this.nowMs());
+                    this.health.markLost(member);
                 }
             }
         }
         slow.forEach((factor, id) => {
             this.options.log.info("member slow", { group: formation.name, upstream: id, factor });
-            this.slowSinceMs.set(id, this.nowMs());
+            this.health.markSlow(id);
         });
         return new Set(lost.keys());
     }
 
     /** Members that hold their group up, if the domain has spares in memory for all of them. */
     private replaceableSlow(view: ServiceView, formation: Formation): Set<string> {
-        const slow = formation.members.filter(member => this.isSlow(member.id));
+        const slow = formation.members.filter(member => this.health.isSlow(member.id));
         const spares = this.freeUpstreams(view).filter(upstream =>
-            upstream.domain === formation.domain && upstream.model === formation.model.name && !this.isSlow(upstream.id)
+            upstream.domain === formation.domain && upstream.model === formation.model.name
+            && !this.health.isSlow(upstream.id)
         );
         return spares.length >= slow.length ? idsOf(slow) : new Set();
     }
 
-    private isSlow(id: string): boolean {
-        return this.nowMs() - (this.slowSinceMs.get(id) ?? -Infinity) < SLOW_REMEMBERED_MS;
-    }
-
     /** True if enough other groups of the model serve, or if the draining member will not stay much longer. */
     private mayReplace(formation: Formation): boolean {
         if (this.nowMs() - (formation.drainSeenMs ?? 0) > DRAIN_PATIENCE_MS) {
@@ -489,10 +479,10 @@
     /** Forms a group anew under its name, with a higher epoch; false: its domain has too few VMs. */
     private reform(view: ServiceView, formation: Formation, reason: string, lost: ReadonlySet<string>): boolean {
         const staying = formation.members
-            .filter(member => !lost.has(member.id) && this.isUsable(member))
+            .filter(member => !lost.has(member.id) && this.health.isUsable(member))
             .map(member => this.options.upstreams.get(member.id) ?? member);
         const free = this.freeUpstreams(view).filter(upstream => upstream.domain === formation.domain);
-        const quick = free.filter(upstream => !this.isSlow(upstream.id));
+        const quick = free.filter(upstream => !this.health.isSlow(upstream.id));
         const { name: modelName, memberCount } = formation.model;
         const members = chooseMembers(modelName, memberCount, staying, quick)
             ?? chooseMembers(modelName, memberCount, staying, free);
@@ -534,7 +524,7 @@
         reason: string,
         past: { lostAtMs?: number; rejections?: number; } = {},
     ): void {
-        const epoch = this.newEpoch();
+        const epoch = this.epochs.next();
         const formation: Formation = {
             name,
             service,
@@ -562,7 +552,7 @@
                 .give(member, { kind: "join", group: name, epoch, model: model.name, members: ids })
                 .then(outcome => {
                     if (outcome === "lost") {
-                        this.lostLives.set(lifeOf(member), this.nowMs());
+                        this.health.markLost(member);
                     }
                     if (outcome === "rejected") {
                         // The member has seen a higher epoch, or another order came between; a new epoch settles it.
@@ -580,10 +570,10 @@
         const head = observed?.members.get(0);
         const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
         for (const member of observed?.members.values() ?? []) {
-            if (!head || !this.isUsable(head)) {
-                this.fencedUntilMs.set(member.id, untilMs);
+            if (!head || !this.health.isUsable(head)) {
+                this.health.fence(member.id, untilMs);
             }
-            if (member.group && this.isUsable(member)) {
+            if (member.group && this.health.isUsable(member)) {
                 const { name, epoch } = member.group;
                 void this.options.orders.give(member, { kind: "leave", group: name, epoch });
             }
@@ -599,7 +589,7 @@
             }
             const formation = this.formations.get(group.name);
             const belongs = formation?.members.some(member => member.id === upstream.id);
-            if (belongs || !this.isUsable(upstream)) {
+            if (belongs || !this.health.isUsable(upstream)) {
                 continue;
             }
             this.options.log.info("upstream released", {
@@ -667,41 +657,12 @@
             formation.members.forEach(member => taken.add(member.id));
         }
         return view.upstreams.filter(upstream =>
-            this.isUsable(upstream) && !taken.has(upstream.id)
+            this.health.isUsable(upstream) && !taken.has(upstream.id)
             && (!upstream.group || standbyGroups.isStandby(upstream.group.name))
-            && (this.fencedUntilMs.get(upstream.id) ?? 0) <= this.nowMs()
+            && !this.health.isFenced(upstream.id)
         );
     }
 
-    /** True if the upstream is registered in the life that was chosen, stays and answers. */
-    private isUsable(chosen: Upstream): boolean {
-        const current = this.options.upstreams.get(chosen.id);
-        if (!current || current.bornMs !== chosen.bornMs || current.state !== "ready") {
-            return false;
-        }
-        const lostAtMs = this.lostLives.get(lifeOf(chosen));
-        if (lostAtMs === undefined) {
-            return true;
-        }
-        this.recheck(chosen, lostAtMs);
-        return false;
-    }
-
-    /** Asks a lost upstream again that is still registered. */
-    private recheck(upstream: Upstream, lostAtMs: number): void {
-        const life = lifeOf(upstream);
-        if (this.nowMs() - lostAtMs < LOST_RECHECK_MS) {
-            return;
-        }
-        this.lostLives.set(life, this.nowMs());
-        void this.options.detector.isAlive(upstream).then(isAlive => {
-            if (isAlive) {
-                this.options.log.info("upstream answers again", { upstream: upstream.id });
-                this.lostLives.delete(life);
-            }
-        });
-    }
-
     private noteSettled(): void {
         const ids = [...this.options.upstreams.all()].map(upstream => lifeOf(upstream)).sort().join(" ");
         if (ids !== this.knownIds) {
@@ -731,15 +692,6 @@
         return { ...view, upstreams, observed: observeGroups(upstreams) };
     }
 
-    private newEpoch(): number {
-        let highest = this.term * EPOCHS_PER_TERM + this.nextEpochOfTerm - 1;
-        for (const upstream of this.options.upstreams.all()) {
-            highest = Math.max(highest, upstream.group?.epoch ?? 0);
-        }
-        this.nextEpochOfTerm = highest + 2 - this.term * EPOCHS_PER_TERM;
-        return highest + 1;
-    }
-
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
@@ -758,7 +710,3 @@
 function idsOf(members: readonly Upstream[]): Set<string> {
     return new Set(members.map(member => member.id));
 }
-
-function lifeOf(upstream: Upstream): string {
-    return `${upstream.id}@${upstream.bornMs}`;
-}
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -5,6 +5,7 @@
 import type { GroupOrder } from "../ports/GroupOrder.js";
 import type { UpstreamControl } from "../ports/UpstreamControl.js";
 import type { UpstreamReport } from "../ports/UpstreamReport.js";
+import { lifeOf } from "./lifeOf.js";
 
 /** What an `OrderSender` is made of. */
 interface OrderSenderOptions {
@@ -137,7 +138,3 @@
         return isStale || tries <= MIN_CONFLICTS ? undefined : "rejected";
     }
 }
-
-function lifeOf(upstream: Upstream): string {
-    return `${upstream.id}@${upstream.bornMs}`;
-}
--- a/packages/gateway/src/fleet/StandbyPool.ts
+++ b/packages/gateway/src/fleet/StandbyPool.ts
@@ -5,6 +5,7 @@
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import { groupBy } from "../util/groupBy.js";
 import type { Formation } from "./Formation.js";
+import { lifeOf } from "./lifeOf.js";
 import type { LoadThrottle } from "./LoadThrottle.js";
 import type { OrderSender } from "./OrderSender.js";
 import { standbyGroups } from "./standbyGroups.js";
@@ -73,7 +74,7 @@
     private prepare(spare: Upstream, model: ModelProfile, engine: EngineProfile, newEpoch: () => number): void {
         const { clock, orders, throttle, log, hasTraffic } = this.options;
         const isStaged = spare.stagedModels.includes(model.name);
-        const work = `${spare.id}@${spare.bornMs} ${isStaged ? "join" : "stage"} ${model.name}`;
+        const work = `${lifeOf(spare)} ${isStaged ? "join" : "stage"} ${model.name}`;
         const nowMs = clock.monotonicMs();
         const isReady = spare.model === model.name && spare.group !== undefined;
         if (isReady || orders.isBusy(spare) || (this.atWorkUntilMs.get(work) ?? 0) > nowMs) {
--- /dev/null
+++ b/packages/gateway/src/fleet/UpstreamHealth.ts
@@ -0,0 +1,96 @@
+import type { Clock } from "@fescuehaven/runtime";
+import type { Upstream } from "../model/Upstream.js";
+import type { DecisionLog } from "../ports/DecisionLog.js";
+import type { UpstreamDirectory } from "../UpstreamDirectory.js";
+import { lifeOf } from "./lifeOf.js";
+import type { LossDetector } from "./LossDetector.js";
+
+/** What an `UpstreamHealth` is made of. */
+interface UpstreamHealthOptions {
+    clock: Clock;
+    log: DecisionLog;
+    upstreams: UpstreamDirectory;
+    detector: LossDetector;
+}
+
+/** An upstream that was slow is not chosen while there are others, ms; slow spells last some seconds. */
+const SLOW_REMEMBERED_MS = 6000;
+/** A lost upstream is asked again after this time, ms: cuts last some seconds. */
+const LOST_RECHECK_MS = 2500;
+
+/** What the controller has found out about upstreams beyond their entries. */
+export class UpstreamHealth {
+    /** Lives that did not answer, and when they were asked last, monotonic ms. */
+    private readonly lostLives = new Map<string, number>();
+    private readonly slowSinceMs = new Map<string, number>();
+    private readonly fencedUntilMs = new Map<string, number>();
+
+    private constructor(private readonly options: UpstreamHealthOptions) {}
+
+    /** Creates it without findings. */
+    static create(options: UpstreamHealthOptions): UpstreamHealth {
+        return new UpstreamHealth(options);
+    }
+
+    /** The upstream did not answer in this life. */
+    markLost(upstream: Upstream): void {
+        this.lostLives.set(lifeOf(upstream), this.options.clock.monotonicMs());
+    }
+
+    /** The upstream said that it works slowly. */
+    markSlow(id: string): void {
+        this.slowSinceMs.set(id, this.options.clock.monotonicMs());
+    }
+
+    /** The upstream may not change groups before a time, because the head of its group cannot be asked. */
+    fence(id: string, untilMs: number): void {
+        this.fencedUntilMs.set(id, untilMs);
+    }
+
+    /** True if the upstream may not change groups yet. */
+    isFenced(id: string): boolean {
+        return (this.fencedUntilMs.get(id) ?? 0) > this.options.clock.monotonicMs();
+    }
+
+    /** True if the upstream was slow lately. */
+    isSlow(id: string): boolean {
+        return this.options.clock.monotonicMs() - (this.slowSinceMs.get(id) ?? -Infinity) < SLOW_REMEMBERED_MS;
+    }
+
+    /** True if the upstream is registered in the life that was chosen, stays and answers. */
+    isUsable(chosen: Upstream): boolean {
+        const current = this.options.upstreams.get(chosen.id);
+        if (!current || current.bornMs !== chosen.bornMs || current.state !== "ready") {
+            return false;
+        }
+        const lostAtMs = this.lostLives.get(lifeOf(chosen));
+        if (lostAtMs === undefined) {
+            return true;
+        }
+        this.recheck(chosen, lostAtMs);
+        return false;
+    }
+
+    /** Forgets all findings. */
+    clear(): void {
+        this.lostLives.clear();
+        this.slowSinceMs.clear();
+        this.fencedUntilMs.clear();
+    }
+
+    /** Asks a lost upstream again that is still registered. */
+    private recheck(upstream: Upstream, lostAtMs: number): void {
+        const { clock, detector, log } = this.options;
+        const life = lifeOf(upstream);
+        if (clock.monotonicMs() - lostAtMs < LOST_RECHECK_MS) {
+            return;
+        }
+        this.lostLives.set(life, clock.monotonicMs());
+        void detector.isAlive(upstream).then(isAlive => {
+            if (isAlive) {
+                log.info("upstream answers again", { upstream: upstream.id });
+                this.lostLives.delete(life);
+            }
+        });
+    }
+}
--- a/packages/gateway/src/peers/PeerFeed.ts
+++ b/packages/gateway/src/peers/PeerFeed.ts
@@ -59,7 +59,10 @@
         const woken = new AbortController();
         const wake = () => woken.abort();
         this.urgent.add(wake);
-        await this.options.clock.sleep(UPDATE_MS, AbortSignal.any([signal, woken.signal]));
+        // A combined signal for each pause would stay registered with the stream's own for as long as that lasts.
+        signal.addEventListener("abort", wake, { once: true });
+        await this.options.clock.sleep(UPDATE_MS, woken.signal);
+        signal.removeEventListener("abort", wake);
         this.urgent.delete(wake);
     }
 }
