Log an upstream's change where it decides about requests

Cause: on a grown site (79 gateways, 220 upstreams) 73,108 of 101,352 lines in 43 s told on every gateway how members joined groups, which only the controller acts on.

--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -100,20 +100,20 @@
         }
     }
 
+    /** Tells changes that decide where requests go; the other members' ways are the controller's to tell. */
     private logChange(before: Upstream | undefined, after: Upstream): void {
-        const isSame = before && before.bornMs === after.bornMs && before.state === after.state
-            && before.group?.name === after.group?.name && before.group?.epoch === after.group?.epoch
-            && before.group?.phase === after.group?.phase;
-        if (!isSame) {
-            this.options.log.info("upstream changed", {
-                upstream: after.id,
-                bornMs: after.bornMs,
-                state: after.state,
-                group: after.group?.name,
-                epoch: after.group?.epoch,
-                phase: after.group?.phase,
-            });
+        const takes = describeTaking(after);
+        if (before && before.bornMs === after.bornMs && describeTaking(before) === takes) {
+            return;
         }
+        this.options.log.info("upstream changed", {
+            upstream: after.id,
+            bornMs: after.bornMs,
+            state: after.state,
+            group: after.group?.name,
+            epoch: after.group?.epoch,
+            phase: after.group?.phase,
+        });
     }
 
     private changed(): void {
@@ -121,3 +121,9 @@
         this.listeners.forEach(listener => listener());
     }
 }
+
+/** What an upstream can take: nothing as a member of a group, requests as an open head or a plain upstream. */
+function describeTaking({ state, group }: Upstream): string {
+    const isOpenHead = group?.rank === 0 && group.phase === "open";
+    return `${state} ${isOpenHead ? `open ${group.epoch}` : group ? "member" : "single"}`;
+}
