Let the head of a group that is given up leave before its members are used elsewhere

Found while reading: members were free at their own leave, while the order to their head could still be unanswered. They are held back until the head has left, or for the time after which it gives the group up.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -328,10 +328,13 @@
             this.loseGroup(view, formation, "the head is no longer registered", idsOf(formation.members.slice(0, 1)));
             return;
         }
-        if (head.group?.epoch !== formation.epoch || head.group.phase !== "open") {
-            const phase = head.group?.epoch === formation.epoch ? head.group.phase : "another epoch";
-            const handled = phase === "closing" ? () => this.setPhase(formation, "closing") : undefined;
-            (handled ?? (() => this.loseGroup(view, formation, `the head says ${phase}`, new Set())))();
+        const phase = head.group?.epoch === formation.epoch ? head.group.phase : "another epoch";
+        if (phase === "closing") {
+            this.setPhase(formation, "closing");
+            return;
+        }
+        if (phase !== "open") {
+            this.loseGroup(view, formation, `the head says ${phase}`, new Set());
             return;
         }
         const draining = formation.members.filter(member =>
@@ -567,16 +570,26 @@
         this.options.log.info("group given up", { group: formation.name, epoch: formation.epoch });
         this.formations.delete(formation.name);
         const observed = observeGroups(this.options.upstreams.all()).get(formation.name);
-        const head = observed?.members.get(0);
-        const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
-        for (const member of observed?.members.values() ?? []) {
-            if (!head || !this.health.isUsable(head)) {
-                this.health.fence(member.id, untilMs);
-            }
-            if (member.group && this.health.isUsable(member)) {
-                const { name, epoch } = member.group;
-                void this.options.orders.give(member, { kind: "leave", group: name, epoch });
+        if (observed) {
+            void this.leaveGroup(observed);
+        }
+    }
+
+    /** Lets the head leave first: until it has, or must have given the group up, no member joins another one. */
+    private async leaveGroup({ name, epoch, members }: ObservedGroup): Promise<void> {
+        const { orders, groupStallMs } = this.options;
+        const head = members.get(0);
+        const others = [...members.values()].filter(member => member !== head);
+        const untilMs = this.nowMs() + groupStallMs + STALL_MARGIN_MS;
+        others.forEach(member => this.health.fence(member.id, untilMs));
+        const leave = { kind: "leave", group: name, epoch } as const;
+        const hasLeft = head !== undefined && this.health.isUsable(head)
+            && await orders.give(head, leave) === "carried-out";
+        for (const member of others.filter(item => this.health.isUsable(item))) {
+            if (hasLeft) {
+                this.health.fence(member.id, 0);
             }
+            void orders.give(member, leave);
         }
     }
 
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -81,6 +81,18 @@
         rig.stopController();
     });
 
+    it("gives a group up whose domain has too few VMs, and uses those for a smaller one", async () => {
+        const rig = await formedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        const ids = [...rig.directory.all()].filter(item => item.domain === head.domain && item.model === "large");
+        // The head, one member and the spare of the model are gone: five are left.
+        ids.filter(item => item.group?.rank === 0 || item.id === ids[1]?.id).forEach(item => rig.fleet.darken(item.id));
+        await rig.run(30_000);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 1, small: 3 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("repairs a group while the store is away", async () => {
         const rig = await formedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
