--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -148,6 +148,7 @@
             groupStallMs: settings.groupStallMs,
             isZoneInSight: zone => zone === settings.zone || this.links.isZoneInSight(zone),
             announceLost: (epoch, reason) => this.exchange.announceLost(epoch, reason),
+            isLost: epoch => this.groups.isLost(epoch),
             isViewFresh: () => this.upstreamWatch.isInTouch,
             announceOpen: () => this.feed.flush(),
         });
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -43,6 +43,8 @@
     isZoneInSight: (zone: string) => boolean;
     /** Tells all gateways that a group is lost. */
     announceLost: (epoch: number, reason: string) => void;
+    /** True if a group was found lost, so that gateways leave it out for good. */
+    isLost: (epoch: number) => boolean;
     /** False while the view of upstreams is not kept up to date. */
     isViewFresh: () => boolean;
     /** Tells all gateways that a group has opened. */
@@ -214,6 +216,9 @@
             if (members.length < model.memberCount) {
                 this.reform(view, formation, "a member is not registered", new Set());
             }
+            else if (this.options.isLost(group.epoch)) {
+                this.reform(view, formation, "found lost before, and back", new Set());
+            }
         }
     }
 
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -32,6 +32,11 @@
         return isNew;
     }
 
+    /** True if the group was found lost. */
+    isLost(epoch: number): boolean {
+        return this.lostEpochs.has(epoch);
+    }
+
     /** Groups of a service that take requests for a model. */
     candidates(service: string, engine: EngineProfile, modelName: string | undefined): GroupCandidate[] {
         const candidates: GroupCandidate[] = [];
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -64,6 +64,7 @@
         rig.zonesOutOfSight.clear();
         await rig.run(3000);
         expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
+        expect(rig.lost).to.deep.equal([]);
         rig.stopController();
     });
 
@@ -81,6 +82,21 @@
         rig.stopController();
     });
 
+    it("forms a group anew that was found lost and is back", async () => {
+        const rig = await formedRig();
+        const before = rig.fleet.openHeads().map(item => item.group?.epoch ?? 0);
+        const entries = [...rig.directory.all()];
+        entries.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
+        await rig.run(6000);
+        expect(rig.lost).to.include.members(before);
+        entries.forEach(upstream => rig.directory.put(rig.fleet.state(upstream.id)));
+        await rig.run(4000);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.openHeads().filter(item => rig.lost.includes(item.group?.epoch ?? 0))).to.deep.equal([]);
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("gives a group up whose domain has too few VMs, and uses those for a smaller one", async () => {
         const rig = await formedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -91,6 +91,7 @@
             groupStallMs: 4000,
             isZoneInSight: zone => !this.zonesOutOfSight.has(zone),
             announceLost: epoch => this.lost.push(epoch),
+            isLost: epoch => this.lost.includes(epoch),
             isViewFresh: () => this.isViewFresh,
             announceOpen: () => undefined,
         });
--- a/scripts/safeguards.mjs
+++ b/scripts/safeguards.mjs
@@ -14,6 +14,7 @@
 function createCopy() {
     const copy = mkdtempSync(path.join(tmpdir(), "fescue-safeguards-"));
     cpSync(path.join(root, "packages"), path.join(copy, "packages"), { recursive: true });
+    cpSync(path.join(root, "platform"), path.join(copy, "platform"), { recursive: true });
     cpSync(path.join(root, "package.json"), path.join(copy, "package.json"));
     cpSync(path.join(root, "tsconfig.json"), path.join(copy, "tsconfig.json"));
     const modules = path.join(copy, "node_modules");
@@ -24,6 +25,7 @@
     for (const name of readdirSync(path.join(copy, "packages"))) {
         symlinkSync(path.join(copy, "packages", name), path.join(modules, "@fescuehaven", name));
     }
+    symlinkSync(path.join(copy, "platform"), path.join(modules, "@fescuehaven", "platform-adapter"));
     return copy;
 }
 
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -1,6 +1,8 @@
 const COORDINATION = "packages/coordination";
 const CONTROLLER = "packages/controller";
 const ROUTER = "packages/router";
+const GATEWAY = "packages/gateway";
+const PLATFORM = "platform";
 
 /**
  * Safeguards by the promise that they hold up: `find` is taken out of `file` and `replace` put in its place; then a test
@@ -232,4 +234,85 @@
         test: `${COORDINATION}/tests/ConfigurationSync.test.ts`,
         grep: "opens a new watch when one is silent",
     },
+    {
+        promise: "gateway: members missing",
+        name: "a group opens after every member's own word",
+        file: `${GATEWAY}/src/fleet/FleetController.ts`,
+        find: "current.every(member => isReadyIn(member, formation))",
+        replace: "current.some(member => isReadyIn(member, formation))",
+        test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
+        grep: "FleetController",
+    },
+    {
+        promise: "gateway: two groups",
+        name: "an order names the orders before it",
+        file: `${PLATFORM}/src/HttpUpstreamControl.ts`,
+        find: ", precondition: expectedOrderCount }",
+        replace: " }",
+        test: `${PLATFORM}/tests/HttpUpstreamControl.test.ts`,
+        grep: "in one state only",
+    },
+    {
+        promise: "gateway: two groups",
+        name: "the lease belongs to one run of a process",
+        file: `${GATEWAY}/src/fleet/ControllerLease.ts`,
+        find: "return this.lease?.incarnation === this.options.incarnation;",
+        replace: "return this.lease?.vm === this.options.vm;",
+        test: `${GATEWAY}/tests/fleet/ControllerLease.test.ts`,
+        grep: "by a process that replaces its holder",
+    },
+    {
+        promise: "gateway: zones",
+        name: "a zone that is cut off is left alone",
+        file: `${GATEWAY}/src/fleet/FleetController.ts`,
+        find: " && this.isInSight(item)",
+        replace: "",
+        test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
+        grep: "leaves the groups of a zone alone",
+    },
+    {
+        promise: "gateway: at most once",
+        name: "what may have run is repeated only if it is repeatable",
+        file: `${GATEWAY}/src/forwarding/PlainDispatcher.ts`,
+        find: 'call.route.kind === "repeatable" && progress.runs',
+        replace: "progress.runs",
+        test: `${GATEWAY}/tests/forwarding/forwarding.test.ts`,
+        grep: "never repeats one that may have run",
+    },
+    {
+        promise: "gateway: true refusals",
+        name: "a refusal says `not run` only if nothing may have run",
+        file: `${GATEWAY}/src/forwarding/StreamDispatcher.ts`,
+        find: "else if (!progress.mayHaveRun) {",
+        replace: "else if (!progress.hasEvents) {",
+        test: `${GATEWAY}/tests/forwarding/forwarding.test.ts`,
+        grep: "does not say so when one may have run it",
+    },
+    {
+        promise: "gateway: whole answers",
+        name: "a stream goes on after its last whole event",
+        file: `${GATEWAY}/src/forwarding/StreamDispatcher.ts`,
+        find: "resumeAfter: progress.lastEventId,\n            }, signal",
+        replace: "}, signal",
+        test: `${GATEWAY}/tests/forwarding/forwarding.test.ts`,
+        grep: "goes on after the last whole event",
+    },
+    {
+        promise: "gateway: whole answers",
+        name: "a reset has a code of its own",
+        file: `${PLATFORM}/src/dialWithin.ts`,
+        find: '        socket.on("error", markReset);\n',
+        replace: "",
+        test: `${PLATFORM}/tests/HttpUpstreamClient.test.ts`,
+        grep: "without a length that is reset",
+    },
+    {
+        promise: "gateway: configuration",
+        name: "a configuration never goes back",
+        file: `${GATEWAY}/src/ConfigurationHolder.ts`,
+        find: "configuration.version <= before",
+        replace: "configuration.version < 0",
+        test: `${GATEWAY}/tests/views.test.ts`,
+        grep: "never goes back to an older version",
+    },
 ];
