--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -51,8 +51,6 @@
 /** Pause before other watches are renewed, ms. */
 const OTHER_PAUSE_MS = 50;
 const SWEEP_MS = 200;
-/** Candidates for the control that are not hubs come after them: a whole zone would write at once. */
-const RANK_OF_OTHERS = 10;
 const REGISTRATION_KIND = "fescue_gateways";
 
 /** One gateway: takes requests, places them, and takes part in the control of the fleet. */
@@ -123,10 +121,7 @@
             vm: settings.vm,
             incarnation: random.uniqueId(),
             peerSilenceMs: vm => this.exchange.silenceMs(vm),
-            candidateRank: () => {
-                const rank = this.links.inTouch().filter(peer => peer < settings.vm).length;
-                return this.links.hasHubs && !this.links.isHub ? rank + RANK_OF_OTHERS : rank;
-            },
+            candidateRank: () => this.links.candidateRank(),
             isHeardByNobody: () => this.links.inTouch().length > 0 && !this.exchange.isControllerHeard,
             hearsMostPeers: () => this.links.inTouch().length * 2 >= this.links.names().length,
         });
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -43,6 +43,8 @@
 const PEER_WORD_MS = 1200;
 /** Added to the wait per place among the candidates, ms: a few round trips to the store. */
 const RANK_STEP_MS = 120;
+/** Wait before the first lease of all is taken, ms: gateways that start together have heard of each other by then. */
+const FIRST_WAIT_MS = 500;
 /** A gap between two looks that is longer means that the process stood still, ms. */
 const PAUSE_MS = 700;
 /** Actions need a renewal that is not older, ms, while the store answers. */
@@ -179,7 +181,10 @@
 
     private hasExpired(nowMs: number): boolean {
         const rankMs = this.options.candidateRank() * RANK_STEP_MS;
-        if (!this.lease || this.lease.vm === "") {
+        if (!this.lease) {
+            return nowMs - this.changedAtMs >= FIRST_WAIT_MS + rankMs;
+        }
+        if (this.lease.vm === "") {
             return nowMs - this.changedAtMs >= rankMs;
         }
         if (this.lease.vm === this.options.vm && !this.isOwn) {
--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -136,6 +136,11 @@
         return this.registered.get(vm)?.zone;
     }
 
+    /** Place of this gateway among those in touch that may take the control, 0 first. */
+    candidateRank(): number {
+        return this.topology.candidateRank(this.members(), vm => this.silenceMs(vm) <= SILENCE_MS);
+    }
+
     /** The working hub of a zone. */
     hubOf(zone: string): string | undefined {
         return this.topology.hubsOf(zone, this.members(), vm => this.isSilent(vm))[0];
--- a/packages/gateway/src/peers/Topology.ts
+++ b/packages/gateway/src/peers/Topology.ts
@@ -9,6 +9,9 @@
 /** Hubs of a zone: one that works, and one that takes over. */
 const HUBS = 2;
 
+/** Candidates for the control that are not hubs come after them: a whole zone would write at once. */
+const RANK_OF_OTHERS = 10;
+
 /**
  * Decides which gateways follow each other. In small fleets each one follows all others. In larger ones the first
  * gateways of a zone are its hubs: they follow their whole zone and the hubs of other zones, the others only them.
@@ -39,6 +42,20 @@
         return this.hasHubs(members) && this.hubsOf(this.zone, members, isSilent).includes(this.vm);
     }
 
+    /**
+     * Place of this gateway among those that may take the control, 0 first. Zones with more gateways come first: where
+     * there is only one, its loss already leaves the zone's callers without any. Then hubs, then by name.
+     */
+    candidateRank(members: readonly Member[], isInTouch: (vm: string) => boolean): number {
+        const sizeOf = (zone: string) => members.filter(member => member.zone === zone).length;
+        const ownSize = Math.max(1, sizeOf(this.zone));
+        const rank = members.filter(({ vm, zone }) =>
+            vm !== this.vm && isInTouch(vm)
+            && (sizeOf(zone) > ownSize || (sizeOf(zone) === ownSize && vm < this.vm))
+        ).length;
+        return this.hasHubs(members) && !this.isHub(members, () => false) ? rank + RANK_OF_OTHERS : rank;
+    }
+
     /** Gateways that this one follows. */
     followed(members: readonly Member[], isSilent: (vm: string) => boolean): Set<string> {
         const all = members.map(member => member.vm).filter(vm => vm !== this.vm);
--- a/packages/gateway/tests/peers/Topology.test.ts
+++ b/packages/gateway/tests/peers/Topology.test.ts
@@ -30,6 +30,20 @@
         expect(Topology.create("a3", "a").isHub(large, isSilent)).to.equal(true);
     });
 
+    it("gives the control to zones with more gateways first", () => {
+        const members = [{ vm: "a1", zone: "a" }, { vm: "b1", zone: "b" }, { vm: "b2", zone: "b" }];
+        const ranks = members.map(({ vm, zone }) => Topology.create(vm, zone).candidateRank(members, () => true));
+        expect(ranks).to.deep.equal([2, 0, 1]);
+        expect(Topology.create("a1", "a").candidateRank(members, () => false)).to.equal(0);
+    });
+
+    it("gives the control to hubs first in large fleets", () => {
+        const ranks = large.map(({ vm, zone }) => Topology.create(vm, zone).candidateRank(large, () => true));
+        expect(Math.max(...[0, 1, 5, 6].map(index => ranks[index]!))).to.be.lessThan(
+            Math.min(...[2, 3, 4, 7, 8, 9].map(index => ranks[index]!)),
+        );
+    });
+
     it("grows with the fleet, not with its square", () => {
         const members = ["a", "b", "c", "d"].flatMap(zone =>
             Array.from({ length: 20 }, (_, index) => ({ vm: `${zone}${String(index).padStart(2, "0")}`, zone }))
