Tell a cut from the loss of everything behind it in its first moments

A loss counts only if a gateway of the zone was heard after the question, and a group that was found lost is left out for 8 s, by when it has been formed anew or given up. Tests: both fail without the change.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -85,7 +85,13 @@
         this.loads = LoadBook.create(clock);
         const failures = FailureMemory.create(clock);
         const isEvacuated = (zone: string) => this.evacuated.has(zone);
-        this.groups = GroupDirectory.create({ upstreams: this.upstreams, loads: this.loads, failures, isEvacuated });
+        this.groups = GroupDirectory.create({
+            clock,
+            upstreams: this.upstreams,
+            loads: this.loads,
+            failures,
+            isEvacuated,
+        });
         this.queue = AdmissionQueue.create({ clock, random });
         this.guard = SilenceGuard.create(clock);
         this.links = PeerLinks.create({
@@ -141,7 +147,7 @@
             throttle,
             standby: StandbyPool.create({ clock, log, orders, throttle, hasTraffic }),
             groupStallMs: settings.groupStallMs,
-            isZoneInSight: zone => zone === settings.zone || this.links.isZoneInSight(zone),
+            isZoneInSight: (zone, sinceMs) => zone === settings.zone || this.links.isZoneInSight(zone, sinceMs),
             announceLost: (epoch, reason) => this.exchange.announceLost(epoch, reason),
             isLost: epoch => this.groups.isLost(epoch),
             isViewFresh: () => this.upstreamWatch.isInTouch,
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -39,11 +39,14 @@
     standby: StandbyPool;
     /** Time for which a group stands still before its head gives it up, ms. */
     groupStallMs: number;
-    /** False while a zone seems to be cut off from this one: what it looks like from here says nothing. */
-    isZoneInSight: (zone: string) => boolean;
+    /**
+     * False while a zone seems to be cut off from this one, or has not been heard since a time: what it looks like from
+     * here says nothing.
+     */
+    isZoneInSight: (zone: string, sinceMs?: number) => boolean;
     /** Tells all gateways that a group is lost. */
     announceLost: (epoch: number, reason: string) => void;
-    /** True if a group was found lost, so that gateways leave it out for good. */
+    /** True if a group was found lost lately, so that gateways leave it out. */
     isLost: (epoch: number) => boolean;
     /** False while the view of upstreams is not kept up to date. */
     isViewFresh: () => boolean;
@@ -222,8 +225,8 @@
         }
     }
 
-    private isInSight(formation: Formation): boolean {
-        return formation.members.every(member => this.options.isZoneInSight(member.zone));
+    private isInSight(formation: Formation, sinceMs?: number): boolean {
+        return formation.members.every(member => this.options.isZoneInSight(member.zone, sinceMs));
     }
 
     private advance(view: ServiceView, formation: Formation): void {
@@ -407,10 +410,12 @@
         epoch: number | undefined,
     ): Promise<Set<string>> {
         formation.isChecking = true;
+        const askedAtMs = this.nowMs();
         const { lost, slow } = await this.options.detector.examine(members, epoch);
         formation.isChecking = false;
         formation.checkedAtMs = this.nowMs();
-        if (!this.isInSight(formation)) {
+        if (!this.isInSight(formation, askedAtMs)) {
+            // A cut looks like the loss of everything behind it, until its gateways count as silent.
             return new Set();
         }
         for (const member of members) {
--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -174,12 +174,16 @@
         return [...this.links.keys()];
     }
 
-    /** False while a zone has gateways and none of them has been heard steadily: it seems to be cut off. */
-    isZoneInSight(zone: string): boolean {
+    /**
+     * False while a zone has gateways and none of them has been heard steadily, and after `sinceMs`: it seems to be cut
+     * off.
+     */
+    isZoneInSight(zone: string, sinceMs = -Infinity): boolean {
         const links = [...this.links.values()].filter(link => link.zone === zone);
         const nowMs = this.options.clock.monotonicMs();
         const isSteady = (link: Link) =>
-            nowMs - link.heardAtMs <= IN_SIGHT_MS && nowMs - link.steadySinceMs >= STEADY_MS;
+            nowMs - link.heardAtMs <= IN_SIGHT_MS && link.heardAtMs >= sinceMs
+            && nowMs - link.steadySinceMs >= STEADY_MS;
         return links.length === 0 || links.some(isSteady);
     }
 
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@fescuehaven/runtime";
 import type { EngineProfile } from "../model/EngineProfile.js";
 import type { Upstream } from "../model/Upstream.js";
 import type { UpstreamDirectory } from "../UpstreamDirectory.js";
@@ -7,6 +8,7 @@
 
 /** What a `GroupDirectory` is made of. */
 interface GroupDirectoryOptions {
+    clock: Clock;
     upstreams: UpstreamDirectory;
     loads: LoadBook;
     failures: FailureMemory;
@@ -14,9 +16,16 @@
     isEvacuated: (zone: string) => boolean;
 }
 
+/**
+ * A group that was found lost is left out for this long, ms. By then it has been formed anew with a higher epoch, or its
+ * head has given it up, or the finding was wrong: one that was cut off and is open still serves.
+ */
+const LOST_MS = 8000;
+
 /** Groups that take requests, read from what their heads say. */
 export class GroupDirectory {
-    private readonly lostEpochs = new Set<number>();
+    /** Groups that were found lost, and when, monotonic ms. */
+    private readonly lostEpochs = new Map<number, number>();
 
     private constructor(private readonly options: GroupDirectoryOptions) {}
 
@@ -27,14 +36,15 @@
 
     /** Leaves a group out that was found lost, whatever its head says; its requests go elsewhere. */
     markLost(epoch: number): boolean {
-        const isNew = !this.lostEpochs.has(epoch);
-        this.lostEpochs.add(epoch);
+        const isNew = !this.isLost(epoch);
+        this.lostEpochs.set(epoch, this.options.clock.monotonicMs());
         return isNew;
     }
 
     /** True if the group was found lost. */
     isLost(epoch: number): boolean {
-        return this.lostEpochs.has(epoch);
+        const lostAtMs = this.lostEpochs.get(epoch) ?? -Infinity;
+        return this.options.clock.monotonicMs() - lostAtMs < LOST_MS;
     }
 
     /** Groups of a service that take requests for a model. */
@@ -74,6 +84,6 @@
     private isUsable(head: Upstream): boolean {
         const { group } = head;
         return group !== undefined && group.rank === 0 && head.state === "ready"
-            && !this.lostEpochs.has(group.epoch) && !this.options.isEvacuated(head.zone);
+            && !this.isLost(group.epoch) && !this.options.isEvacuated(head.zone);
     }
 }
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -82,6 +82,22 @@
         rig.stopController();
     });
 
+    it("does not take the first moments of a cut for the loss of everything behind it", async () => {
+        const rig = await formedRig();
+        const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
+        const cutAtMs = rig.clock.monotonicMs();
+        rig.gatewaysHeardAtMs = () => cutAtMs;
+        const ids = [...rig.directory.all()].map(upstream => upstream.id);
+        ids.forEach(id => rig.fleet.darken(id, 1e9));
+        await rig.run(1200);
+        ids.forEach(id => rig.fleet.lighten(id));
+        rig.gatewaysHeardAtMs = () => rig.clock.monotonicMs();
+        await rig.run(2000);
+        expect(rig.lost).to.deep.equal([]);
+        expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
+        rig.stopController();
+    });
+
     it("forms a group anew that was found lost and is back", async () => {
         const rig = await formedRig();
         const before = rig.fleet.openHeads().map(item => item.group?.epoch ?? 0);
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -74,6 +74,20 @@
             expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
         });
 
+        it("uses a group again that was found lost and still serves after a while", async () => {
+            rig.groups.markLost(1);
+            rig.groups.markLost(2);
+            const refused = rig.send();
+            await rig.clock.settle();
+            expect(refused.refusal?.kind).to.equal("not-run");
+            await rig.clock.advance(8001);
+            rig.client.script(() => answers.stream(1, 1));
+            const served = rig.send();
+            await rig.clock.settle();
+            expect(served.ending).to.equal("complete");
+            expect(served.refusal).to.equal(undefined);
+        });
+
         it("does not count a sending that was reset before the engine could have worked on it", async () => {
             rig.client.script(
                 () => UNKNOWN,
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -18,6 +18,8 @@
 /** Requests that each open group always has in flight, so that its silence shows. */
 const IN_FLIGHT = 5;
 const STEP_MS = 100;
+/** A zone is in sight while a gateway there was heard within this time. */
+const IN_SIGHT_MS = 650;
 
 /** A fleet of simulated upstreams under one or more controllers. */
 export class FleetRig {
@@ -28,6 +30,8 @@
     readonly fleet = SimulatedUpstreams.create(this.clock, exampleEngine, this.directory);
     readonly lost: number[] = [];
     isViewFresh = true;
+    /** When gateways of other zones were last heard. */
+    gatewaysHeardAtMs: () => number = () => this.clock.monotonicMs();
     readonly zonesOutOfSight = new Set<string>();
     private readonly loads = LoadBook.create(this.clock);
     private readonly configuration = ConfigurationHolder.create(this.log);
@@ -89,7 +93,9 @@
             throttle,
             standby: StandbyPool.create({ clock, log, orders, throttle, hasTraffic: () => hasTraffic }),
             groupStallMs: 4000,
-            isZoneInSight: zone => !this.zonesOutOfSight.has(zone),
+            isZoneInSight: (zone, sinceMs = -Infinity) =>
+                !this.zonesOutOfSight.has(zone)
+                && this.gatewaysHeardAtMs() >= Math.max(sinceMs, this.clock.monotonicMs() - IN_SIGHT_MS),
             announceLost: epoch => this.lost.push(epoch),
             isLost: epoch => this.lost.includes(epoch),
             isViewFresh: () => this.isViewFresh,
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -43,6 +43,7 @@
     readonly loads = LoadBook.create(this.clock);
     readonly evacuated = new Set<string>();
     readonly configuration = ConfigurationHolder.create(this.log);
+    readonly groups: GroupDirectory;
     private readonly forwarder: RequestForwarder;
     private readonly stop = new AbortController();
 
@@ -51,7 +52,7 @@
         const random = SeededRandom.create(1);
         const failures = FailureMemory.create(clock);
         const isEvacuated = (zone: string) => this.evacuated.has(zone);
-        const groups = GroupDirectory.create({ upstreams: this.directory, loads, failures, isEvacuated });
+        this.groups = GroupDirectory.create({ clock, upstreams: this.directory, loads, failures, isEvacuated });
         const queue = AdmissionQueue.create({ clock, random });
         const guard = SilenceGuard.create(clock);
         const gatewayCount = () => 1;
@@ -77,7 +78,7 @@
             metrics: noMetrics,
             configuration: this.configuration,
             retries,
-            streams: StreamDispatcher.create({ ...shared, groups }),
+            streams: StreamDispatcher.create({ ...shared, groups: this.groups }),
             plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated }),
         });
         void queue.run(this.stop.signal);
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -71,6 +71,11 @@
         void this.clock.sleep(entryGoneAfterMs).then(() => this.directory.remove(id, "silent"));
     }
 
+    /** The VM answers again, as it was. */
+    lighten(id: string): void {
+        this.vm(id).isDark = false;
+    }
+
     /** The VM works slowly from now on. */
     slowDown(id: string, factor: number): void {
         this.vm(id).slowdown = factor;
