Count every sending that an engine has begun to answer against the route's attempts

Counted are now all sendings that had an event, or that lasted longer than the shortest pass at a group not found lost.

The test that asked for sendings beyond the route's attempts was wrong about the rule; three stricter ones replace it (within the attempts, no more than the attempts, not counted without an event). A caller whose stream is broken off may resume it by itself.

--- a/packages/gateway/src/forwarding/AttemptResult.ts
+++ b/packages/gateway/src/forwarding/AttemptResult.ts
@@ -8,7 +8,7 @@
     | { kind: "failure-answer"; head: AnswerHead; body: Buffer; }
     /** The upstream did not run it. */
     | { kind: "not-run"; reason: string; }
-    /** It ended early or without an answer; it may have run. `isUpstreamLost`: its upstream is gone. */
-    | { kind: "broken"; reason: string; isUpstreamLost: boolean; }
+    /** It ended early or without an answer; it may have run. */
+    | { kind: "broken"; reason: string; }
     /** The caller or the time has gone. */
     | { kind: "stopped"; };
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -182,13 +182,12 @@
                 return {
                     kind: "broken",
                     reason: silent.signal.aborted ? "no answer in time" : reason,
-                    isUpstreamLost: false,
                 };
             }
             const { status } = answer.head;
             failures.note(upstream.id, status >= 500);
             if (status >= 200 && status < 300 && !answer.isSigned) {
-                return { kind: "broken", reason: "the answer bears no signature", isUpstreamLost: false };
+                return { kind: "broken", reason: "the answer bears no signature" };
             }
             if (status >= 500) {
                 return { kind: "failure-answer", head: answer.head, body: body.bytes };
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -43,15 +43,15 @@
     firstEventMs: number;
     open: OpenCall;
     lost: AbortController;
-    /** It ended without an event before the engine could have finished a pass, so that it did not run. */
-    wasTooShort?: boolean;
+    /** The sending had no event, and ended before the engine could have finished a pass or because its group was lost. */
+    hasNotBegun?: boolean;
 }
 
 /** How far a stream has come. */
 interface StreamProgress {
     lastEventId?: string;
     hasEvents: boolean;
-    /** Sendings that may have run at an upstream that is not known to be lost. */
+    /** Sendings that an engine has begun to answer, or may have. */
     countedRuns: number;
     mayHaveRun: boolean;
     wasOffered: boolean;
@@ -185,7 +185,7 @@
                 failures.note(head.id, true);
                 return body.kind === "whole" && answer.head.status >= 300
                     ? { kind: "failure-answer", head: answer.head, body: body.bytes }
-                    : { kind: "broken", reason: "unusable answer", isUpstreamLost: false };
+                    : { kind: "broken", reason: "unusable answer" };
             }
             const framer = EventFramer.create();
             for await (const part of answer.body) {
@@ -219,7 +219,8 @@
         }
         finally {
             guarded.end();
-            place.wasTooShort = !hasEvents && clock.monotonicMs() - sentAtMs < SHORTEST_RUN_MS;
+            const wasTooShort = clock.monotonicMs() - sentAtMs < SHORTEST_RUN_MS;
+            place.hasNotBegun = !hasEvents && (wasTooShort || place.lost.signal.aborted);
             place.open.end();
             this.options.queue.pump();
         }
@@ -229,10 +230,7 @@
         if (call.reply.gone.aborted || call.deadline.aborted) {
             return { kind: "stopped" };
         }
-        const { silentMs } = this.options.loads.figures(String(place.candidate.epoch));
-        // A group that is silent for all its requests has lost a member, whether or not that is confirmed yet.
-        const isLost = place.lost.signal.aborted || (silent.aborted && silentMs >= PAUSE_LIMIT_MS);
-        if (!isLost) {
+        if (!place.lost.signal.aborted) {
             this.options.failures.note(place.candidate.head.id, true);
         }
         const cause = place.lost.signal.aborted
@@ -240,7 +238,7 @@
             : silent.aborted
             ? "silent for too long"
             : reason;
-        return { kind: "broken", reason: cause, isUpstreamLost: isLost };
+        return { kind: "broken", reason: cause };
     }
 
     /** Decides what follows an attempt; true: the request has its final answer. */
@@ -265,8 +263,7 @@
         }
         else {
             progress.mayHaveRun = true;
-            const isLost = result.kind === "broken" && result.isUpstreamLost;
-            progress.countedRuns += isLost || place.wasTooShort ? 0 : 1;
+            progress.countedRuns += place.hasNotBegun ? 0 : 1;
         }
         const isRepeatable = call.route.isResumable || result.kind === "not-run";
         const hasTries = progress.countedRuns < call.route.maxAttempts && progress.rejections < MAX_REJECTIONS;
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -58,20 +58,41 @@
             expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3, 4, 5, 6], "complete"]);
         });
 
-        it("goes on elsewhere at once when its group is found lost, beyond the route's attempts", async () => {
-            rig.client.script(
-                (_, signal) => answers.silentStream(1, 1, signal),
-                (_, signal) => answers.silentStream(2, 2, signal),
-                () => answers.stream(3, 4),
-            );
-            const reply = rig.send();
-            for (let times = 0; times < 2; times++) {
+        async function loseGroupsInTurn(reply: RecordedReply, times: number): Promise<number[]> {
+            for (let time = 0; time < times; time++) {
                 await rig.clock.settle();
                 const { upstream } = rig.client.sent.at(-1)!;
                 rig.loads.abandon(upstream === "g1" ? "1" : "2", "lost");
             }
             await rig.clock.settle();
-            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+            return idsOf(reply);
+        }
+
+        it("goes on elsewhere at once when its group is found lost, within the route's attempts", async () => {
+            rig.client.script((_, signal) => answers.silentStream(1, 1, signal), () => answers.stream(2, 3));
+            const reply = rig.send();
+            expect(await loseGroupsInTurn(reply, 1)).to.deep.equal([1, 2, 3]);
+            expect(reply.ending).to.equal("complete");
+        });
+
+        it("sends no more often than the route's attempts when groups are lost that had begun to answer", async () => {
+            rig.client.script(
+                (_, signal) => answers.silentStream(1, 1, signal),
+                (_, signal) => answers.silentStream(2, 2, signal),
+            );
+            const reply = rig.send();
+            expect(await loseGroupsInTurn(reply, 2)).to.deep.equal([1, 2]);
+            expect(reply.ending).to.equal("broken-off");
+            expect(rig.client.sent.length).to.equal(2);
+        });
+
+        it("does not count groups that are lost before they have begun to answer", async () => {
+            const untilAborted = (_: unknown, signal: AbortSignal) =>
+                new Promise<UpstreamAnswer>(resolve => signal.addEventListener("abort", () => resolve(UNKNOWN)));
+            rig.client.script(untilAborted, untilAborted, () => answers.stream(1, 2));
+            const reply = rig.send();
+            expect(await loseGroupsInTurn(reply, 2)).to.deep.equal([1, 2]);
+            expect(reply.ending).to.equal("complete");
         });
 
         it("uses a group again that was found lost and still serves after a while", async () => {
