--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,5 +1,6 @@
 import { PeerServer } from "@fescuehaven/daemon";
 import type { ObjectChange, StoredObject } from "@fescuehaven/platform";
+import { setMaxListeners } from "node:events";
 import { ConfigurationHolder } from "./ConfigurationHolder.js";
 import { ControllerLease } from "./fleet/ControllerLease.js";
 import { FleetController } from "./fleet/FleetController.js";
@@ -39,6 +40,8 @@
  * the time in which a change has to be in force after a connection was lost.
  */
 const URGENT_WATCH_MS = 2200;
+/** The same at a hub, ms: its followers notice a lost connection only after it has. */
+const HUB_WATCH_MS = 1500;
 /** Longest wait of a watch for the gateways' own objects, ms; peers notice most changes on their own. */
 const OWN_WATCH_MS = 8000;
 /**
@@ -73,7 +76,7 @@
     private readonly hubStore: HubObjectStore;
     private readonly watches: StoreWatch[];
     private readonly upstreamWatch: StoreWatch;
-    private readonly stop = new AbortController();
+    private readonly stop = stopOfManyTasks();
     private readonly exchange: PeerExchange;
     private hasTraffic = false;
     private isLeaving = false;
@@ -165,14 +168,16 @@
             retries,
             upstreams: this.upstreams,
             groups: this.groups,
-            configurationVersion: () => this.configuration.current?.version ?? 0,
-            isLeaving: () => this.isLeaving,
             onTraffic: () => {
                 this.hasTraffic = true;
             },
             flush: () => this.feed.flush(),
         });
-        this.feed = PeerFeed.create({ clock, snapshot: observer => this.exchange.stateFor(observer) });
+        this.feed = PeerFeed.create({
+            clock,
+            snapshot: observer => this.exchange.stateFor(observer),
+            pauseMs: observer => this.exchange.updatePauseMs(observer),
+        });
         this.server = PeerServer.create({
             host: settings.host,
             port: settings.peerPort,
@@ -237,6 +242,7 @@
         this.watches.forEach(watch => void watch.run(signal));
         void this.queue.run(signal);
         void this.guard.run(signal);
+        void this.feed.run(signal);
         void this.lease.run(signal);
         void this.controller.run(signal);
         void this.registration.run(signal);
@@ -252,7 +258,6 @@
     /** Takes no new callers, and hands the control over. Requests go on. */
     async leave(): Promise<void> {
         this.isLeaving = true;
-        this.feed.flush();
         await this.lease.release();
     }
 
@@ -275,13 +280,13 @@
 
     private watch(
         kind: string,
-        waitMs: number,
+        waitMs: () => number,
         pauseMs: () => number,
         onListing: (objects: readonly StoredObject[], isAfterOutage: boolean) => void,
         onChange: (change: ObjectChange) => void,
     ): StoreWatch {
         const { clock, random, log, metrics } = this.ports;
-        const cache: ViewCache = ViewCache.create(clock, () => watch.isInTouch);
+        const cache: ViewCache = ViewCache.create(clock, () => watch.isAnswering);
         this.caches.set(kind, cache);
         const watch: StoreWatch = StoreWatch.create({
             store: this.hubStore,
@@ -301,6 +306,7 @@
                 onChange(change);
             },
             onRevision: revision => cache.advance(revision),
+            onFailure: () => cache.interrupt(),
         });
         return watch;
     }
@@ -321,7 +327,7 @@
         };
         return this.watch(
             kind,
-            URGENT_WATCH_MS,
+            () => this.urgentWatchMs(),
             () => OTHER_PAUSE_MS,
             objects => objects.forEach(take),
             change => change.kind === "written" && take(change.object),
@@ -332,7 +338,7 @@
         const { kind } = this.ports.objects.upstreams;
         return this.watch(
             kind,
-            URGENT_WATCH_MS,
+            () => this.urgentWatchMs(),
             () => this.upstreamPauseMs(),
             (objects, isAfterOutage) => {
                 const decoded = objects.map(object => this.decodeUpstream(object)).filter(item => item !== undefined);
@@ -353,6 +359,10 @@
         );
     }
 
+    private urgentWatchMs(): number {
+        return this.links.isSpeaker ? HUB_WATCH_MS : URGENT_WATCH_MS;
+    }
+
     private upstreamPauseMs(): number {
         if (this.lease.isController) {
             return CONTROLLER_PAUSE_MS;
@@ -387,7 +397,7 @@
         };
         return this.watch(
             kind,
-            URGENT_WATCH_MS,
+            () => this.urgentWatchMs(),
             () => OTHER_PAUSE_MS,
             objects => {
                 const listed = new Set(objects.map(object => object.name));
@@ -401,7 +411,7 @@
     private watchLease(): StoreWatch {
         return this.watch(
             ControllerLease.kind,
-            OWN_WATCH_MS,
+            () => OWN_WATCH_MS,
             () => OTHER_PAUSE_MS,
             objects => {
                 objects.forEach(object => this.lease.observe(object));
@@ -420,10 +430,17 @@
         };
         return this.watch(
             REGISTRATION_KIND,
-            OWN_WATCH_MS,
+            () => OWN_WATCH_MS,
             () => OTHER_PAUSE_MS,
             objects => objects.forEach(put),
             change => change.kind === "written" ? put(change.object) : this.links.remove(change.object.name),
         );
     }
 }
+
+/** Every task listens, which is no leak. */
+function stopOfManyTasks(): AbortController {
+    const stop = new AbortController();
+    setMaxListeners(0, stop.signal);
+    return stop;
+}
--- a/packages/gateway/src/StoreWatch.ts
+++ b/packages/gateway/src/StoreWatch.ts
@@ -13,7 +13,7 @@
     log: DecisionLog;
     metrics: GatewayMetrics;
     /** Longest wait of one watch, ms. It bounds how long a connection that went silent goes unnoticed. */
-    waitMs: number;
+    waitMs: () => number;
     /** Pause before a watch is renewed, ms, so that changes gather into one answer. */
     pauseMs: () => number;
     /** Takes all objects of the kind; `isAfterOutage`: objects may be missing that come back at once. */
@@ -21,6 +21,8 @@
     onChange: (change: ObjectChange) => void;
     /** The view now reflects this revision of the store. */
     onRevision?: (revision: Revision) => void;
+    /** A call to the store has failed. */
+    onFailure?: () => void;
 }
 
 /** Waits after failures, ms: the first well under the shortest bound on a change, the longest under a second. */
@@ -50,6 +52,11 @@
         return this.cursor !== undefined && this.failures < FAILURES_TO_LOST;
     }
 
+    /** True if the store answered the last call. */
+    get isAnswering(): boolean {
+        return this.cursor !== undefined && this.failures === 0;
+    }
+
     /** Time since the store last answered, ms. */
     get ageMs(): number {
         return this.options.clock.monotonicMs() - this.heardAtMs;
@@ -86,7 +93,7 @@
     }
 
     private async watch(cursor: Revision, signal: AbortSignal): Promise<number> {
-        const outcome = await this.options.store.watch([this.options.kind], cursor, this.options.waitMs, signal);
+        const outcome = await this.options.store.watch([this.options.kind], cursor, this.options.waitMs(), signal);
         return this.handlers[outcome.kind](outcome as never);
     }
 
@@ -109,6 +116,7 @@
     private fail(retryAfterMs: number, call: string): number {
         this.failures += 1;
         this.options.metrics.count("storeFailures", `${call} ${this.options.kind}`);
+        this.options.onFailure?.();
         if (this.failures === FAILURES_TO_LOST) {
             this.options.log.warn("store lost; going on with the last view", {
                 kind: this.options.kind,
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -54,14 +54,19 @@
         this.changed();
     }
 
-    /** Takes the word of the controller that a group has opened, which may be here before the head's own. */
-    noteOpen({ head, name, epoch, model }: OpenGroup): void {
+    /**
+     * Takes the word of the controller that a group has opened, which may be here before the head's own. False: it was
+     * known.
+     */
+    noteOpen({ head, name, epoch, model }: OpenGroup): boolean {
         const known = this.upstreams.get(head);
         const knownEpoch = known?.group?.epoch ?? 0;
         const isForming = known?.group?.phase === "joining" || known?.group?.phase === "ready";
-        if (known && (knownEpoch < epoch || (knownEpoch === epoch && isForming))) {
+        const isNews = known !== undefined && (knownEpoch < epoch || (knownEpoch === epoch && isForming));
+        if (isNews) {
             this.put({ ...known, model, group: { name, epoch, rank: 0, phase: "open" } });
         }
+        return isNews;
     }
 
     /** Takes an upstream out whose entry was removed. */
--- a/packages/gateway/src/ViewCache.ts
+++ b/packages/gateway/src/ViewCache.ts
@@ -21,11 +21,11 @@
     private forgotten: Revision = 0;
     private waiters = new Set<() => void>();
 
-    private constructor(private readonly clock: Clock, private readonly isInTouch: () => boolean) {}
+    private constructor(private readonly clock: Clock, private readonly isAnswering: () => boolean) {}
 
-    /** Creates an empty cache; it answers while `isInTouch`. */
-    static create(clock: Clock, isInTouch: () => boolean): ViewCache {
-        return new ViewCache(clock, isInTouch);
+    /** Creates an empty cache; it answers while the store does, so that followers ask the store in time. */
+    static create(clock: Clock, isAnswering: () => boolean): ViewCache {
+        return new ViewCache(clock, isAnswering);
     }
 
     /** Takes a listing of all objects. */
@@ -62,9 +62,14 @@
         this.waiters.forEach(wake => wake());
     }
 
+    /** The store has failed to answer: followers are told at once. */
+    interrupt(): void {
+        this.waiters.forEach(wake => wake());
+    }
+
     /** All objects. */
     list(): ListOutcome {
-        return this.revision === undefined || !this.isInTouch()
+        return this.revision === undefined || !this.isAnswering()
             ? UNAVAILABLE
             : { kind: "listed", objects: [...this.objects.values()], revision: this.revision };
     }
@@ -73,7 +78,7 @@
     async watch(after: Revision, waitMs: number, signal: AbortSignal): Promise<WatchOutcome> {
         const deadlineMs = this.clock.monotonicMs() + waitMs;
         for (;;) {
-            if (this.revision === undefined || !this.isInTouch()) {
+            if (this.revision === undefined || !this.isAnswering()) {
                 return UNAVAILABLE;
             }
             if (after < this.forgotten) {
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -180,12 +180,11 @@
     }
 
     private hasExpired(nowMs: number): boolean {
-        const rankMs = this.options.candidateRank() * RANK_STEP_MS;
         if (!this.lease) {
-            return nowMs - this.changedAtMs >= FIRST_WAIT_MS + rankMs;
+            return this.isTurn(nowMs, FIRST_WAIT_MS);
         }
         if (this.lease.vm === "") {
-            return nowMs - this.changedAtMs >= rankMs;
+            return this.isTurn(nowMs, 0);
         }
         if (this.lease.vm === this.options.vm && !this.isOwn) {
             // Held by an earlier run of this process, which is gone for certain.
@@ -196,7 +195,13 @@
         }
         // A change of the lease within the last moments is a holder that peers are yet to hear.
         const graceMs = this.options.isHeardByNobody() ? PEER_WORD_MS : EXPIRE_MS;
-        return nowMs - this.changedAtMs >= graceMs + rankMs;
+        return this.isTurn(nowMs, graceMs);
+    }
+
+    /** True if the lease has not changed for `waitMs`, and for longer the more candidates come before this gateway. */
+    private isTurn(nowMs: number, waitMs: number): boolean {
+        const sinceMs = nowMs - this.changedAtMs;
+        return sinceMs >= waitMs && sinceMs >= waitMs + this.options.candidateRank() * RANK_STEP_MS;
     }
 
     private async write(lease: z.infer<typeof leaseSchema>): Promise<void> {
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -64,6 +64,8 @@
 
 /** Pause between two turns, ms: short against the 200 ms of a warm join. */
 const TICK_MS = 40;
+/** Pause between two looks at the lease while another gateway is the controller, ms: that of the lease's own. */
+const STANDBY_TICK_MS = 100;
 /** No upstream has registered for this long: the fleet is as complete as it gets, ms; a few heartbeats. */
 const SETTLED_AFTER_MS = 1200;
 /** Silence of a group, as all gateways see it, after which its members are asked, ms: above most passes. */
@@ -138,7 +140,7 @@
             else if (this.term !== 0) {
                 this.stepDown();
             }
-            await clock.sleep(TICK_MS, signal);
+            await clock.sleep(lease.isController ? TICK_MS : STANDBY_TICK_MS, signal);
         }
     }
 
--- a/packages/gateway/src/forwarding/SilenceGuard.ts
+++ b/packages/gateway/src/forwarding/SilenceGuard.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@fescuehaven/runtime";
+import { WorkGate } from "../util/WorkGate.js";
 
 /** One exchange that must not fall silent. */
 interface GuardedExchange {
@@ -20,6 +21,7 @@
 /** Notices exchanges in which nothing has come for too long. */
 export class SilenceGuard {
     private readonly entries = new Set<Entry>();
+    private readonly gate = WorkGate.create();
 
     private constructor(private readonly clock: Clock) {}
 
@@ -32,6 +34,7 @@
     watch(limitMs: number, onSilence: () => void): GuardedExchange {
         const entry: Entry = { untilMs: this.clock.monotonicMs() + limitMs, onSilence };
         this.entries.add(entry);
+        this.gate.open();
         return {
             touch: nextLimitMs => {
                 entry.untilMs = this.clock.monotonicMs() + nextLimitMs;
@@ -45,6 +48,9 @@
     /** Sweeps until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
+            if (this.entries.size === 0) {
+                await this.gate.rest(signal);
+            }
             await this.clock.sleep(SWEEP_MS, signal);
             const nowMs = this.clock.monotonicMs();
             for (const entry of [...this.entries]) {
--- a/packages/gateway/src/peers/HubObjectStore.ts
+++ b/packages/gateway/src/peers/HubObjectStore.ts
@@ -28,6 +28,8 @@
 const LIST_TIMEOUT_MS = 1000;
 /** Time beyond a watch's own wait after which the hub is left, ms. */
 const WATCH_GRACE_MS = 300;
+/** Longest wait of a watch at a hub, ms. That the hub has fallen silent is noticed by its updates, which never pause. */
+const HUB_WATCH_MS = 6000;
 
 /** The platform's store, read through a hub while there is one in touch and directly otherwise. */
 export class HubObjectStore implements ObjectStore {
@@ -76,9 +78,9 @@
     ): Promise<WatchOutcome> {
         const hub = this.options.hub();
         const [kind = ""] = kinds;
-        const limit = AbortSignal.any([signal, AbortSignal.timeout(waitMs + WATCH_GRACE_MS)]);
+        const limit = AbortSignal.any([signal, AbortSignal.timeout(HUB_WATCH_MS + WATCH_GRACE_MS)]);
         const seen = hub && await this.ask(hub, limit, async (client, any): Promise<WatchOutcome | undefined> => {
-            const answer = await client.watchObjects({ kind, after, waitMs }, { signal: any });
+            const answer = await client.watchObjects({ kind, after, waitMs: HUB_WATCH_MS }, { signal: any });
             if (!answer.isAvailable) {
                 return undefined;
             }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -3,7 +3,9 @@
 import type { FleetController } from "../fleet/FleetController.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadBook } from "../placement/LoadBook.js";
+import type { LoadFigures } from "../placement/LoadFigures.js";
 import type { RetryAllowance } from "../placement/RetryAllowance.js";
+import type { RetryCounts } from "../placement/RetryCounts.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { UpstreamDirectory } from "../UpstreamDirectory.js";
 import type { PeerLinks } from "./PeerLinks.js";
@@ -23,14 +25,29 @@
     retries: RetryAllowance;
     upstreams: UpstreamDirectory;
     groups: GroupDirectory;
-    configurationVersion: () => number;
-    isLeaving: () => boolean;
     /** A peer has requests in flight. */
     onTraffic: () => void;
     /** Sends news without waiting for the next turn. */
     flush: () => void;
 }
 
+/** Whose load a peer is told: only this gateway's, that of its zone, or all that it knows. */
+type Audience = "own part" | "zone" | "everything";
+
+interface ToldLoad {
+    atMs: number;
+    loads: Array<[string, LoadFigures]>;
+    retries: ReadonlyArray<readonly [string, RetryCounts]>;
+}
+
+/** Pause between two updates while there is something to tell, ms: short against the time of a request. */
+const UPDATE_MS = 100;
+/** The same from a zone's speaker to its zone, ms: each turn costs a message to every gateway of the zone. */
+const TO_MEMBERS_MS = 200;
+/** The same to hubs that only stand by, ms: they need no more than signs of life. */
+const TO_STANDBY_MS = 400;
+/** Load that was worked out within this time is told again, ms: a small part of the pause between updates. */
+const SAME_TURN_MS = 25;
 /** A lost group is announced for this long, ms: a link that broke is back within a few seconds. */
 const ANNOUNCED_MS = 5000;
 /** Hops over which the controller is still heard: member, hub, hub, member. */
@@ -44,6 +61,7 @@
     private readonly peerStates = new Map<string, PeerState>();
     /** Groups that this controller found lost, and when, monotonic ms. */
     private readonly lostEpochs = new Map<number, number>();
+    private readonly told = new Map<Audience, ToldLoad>();
 
     private constructor(private readonly options: PeerExchangeOptions) {}
 
@@ -59,26 +77,58 @@
 
     /** What a peer is told: a hub speaks for its zone, and to its zone for all others. */
     stateFor(observer: string): PeerState {
-        const isMember = (peer: string) => this.options.links.zoneOf(peer) === this.options.zone;
-        const isToOwnZone = isMember(observer);
-        const speaksForOthers = this.options.links.hasHubs && this.options.links.isHub;
-        const isToHub = isToOwnZone && this.options.links.names().includes(observer) && this.isOtherHub(observer);
-        const isIncluded = (peer: string) =>
-            speaksForOthers && !isToHub && peer !== observer && (isToOwnZone || isMember(peer));
+        const { loads, retries } = this.loadFor(observer);
         const fleet = this.options.lease.isController
             ? { lostEpochs: [...this.lostEpochs.keys()], openGroups: this.options.controller.recentlyOpened() }
             : this.relayedFleet();
         return {
             term: this.options.lease.term,
             controllerDistance: this.options.lease.isController ? 0 : Math.min(this.distance + 1, UNREACHABLE),
-            configurationVersion: this.options.configurationVersion(),
-            loads: this.options.loads.places(isIncluded).filter(([place]) => isEpoch(place)),
-            retries: this.options.retries.counts(isIncluded),
+            loads,
+            retries,
             ...fleet,
-            isLeaving: this.options.isLeaving(),
         };
     }
 
+    /** Load and retries as a peer is told of them. */
+    private loadFor(observer: string): ToldLoad {
+        const { links, zone, loads, retries } = this.options;
+        if (!links.isSpeaker) {
+            return this.toldTo("own part");
+        }
+        if (links.zoneOf(observer) !== zone) {
+            return this.toldTo("zone");
+        }
+        const told = this.toldTo("everything");
+        return {
+            ...told,
+            loads: loads.withoutPeer(told.loads, observer),
+            retries: retries.withoutPeer(told.retries, observer),
+        };
+    }
+
+    /** What an audience is told, worked out once for all of it. */
+    private toldTo(audience: Audience): ToldLoad {
+        const { clock, links, zone, loads, retries } = this.options;
+        const known = this.told.get(audience);
+        const nowMs = clock.monotonicMs();
+        if (known && nowMs - known.atMs < SAME_TURN_MS) {
+            return known;
+        }
+        const includes: Record<Audience, (peer: string) => boolean> = {
+            "own part": () => false,
+            zone: peer => links.zoneOf(peer) === zone,
+            everything: () => true,
+        };
+        const told: ToldLoad = {
+            atMs: nowMs,
+            loads: loads.places(includes[audience]).filter(([place]) => isEpoch(place)),
+            retries: retries.counts(includes[audience]),
+        };
+        this.told.set(audience, told);
+        return told;
+    }
+
     /** Takes what a peer tells. */
     take(peer: string, state: PeerState): void {
         this.options.lease.observeTerm(state.term);
@@ -95,8 +145,12 @@
             this.options.onTraffic();
         }
         if (state.controllerDistance <= MAX_DISTANCE && state.term >= this.options.lease.term) {
-            state.openGroups.forEach(group => this.options.upstreams.noteOpen(group));
-            state.lostEpochs.forEach(epoch => this.loseGroup(epoch, `${peer} told that the group is lost`));
+            const hasOpened = state.openGroups.map(group => this.options.upstreams.noteOpen(group)).includes(true);
+            const hasLost = state.lostEpochs
+                .map(epoch => this.loseGroup(epoch, `${peer} told that the group is lost`)).includes(true);
+            if ((hasOpened || hasLost) && this.options.links.isHub) {
+                this.options.flush();
+            }
         }
     }
 
@@ -107,20 +161,29 @@
         this.peerStates.delete(peer);
     }
 
-    /** True unless another hub of the peer's zone speaks for it. */
+    /** True unless another gateway speaks for the peer, or the peer's load comes through this zone's speaker. */
     private speaksToMe(peer: string): boolean {
-        if (!this.options.links.hasHubs) {
+        const { links, zone } = this.options;
+        if (!links.hasHubs) {
             return true;
         }
-        const peerZone = this.options.links.zoneOf(peer) ?? "";
-        const isOwnMember = peerZone === this.options.zone && this.options.links.isHub;
-        return isOwnMember || this.options.links.hubOf(peerZone) === peer;
+        const peerZone = links.zoneOf(peer) ?? "";
+        return links.isSpeaker
+            ? peerZone === zone || links.hubOf(peerZone) === peer
+            : links.hubOf(zone) === peer;
     }
 
-    private isOtherHub(peer: string): boolean {
-        return this.options.links.isHub && this.options.links.hubOf(this.options.zone) !== undefined
-            && [this.options.links.hubOf(this.options.zone), this.options.links.secondHubOf(this.options.zone)]
-                .includes(peer);
+    /** Pause between two updates to a peer while there is something to tell, ms. */
+    updatePauseMs(observer: string): number {
+        const { links, zone } = this.options;
+        if (!links.hasHubs) {
+            return UPDATE_MS;
+        }
+        const observerZone = links.zoneOf(observer) ?? "";
+        if (links.isSpeaker && observerZone === zone) {
+            return TO_MEMBERS_MS;
+        }
+        return links.hubOf(observerZone) === observer ? UPDATE_MS : TO_STANDBY_MS;
     }
 
     /** Hops from the nearest peer in touch to the controller of the highest term. */
@@ -157,11 +220,14 @@
         this.options.flush();
     }
 
-    private loseGroup(epoch: number, reason: string): void {
-        if (this.options.groups.markLost(epoch)) {
+    /** Leaves a lost group and moves its requests; false: that was done before. */
+    private loseGroup(epoch: number, reason: string): boolean {
+        const isNew = this.options.groups.markLost(epoch);
+        if (isNew) {
             const moved = this.options.loads.abandon(String(epoch), reason);
             this.options.log.info("group lost", { epoch, reason, requests: moved });
         }
+        return isNew;
     }
 
     /** Forgets announcements that everybody has had time to hear. */
--- a/packages/gateway/src/peers/PeerFeed.ts
+++ b/packages/gateway/src/peers/PeerFeed.ts
@@ -2,6 +2,7 @@
 import type { ConnectRouter, HandlerContext } from "@connectrpc/connect";
 import { GatewayService, type GatewayUpdate, GatewayUpdateSchema } from "@fescuehaven/protocol";
 import type { Clock } from "@fescuehaven/runtime";
+import { WorkGate } from "../util/WorkGate.js";
 import type { PeerState } from "./PeerState.js";
 
 /** What a `PeerFeed` is made of. */
@@ -9,20 +10,33 @@
     clock: Clock;
     /** What to tell a peer. */
     snapshot: (observer: string) => PeerState;
+    /** Pause between two updates to a peer while there is something to tell, ms. */
+    pauseMs: (observer: string) => number;
 }
 
-/** Pause between two updates while there is something to tell, ms: short against the time of a request. */
-const UPDATE_MS = 100;
+/** A peer that follows this gateway. */
+interface Follower {
+    gate: WorkGate;
+    /** It is told at once, whatever its pause. */
+    isUrgent: boolean;
+}
+
+/** Pause between two turns, ms: the shortest of the followers'. */
+const TURN_MS = 100;
+/** An update is sent this much before its pause is over rather than a turn later, ms. */
+const EARLY_MS = 20;
 /** Longest pause between two updates, ms: peers count a sender as silent after several. */
 const HEARTBEAT_MS = 400;
 
-/** Streams this gateway's state to its peers. */
+/** Streams this gateway's state to its peers. All of them are told in one turn, so that the process wakes up once. */
 export class PeerFeed {
-    private readonly urgent = new Set<() => void>();
+    /** One for each peer that follows. */
+    private readonly followers = new Set<Follower>();
+    private readonly gate = WorkGate.create();
 
     private constructor(private readonly options: PeerFeedOptions) {}
 
-    /** Creates the feed. */
+    /** Creates the feed; it goes on after the first update while it runs. */
     static create(options: PeerFeedOptions): PeerFeed {
         return new PeerFeed(options);
     }
@@ -36,34 +50,50 @@
 
     /** Sends an update without waiting for the next turn. */
     flush(): void {
-        this.urgent.forEach(wake => wake());
+        this.followers.forEach(follower => {
+            follower.isUrgent = true;
+            follower.gate.open();
+        });
     }
 
-    private async *stream(observer: string, signal: AbortSignal): AsyncGenerator<GatewayUpdate> {
-        let sent = "";
-        let sentAtMs = -Infinity;
+    /** Takes turns until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            const state = this.options.snapshot(observer);
-            const text = JSON.stringify(state);
-            const nowMs = this.options.clock.monotonicMs();
-            if (text !== sent || nowMs - sentAtMs >= HEARTBEAT_MS) {
-                sent = text;
-                sentAtMs = nowMs;
-                yield toUpdate(state);
+            if (this.followers.size === 0) {
+                await this.gate.rest(signal);
             }
-            await this.pause(signal);
+            await this.options.clock.sleep(TURN_MS, signal);
+            this.followers.forEach(follower => follower.gate.open());
         }
     }
 
-    private async pause(signal: AbortSignal): Promise<void> {
-        const woken = new AbortController();
-        const wake = () => woken.abort();
-        this.urgent.add(wake);
-        // A combined signal for each pause would stay registered with the stream's own for as long as that lasts.
-        signal.addEventListener("abort", wake, { once: true });
-        await this.options.clock.sleep(UPDATE_MS, woken.signal);
-        signal.removeEventListener("abort", wake);
-        this.urgent.delete(wake);
+    private async *stream(observer: string, signal: AbortSignal): AsyncGenerator<GatewayUpdate> {
+        const { clock, snapshot, pauseMs } = this.options;
+        const follower: Follower = { gate: WorkGate.create(), isUrgent: true };
+        this.followers.add(follower);
+        this.gate.open();
+        let sent = "";
+        let sentAtMs = -Infinity;
+        try {
+            while (!signal.aborted) {
+                const nowMs = clock.monotonicMs();
+                const sinceMs = nowMs - sentAtMs + EARLY_MS;
+                if (follower.isUrgent || sinceMs >= pauseMs(observer)) {
+                    follower.isUrgent = false;
+                    const state = snapshot(observer);
+                    const text = JSON.stringify(state);
+                    if (text !== sent || sinceMs >= HEARTBEAT_MS) {
+                        sent = text;
+                        sentAtMs = nowMs;
+                        yield toUpdate(state);
+                    }
+                }
+                await follower.gate.rest(signal);
+            }
+        }
+        finally {
+            this.followers.delete(follower);
+        }
     }
 }
 
@@ -72,7 +102,6 @@
         term: state.term,
         openGroups: state.openGroups.map(group => ({ ...group })),
         controllerDistance: state.controllerDistance,
-        configurationVersion: state.configurationVersion,
         loads: state.loads.map(([place, load]) => ({
             epoch: Number(place),
             inFlight: load.inFlight,
@@ -81,6 +110,5 @@
         })),
         retries: state.retries.map(([service, counts]) => ({ service, ...counts })),
         lostEpochs: [...state.lostEpochs],
-        isLeaving: state.isLeaving,
     });
 }
--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -30,6 +30,9 @@
     /** Since when it has been heard without a gap. */
     steadySinceMs: number;
     followedSinceMs: number;
+    /** The dial in progress, or the stream that it led to, and when it began. */
+    attempt: AbortController;
+    dialledAtMs: number;
     /** Aborts when the peer falls silent; a new one when it is heard again. */
     silent: AbortController;
     isLost: boolean;
@@ -52,6 +55,8 @@
     private readonly registered = new Map<string, Registered>();
     private readonly links = new Map<string, Link>();
     private readonly topology: Topology;
+    /** Hubs of each zone as of the last update, the working one first; none in small fleets. */
+    private hubs: ReadonlyMap<string, readonly string[]> = new Map();
 
     private constructor(private readonly options: PeerLinksOptions) {
         this.topology = Topology.create(options.vm, options.zone);
@@ -74,14 +79,21 @@
         this.update();
     }
 
-    /** Follows who is to be followed now, and nobody else. */
+    /** Follows who is to be followed now, and nobody else; leaves streams on which nothing has come for too long. */
     update(): void {
+        const nowMs = this.options.clock.monotonicMs();
         for (const link of this.links.values()) {
-            if (this.options.clock.monotonicMs() - link.heardAtMs > IN_SIGHT_MS) {
+            if (nowMs - link.heardAtMs > IN_SIGHT_MS) {
                 link.silent.abort();
             }
+            if (nowMs - Math.max(link.heardAtMs, link.dialledAtMs) > SILENCE_MS) {
+                link.attempt.abort();
+            }
         }
-        const followed = this.topology.followed(this.members(), vm => this.isSilent(vm));
+        const members = this.members();
+        const isSilent = (vm: string) => this.isSilent(vm);
+        this.hubs = this.topology.hubs(members, isSilent);
+        const followed = this.topology.followed(members, isSilent);
         for (const [vm, link] of [...this.links]) {
             const isSame = this.registered.get(vm)?.address === link.address;
             // One that fell silent is still dialled, so that it is noticed when it is back.
@@ -94,13 +106,14 @@
         for (const vm of followed) {
             const known = this.registered.get(vm);
             if (known && !this.links.has(vm)) {
-                const nowMs = this.options.clock.monotonicMs();
                 const link: Link = {
                     ...known,
                     stop: new AbortController(),
                     heardAtMs: -Infinity,
                     steadySinceMs: -Infinity,
                     followedSinceMs: nowMs,
+                    attempt: new AbortController(),
+                    dialledAtMs: nowMs,
                     silent: new AbortController(),
                     isLost: true,
                 };
@@ -123,12 +136,17 @@
 
     /** True if gateways speak through hubs. */
     get hasHubs(): boolean {
-        return this.topology.hasHubs(this.members());
+        return this.hubs.size > 0;
     }
 
     /** True if this gateway is a hub of its zone. */
     get isHub(): boolean {
-        return this.topology.isHub(this.members(), vm => this.isSilent(vm));
+        return this.hubs.get(this.options.zone)?.includes(this.options.vm) ?? false;
+    }
+
+    /** True if this gateway is the working hub, which speaks for its zone. */
+    get isSpeaker(): boolean {
+        return this.hubOf(this.options.zone) === this.options.vm;
     }
 
     /** Zone of a registered gateway. */
@@ -143,7 +161,7 @@
 
     /** The working hub of a zone. */
     hubOf(zone: string): string | undefined {
-        return this.topology.hubsOf(zone, this.members(), vm => this.isSilent(vm))[0];
+        return this.hubs.get(zone)?.[0];
     }
 
     /** The hub that this gateway follows, if it was heard lately, with a signal that aborts when it falls silent. */
@@ -154,11 +172,6 @@
         return isHeard ? { address: link.address, silent: link.silent.signal } : undefined;
     }
 
-    /** The hub of a zone that takes over from the working one. */
-    secondHubOf(zone: string): string | undefined {
-        return this.topology.hubsOf(zone, this.members(), vm => this.isSilent(vm))[1];
-    }
-
     /** Time since a peer was last heard, ms; Infinity: never. */
     silenceMs(peer: string): number {
         return this.options.clock.monotonicMs() - (this.links.get(peer)?.heardAtMs ?? -Infinity);
@@ -202,27 +215,23 @@
         const { clock, random } = this.options;
         const backoff = Backoff.create({ random, firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS });
         while (!link.stop.signal.aborted) {
-            const attempt = new AbortController();
-            const watchdog = this.abortWhenSilent(link, attempt);
+            link.attempt = new AbortController();
+            link.dialledAtMs = clock.monotonicMs();
             try {
-                await this.receive(peer, link, attempt.signal, () => backoff.reset());
+                await this.receive(peer, link, () => backoff.reset());
                 this.noteLost(peer, link, "the peer ended the stream");
             }
             catch (error) {
                 this.noteLost(peer, link, error instanceof Error ? error.message : String(error));
             }
-            finally {
-                attempt.abort();
-                await watchdog;
-            }
             await clock.sleep(backoff.nextMs(), link.stop.signal);
         }
     }
 
-    private async receive(peer: string, link: Link, signal: AbortSignal, onUpdate: () => void): Promise<void> {
+    private async receive(peer: string, link: Link, onUpdate: () => void): Promise<void> {
         const transport = createGrpcTransport({ baseUrl: `http://${link.address}` });
         const client = createClient(GatewayService, transport);
-        const any = AbortSignal.any([signal, link.stop.signal]);
+        const any = AbortSignal.any([link.attempt.signal, link.stop.signal]);
         for await (const update of client.watchGateway({ observer: this.options.vm }, { signal: any })) {
             const nowMs = this.options.clock.monotonicMs();
             if (link.heardAtMs !== -Infinity && nowMs - link.heardAtMs > SILENCE_MS) {
@@ -241,19 +250,6 @@
         }
     }
 
-    /** Ends an attempt on which nothing has come for too long. */
-    private async abortWhenSilent(link: Link, attempt: AbortController): Promise<void> {
-        const { clock } = this.options;
-        const dialledAtMs = clock.monotonicMs();
-        while (!attempt.signal.aborted && !link.stop.signal.aborted) {
-            await clock.sleep(SILENCE_MS / 4, attempt.signal);
-            if (clock.monotonicMs() - Math.max(link.heardAtMs, dialledAtMs) > SILENCE_MS) {
-                attempt.abort();
-            }
-        }
-        attempt.abort();
-    }
-
     private noteLost(peer: string, link: Link, reason: string): void {
         if (!link.isLost && !link.stop.signal.aborted) {
             link.isLost = true;
@@ -268,12 +264,10 @@
         term: update.term,
         openGroups: update.openGroups.map(({ head, name, epoch, model }) => ({ head, name, epoch, model })),
         controllerDistance: update.controllerDistance,
-        configurationVersion: update.configurationVersion,
         loads: update.loads.map(({ epoch, inFlight, unreadTokens, silentMs }) =>
             [String(epoch), { inFlight, unreadTokens, silentMs }] as const
         ),
         retries: update.retries.map(({ service, requests, retries }) => [service, { requests, retries }] as const),
         lostEpochs: update.lostEpochs,
-        isLeaving: update.isLeaving,
     };
 }
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -9,13 +9,10 @@
     openGroups: readonly OpenGroup[];
     /** Hops from the sender to the controller that it knows of; 0: it is the controller. */
     controllerDistance: number;
-    /** 0: none known. */
-    configurationVersion: number;
     /** Groups, by epoch, with requests in flight of the sender and of those for whom it speaks. */
     loads: ReadonlyArray<readonly [string, LoadFigures]>;
     /** Requests and retries of the sender and of those for whom it speaks, by service. */
     retries: ReadonlyArray<readonly [string, RetryCounts]>;
     /** Groups that the controller found lost. */
     lostEpochs: readonly number[];
-    isLeaving: boolean;
 }
--- a/packages/gateway/src/peers/Topology.ts
+++ b/packages/gateway/src/peers/Topology.ts
@@ -1,3 +1,5 @@
+import { groupBy } from "../util/groupBy.js";
+
 /** A registered gateway. */
 interface Member {
     vm: string;
@@ -37,6 +39,12 @@
         return names.sort().slice(0, HUBS);
     }
 
+    /** The hubs of every zone; none if gateways do not speak through hubs. */
+    hubs(members: readonly Member[], isSilent: (vm: string) => boolean): Map<string, string[]> {
+        const zones = this.hasHubs(members) ? new Set(members.map(member => member.zone)) : [];
+        return new Map([...zones].map(zone => [zone, this.hubsOf(zone, members, isSilent)]));
+    }
+
     /** True if this gateway is a hub of its zone. */
     isHub(members: readonly Member[], isSilent: (vm: string) => boolean): boolean {
         return this.hasHubs(members) && this.hubsOf(this.zone, members, isSilent).includes(this.vm);
@@ -47,7 +55,8 @@
      * there is only one, its loss already leaves the zone's callers without any. Then hubs, then by name.
      */
     candidateRank(members: readonly Member[], isInTouch: (vm: string) => boolean): number {
-        const sizeOf = (zone: string) => members.filter(member => member.zone === zone).length;
+        const sizes = groupBy(members, member => member.zone);
+        const sizeOf = (zone: string) => sizes.get(zone)?.length ?? 0;
         const ownSize = Math.max(1, sizeOf(this.zone));
         const rank = members.filter(({ vm, zone }) =>
             vm !== this.vm && isInTouch(vm)
--- a/packages/gateway/src/placement/AdmissionQueue.ts
+++ b/packages/gateway/src/placement/AdmissionQueue.ts
@@ -1,5 +1,6 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import { RecentTimes } from "../util/RecentTimes.js";
+import { WorkGate } from "../util/WorkGate.js";
 import type { AdmissionOutcome } from "./AdmissionOutcome.js";
 import type { AdmissionRequest } from "./AdmissionRequest.js";
 
@@ -39,6 +40,7 @@
  */
 export class AdmissionQueue {
     private readonly pools = new Map<string, Pool>();
+    private readonly gate = WorkGate.create();
 
     private constructor(private readonly options: AdmissionQueueOptions) {}
 
@@ -80,11 +82,18 @@
     /** Sweeps until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
+            if (!this.hasWaiters) {
+                await this.gate.rest(signal);
+            }
             await this.options.clock.sleep(SWEEP_MS, signal);
             this.pump();
         }
     }
 
+    private get hasWaiters(): boolean {
+        return [...this.pools.values()].some(pool => pool.waiters.length > 0);
+    }
+
     private wait<P>(pool: Pool, request: AdmissionRequest<P>, signal: AbortSignal): Promise<AdmissionOutcome<P>> {
         return new Promise(resolve => {
             const leave = () => waiter.settle({ kind: "aborted" });
@@ -99,6 +108,7 @@
             };
             signal.addEventListener("abort", leave, { once: true });
             pool.waiters.push(waiter);
+            this.gate.open();
         });
     }
 
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -16,6 +16,13 @@
     isEvacuated: (zone: string) => boolean;
 }
 
+/** Upstreams by their groups, as of a version of the directory. */
+interface GroupedUpstreams {
+    version: number;
+    members: readonly Upstream[];
+    heads: readonly Upstream[];
+}
+
 /**
  * A group that was found lost is left out for this long, ms. By then it has been formed anew with a higher epoch, or its
  * head has given it up, or the finding was wrong: one that was cut off and is open still serves.
@@ -26,6 +33,7 @@
 export class GroupDirectory {
     /** Groups that were found lost, and when, monotonic ms. */
     private readonly lostEpochs = new Map<number, number>();
+    private grouped: GroupedUpstreams = { version: -1, members: [], heads: [] };
 
     private constructor(private readonly options: GroupDirectoryOptions) {}
 
@@ -71,14 +79,23 @@
 
     /** True if a group of the model is being formed. */
     isForming(service: string, modelName: string | undefined): boolean {
-        for (const upstream of this.options.upstreams.all()) {
-            const phase = upstream.group?.phase;
-            const isComing = phase === "joining" || phase === "ready" || phase === "closing";
-            if (upstream.service === service && isComing && (!upstream.model || upstream.model === modelName)) {
-                return true;
-            }
+        return this.current().members.some(({ service: ofService, model, group }) =>
+            ofService === service && group?.phase !== "open" && group?.phase !== "broken"
+            && (!model || model === modelName)
+        );
+    }
+
+    /** Upstreams in groups, and heads that take requests, looked up again only after a change. */
+    private current(): GroupedUpstreams {
+        const { upstreams } = this.options;
+        if (this.grouped.version !== upstreams.version) {
+            const members = [...upstreams.all()].filter(upstream => upstream.group !== undefined);
+            const heads = members.filter(({ group, state }) =>
+                group?.rank === 0 && group.phase === "open" && state === "ready"
+            );
+            this.grouped = { version: upstreams.version, members, heads };
         }
-        return false;
+        return this.grouped;
     }
 
     private openGroups(
@@ -86,11 +103,10 @@
         modelName: string | undefined,
     ): Array<{ head: Upstream; name: string; epoch: number; }> {
         const open: Array<{ head: Upstream; name: string; epoch: number; }> = [];
-        for (const head of this.options.upstreams.all()) {
+        for (const head of this.current().heads) {
             const { group } = head;
-            const isOpen = group?.rank === 0 && group.phase === "open" && head.state === "ready";
             const isAsked = head.service === service && head.model === modelName;
-            if (isOpen && isAsked && !this.isLost(group.epoch) && !this.options.isEvacuated(head.zone)) {
+            if (group && isAsked && !this.isLost(group.epoch) && !this.options.isEvacuated(head.zone)) {
                 open.push({ head, name: group.name, epoch: group.epoch });
             }
         }
--- a/packages/gateway/src/placement/LoadBook.ts
+++ b/packages/gateway/src/placement/LoadBook.ts
@@ -120,6 +120,22 @@
             .filter(([, figures]) => figures.inFlight > 0);
     }
 
+    /**
+     * The same places without a peer's part. The silence stays as it is: that of the peer is known to the peer itself.
+     */
+    withoutPeer(places: ReadonlyArray<[string, LoadFigures]>, peer: string): Array<[string, LoadFigures]> {
+        const known = this.peers.get(peer);
+        const nowMs = this.clock.monotonicMs();
+        return places.map(([place, figures]): [string, LoadFigures] => {
+            const load = known?.get(place);
+            return !load || nowMs - load.receivedMs > PEER_LOAD_TTL_MS ? [place, figures] : [place, {
+                inFlight: Math.max(0, figures.inFlight - load.figures.inFlight),
+                unreadTokens: Math.max(0, figures.unreadTokens - load.figures.unreadTokens),
+                silentMs: figures.silentMs,
+            }];
+        }).filter(([, figures]) => figures.inFlight > 0);
+    }
+
     /** Takes what a peer says of its requests, in full. */
     putPeer(peer: string, loads: ReadonlyArray<readonly [string, LoadFigures]>): void {
         const receivedMs = this.clock.monotonicMs();
--- a/packages/gateway/src/placement/RetryAllowance.ts
+++ b/packages/gateway/src/placement/RetryAllowance.ts
@@ -94,6 +94,19 @@
         });
     }
 
+    /** The same counts without a peer's part. */
+    withoutPeer(counts: ReadonlyArray<readonly [string, RetryCounts]>, peer: string): Array<[string, RetryCounts]> {
+        const known = this.peers.get(peer);
+        const isKnown = known && this.options.clock.monotonicMs() - known.receivedMs <= PEER_COUNTS_TTL_MS;
+        return counts.map(([service, total]) => {
+            const part = isKnown ? known.counts.get(service) : undefined;
+            return [service, {
+                requests: Math.max(0, total.requests - (part?.requests ?? 0)),
+                retries: Math.max(0, total.retries - (part?.retries ?? 0)),
+            }];
+        });
+    }
+
     /** Forgets a peer that is gone, or whose counts come through another one. */
     dropPeer(peer: string): void {
         this.peers.delete(peer);
--- a/packages/gateway/tests/ViewCache.test.ts
+++ b/packages/gateway/tests/ViewCache.test.ts
@@ -10,13 +10,13 @@
 describe("ViewCache", () => {
     let clock: ManualClock;
     let cache: ViewCache;
-    let isInTouch: boolean;
+    let isAnswering: boolean;
     const { signal } = new AbortController();
 
     beforeEach(() => {
         clock = ManualClock.create();
-        isInTouch = true;
-        cache = ViewCache.create(clock, () => isInTouch);
+        isAnswering = true;
+        cache = ViewCache.create(clock, () => isAnswering);
         cache.takeListing([object("a", 3)]);
         cache.advance(5);
     });
@@ -56,8 +56,17 @@
         expect(await cache.watch(4, 1000, signal)).to.deep.equal({ kind: "compacted" });
     });
 
+    it("tells a waiting follower at once when the store fails to answer", async () => {
+        const watching = cache.watch(5, 6000, signal);
+        await clock.advance(100);
+        isAnswering = false;
+        cache.interrupt();
+        await clock.advance(1);
+        expect((await watching).kind).to.equal("unavailable");
+    });
+
     it("does not answer while its own view is not kept up to date", async () => {
-        isInTouch = false;
+        isAnswering = false;
         expect(cache.list().kind).to.equal("unavailable");
         expect((await cache.watch(5, 1000, signal)).kind).to.equal("unavailable");
     });
--- /dev/null
+++ b/packages/gateway/tests/idleTasks.test.ts
@@ -0,0 +1,80 @@
+import type { Clock } from "@fescuehaven/runtime";
+import { ManualClock, SeededRandom } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { SilenceGuard } from "../src/forwarding/SilenceGuard.js";
+import { AdmissionQueue } from "../src/placement/AdmissionQueue.js";
+
+/** A clock that counts how often a task goes to sleep. */
+class CountingClock implements Clock {
+    sleeps = 0;
+
+    constructor(private readonly clock: ManualClock) {}
+
+    now(): Date {
+        return this.clock.now();
+    }
+
+    monotonicMs(): number {
+        return this.clock.monotonicMs();
+    }
+
+    sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
+        this.sleeps += 1;
+        return this.clock.sleep(durationMs, signal);
+    }
+}
+
+describe("tasks of an idle gateway", () => {
+    let clock: ManualClock;
+    let counting: CountingClock;
+    let stop: AbortController;
+
+    beforeEach(() => {
+        clock = ManualClock.create();
+        counting = new CountingClock(clock);
+        stop = new AbortController();
+    });
+
+    afterEach(() => stop.abort());
+
+    it("do not sweep a queue in which nobody waits, and sweep it again for the next one", async () => {
+        const queue = AdmissionQueue.create({ clock: counting, random: SeededRandom.create(1) });
+        void queue.run(stop.signal);
+        await clock.advance(1000);
+        expect(counting.sleeps).to.equal(0);
+        let place: string | undefined;
+        const waiting = queue.acquire({
+            pool: "p",
+            priority: 1,
+            onTimeUntilMs: 2000,
+            usefulUntilMs: 5000,
+            place: () => place,
+            outlookMs: () => 0,
+        }, stop.signal);
+        await clock.advance(100);
+        place = "there";
+        await clock.advance(50);
+        expect(await waiting).to.deep.include({ kind: "placed", place: "there" });
+        const sleeps = counting.sleeps;
+        await clock.advance(1000);
+        expect(counting.sleeps).to.be.within(sleeps, sleeps + 1);
+    });
+
+    it("do not look for silence while there is no exchange, and notice that of the next one", async () => {
+        const guard = SilenceGuard.create(counting);
+        void guard.run(stop.signal);
+        await clock.advance(1000);
+        expect(counting.sleeps).to.equal(0);
+        let isSilent = false;
+        guard.watch(200, () => {
+            isSilent = true;
+        });
+        await clock.advance(150);
+        expect(isSilent).to.equal(false);
+        await clock.advance(150);
+        expect(isSilent).to.equal(true);
+        const sleeps = counting.sleeps;
+        await clock.advance(1000);
+        expect(counting.sleeps).to.be.within(sleeps, sleeps + 1);
+    });
+});
--- /dev/null
+++ b/packages/gateway/tests/peers/PeerFeed.test.ts
@@ -0,0 +1,85 @@
+import { createClient, createRouterTransport } from "@connectrpc/connect";
+import { GatewayService } from "@fescuehaven/protocol";
+import { ManualClock } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { PeerFeed } from "../../src/peers/PeerFeed.js";
+import type { PeerState } from "../../src/peers/PeerState.js";
+
+/** Followers and the pause between their updates, ms. */
+const pauses: Record<string, number> = { near: 100, member: 200, standby: 400 };
+
+describe("PeerFeed", () => {
+    let clock: ManualClock;
+    let feed: PeerFeed;
+    let stop: AbortController;
+    let received: Map<string, number>;
+    let asked: number;
+    let term: number;
+
+    beforeEach(async () => {
+        clock = ManualClock.create();
+        stop = new AbortController();
+        received = new Map();
+        asked = 0;
+        term = 1;
+        const snapshot = (): PeerState => {
+            asked += 1;
+            return { term, openGroups: [], controllerDistance: 0, loads: [], retries: [], lostEpochs: [] };
+        };
+        feed = PeerFeed.create({ clock, snapshot, pauseMs: observer => pauses[observer] ?? 100 });
+        void feed.run(stop.signal);
+    });
+
+    afterEach(() => stop.abort());
+
+    async function follow(observer: string): Promise<void> {
+        const transport = createRouterTransport(router => feed.registerOn(router));
+        const updates = createClient(GatewayService, transport).watchGateway({ observer }, { signal: stop.signal });
+        void (async () => {
+            for await (const update of updates) {
+                received.set(observer, (received.get(observer) ?? 0) + (update.term > 0 ? 1 : 0));
+            }
+        })().catch(() => undefined);
+        await clock.settle();
+        await clock.settle();
+    }
+
+    async function pass(durationMs: number): Promise<void> {
+        for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
+            term += 1;
+            await clock.advance(100);
+        }
+    }
+
+    it("tells each follower at its own pace", async () => {
+        await follow("near");
+        await follow("member");
+        await follow("standby");
+        await pass(4000);
+        expect(received.get("near")).to.be.within(38, 42);
+        expect(received.get("member")).to.be.within(18, 22);
+        expect(received.get("standby")).to.be.within(9, 12);
+    });
+
+    it("tells all of them at once when it is urgent", async () => {
+        await follow("member");
+        await follow("standby");
+        await pass(400);
+        const before = [received.get("member"), received.get("standby")];
+        term += 1;
+        feed.flush();
+        await clock.settle();
+        expect([received.get("member"), received.get("standby")]).to.deep.equal(before.map(count => count! + 1));
+    });
+
+    it("gives a sign of life when there is nothing new", async () => {
+        await follow("near");
+        await clock.advance(4000);
+        expect(received.get("near")).to.be.within(9, 12);
+    });
+
+    it("asks for nothing while nobody follows", async () => {
+        await clock.advance(4000);
+        expect(asked).to.equal(0);
+    });
+});
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -22,12 +22,10 @@
 const state: PeerState = {
     term: 3,
     controllerDistance: 0,
-    configurationVersion: 17,
     loads: [["65537", { inFlight: 4, unreadTokens: 1200, silentMs: 15 }]],
     retries: [["llm", { requests: 40, retries: 2 }]],
     lostEpochs: [65536],
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
-    isLeaving: false,
 };
 
 describe("what gateways tell each other", () => {
@@ -51,6 +49,7 @@
                 asked.push(observer);
                 return state;
             },
+            pauseMs: () => 100,
         });
         server = PeerServer.create({
             host: "127.0.0.1",
--- a/packages/gateway/tests/placement/limits.test.ts
+++ b/packages/gateway/tests/placement/limits.test.ts
@@ -55,6 +55,17 @@
         expect(spend(allowance, 10)).to.equal(0);
     });
 
+    it("tells a peer the others' counts without its own", () => {
+        const allowance = RetryAllowance.create({ clock: ManualClock.create(), ...budget, gatewayCount: () => 3 });
+        allowance.noteRequest("s");
+        allowance.putPeer("b", [["s", { requests: 100, retries: 2 }]]);
+        allowance.putPeer("c", [["s", { requests: 10, retries: 1 }]]);
+        const counts = allowance.counts(() => true);
+        expect(counts).to.deep.equal([["s", { requests: 111, retries: 3 }]]);
+        expect(allowance.withoutPeer(counts, "b")).to.deep.equal([["s", { requests: 11, retries: 1 }]]);
+        expect(allowance.withoutPeer(counts, "unknown")).to.deep.equal(counts);
+    });
+
     it("forgets the window's past", async () => {
         const clock = ManualClock.create();
         const allowance = RetryAllowance.create({ clock, ...budget, gatewayCount: () => 1 });
@@ -64,6 +75,28 @@
     });
 });
 
+describe("LoadBook", () => {
+    const load = (inFlight: number, unreadTokens: number) => ({ inFlight, unreadTokens, silentMs: 30 });
+
+    it("tells a peer the others' load without its own", async () => {
+        const clock = ManualClock.create();
+        const loads = LoadBook.create(clock);
+        loads.open("1", 500, () => undefined);
+        loads.putPeer("b", [["1", load(3, 100)], ["2", load(1, 0)]]);
+        loads.putPeer("c", [["1", load(2, 40)]]);
+        const places = loads.places(() => true);
+        expect(places.map(([place, { inFlight, unreadTokens }]) => [place, inFlight, unreadTokens])).to.deep.equal([
+            ["1", 6, 640],
+            ["2", 1, 0],
+        ]);
+        expect(loads.withoutPeer(places, "b").map(([place, figures]) => [place, figures.inFlight])).to.deep.equal([
+            ["1", 3],
+        ]);
+        await clock.advance(2000);
+        expect(loads.withoutPeer(places, "b")).to.deep.equal(places);
+    });
+});
+
 describe("FailureMemory", () => {
     it("remembers the share of failures and forgets it", async () => {
         const clock = ManualClock.create();
--- a/packages/gateway/tests/views.test.ts
+++ b/packages/gateway/tests/views.test.ts
@@ -128,7 +128,7 @@
             random: SeededRandom.create(1),
             log: SilentDecisionLog.create(),
             metrics: noMetrics,
-            waitMs: 2000,
+            waitMs: () => 2000,
             pauseMs: () => 100,
             onListing: (objects, isAfterOutage) =>
                 seen.push(`list ${objects.length}${isAfterOutage ? " after outage" : ""}`),
