--- a/packages/gateway/tests/idleTasks.test.ts
+++ b/packages/gateway/tests/idleTasks.test.ts
@@ -42,17 +42,17 @@
         void queue.run(stop.signal);
         await clock.advance(1000);
         expect(counting.sleeps).to.equal(0);
-        let place: string | undefined;
+        const places: string[] = [];
         const waiting = queue.acquire({
             pool: "p",
             priority: 1,
             onTimeUntilMs: 2000,
             usefulUntilMs: 5000,
-            place: () => place,
+            place: () => places.shift(),
             outlookMs: () => 0,
         }, stop.signal);
         await clock.advance(100);
-        place = "there";
+        places.push("there");
         await clock.advance(50);
         expect(await waiting).to.deep.include({ kind: "placed", place: "there" });
         const sleeps = counting.sleeps;
