--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -255,9 +255,13 @@
         void this.forwarder.handle(request, reply);
     }
 
-    /** Takes no new callers, and hands the control over. Requests go on. */
-    async leave(): Promise<void> {
+    /**
+     * Takes no new callers, and hands the control over. Requests go on until `endsAtMs`, on the monotonic clock, when
+     * those that are left get their final answer.
+     */
+    async leave(endsAtMs: number): Promise<void> {
         this.isLeaving = true;
+        this.forwarder.leave(endsAtMs);
         await this.lease.release();
     }
 
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -11,6 +11,9 @@
     returnGraceMs: number;
 }
 
+/** Of an upstream that takes no requests: most are members of groups. */
+const NOTHING = "nothing";
+
 /** The registered upstreams, as last heard. */
 export class UpstreamDirectory {
     private readonly upstreams = new Map<string, Upstream>();
@@ -108,7 +111,8 @@
     /** Tells changes that decide where requests go; the other members' ways are the controller's to tell. */
     private logChange(before: Upstream | undefined, after: Upstream): void {
         const takes = describeTaking(after);
-        if (before && before.bornMs === after.bornMs && describeTaking(before) === takes) {
+        const known = before && before.bornMs === after.bornMs ? describeTaking(before) : NOTHING;
+        if (known === takes) {
             return;
         }
         this.options.log.info("upstream changed", {
@@ -127,8 +131,10 @@
     }
 }
 
-/** What an upstream can take: nothing as a member of a group, requests as an open head or a plain upstream. */
-function describeTaking({ state, group }: Upstream): string {
+/** What an upstream can take: requests as an open head or a plain upstream, nothing otherwise. */
+function describeTaking({ state, group, domain }: Upstream): string {
     const isOpenHead = group?.rank === 0 && group.phase === "open";
-    return `${state} ${isOpenHead ? `open ${group.epoch}` : group ? "member" : "single"}`;
+    const isPlain = group === undefined && domain === "";
+    const takes = isOpenHead ? `open ${group.epoch}` : isPlain ? "plain" : NOTHING;
+    return state === "ready" ? takes : `${state} ${takes}`;
 }
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -26,9 +26,17 @@
 /** Advice while no configuration is known, ms: a start takes about this long. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
 
+/** Advice to callers of a gateway that shuts down, ms: the others take their requests at once. */
+const LEAVING_RETRY_AFTER_MS = 200;
+/** Time that a request of a kind needs, ms, so that one that comes too late is not begun: those of long answers. */
+const neededMs: Record<Route["kind"], number> = { stream: 3000, once: 1000, repeatable: 1000 };
+
 /** Takes requests: finds their route and account, sets their deadline and hands them to the fitting dispatcher. */
 export class RequestForwarder {
     private active = 0;
+    /** When the process will end, on the monotonic clock, ms. */
+    private endsAtMs = Infinity;
+    private readonly ending = new AbortController();
 
     private constructor(private readonly options: RequestForwarderOptions) {}
 
@@ -42,6 +50,13 @@
         return this.active;
     }
 
+    /** Begins nothing that would last beyond `endsAtMs`, when all that is left gets its final answer. */
+    leave(endsAtMs: number): void {
+        const { clock } = this.options;
+        this.endsAtMs = endsAtMs;
+        void clock.sleep(endsAtMs - clock.monotonicMs()).then(() => this.ending.abort());
+    }
+
     /** Serves one request to its end. Never rejects. */
     async handle(request: IncomingRequest, reply: CallerReply): Promise<void> {
         this.active += 1;
@@ -99,11 +114,19 @@
             this.reject(request, reply, current.version, { kind: "no-route" });
             return undefined;
         }
+        const nowMs = clock.monotonicMs();
+        if (nowMs + neededMs[route.kind] > this.endsAtMs) {
+            const reason = "the gateway shuts down";
+            metrics.count("refusals", reason);
+            log.info("request refused", { request: request.id, reason, endsInMs: Math.round(this.endsAtMs - nowMs) });
+            reply.refuse({ kind: "not-run", retryAfterMs: LEAVING_RETRY_AFTER_MS, reason });
+            return undefined;
+        }
         retries.noteRequest(service.name);
         const allowedMs = Math.min(request.patienceMs ?? route.timeoutMs, route.timeoutMs);
         const deadlineMs = request.receivedAtMs + allowedMs;
         const deadline = new AbortController();
-        void clock.sleep(deadlineMs - clock.monotonicMs(), ended).then(() => deadline.abort());
+        void clock.sleep(deadlineMs - nowMs, ended).then(() => deadline.abort());
         return {
             request,
             reply,
@@ -112,7 +135,7 @@
             account: needsKey ? account?.name : undefined,
             priority: priorityOf(route, account),
             deadlineMs,
-            deadline: deadline.signal,
+            deadline: AbortSignal.any([deadline.signal, this.ending.signal]),
             configurationVersion: current.version,
         };
     }
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -344,6 +344,58 @@
         });
     });
 
+    describe("while the gateway shuts down", () => {
+        beforeEach(() => rig.configure());
+
+        it("serves what can end before the process does", async () => {
+            rig.directory.put(head("g1", 1));
+            rig.client.script(() => answers.stream(1, 3));
+            rig.leave(7000);
+            await rig.clock.advance(3000);
+            const reply = rig.send();
+            await rig.clock.settle();
+            expect([idsOf(reply), reply.ending]).to.deep.equal([[1, 2, 3], "complete"]);
+        });
+
+        it("refuses at once what would last longer, for other gateways to serve", async () => {
+            rig.directory.put(head("g1", 1));
+            rig.leave(7000);
+            await rig.clock.advance(4500);
+            const reply = rig.send();
+            await rig.clock.settle();
+            expect(reply.refusal).to.deep.equal({
+                kind: "not-run",
+                retryAfterMs: 200,
+                reason: "the gateway shuts down",
+            });
+            expect(rig.client.sent.length).to.equal(0);
+        });
+
+        it("gives what is left a final answer before the end", async () => {
+            rig.directory.put(head("g1", 1));
+            rig.client.script((_, signal) =>
+                new Promise(resolve => signal.addEventListener("abort", () => resolve(UNKNOWN)))
+            );
+            const sent = rig.send();
+            await rig.clock.settle();
+            rig.leave(300);
+            await rig.clock.advance(299);
+            expect(sent.refusal).to.equal(undefined);
+            await rig.clock.advance(2);
+            expect(sent.refusal?.kind).to.equal("timed-out");
+        });
+
+        it("says of what still waits that it has not run", async () => {
+            rig.directory.put(exampleUpstream("u1", { group: { name: "g1", epoch: 9, rank: 0, phase: "joining" } }));
+            rig.directory.put(exampleUpstream("u2", { group: { name: "g2", epoch: 9, rank: 0, phase: "joining" } }));
+            const waiting = rig.send();
+            await rig.clock.settle();
+            rig.leave(300);
+            await rig.clock.advance(301);
+            expect(waiting.refusal?.kind).to.equal("not-run");
+        });
+    });
+
     describe("of what it may not serve", () => {
         it("asks to come back while no configuration is known", async () => {
             const reply = rig.send();
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -124,6 +124,11 @@
         return reply;
     }
 
+    /** The gateway shuts down, to end in `inMs`. */
+    leave(inMs: number): void {
+        this.forwarder.leave(this.clock.monotonicMs() + inMs);
+    }
+
     /** Ends the tasks. */
     close(): void {
         this.stop.abort();
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -5,7 +5,13 @@
 import type { OrderOutcome } from "../../src/ports/OrderOutcome.js";
 import type { UpstreamControl } from "../../src/ports/UpstreamControl.js";
 import type { UpstreamReport } from "../../src/ports/UpstreamReport.js";
-import type { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
+
+/** Where upstreams write what they are. */
+interface Entries {
+    put(upstream: Upstream): void;
+
+    remove(id: string, reason: string): void;
+}
 
 interface Vm {
     upstream: Upstream;
@@ -28,7 +34,7 @@
 /** Time until an order or report to a dark VM is given up, ms. */
 const DARK_MS = 250;
 
-/** Engines that obey orders as the real ones do, in memory, and write what they do into a directory. */
+/** Engines that obey orders as the real ones do, in memory, and write what they do into their entries. */
 export class SimulatedUpstreams implements UpstreamControl {
     /** Violations of what must always hold, as found when orders were carried out. */
     readonly violations: string[] = [];
@@ -43,12 +49,12 @@
     private constructor(
         private readonly clock: Clock,
         private readonly engine: EngineProfile,
-        private readonly directory: UpstreamDirectory,
+        private readonly entries: Entries,
     ) {}
 
     /** Creates a fleet without VMs. */
-    static create(clock: Clock, engine: EngineProfile, directory: UpstreamDirectory): SimulatedUpstreams {
-        return new SimulatedUpstreams(clock, engine, directory);
+    static create(clock: Clock, engine: EngineProfile, entries: Entries): SimulatedUpstreams {
+        return new SimulatedUpstreams(clock, engine, entries);
     }
 
     /** Starts a VM. */
@@ -62,13 +68,13 @@
             slowdown: 1,
             version: 0,
         });
-        this.directory.put(upstream);
+        this.entries.put(upstream);
     }
 
     /** The VM answers nothing from now on; its entry goes after three heartbeats. */
     darken(id: string, entryGoneAfterMs = 3600): void {
         this.vm(id).isDark = true;
-        void this.clock.sleep(entryGoneAfterMs).then(() => this.directory.remove(id, "silent"));
+        void this.clock.sleep(entryGoneAfterMs).then(() => this.entries.remove(id, "silent"));
     }
 
     /** The VM answers again, as it was. */
@@ -176,7 +182,7 @@
             // Staging goes on beside everything else, so no change of state ends it.
             void this.clock.sleep(this.modelOf(order.model).loadMs).then(() => {
                 vm.upstream = { ...vm.upstream, stagedModels: [order.model] };
-                this.directory.put(vm.upstream);
+                this.entries.put(vm.upstream);
             });
             return { kind: "accepted" };
         },
@@ -262,7 +268,7 @@
         vm.version += 1;
         vm.upstream = { ...vm.upstream, ...changes };
         if (this.isPublishing) {
-            this.directory.put(vm.upstream);
+            this.entries.put(vm.upstream);
         }
     }
 
--- a/packages/gateway/tests/views.test.ts
+++ b/packages/gateway/tests/views.test.ts
@@ -65,6 +65,27 @@
         directory.put(exampleUpstream("u2"));
     });
 
+    it("tells what decides where requests go, and leaves other members of groups out", () => {
+        const log = SilentDecisionLog.create();
+        const told = UpstreamDirectory.create({ clock, log, returnGraceMs: 1800 });
+        const group = { name: "g", epoch: 7, rank: 0 };
+        const changes: Array<[Parameters<typeof exampleUpstream>[1], boolean]> = [
+            [{ domain: "d" }, false],
+            [{ domain: "d", group: { ...group, phase: "joining" } }, false],
+            [{ domain: "d", group: { ...group, phase: "open" } }, true],
+            [{ domain: "d", group: { ...group, phase: "open" }, stagedModels: ["m"] }, false],
+            [{ domain: "d", group: { ...group, phase: "closing" } }, true],
+            [{ domain: "d", group: { ...group, phase: "ready" } }, false],
+            [{ domain: "d", group: { ...group, phase: "ready" }, state: "draining" }, true],
+            [{ domain: "", bornMs: 2 }, true],
+        ];
+        for (const [change, isTold] of changes) {
+            const before = log.lines.length;
+            told.put(exampleUpstream("u", change));
+            expect(log.lines.length - before, JSON.stringify(change)).to.equal(isTold ? 1 : 0);
+        }
+    });
+
     function ids(): string[] {
         return [...directory.all()].map(upstream => upstream.id);
     }
--- a/packages/testing/src/launcher/ProcessHandle.ts
+++ b/packages/testing/src/launcher/ProcessHandle.ts
@@ -53,11 +53,15 @@
 
     /** Starts the process without waiting for it to be ready. */
     async start(): Promise<void> {
-        const settingsFile = path.join(this.folders.files, `${this.spec.name}.json`);
-        await writeFile(settingsFile, JSON.stringify(this.spec.settings, undefined, 4));
+        const { name, settings, settingsVariable } = this.spec;
+        const settingsFile = path.join(this.folders.files, `${name}.settings`);
+        await writeFile(settingsFile, typeof settings === "string" ? settings : JSON.stringify(settings, undefined, 4));
         const log = openSync(this.logFile, "a");
         const binary = path.join(this.folders.binaries, `${this.spec.binary}.js`);
-        const child = spawn(process.execPath, [binary, "--settings", settingsFile], { stdio: ["ignore", log, log] });
+        const child = spawn(process.execPath, [binary, ...settingsVariable ? [] : ["--settings", settingsFile]], {
+            stdio: ["ignore", log, log],
+            env: settingsVariable ? { ...process.env, [settingsVariable]: settingsFile } : process.env,
+        });
         closeSync(log);
         this.child = child;
         this.paused = false;
@@ -105,6 +109,11 @@
         this.child?.kill("SIGKILL");
     }
 
+    /** Sends SIGHUP. */
+    hangUp(): void {
+        this.child?.kill("SIGHUP");
+    }
+
     /** Sends SIGSTOP. */
     pause(): void {
         this.paused = true;
--- a/packages/testing/src/launcher/ProcessSpec.ts
+++ b/packages/testing/src/launcher/ProcessSpec.ts
@@ -4,8 +4,10 @@
     name: string;
     /** Name of the binary in the folder of built binaries, without `.js`. */
     binary: string;
-    /** Written to a file that `--settings` names. */
-    settings: object;
+    /** Written to a file that `--settings` names; a text is written as it is. */
+    settings: object | string;
+    /** Environment variable that names the settings file instead of `--settings`. */
+    settingsVariable?: string;
     /** Answers 200 once the process is ready. */
     readyUrl: string;
 }
--- a/packages/testing/src/network/SilentRelay.ts
+++ b/packages/testing/src/network/SilentRelay.ts
@@ -18,6 +18,8 @@
     target: Socket;
     /** Silent for good, whatever the relay's mode. */
     isLost: boolean;
+    /** When the newest delayed bytes of a direction have been passed on; what follows them does not overtake. */
+    delayed: Partial<Record<Direction, Promise<void>>>;
 }
 
 /** A TCP relay on loopback that can go silent, as a network does that has lost track of a connection. */
@@ -73,7 +75,7 @@
             return;
         }
         const target = connect({ ...this.target, allowHalfOpen: true });
-        const link: Link = { source, target, isLost: false };
+        const link: Link = { source, target, isLost: false, delayed: {} };
         this.links.add(link);
         this.pass(link, source, target, "to-target");
         this.pass(link, target, source, "to-source");
@@ -96,11 +98,19 @@
         if (link.isLost || this.drops(direction)) {
             return;
         }
-        if (this.mode.kind === "delay") {
-            void this.clock.sleep(this.mode.delayMs).then(action);
+        const before = link.delayed[direction];
+        if (this.mode.kind !== "delay" && !before) {
+            action();
             return;
         }
-        action();
+        const delayMs = this.mode.kind === "delay" ? this.mode.delayMs : 0;
+        const passed = Promise.all([before, this.clock.sleep(delayMs)]).then(() => {
+            action();
+            if (link.delayed[direction] === passed) {
+                delete link.delayed[direction];
+            }
+        });
+        link.delayed[direction] = passed;
     }
 
     private drops(direction: Direction): boolean {
--- a/packages/testing/tests/network/SilentRelay.test.ts
+++ b/packages/testing/tests/network/SilentRelay.test.ts
@@ -63,6 +63,17 @@
         await until("echo", () => line.text() === "echo a");
     });
 
+    it("keeps bytes in order when a delay ends", async () => {
+        const line = dial();
+        relay.set({ kind: "delay", delayMs: 80 });
+        line.socket.write("a");
+        await clock.sleep(20);
+        relay.set({ kind: "forward" });
+        line.socket.write("b");
+        await until("arrival", () => received.length === 2);
+        expect(received).to.equal("ab");
+    });
+
     it("drops one way and leaves the other", async () => {
         const line = dial();
         line.socket.write("a");
