Read the store through peers while it does not answer this gateway

Cause: a gateway that the store turns away heard of opened groups from the controller, but of no configuration, key, evacuation or drained upstream, and one that restarted then could not serve at all.

Views at second hand are not passed on, so that two gateways never confirm each other's old view, and the controller still asks members for reports. A process without any view takes what a peer knew last. Peers listen on the platform's address for such calls, so that the settings name some of them before the store does.

Ruled out: passing the configuration alone with the updates (keys, evacuations and entries would have needed the same again).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,7 +16,7 @@
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { IncomingRequest } from "./model/IncomingRequest.js";
 import type { Upstream } from "./model/Upstream.js";
-import { HubObjectStore } from "./peers/HubObjectStore.js";
+import { PeerAssistedStore } from "./peers/PeerAssistedStore.js";
 import { PeerExchange } from "./peers/PeerExchange.js";
 import { PeerFeed } from "./peers/PeerFeed.js";
 import { PeerLinks } from "./peers/PeerLinks.js";
@@ -74,7 +74,7 @@
     private readonly registration: Registration;
     private readonly forwarder: RequestForwarder;
     private readonly caches = new Map<string, ViewCache>();
-    private readonly hubStore: HubObjectStore;
+    private readonly assistedStore: PeerAssistedStore;
     private readonly watches: StoreWatch[];
     private readonly upstreamWatch: StoreWatch;
     private readonly stop = stopOfManyTasks();
@@ -160,7 +160,8 @@
             isZoneInSight: (zone, sinceMs) => zone === settings.zone || this.links.isZoneInSight(zone, sinceMs),
             announceLost: (epoch, reason) => this.exchange.announceLost(epoch, reason),
             isLost: epoch => this.groups.isLost(epoch),
-            isViewFresh: () => this.upstreamWatch.isInTouch,
+            isViewFresh: () =>
+                this.upstreamWatch.isInTouch && this.assistedStore.isFirstHand(ports.objects.upstreams.kind),
             announceOpen: () => this.feed.flush(),
         });
         this.exchange = PeerExchange.create({
@@ -186,8 +187,7 @@
             pauseMs: observer => this.exchange.updatePauseMs(observer),
         });
         this.server = PeerServer.create({
-            host: settings.host,
-            port: settings.peerPort,
+            ...settings.peerListen,
             services: [
                 router => this.feed.registerOn(router),
                 router => ViewFeed.create(this.caches).registerOn(router),
@@ -200,12 +200,17 @@
             log,
             store,
             key: { kind: REGISTRATION_KIND, name: settings.vm },
-            address: `${settings.host}:${settings.peerPort}`,
+            address: `${settings.peerListen.host}:${settings.peerListen.port}`,
             zone: settings.zone,
         });
         // The controller reads the store itself: its turns wait for members' words.
         const hub = () => this.lease.isController ? undefined : this.links.hubInTouch();
-        this.hubStore = HubObjectStore.create({ clock, store, hub });
+        const seeds = settings.seedPeers.map(address => ({ address, silent: this.stop.signal }));
+        const peers = () => {
+            const inTouch = this.links.viewSources();
+            return inTouch.length > 0 ? inTouch : seeds;
+        };
+        this.assistedStore = PeerAssistedStore.create({ clock, random, log, store, hub, peers });
         this.upstreamWatch = this.watchUpstreams();
         this.watches = [
             this.watchConfiguration(),
@@ -297,10 +302,13 @@
         onChange: (change: ObjectChange) => void,
     ): StoreWatch {
         const { clock, random, log, metrics } = this.ports;
-        const cache: ViewCache = ViewCache.create(clock, () => watch.isAnswering);
+        const cache: ViewCache = ViewCache.create(
+            clock,
+            () => watch.isAnswering && this.assistedStore.isFirstHand(kind),
+        );
         this.caches.set(kind, cache);
         const watch: StoreWatch = StoreWatch.create({
-            store: this.hubStore,
+            store: this.assistedStore,
             kind,
             clock,
             random,
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -9,8 +9,10 @@
     callerListen: string;
     /** Address for readiness checks, HOST:PORT. */
     readinessListen: string;
-    /** Port for the gateways' own calls to each other. */
-    peerPort: number;
+    /** Where the gateways' own calls to each other arrive. */
+    peerListen: { host: string; port: number; };
+    /** Where some peers take such calls, HOST:PORT; asked while no registered one is in touch. */
+    seedPeers: readonly string[];
     /** Port of counters and histograms. */
     metricsPort: number;
     /** Address of the platform's store, HOST:PORT. */
--- a/packages/gateway/src/ViewCache.ts
+++ b/packages/gateway/src/ViewCache.ts
@@ -1,4 +1,4 @@
-import type { ListOutcome, ObjectChange, Revision, StoredObject, WatchOutcome } from "@fescuehaven/platform";
+import type { ObjectChange, Revision, StoredObject, WatchOutcome } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
 
 interface Remembered {
@@ -67,11 +67,13 @@
         this.waiters.forEach(wake => wake());
     }
 
-    /** All objects. */
-    list(): ListOutcome {
-        return this.revision === undefined || !this.isAnswering()
-            ? UNAVAILABLE
-            : { kind: "listed", objects: [...this.objects.values()], revision: this.revision };
+    /** All objects as they were known last. */
+    list(): { objects: StoredObject[]; revision: Revision; isCurrent: boolean; } {
+        return {
+            objects: [...this.objects.values()],
+            revision: this.revision ?? 0,
+            isCurrent: this.revision !== undefined && this.isAnswering(),
+        };
     }
 
     /** Waits up to `waitMs` for changes after `after`. */
--- a/packages/gateway/src/peers/PeerLinks.ts
+++ b/packages/gateway/src/peers/PeerLinks.ts
@@ -164,6 +164,15 @@
         return this.hubs.get(zone)?.[0];
     }
 
+    /** Peers that were heard lately, whose views of the store may be read. */
+    viewSources(): Array<{ address: string; silent: AbortSignal; }> {
+        const sinceMs = this.options.clock.monotonicMs() - IN_SIGHT_MS;
+        return [...this.links.values()].filter(link => link.heardAtMs >= sinceMs).map(({ address, silent }) => ({
+            address,
+            silent: silent.signal,
+        }));
+    }
+
     /** The hub that this gateway follows, if it was heard lately, with a signal that aborts when it falls silent. */
     hubInTouch(): { address: string; silent: AbortSignal; } | undefined {
         const hub = this.hasHubs ? this.hubOf(this.options.zone) : undefined;
--- a/packages/gateway/src/peers/ViewFeed.ts
+++ b/packages/gateway/src/peers/ViewFeed.ts
@@ -16,10 +16,12 @@
     registerOn(router: ConnectRouter): void {
         router.service(ViewService, {
             listObjects: ({ kind }) => {
-                const outcome = this.caches.get(kind)?.list();
-                return outcome?.kind === "listed"
-                    ? { isAvailable: true, objects: outcome.objects.map(toMessage), revision: outcome.revision }
-                    : { isAvailable: false };
+                const view = this.caches.get(kind)?.list();
+                return {
+                    isAvailable: view?.isCurrent ?? false,
+                    objects: view?.objects.map(toMessage),
+                    revision: view?.revision,
+                };
             },
             watchObjects: async ({ kind, after, waitMs }, context: HandlerContext) => {
                 const outcome = await this.caches.get(kind)?.watch(after, waitMs, context.signal);
