Keep a replaced member out of other groups while its old head may serve

Cause: a slow member that was replaced left its group at once and joined a group of its own as a spare, 40 ms later; if the order to its old head was lost or late, that head still served, or stood still, with it as a member, and two groups counted on one VM. Found by writing down what a VM may join in the simulated fleet: so far only the group in which a VM counted itself was looked at, not the heads that count on it.

Changed: members that are replaced may not join another group until their old head must have given the group up (as those of a group that is given up).

Test: a slow member is replaced while its head's order is late; it failed before. The simulated fleet now checks every join against all heads that serve or stand still, in all tests of the fleet.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -511,12 +511,22 @@
             this.markShort(formation, staying, "the weight store's rate is used up");
             return true;
         }
+        this.fenceReplaced(formation, members);
         const rejections = formation.isRejected ? (formation.rejections ?? 0) + 1 : 0;
         const { name, domain, model, lostAtMs } = formation;
         this.begin(view.service, name, domain, model, members, reason, { lostAtMs, rejections });
         return true;
     }
 
+    /** The head may serve with a replaced member until its own order has arrived, or until it gives the group up. */
+    private fenceReplaced(formation: Formation, members: readonly Upstream[]): void {
+        const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
+        const kept = idsOf(members);
+        formation.members.filter(member => !kept.has(member.id)).forEach(member =>
+            this.health.fence(member.id, untilMs)
+        );
+    }
+
     /** Keeps the members that are left until the group can be formed anew. */
     private markShort(formation: Formation, staying: readonly Upstream[], reason: string): void {
         if (formation.phase === "short") {
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -82,6 +82,20 @@
         rig.stopController();
     });
 
+    it("does not use a replaced member elsewhere while its head may still serve with it", async () => {
+        const rig = await formedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        const member = [...rig.directory.all()].find(item =>
+            item.group?.epoch === head.group?.epoch && item.group?.rank === 2
+        )!;
+        rig.fleet.lateOrderIds.add(head.id);
+        rig.fleet.slowDown(member.id, 4);
+        await rig.run(2 * REPAIR_TARGET_MS);
+        expect(rig.fleet.violations).to.deep.equal([]);
+        expect(rig.wholeGroups()).to.deep.equal({ large: 2, small: 2 });
+        rig.stopController();
+    });
+
     it("does not take the first moments of a cut for the loss of everything behind it", async () => {
         const rig = await formedRig();
         const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -26,11 +26,17 @@
     slowdown: number;
     /** Grows with every change of state, so that an earlier timer does nothing. */
     version: number;
+    /** Epochs that it joined in this life. */
+    joinedEpochs: Set<number>;
+    /** When it last left a group, joined another one or fell silent. */
+    leftAtMs: number;
 }
 
 /** How long an unanswered order waits before it is carried out, ms. */
 const LATE_MS = 5000;
 const WARM_AGAIN_MS = 200;
+/** A head gives its group up after standing still for this long, ms. */
+const STALL_MS = 4000;
 /** Time until an order or report to a dark VM is given up, ms. */
 const DARK_MS = 250;
 
@@ -40,6 +46,8 @@
     readonly violations: string[] = [];
     /** Leaves the next orders unanswered and carries them out late. */
     lateOrders = 0;
+    /** Upstreams whose next order is left unanswered and carried out late. */
+    readonly lateOrderIds = new Set<string>();
     orders = 0;
     /** False: the store is away, and no entry changes. */
     isPublishing = true;
@@ -67,6 +75,8 @@
             isDark: false,
             slowdown: 1,
             version: 0,
+            joinedEpochs: new Set(),
+            leftAtMs: -Infinity,
         });
         this.entries.put(upstream);
     }
@@ -74,6 +84,7 @@
     /** The VM answers nothing from now on; its entry goes after three heartbeats. */
     darken(id: string, entryGoneAfterMs = 3600): void {
         this.vm(id).isDark = true;
+        this.vm(id).leftAtMs = this.clock.monotonicMs();
         void this.clock.sleep(entryGoneAfterMs).then(() => this.entries.remove(id, "silent"));
     }
 
@@ -101,6 +112,7 @@
     restart(id: string): void {
         const vm = this.vm(id);
         Object.assign(vm, { orderCount: 0, highestEpoch: 0, members: [], lastModel: undefined, isDark: false });
+        vm.joinedEpochs.clear();
         this.change(vm, { bornMs: this.clock.now().getTime(), group: undefined, model: undefined });
     }
 
@@ -151,8 +163,8 @@
             await this.clock.sleep(DARK_MS);
             return { kind: "unknown", reason: "no answer" };
         }
-        if (this.lateOrders > 0) {
-            this.lateOrders -= 1;
+        if (this.lateOrders > 0 || this.lateOrderIds.delete(upstream.id)) {
+            this.lateOrders = Math.max(0, this.lateOrders - 1);
             void this.clock.sleep(LATE_MS).then(() => this.carryOut(vm, order, expectedOrderCount));
             await this.clock.sleep(DARK_MS);
             return { kind: "unknown", reason: "no answer" };
@@ -198,6 +210,7 @@
         const { loadMs, warmMs } = this.modelOf(order.model);
         const { group, epoch, members, model } = order;
         vm.highestEpoch = epoch;
+        vm.joinedEpochs.add(epoch);
         vm.members = members;
         const membership = { name: group, epoch, rank: members.indexOf(vm.upstream.id) };
         this.change(vm, { group: { ...membership, phase: "joining" }, model });
@@ -228,18 +241,29 @@
         return { kind: "accepted" };
     }
 
+    /** No VM joins another group while a head serves, or stands still, with it as a member. */
     private checkOnlyOneGroup(vm: Vm, order: GroupOrder & { kind: "join"; }): void {
-        const { group } = vm.upstream;
-        if (!group || group.name === order.group) {
-            return;
-        }
-        const head = this.vms.get(vm.members[0] ?? "");
-        const headGroup = head?.upstream.group;
-        if (headGroup?.name === group.name && (headGroup.phase === "open" || headGroup.phase === "closing")) {
-            this.violations.push(`${vm.upstream.id} joined ${order.group} while ${group.name} was open`);
+        for (const head of this.vms.values()) {
+            const { group, id } = head.upstream;
+            const isServing = group?.rank === 0 && (group.phase === "open" || group.phase === "closing");
+            const isMember = isServing && head.members.includes(vm.upstream.id) && vm.joinedEpochs.has(group.epoch);
+            if (isMember && group.name !== order.group && !this.isBroken(id)) {
+                this.violations.push(`${vm.upstream.id} joined ${order.group} while ${group.name} was open`);
+            }
         }
     }
 
+    /** True if a head has given its group up, because it stood still for too long. */
+    private isBroken(headId: string): boolean {
+        const { group } = this.vm(headId).upstream;
+        const missing = this.vm(headId).members.filter(id => {
+            const member = this.vms.get(id);
+            return !member || member.isDark || member.upstream.group?.epoch !== group?.epoch;
+        });
+        const sinceMs = Math.min(...missing.map(id => this.vms.get(id)?.leftAtMs ?? -Infinity));
+        return missing.length > 0 && this.clock.monotonicMs() - sinceMs >= STALL_MS;
+    }
+
     private withGroup(vm: Vm, order: { group: string; epoch: number; }, act: () => void): OrderOutcome {
         if (vm.upstream.group?.name !== order.group || vm.upstream.group.epoch !== order.epoch) {
             return { kind: "conflict" };
@@ -266,7 +290,11 @@
 
     private change(vm: Vm, changes: Partial<Upstream>): void {
         vm.version += 1;
+        const before = vm.upstream;
         vm.upstream = { ...vm.upstream, ...changes };
+        if (before.group?.epoch !== vm.upstream.group?.epoch || before.bornMs !== vm.upstream.bornMs) {
+            vm.leftAtMs = this.clock.monotonicMs();
+        }
         if (this.isPublishing) {
             this.entries.put(vm.upstream);
         }
