Wait longer for a busy group only where no other can begin sooner

Cause: a first event that is late at a group which serves others was waited for 0.7 s longer in any case. With other groups free a new reading elsewhere begins sooner; the longer wait was meant for loads at which all are busy.

Changed: the wait is only lengthened if no other group is expected to begin within half of it.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -70,7 +70,10 @@
 const FIRST_EVENT_MARGIN_MS = 900;
 /** A group counts as alive whose last event anywhere is not older, ms: its longest passes, and the way of loads. */
 const LIVE_SILENCE_MS = 500;
-/** How much longer a busy group may take until the first event, ms: callers give up after two seconds. */
+/**
+ * How much longer a busy group may take until the first event, ms: callers give up after two seconds. Another group is
+ * quicker if it is expected to begin within half of it.
+ */
 const BUSY_EXTENSION_MS = 700;
 /** Up to this many gateways compare all groups: they hear of each other's requests within a tenth of a second. */
 const COMPARING_GATEWAYS = 12;
@@ -112,7 +115,7 @@
                 return;
             }
             this.options.metrics.observe("queueWait", placed.waitedMs);
-            const result = await this.attempt(call, placed.place, progress);
+            const result = await this.attempt(call, engine, placed.place, progress);
             if (this.settle(call, progress, placed.place, result)) {
                 return;
             }
@@ -143,19 +146,37 @@
         }, AbortSignal.any([call.reply.gone, call.deadline]));
     }
 
-    private place(call: ForwardedCall, engine: EngineProfile): GroupPlace | undefined {
-        const { groups, loads, cold, full, clock, zone, random, gatewayCount } = this.options;
-        const { request, route, service } = call;
+    private candidates({ request, service }: ForwardedCall, engine: EngineProfile): GroupCandidate[] {
+        const { groups, cold, full, clock } = this.options;
         const nowMs = clock.monotonicMs();
-        const candidates = groups.candidates(service.name, engine, request.model).filter(({ head }) =>
+        return groups.candidates(service.name, engine, request.model).filter(({ head }) =>
             !full.isFull(head.id)
             && (head.coldUntilMs <= nowMs || cold.hasRoom(head.id, service.coldRequestsPerSecond))
         );
-        const choice = chooseGroup(engine, candidates, {
-            zone,
-            promptTokens: request.promptTokens,
-            targetGapMs: route.targetGapMs,
-        }, gatewayCount() > COMPARING_GATEWAYS ? { count: COMPARED_GROUPS, random } : undefined);
+    }
+
+    private placedRequest({ request, route }: ForwardedCall): Parameters<typeof chooseGroup>[2] {
+        return { zone: this.options.zone, promptTokens: request.promptTokens, targetGapMs: route.targetGapMs };
+    }
+
+    /** True if another group can be expected to read the prompt and begin before a busy one does. */
+    private hasQuickerGroup(call: ForwardedCall, engine: EngineProfile, busyHead: string): boolean {
+        const others = this.candidates(call, engine).filter(({ head }) => head.id !== busyHead);
+        const choice = chooseGroup(engine, others, this.placedRequest(call));
+        return choice !== undefined && choice.firstEventMs < BUSY_EXTENSION_MS / 2;
+    }
+
+    private place(call: ForwardedCall, engine: EngineProfile): GroupPlace | undefined {
+        const { loads, cold, clock, random, gatewayCount } = this.options;
+        const { request } = call;
+        const nowMs = clock.monotonicMs();
+        const candidates = this.candidates(call, engine);
+        const choice = chooseGroup(
+            engine,
+            candidates,
+            this.placedRequest(call),
+            gatewayCount() > COMPARING_GATEWAYS ? { count: COMPARED_GROUPS, random } : undefined,
+        );
         if (!choice) {
             return undefined;
         }
@@ -168,7 +189,12 @@
         return { ...choice, open, lost };
     }
 
-    private async attempt(call: ForwardedCall, place: GroupPlace, progress: StreamProgress): Promise<AttemptResult> {
+    private async attempt(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        place: GroupPlace,
+        progress: StreamProgress,
+    ): Promise<AttemptResult> {
         const { clock, client, guard, failures, full, loads } = this.options;
         const { head, epoch } = place.candidate;
         this.logPlaced(call, place, progress);
@@ -177,8 +203,8 @@
         let hasEvents = false;
         let isPatient = true;
         const guarded = guard.watch(place.firstEventMs + FIRST_EVENT_MARGIN_MS, () => {
-            if (isPatient && !hasEvents && loads.figures(String(epoch)).silentMs < LIVE_SILENCE_MS) {
-                // Others get events from the group: it is busy, and reading the prompt again elsewhere takes longer.
+            const isAlive = loads.figures(String(epoch)).silentMs < LIVE_SILENCE_MS;
+            if (isPatient && !hasEvents && isAlive && !this.hasQuickerGroup(call, engine, head.id)) {
                 isPatient = false;
                 return BUSY_EXTENSION_MS;
             }
