--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -12,10 +12,11 @@
 import { chooseMembers } from "./chooseMembers.js";
 import type { ControllerLease } from "./ControllerLease.js";
 import { EpochSource } from "./EpochSource.js";
+import { FleetSettling } from "./FleetSettling.js";
 import type { Formation } from "./Formation.js";
-import { lifeOf } from "./lifeOf.js";
 import type { LoadThrottle } from "./LoadThrottle.js";
 import type { LossDetector } from "./LossDetector.js";
+import { MemberCheck } from "./MemberCheck.js";
 import type { ObservedGroup } from "./ObservedGroup.js";
 import { observeGroups } from "./observeGroups.js";
 import type { OrderSender } from "./OrderSender.js";
@@ -66,8 +67,6 @@
 const TICK_MS = 40;
 /** Pause between two looks at the lease while another gateway is the controller, ms: that of the lease's own. */
 const STANDBY_TICK_MS = 100;
-/** No upstream has registered for this long: the fleet is as complete as it gets, ms; a few heartbeats. */
-const SETTLED_AFTER_MS = 1200;
 /** Silence of a group, as all gateways see it, after which its members are asked, ms: above most passes. */
 const SILENCE_MS = 220;
 /** Silence after which a group is formed anew though all its members answer, ms. */
@@ -107,14 +106,18 @@
     private readonly health: UpstreamHealth;
     private readonly epochs: EpochSource;
     private term = 0;
-    /** Version of the directory that was last looked through for new upstreams. */
-    private seenVersion = -1;
-    private knownIds = "";
-    private settledSinceMs = 0;
+    private readonly settling: FleetSettling;
+    private readonly check: MemberCheck;
 
     private constructor(private readonly options: FleetControllerOptions) {
         this.health = UpstreamHealth.create(options);
         this.epochs = EpochSource.create(options.upstreams);
+        this.settling = FleetSettling.create(options);
+        this.check = MemberCheck.create({
+            ...options,
+            health: this.health,
+            isInSight: (formation, sinceMs) => this.isInSight(formation, sinceMs),
+        });
     }
 
     /** Creates a controller; it acts once `run` and while it holds the lease. */
@@ -159,7 +162,7 @@
             this.epochs.start(this.term);
             log.info("acting as the controller", { term: this.term });
         }
-        this.noteSettled();
+        this.settling.look();
         for (const [service, { engine }] of configuration.current?.services ?? []) {
             if (!engine) {
                 continue;
@@ -263,8 +266,8 @@
         const hidden = formation.members.filter((member, rank) =>
             current[rank]?.group?.epoch !== formation.epoch && !this.options.orders.isBusy(member)
         );
-        if (ageMs > JOIN_SHOWS_AFTER_MS && hidden.length > 0 && this.mayCheck(formation, CHECK_PAUSE_MS)) {
-            void this.check(formation, hidden, undefined).then(lost => {
+        if (ageMs > JOIN_SHOWS_AFTER_MS && hidden.length > 0 && this.check.mayAsk(formation, CHECK_PAUSE_MS)) {
+            void this.check.ask(formation, hidden, undefined).then(lost => {
                 if (this.formations.get(formation.name) !== formation || formation.phase !== "joining") {
                     return;
                 }
@@ -313,7 +316,7 @@
     /** Asks members for their state while the store does not tell it. */
     private refreshFromReports(formation: Formation): void {
         const { upstreams, orders, isViewFresh } = this.options;
-        if (isViewFresh() || !this.mayCheck(formation, REPORT_PAUSE_MS)) {
+        if (isViewFresh() || !this.check.mayAsk(formation, REPORT_PAUSE_MS)) {
             return;
         }
         formation.isChecking = true;
@@ -372,8 +375,8 @@
         }
         const unlisted = formation.members.filter(member => !this.options.upstreams.get(member.id));
         const isDue = isSilent
-            ? this.mayCheck(formation, CHECK_PAUSE_MS)
-            : unlisted.length > 0 && this.mayCheck(formation, ENTRY_CHECK_PAUSE_MS);
+            ? this.check.mayAsk(formation, CHECK_PAUSE_MS)
+            : unlisted.length > 0 && this.check.mayAsk(formation, ENTRY_CHECK_PAUSE_MS);
         if (!isDue) {
             return;
         }
@@ -386,7 +389,7 @@
             inFlight: load.inFlight,
             unlisted: unlisted.length,
         });
-        void this.check(formation, asked, epoch).then(lost => {
+        void this.check.ask(formation, asked, epoch).then(lost => {
             if (this.formations.get(formation.name) !== formation || formation.phase !== "open") {
                 return;
             }
@@ -404,37 +407,6 @@
         });
     }
 
-    /** Asks members; those that do not answer count as lost. */
-    private async check(
-        formation: Formation,
-        members: readonly Upstream[],
-        epoch: number | undefined,
-    ): Promise<Set<string>> {
-        formation.isChecking = true;
-        const askedAtMs = this.nowMs();
-        const { lost, slow } = await this.options.detector.examine(members, epoch);
-        formation.isChecking = false;
-        formation.checkedAtMs = this.nowMs();
-        if (!this.isInSight(formation, askedAtMs)) {
-            // A cut looks like the loss of everything behind it, until its gateways count as silent.
-            return new Set();
-        }
-        for (const member of members) {
-            const reason = lost.get(member.id);
-            if (reason !== undefined) {
-                this.options.log.info("member lost", { group: formation.name, upstream: member.id, reason });
-                if (!reason.startsWith("belongs")) {
-                    this.health.markLost(member);
-                }
-            }
-        }
-        slow.forEach((factor, id) => {
-            this.options.log.info("member slow", { group: formation.name, upstream: id, factor });
-            this.health.markSlow(id);
-        });
-        return new Set(lost.keys());
-    }
-
     /** Members that hold their group up, if the domain has spares in memory for all of them. */
     private replaceableSlow(view: ServiceView, formation: Formation): Set<string> {
         const slow = formation.members.filter(member => this.health.isSlow(member.id));
@@ -647,7 +619,7 @@
             }
         }
         const domains = [...byDomain].map(([domain, members]) => ({ domain, freeCount: members.length }));
-        for (const planned of planGroups(engine.models, counts, domains, this.isSettled())) {
+        for (const planned of planGroups(engine.models, counts, domains, this.settling.isSettled)) {
             const model = engine.models.find(item => item.name === planned.model);
             const inDomain = this.freeUpstreams(view).filter(upstream => upstream.domain === planned.domain);
             const members = model && chooseMembers(model.name, model.memberCount, [], inDomain);
@@ -697,27 +669,6 @@
         );
     }
 
-    private noteSettled(): void {
-        const { version } = this.options.upstreams;
-        if (version === this.seenVersion) {
-            return;
-        }
-        this.seenVersion = version;
-        const ids = [...this.options.upstreams.all()].map(upstream => lifeOf(upstream)).sort().join(" ");
-        if (ids !== this.knownIds) {
-            this.knownIds = ids;
-            this.settledSinceMs = this.nowMs();
-        }
-    }
-
-    private isSettled(): boolean {
-        return this.nowMs() - this.settledSinceMs >= SETTLED_AFTER_MS;
-    }
-
-    private mayCheck(formation: Formation, pauseMs: number): boolean {
-        return !formation.isChecking && this.nowMs() - formation.checkedAtMs >= pauseMs;
-    }
-
     private setPhase(formation: Formation, phase: Formation["phase"]): void {
         formation.phase = phase;
         formation.phaseSinceMs = this.nowMs();
