Fence replaced members by life, and only until their old head has left

Members that were found lost were kept out of other groups for 4.6 s by their id, so that one which had restarted, and holds nothing of its group, could not be a spare; groups whose domain was short waited for them.

Changed: a fence belongs to a life, and ends when the old head's own word shows that it has left (mostly 0.2 s later) or restarted. That holds for groups that are given up, too.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -55,6 +55,8 @@
 /** Pause before other watches are renewed, ms. */
 const OTHER_PAUSE_MS = 50;
 const SWEEP_MS = 200;
+/** Loads that pass a hub on their way to the controller are this much older, ms: two pauses between its updates. */
+const HUB_LAG_MS = 200;
 const REGISTRATION_KIND = "fescue_gateways";
 
 /** One gateway: takes requests, places them, and takes part in the control of the fleet. */
@@ -158,6 +160,7 @@
             standby: StandbyPool.create({ clock, log, orders, throttle, hasTraffic }),
             groupStallMs: settings.groupStallMs,
             isZoneInSight: (zone, sinceMs) => zone === settings.zone || this.links.isZoneInSight(zone, sinceMs),
+            loadLagMs: () => this.links.hasHubs ? HUB_LAG_MS : 0,
             announceLost: (epoch, reason) => this.exchange.announceLost(epoch, reason),
             isLost: epoch => this.groups.isLost(epoch),
             isViewFresh: () =>
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -45,6 +45,8 @@
      * here says nothing.
      */
     isZoneInSight: (zone: string, sinceMs?: number) => boolean;
+    /** How much older than a pause between updates the loads of other gateways can be, ms. */
+    loadLagMs: () => number;
     /** Tells all gateways that a group is lost. */
     announceLost: (epoch: number, reason: string) => void;
     /** True if a group was found lost lately, so that gateways leave it out. */
@@ -364,7 +366,8 @@
     private watchMembers(view: ServiceView, formation: Formation): void {
         const load = this.options.loads.figures(String(formation.epoch));
         const ageMs = this.nowMs() - formation.phaseSinceMs;
-        const isSilent = load.inFlight > 0 && load.silentMs > SILENCE_MS && ageMs > SILENCE_MS;
+        const silenceMs = SILENCE_MS + this.options.loadLagMs();
+        const isSilent = load.inFlight > 0 && load.silentMs > silenceMs && ageMs > silenceMs;
         const reborn = formation.members.filter(member => {
             const current = this.options.upstreams.get(member.id);
             return current && (current.bornMs !== member.bornMs || current.group?.epoch !== formation.epoch);
@@ -494,8 +497,13 @@
     private fenceReplaced(formation: Formation, members: readonly Upstream[]): void {
         const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
         const kept = idsOf(members);
-        formation.members.filter(member => !kept.has(member.id)).forEach(member =>
-            this.health.fence(member.id, untilMs)
+        const { epoch, members: [head] } = formation;
+        const hasHeadLeft = () => {
+            const current = this.options.upstreams.get(head?.id ?? "");
+            return current !== undefined && (current.bornMs !== head?.bornMs || current.group?.epoch !== epoch);
+        };
+        formation.members.filter(member => member !== head && !kept.has(member.id)).forEach(member =>
+            this.health.fence(member, untilMs, hasHeadLeft)
         );
     }
 
@@ -574,14 +582,12 @@
         const head = members.get(0);
         const others = [...members.values()].filter(member => member !== head);
         const untilMs = this.nowMs() + groupStallMs + STALL_MARGIN_MS;
-        others.forEach(member => this.health.fence(member.id, untilMs));
+        let hasLeft = false;
+        others.forEach(member => this.health.fence(member, untilMs, () => hasLeft));
         const leave = { kind: "leave", group: name, epoch } as const;
-        const hasLeft = head !== undefined && this.health.isUsable(head)
+        hasLeft = head !== undefined && this.health.isUsable(head)
             && await orders.give(head, leave) === "carried-out";
         for (const member of others.filter(item => this.health.isUsable(item))) {
-            if (hasLeft) {
-                this.health.fence(member.id, 0);
-            }
             void orders.give(member, leave);
         }
     }
@@ -665,7 +671,7 @@
         return view.upstreams.filter(upstream =>
             this.health.isUsable(upstream) && !taken.has(upstream.id)
             && (!upstream.group || standbyGroups.isStandby(upstream.group.name))
-            && !this.health.isFenced(upstream.id)
+            && !this.health.isFenced(upstream)
         );
     }
 
--- a/packages/gateway/src/fleet/UpstreamHealth.ts
+++ b/packages/gateway/src/fleet/UpstreamHealth.ts
@@ -23,7 +23,7 @@
     /** Lives that did not answer, and when they were asked last, monotonic ms. */
     private readonly lostLives = new Map<string, number>();
     private readonly slowSinceMs = new Map<string, number>();
-    private readonly fencedUntilMs = new Map<string, number>();
+    private readonly fences = new Map<string, { untilMs: number; hasHeadLeft: () => boolean; }>();
 
     private constructor(private readonly options: UpstreamHealthOptions) {}
 
@@ -42,14 +42,15 @@
         this.slowSinceMs.set(id, this.options.clock.monotonicMs());
     }
 
-    /** The upstream may not change groups before a time, because the head of its group cannot be asked. */
-    fence(id: string, untilMs: number): void {
-        this.fencedUntilMs.set(id, untilMs);
+    /** The upstream may not change groups before a time, or until the head of its group is known to have left. */
+    fence(upstream: Upstream, untilMs: number, hasHeadLeft: () => boolean): void {
+        this.fences.set(lifeOf(upstream), { untilMs, hasHeadLeft });
     }
 
     /** True if the upstream may not change groups yet. */
-    isFenced(id: string): boolean {
-        return (this.fencedUntilMs.get(id) ?? 0) > this.options.clock.monotonicMs();
+    isFenced(upstream: Upstream): boolean {
+        const fence = this.fences.get(lifeOf(upstream));
+        return fence !== undefined && fence.untilMs > this.options.clock.monotonicMs() && !fence.hasHeadLeft();
     }
 
     /** True if the upstream was slow lately. */
@@ -75,7 +76,7 @@
     clear(): void {
         this.lostLives.clear();
         this.slowSinceMs.clear();
-        this.fencedUntilMs.clear();
+        this.fences.clear();
     }
 
     /** Asks a lost upstream again that is still registered. */
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -82,6 +82,22 @@
         rig.stopController();
     });
 
+    for (const loadLagMs of [0, 600]) {
+        it(`asks a silent group that may be heard of ${loadLagMs} ms late only after that much more silence`, async () => {
+            const rig = await formedRig();
+            rig.loadLagMs = loadLagMs;
+            const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+            const member = [...rig.directory.all()].find(item =>
+                item.group?.epoch === head.group?.epoch && item.group?.rank === 2
+            )!;
+            rig.fleet.darken(member.id);
+            await rig.run(1500);
+            const asked = rig.log.lines.find(({ event }) => event === "group asked");
+            expect(asked?.fields.silentMs).to.be.within(220 + loadLagMs, 420 + loadLagMs);
+            rig.stopController();
+        });
+    }
+
     it("does not use a replaced member elsewhere while its head may still serve with it", async () => {
         const rig = await formedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -30,6 +30,7 @@
     readonly fleet = SimulatedUpstreams.create(this.clock, exampleEngine, this.directory);
     readonly lost: number[] = [];
     isViewFresh = true;
+    loadLagMs = 0;
     /** When gateways of other zones were last heard. */
     gatewaysHeardAtMs: () => number = () => this.clock.monotonicMs();
     readonly zonesOutOfSight = new Set<string>();
@@ -96,6 +97,7 @@
             isZoneInSight: (zone, sinceMs = -Infinity) =>
                 !this.zonesOutOfSight.has(zone)
                 && this.gatewaysHeardAtMs() >= Math.max(sinceMs, this.clock.monotonicMs() - IN_SIGHT_MS),
+            loadLagMs: () => this.loadLagMs,
             announceLost: epoch => this.lost.push(epoch),
             isLost: epoch => this.lost.includes(epoch),
             isViewFresh: () => this.isViewFresh,
