Read through peers only after a second failure of the store

A single connection to the store that breaks (its history is dropped, a reset) made a gateway, and the controller with its 15 ms pauses, read through a peer for 1.5 s, which passes changes on 0.4 s late. Now the first failure is tried again as before, and the store is looked at every 0.7 s.

--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -52,8 +52,10 @@
 const PEER_WATCH_MS = 6000;
 /** Peers that are asked before the store counts as unavailable: one may be cut off from it as well. */
 const ASKED_PEERS = 2;
+/** The same at a peer that is no hub, ms: the store itself may be back by then. */
+const SECOND_HAND_WATCH_MS = 1000;
 /** Pause between two looks at whether the store answers again, ms: calls to it are priced. */
-const PROBE_PAUSE_MS = 1500;
+const PROBE_PAUSE_MS = 700;
 /** Wait of such a look, ms: an answer at once is what it is for. */
 const PROBE_WAIT_MS = 1;
 
@@ -67,6 +69,8 @@
     private readonly clients = new Map<string, Client<typeof ViewService>>();
     /** Kinds that this process has listed. */
     private readonly known = new Set<string>();
+    /** Kinds whose last watch at the store failed. */
+    private readonly failed = new Set<string>();
     /** Kinds for which the store does not answer. */
     private readonly away = new Set<string>();
     /** Kinds whose newest answer came from a peer that is no hub. */
@@ -133,13 +137,19 @@
             const direct = await this.options.store.watch(kinds, after, waitMs, signal);
             if (direct.kind !== "unavailable" || signal.aborted) {
                 this.secondHand.delete(kind);
+                this.failed.delete(kind);
+                return direct;
+            }
+            if (!this.failed.has(kind)) {
+                // A single connection that broke is no reason to hear of changes later, through a peer.
+                this.failed.add(kind);
                 return direct;
             }
             this.away.add(kind);
             void this.probe(kind, after, signal);
         }
         for (const peer of this.somePeers()) {
-            const seen = await this.watchAt(peer, kind, after, PROBE_PAUSE_MS, signal);
+            const seen = await this.watchAt(peer, kind, after, SECOND_HAND_WATCH_MS, signal);
             if (seen) {
                 this.noteSecondHand(kind, peer);
                 return seen;
@@ -156,6 +166,7 @@
             const answer = await this.options.store.watch([kind], after, PROBE_WAIT_MS, signal);
             if (answer.kind !== "unavailable") {
                 this.away.delete(kind);
+                this.failed.delete(kind);
             }
         }
     }
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -179,6 +179,7 @@
                 direct.faults.outage = true;
                 const listed = await store.list(["things"], "read");
                 expect(listed.kind === "listed" && listed.objects.map(item => item.name)).to.deep.equal(["a"]);
+                expect((await store.watch(["things"], 5, 2000, signal)).kind).to.equal("unavailable");
                 const watching = store.watch(["things"], 5, 2000, signal);
                 setTimeout(() => {
                     cache.takeChange({ kind: "written", object: { kind: "things", name: "b", revision: 6, value: 1 } });
@@ -196,6 +197,8 @@
                 await store.list(["things"], "read");
                 direct.faults.outage = true;
                 await store.watch(["things"], 5, 100, signal);
+                expect(store.isFirstHand("things")).to.equal(true);
+                await store.watch(["things"], 5, 100, signal);
                 expect(store.isFirstHand("things")).to.equal(false);
                 direct.faults.outage = false;
                 await untilTrue(clock, "back at the store", 5000, async () => {
