Begin a domain with a large group while its VMs still register

With the work of each VM as the measure a small group is next as often as a large one, and while VMs register one by one it took the first three of a domain, and often the next three: the domain had no room left for a large group.

Changed: while VMs register, a domain's first group is one of the largest, and others follow it.

Ruled out: planning nothing before all VMs are there; loads then begin three seconds later, and traffic with them.

Test: VMs of six domains of eleven, and of eight of 27, register one by one in drawn orders; 6 and 6, and 8 and 16 groups come out each time.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -624,7 +624,12 @@
                 counts.set(formation.model.name, (counts.get(formation.model.name) ?? 0) + 1);
             }
         }
-        const domains = [...byDomain].map(([domain, members]) => ({ domain, freeCount: members.length }));
+        const domains = [...byDomain].map(([domain, members]) => ({
+            domain,
+            freeCount: members.length,
+            groupCount: [...this.formations.values()].filter(item => item.service === service && item.domain === domain)
+                .length,
+        }));
         for (const planned of planGroups(engine.models, counts, domains, this.settling.isSettled)) {
             const model = engine.models.find(item => item.name === planned.model);
             const inDomain = this.freeUpstreams(view).filter(upstream => upstream.domain === planned.domain);
--- a/packages/gateway/src/fleet/planGroups.ts
+++ b/packages/gateway/src/fleet/planGroups.ts
@@ -5,6 +5,8 @@
     domain: string;
     /** VMs that belong to no group. */
     freeCount: number;
+    /** Groups that it has. */
+    groupCount: number;
 }
 
 /** A group to be formed. */
@@ -15,8 +17,8 @@
 
 /**
  * Plans groups for the free VMs of each fabric domain, the model first whose VMs have most work each. A group never
- * spans domains. While VMs are still registering (`isSettled` false), a model for which there is no room yet is waited
- * for, so that small groups do not take the VMs of large ones.
+ * spans domains. While VMs are still registering (`isSettled` false), a domain's first group is one of the largest and
+ * others follow it, so that small groups do not take the VMs of large ones.
  */
 export function planGroups(
     models: readonly ModelProfile[],
@@ -25,18 +27,20 @@
     isSettled: boolean,
 ): PlannedGroup[] {
     const counts = new Map(groupCounts);
-    const free = new Map(domains.map(({ domain, freeCount }) => [domain, freeCount]));
+    const states = domains.map(state => ({ ...state }));
     const planned: PlannedGroup[] = [];
     const largest = Math.max(...models.map(model => model.memberCount));
     for (;;) {
         const ordered = [...models].sort((left, right) => workPerVm(right, counts) - workPerVm(left, counts));
-        const choice = pick(isSettled ? ordered : ordered.slice(0, 1), free, largest);
+        const choice = pick(ordered, states, largest, isSettled);
         if (!choice) {
             return planned;
         }
-        planned.push({ domain: choice.domain, model: choice.model.name });
-        counts.set(choice.model.name, (counts.get(choice.model.name) ?? 0) + 1);
-        free.set(choice.domain, (free.get(choice.domain) ?? 0) - choice.model.memberCount);
+        const { state, model } = choice;
+        planned.push({ domain: state.domain, model: model.name });
+        counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
+        state.freeCount -= model.memberCount;
+        state.groupCount += 1;
     }
 }
 
@@ -49,17 +53,21 @@
 /** The first model for which there is room, in the domain that keeps most room for the largest groups. */
 function pick(
     ordered: readonly ModelProfile[],
-    free: ReadonlyMap<string, number>,
+    states: readonly DomainState[],
     largest: number,
-): { domain: string; model: ModelProfile; } | undefined {
+    isSettled: boolean,
+): { state: DomainState; model: ModelProfile; } | undefined {
     for (const model of ordered) {
-        const largestLost = (count: number) =>
-            Math.floor(count / largest) - Math.floor((count - model.memberCount) / largest);
-        const [best] = [...free].filter(([, count]) => count >= model.memberCount).sort((left, right) =>
-            largestLost(left[1]) - largestLost(right[1]) || right[1] - left[1] || left[0].localeCompare(right[0])
+        const largestLost = ({ freeCount }: DomainState) =>
+            Math.floor(freeCount / largest) - Math.floor((freeCount - model.memberCount) / largest);
+        const isDue = ({ groupCount }: DomainState) =>
+            isSettled || (model.memberCount === largest ? groupCount === 0 : groupCount > 0);
+        const [best] = states.filter(state => state.freeCount >= model.memberCount && isDue(state)).sort((one, other) =>
+            largestLost(one) - largestLost(other) || other.freeCount - one.freeCount
+            || one.domain.localeCompare(other.domain)
         );
         if (best) {
-            return { domain: best[0], model };
+            return { state: best, model };
         }
     }
     return undefined;
--- a/packages/gateway/tests/fleet/planning.test.ts
+++ b/packages/gateway/tests/fleet/planning.test.ts
@@ -1,3 +1,4 @@
+import { SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { chooseMembers } from "../../src/fleet/chooseMembers.js";
 import { planGroups } from "../../src/fleet/planGroups.js";
@@ -7,7 +8,7 @@
 const { models } = exampleEngine;
 
 function domains(...freeCounts: number[]) {
-    return freeCounts.map((freeCount, index) => ({ domain: `d${index}`, freeCount }));
+    return freeCounts.map((freeCount, index) => ({ domain: `d${index}`, freeCount, groupCount: 0 }));
 }
 
 function countOf(planned: ReturnType<typeof planGroups>, model: string): number {
@@ -30,6 +31,43 @@
         expect(planned).to.deep.equal([]);
     });
 
+    const fleets: ReadonlyArray<
+        { title: string; domainCount: number; size: number; factor: number; groups: number[]; }
+    > = [
+        { title: "six domains of eleven", domainCount: 6, size: 11, factor: 1, groups: [6, 6] },
+        { title: "eight domains of 27", domainCount: 8, size: 27, factor: 2, groups: [8, 16] },
+    ];
+    for (const { title, domainCount, size, factor, groups } of fleets) {
+        for (const seed of [1, 2, 3]) {
+            it(`comes to the same groups when the VMs of ${title} register one by one (seed ${seed})`, () => {
+                const random = SeededRandom.create(seed);
+                const share = factor === 1 ? undefined : 0.5;
+                const scaled = models.map(model => ({
+                    ...model,
+                    memberCount: model.memberCount * factor,
+                    demandShare: share ?? model.demandShare,
+                }));
+                const states = domains(...Array.from({ length: domainCount }, () => 0));
+                const toCome = states.flatMap(state => Array.from({ length: size }, () => state));
+                const counts = new Map<string, number>();
+                const plan = (isSettled: boolean) => {
+                    for (const { domain, model } of planGroups(scaled, counts, states, isSettled)) {
+                        const state = states.find(item => item.domain === domain)!;
+                        state.freeCount -= scaled.find(item => item.name === model)!.memberCount;
+                        state.groupCount += 1;
+                        counts.set(model, (counts.get(model) ?? 0) + 1);
+                    }
+                };
+                while (toCome.length > 0) {
+                    toCome.splice(Math.floor(random.next() * toCome.length), 1)[0]!.freeCount += 1;
+                    plan(false);
+                }
+                plan(true);
+                expect([counts.get("large"), counts.get("small")]).to.deep.equal(groups);
+            });
+        }
+    }
+
     it("uses what is left for small groups once all VMs are there", () => {
         const planned = planGroups(models, new Map([["large", 2], ["small", 1]]), domains(4, 5, 2), true);
         expect(planned).to.deep.equal([{ domain: "d1", model: "small" }, { domain: "d0", model: "small" }]);
