--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -624,11 +624,13 @@
                 counts.set(formation.model.name, (counts.get(formation.model.name) ?? 0) + 1);
             }
         }
+        const largest = Math.max(...engine.models.map(model => model.memberCount));
+        const hasLargest = (formation: Formation, domain: string) =>
+            formation.service === service && formation.domain === domain && formation.model.memberCount === largest;
         const domains = [...byDomain].map(([domain, members]) => ({
             domain,
             freeCount: members.length,
-            groupCount: [...this.formations.values()].filter(item => item.service === service && item.domain === domain)
-                .length,
+            largestCount: [...this.formations.values()].filter(formation => hasLargest(formation, domain)).length,
         }));
         for (const planned of planGroups(engine.models, counts, domains, this.settling.isSettled)) {
             const model = engine.models.find(item => item.name === planned.model);
--- a/packages/gateway/src/fleet/planGroups.ts
+++ b/packages/gateway/src/fleet/planGroups.ts
@@ -5,8 +5,8 @@
     domain: string;
     /** VMs that belong to no group. */
     freeCount: number;
-    /** Groups that it has. */
-    groupCount: number;
+    /** Groups of the models with most members that it has. */
+    largestCount: number;
 }
 
 /** A group to be formed. */
@@ -16,9 +16,10 @@
 }
 
 /**
- * Plans groups for the free VMs of each fabric domain, the model first whose VMs have most work each. A group never
- * spans domains. While VMs are still registering (`isSettled` false), a domain's first group is one of the largest and
- * others follow it, so that small groups do not take the VMs of large ones.
+ * Plans groups for the free VMs of each fabric domain, the model first whose groups have most work each. A group never
+ * spans domains, and a domain gets a second one of the largest groups only if their VMs have more work than all others.
+ * While VMs are still registering (`isSettled` false), a model for which there is no room yet is waited for, so that
+ * small groups do not take the VMs of large ones.
  */
 export function planGroups(
     models: readonly ModelProfile[],
@@ -31,8 +32,13 @@
     const planned: PlannedGroup[] = [];
     const largest = Math.max(...models.map(model => model.memberCount));
     for (;;) {
-        const ordered = [...models].sort((left, right) => workPerVm(right, counts) - workPerVm(left, counts));
-        const choice = pick(ordered, states, largest, isSettled);
+        const workOfVms = (model: ModelProfile) => workPerGroup(model, counts) / (model.pace * model.memberCount);
+        const isBusiest = (model: ModelProfile) =>
+            models.every(other => other === model || workOfVms(model) > workOfVms(other));
+        const isDue = (model: ModelProfile, { largestCount }: DomainState) =>
+            model.memberCount < largest || largestCount === 0 || isBusiest(model);
+        const ordered = [...models].sort((left, right) => workPerGroup(right, counts) - workPerGroup(left, counts));
+        const choice = pick(isSettled ? ordered : ordered.slice(0, 1), states, largest, isDue);
         if (!choice) {
             return planned;
         }
@@ -40,14 +46,14 @@
         planned.push({ domain: state.domain, model: model.name });
         counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
         state.freeCount -= model.memberCount;
-        state.groupCount += 1;
+        state.largestCount += model.memberCount === largest ? 1 : 0;
     }
 }
 
-/** Share of the work that each VM of a model's groups has. */
-function workPerVm(model: ModelProfile, counts: ReadonlyMap<string, number>): number {
+/** Work of a model for each of its groups; a group at half the pace factor does twice the work. */
+function workPerGroup(model: ModelProfile, counts: ReadonlyMap<string, number>): number {
     const count = counts.get(model.name) ?? 0;
-    return count === 0 ? Infinity : model.demandShare / (count * model.memberCount);
+    return count === 0 ? Infinity : model.demandShare * model.pace / count;
 }
 
 /** The first model for which there is room, in the domain that keeps most room for the largest groups. */
@@ -55,14 +61,13 @@
     ordered: readonly ModelProfile[],
     states: readonly DomainState[],
     largest: number,
-    isSettled: boolean,
+    isDue: (model: ModelProfile, state: DomainState) => boolean,
 ): { state: DomainState; model: ModelProfile; } | undefined {
     for (const model of ordered) {
         const largestLost = ({ freeCount }: DomainState) =>
             Math.floor(freeCount / largest) - Math.floor((freeCount - model.memberCount) / largest);
-        const isDue = ({ groupCount }: DomainState) =>
-            isSettled || (model.memberCount === largest ? groupCount === 0 : groupCount > 0);
-        const [best] = states.filter(state => state.freeCount >= model.memberCount && isDue(state)).sort((one, other) =>
+        const fitting = states.filter(state => state.freeCount >= model.memberCount && isDue(model, state));
+        const [best] = fitting.sort((one, other) =>
             largestLost(one) - largestLost(other) || other.freeCount - one.freeCount
             || one.domain.localeCompare(other.domain)
         );
--- a/packages/gateway/tests/fleet/planning.test.ts
+++ b/packages/gateway/tests/fleet/planning.test.ts
@@ -8,7 +8,7 @@
 const { models } = exampleEngine;
 
 function domains(...freeCounts: number[]) {
-    return freeCounts.map((freeCount, index) => ({ domain: `d${index}`, freeCount, groupCount: 0 }));
+    return freeCounts.map((freeCount, index) => ({ domain: `d${index}`, freeCount, largestCount: 0 }));
 }
 
 function countOf(planned: ReturnType<typeof planGroups>, model: string): number {
@@ -54,7 +54,7 @@
                     for (const { domain, model } of planGroups(scaled, counts, states, isSettled)) {
                         const state = states.find(item => item.domain === domain)!;
                         state.freeCount -= scaled.find(item => item.name === model)!.memberCount;
-                        state.groupCount += 1;
+                        state.largestCount += model === "large" ? 1 : 0;
                         counts.set(model, (counts.get(model) ?? 0) + 1);
                     }
                 };
