Log the cold time of an upstream and the gateway's share of its limit

Two cold heads received 38 and 37 requests within a second where 30.5 were allowed. From the logs one cannot tell whether many gateways sent one request each, or a few gateways did not know that the head was cold: the line of an admitted request says neither. It now has coldMs and coldShare at a cold upstream. No decision changes.

--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -175,6 +175,7 @@
             configuration: call.configurationVersion,
             upstream: upstream.id,
             viewAgeMs: Math.round(this.options.viewAgeMs()),
+            ...this.options.coldStartLimiter.logFields(upstream, call.service.coldRequestsPerSecond),
         });
         try {
             const remainingMs = call.deadlineMs - clock.monotonicMs();
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -420,6 +420,7 @@
             waitedMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
             viewAgeMs: Math.round(this.options.viewAgeMs()),
             resumeAfter: progress.lastEventId,
+            ...this.options.coldStartLimiter.logFields(candidate.head, call.service.coldRequestsPerSecond),
         });
     }
 
--- a/packages/gateway/src/placement/ColdStartLimiter.ts
+++ b/packages/gateway/src/placement/ColdStartLimiter.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@fescuehaven/runtime";
+import type { Upstream } from "../model/Upstream.js";
 import { SlidingWindowCounter } from "../util/SlidingWindowCounter.js";
 
 interface ColdStartLimiterOptions {
@@ -22,12 +23,22 @@
 
     /** Returns true if a request may be sent to the cold upstream now. */
     canSend(upstreamId: string, requestsPerSecond: number): boolean {
-        const share = Math.max(1, Math.floor(requestsPerSecond / Math.max(1, this.options.gatewayCount())));
         const sent = this.sent.get(upstreamId)?.count ?? 0;
         if (sent === 0) {
             this.sent.delete(upstreamId);
         }
-        return sent < share;
+        return sent < this.share(requestsPerSecond);
+    }
+
+    /** Returns log fields for a request to an upstream: the remaining cold time and this gateway's share, if cold. */
+    logFields(upstream: Upstream, requestsPerSecond: number): { coldMs?: number; coldShare?: number; } {
+        const coldMs = upstream.coldUntilMs - this.options.clock.monotonicMs();
+        return coldMs > 0 ? { coldMs: Math.round(coldMs), coldShare: this.share(requestsPerSecond) } : {};
+    }
+
+    /** Returns the number of requests per second that this gateway may send to a cold upstream with this limit. */
+    private share(requestsPerSecond: number): number {
+        return Math.max(1, Math.floor(requestsPerSecond / Math.max(1, this.options.gatewayCount())));
     }
 
     /** Counts a request that is sent to a cold upstream. */
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -195,6 +195,17 @@
             });
         });
 
+        it("logs the remaining cold time of a group and this gateway's share of its limit", async () => {
+            rig.configure({}, 2, 17);
+            rig.directory.set(head("g1", 1, { coldUntilMs: rig.clock.monotonicMs() + 3000 }));
+            rig.directory.remove("g2", "removed");
+            rig.client.script(() => responses.stream(1, 1));
+            rig.send();
+            await rig.clock.settle();
+            const admitted = rig.log.lines.find(({ event }) => event === "request admitted");
+            expect(admitted?.fields).to.include({ coldMs: 3000, coldShare: 17 });
+        });
+
         it("does not refuse as not run when a group may have run the request", async () => {
             const afterOnePass = () => rig.clock.sleep(60).then(() => UNKNOWN);
             rig.client.script(afterOnePass, afterOnePass);
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -35,6 +35,13 @@
     isResumable: true,
 };
 
+interface ForwarderRigOptions {
+    /** The retry budget suffices for `retrySlack` / 0.72 attempts. */
+    retrySlack?: number;
+    /** Names of all registered gateways, of which the first is this one. */
+    gateways?: readonly string[];
+}
+
 /** The request path of a gateway in front of scripted upstreams. */
 export class ForwarderRig {
     readonly clock = ManualClock.create();
@@ -48,7 +55,7 @@
     private readonly forwarder: RequestForwarder;
     private readonly stop = new AbortController();
 
-    private constructor(retrySlack: number) {
+    private constructor({ retrySlack = 100, gateways = ["gateway-0"] }: ForwarderRigOptions) {
         const { clock, log, client, loads } = this;
         const random = SeededRandom.create(1);
         const failureRates = FailureRateTracker.create(clock);
@@ -56,7 +63,7 @@
         this.groups = GroupDirectory.create({ clock, upstreams: this.directory, loads, failureRates, isEvacuated });
         const queue = AdmissionQueue.create({ clock, random });
         const idleTimeouts = IdleTimeoutMonitor.create(clock);
-        const gatewayCount = () => 1;
+        const gatewayCount = () => gateways.length;
         const retryBudget = RetryBudget.create({ clock, ratio: 0, slack: retrySlack, windowMs: 10_000, gatewayCount });
         const shared = {
             clock,
@@ -92,14 +99,14 @@
         void idleTimeouts.run(this.stop.signal);
     }
 
-    /** Creates a request path without upstreams. Its retry budget suffices for `retrySlack` / 0.72 attempts. */
-    static create(retrySlack = 100): ForwarderRig {
-        return new ForwarderRig(retrySlack);
+    /** Creates a request path without upstreams. */
+    static create(options: ForwarderRigOptions = {}): ForwarderRig {
+        return new ForwarderRig(options);
     }
 
     /** Activates a configuration with one route. */
-    configure(changes: Partial<Route> = {}, version = 1): void {
-        const llm = { name: "llm", connectionLimit: 9, coldRequestsPerSecond: 0, engine: exampleEngine };
+    configure(changes: Partial<Route> = {}, version = 1, coldRequestsPerSecond = 0): void {
+        const llm = { name: "llm", connectionLimit: 9, coldRequestsPerSecond, engine: exampleEngine };
         const app = { name: "app", connectionLimit: 9, coldRequestsPerSecond: 0 };
         this.configuration.adopt({
             version,
