Add a failing test: an attempt that fails at once is not counted

Requests ran on three upstreams of two allowed. The test sends a stream that breaks after its first event to a group that responds with 500 at once: it is sent to a third.

--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -137,6 +137,18 @@
             expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2], "incomplete"]);
         });
 
+        it("does not exceed the route's attempts when a group responds with an error at once", async () => {
+            rig.client.script(
+                () => responses.brokenStream(1, 1),
+                () => responses.complete(500, "failed"),
+                () => responses.stream(2, 3),
+            );
+            const response = rig.send();
+            await rig.clock.advance(100);
+            expect([eventIdsOf(response), response.ending]).to.deep.equal([[1], "incomplete"]);
+            expect(rig.client.sent.length).to.equal(2);
+        });
+
         it("tries another group when one reports that it has not run the request", async () => {
             rig.client.script(() => NOT_RUN, () => responses.stream(1, 2));
             const response = rig.send();
