Add a failing test: a cold group's limit and many gateways

Two cold heads received 38 and 37 requests within a second. Each gateway's share of a limit of 17 is at least one request a second, so 76 gateways may send 76: the test counts exactly that.

--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -207,6 +207,25 @@
             });
         });
 
+        it("keeps a cold group within its requests per second when there are more gateways than that", async () => {
+            const gateways = Array.from({ length: 76 }, (_, index) => `gateway-${index}`);
+            const limit = 17;
+            let sent = 0;
+            for (const gateway of gateways) {
+                const one = ForwarderRig.create({
+                    gateways: [gateway, ...gateways.filter(name => name !== gateway)],
+                });
+                one.configure({}, 1, limit);
+                one.directory.set(head("g1", 1, { coldUntilMs: one.clock.monotonicMs() + 3000 }));
+                one.client.script(...Array.from({ length: 20 }, () => () => responses.stream(1, 1)));
+                Array.from({ length: 20 }, () => one.send());
+                await one.clock.advance(900);
+                sent += one.client.sent.length;
+                one.close();
+            }
+            expect(sent).to.equal(limit);
+        });
+
         it("logs the remaining cold time of a group and this gateway's share of its limit", async () => {
             rig.configure({}, 2, 17);
             rig.directory.set(head("g1", 1, { coldUntilMs: rig.clock.monotonicMs() + 3000 }));
