Count every attempt that may have run against the route's attempts

Cause: an attempt that ended without an event within 20 ms, the shortest pass of an engine, was taken not to have run, and likewise one at a group that was found lost. Whether a request ran was inferred from a duration. Only the upstream can say that it did not.

Now every attempt counts unless its outcome is not-run. The inference was there for connections that the upstream had closed while they were idle: the client reports such a stale connection as what it is, and the request may go once more to the same upstream over a new one, which is not another upstream.

Two tests asked for uncounted attempts (reset at once, group lost before its first event). They were wrong about the rule, as a reset may follow a run; they now ask that these attempts count, and new ones bound the repeats.

--- a/packages/gateway/src/forwarding/AttemptResult.ts
+++ b/packages/gateway/src/forwarding/AttemptResult.ts
@@ -9,6 +9,11 @@
     /** The upstream did not run the request. */
     | { kind: "not-run"; reason: string; }
     /** The attempt ended early or without a response; the request may have run. */
-    | { kind: "broken"; reason: string; }
+    | {
+        kind: "broken";
+        reason: string;
+        /** True if a connection kept from an earlier request was lost before any response arrived. */
+        isStaleConnection?: boolean;
+    }
     /** The caller disconnected or the deadline passed. */
     | { kind: "stopped"; };
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -49,19 +49,16 @@
     trackedRequest: TrackedRequest;
     /** Aborts, with the reason, when the group is found lost. */
     groupLost: AbortController;
-    /**
-     * The attempt received no event, and ended before the engine could have finished a pass or because its group was
-     * lost.
-     */
-    hasNotStarted?: boolean;
 }
 
 /** Progress of a stream over all its attempts. */
 interface StreamProgress {
     lastEventId?: string;
     hasEvents: boolean;
-    /** Attempts for which an engine has begun to respond, or may have. */
+    /** Attempts that an engine has run or may have run, without repeats at the same head. */
     countedAttempts: number;
+    /** Head that may get the request once more, because it was sent there over a stale connection. */
+    resendTo?: string;
     mayHaveRun: boolean;
     /** Attempts that the head did not run. */
     rejections: number;
@@ -88,8 +85,6 @@
 const SAMPLED_GROUPS = 3;
 /** Longest pause between two events: several of the longest passes, and well under the callers' two seconds. */
 const EVENT_PAUSE_LIMIT_MS = 750;
-/** Shortest pass of an engine; no stream can have its first event sooner. */
-const SHORTEST_PASS_MS = 20;
 /** Number of rejections after which a request is refused: the view is wrong about several groups, or all are full. */
 const MAX_REJECTIONS = 3;
 /** Time within which a group that is being formed is expected to open: warm joins take about a second. */
@@ -143,8 +138,11 @@
             priority: progress.hasEvents ? -1 : call.priority,
             onTimeUntilMs: request.receivedAtMs + route.targetLatencyMs,
             usefulUntilMs: nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION,
-            tryAcquireSlot: () => this.tryAcquireSlot(call, engine),
+            tryAcquireSlot: () => this.tryAcquireSlot(call, engine, progress),
             expectedWaitMs: () => {
+                if (!hasAttemptsLeft(call, progress) && this.candidates(call, engine, progress).length === 0) {
+                    return Infinity;
+                }
                 if (groups.hasOpen(service.name, engine, request.model)) {
                     return 0;
                 }
@@ -153,13 +151,16 @@
         }, AbortSignal.any([call.callerResponse.disconnected, call.deadline]));
     }
 
-    private candidates({ request, service }: ForwardedCall, engine: EngineProfile): GroupCandidate[] {
+    private candidates(call: ForwardedCall, engine: EngineProfile, progress: StreamProgress): GroupCandidate[] {
         const { groups, coldStartLimiter, saturatedHeads, clock } = this.options;
+        const { request, service } = call;
         const nowMs = clock.monotonicMs();
-        return groups.candidates(service.name, engine, request.model).filter(({ head }) =>
+        const candidates = groups.candidates(service.name, engine, request.model).filter(({ head }) =>
             !saturatedHeads.isSaturated(head.id)
             && (head.coldUntilMs <= nowMs || coldStartLimiter.canSend(head.id, service.coldRequestsPerSecond))
         );
+        const repeated = candidates.filter(({ head }) => head.id === progress.resendTo);
+        return repeated.length > 0 || !hasAttemptsLeft(call, progress) ? repeated : candidates;
     }
 
     private requestProfile({ request, route }: ForwardedCall): Parameters<typeof chooseGroup>[2] {
@@ -170,17 +171,26 @@
      * Returns true if another group is expected to prefill the prompt and send its first event before the busy one
      * does.
      */
-    private hasQuickerGroup(call: ForwardedCall, engine: EngineProfile, busyHead: string): boolean {
-        const others = this.candidates(call, engine).filter(({ head }) => head.id !== busyHead);
+    private hasQuickerGroup(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+        busyHead: string,
+    ): boolean {
+        const others = this.candidates(call, engine, progress).filter(({ head }) => head.id !== busyHead);
         const choice = chooseGroup(engine, others, this.requestProfile(call));
         return choice !== undefined && choice.firstEventMs < BUSY_EXTENSION_MS / 2;
     }
 
-    private tryAcquireSlot(call: ForwardedCall, engine: EngineProfile): GroupSlot | undefined {
+    private tryAcquireSlot(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+    ): GroupSlot | undefined {
         const { loads, coldStartLimiter, clock, random, gatewayCount } = this.options;
         const { request } = call;
         const nowMs = clock.monotonicMs();
-        const candidates = this.candidates(call, engine);
+        const candidates = this.candidates(call, engine, progress);
         const choice = chooseGroup(
             engine,
             candidates,
@@ -213,12 +223,11 @@
         const { head, epoch } = slot.candidate;
         this.logAdmitted(call, slot, progress);
         const idleTimeout = new AbortController();
-        const sentAtMs = clock.monotonicMs();
         let hasEvents = false;
         let canExtend = true;
         const idleTimer = idleTimeouts.watch(slot.firstEventMs + FIRST_EVENT_MARGIN_MS, () => {
             const isGroupAlive = loads.totalLoad(String(epoch)).silentMs < MAX_ALIVE_SILENCE_MS;
-            if (canExtend && !hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, head.id)) {
+            if (canExtend && !hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, head.id)) {
                 canExtend = false;
                 return BUSY_EXTENSION_MS;
             }
@@ -246,7 +255,8 @@
                 return { kind: "not-run", reason: response.reason };
             }
             if (response.kind === "unknown") {
-                return this.brokenResult(call, slot, idleTimeout.signal, response.reason);
+                const { reason, isStaleConnection } = response;
+                return this.brokenResult(call, slot, idleTimeout.signal, reason, isStaleConnection);
             }
             if (response.head.status < 200 || response.head.status > 299 || !response.isSigned) {
                 const body = await readBody(response.body);
@@ -292,8 +302,6 @@
         }
         finally {
             idleTimer.stop();
-            const wasTooShort = clock.monotonicMs() - sentAtMs < SHORTEST_PASS_MS;
-            slot.hasNotStarted = !hasEvents && (wasTooShort || slot.groupLost.signal.aborted);
             slot.trackedRequest.end();
             this.options.queue.admitWaiting();
         }
@@ -305,6 +313,7 @@
         slot: GroupSlot,
         idleTimeout: AbortSignal,
         reason: string,
+        isStaleConnection = false,
     ): AttemptResult {
         if (call.callerResponse.disconnected.aborted || call.deadline.aborted) {
             return { kind: "stopped" };
@@ -317,7 +326,7 @@
             : idleTimeout.aborted
             ? "silent for too long"
             : reason;
-        return { kind: "broken", reason: cause };
+        return { kind: "broken", reason: cause, isStaleConnection };
     }
 
     /** Decides what follows an attempt; returns true if the request is finished, false if it is to be retried. */
@@ -337,17 +346,22 @@
             this.giveUp(call, progress, { kind: "aborted" });
             return true;
         }
+        const isRepeat = progress.resendTo === slot.candidate.head.id;
+        progress.resendTo = undefined;
         if (result.kind === "not-run") {
             progress.rejections += 1;
         }
         else {
             progress.mayHaveRun = true;
-            progress.countedAttempts += slot.hasNotStarted ? 0 : 1;
+            progress.countedAttempts += isRepeat ? 0 : 1;
+            if (!isRepeat && result.kind === "broken" && result.isStaleConnection) {
+                progress.resendTo = slot.candidate.head.id;
+            }
         }
         const isRepeatable = call.route.isResumable || result.kind === "not-run";
-        const hasAttemptsLeft = progress.countedAttempts < call.route.maxAttempts
-            && progress.rejections < MAX_REJECTIONS;
-        if (isRepeatable && hasAttemptsLeft && this.options.retryBudget.tryAcquire(call.service.name)) {
+        const mayRetry = isRepeatable && progress.rejections < MAX_REJECTIONS
+            && (hasAttemptsLeft(call, progress) || progress.resendTo !== undefined);
+        if (mayRetry && this.options.retryBudget.tryAcquire(call.service.name)) {
             this.options.metrics.count("retries", result.kind);
             return false;
         }
@@ -436,8 +450,13 @@
             epoch: slot.candidate.epoch,
             outcome: result.kind,
             reason: "reason" in result ? result.reason : undefined,
+            isStaleConnection: result.kind === "broken" && result.isStaleConnection ? true : undefined,
             lastEventId: progress.lastEventId,
             durationMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
         });
     }
 }
+
+function hasAttemptsLeft(call: ForwardedCall, progress: StreamProgress): boolean {
+    return progress.countedAttempts < call.route.maxAttempts;
+}
--- a/packages/gateway/src/ports/UpstreamResponse.ts
+++ b/packages/gateway/src/ports/UpstreamResponse.ts
@@ -13,7 +13,12 @@
     /** The upstream did not run the request and never will. */
     | { kind: "not-run"; reason: NotRunReason; }
     /** The request may have run. */
-    | { kind: "unknown"; reason: string; };
+    | {
+        kind: "unknown";
+        reason: string;
+        /** True if a connection kept from an earlier request was lost before any response arrived. */
+        isStaleConnection?: boolean;
+    };
 
 /** Reason why an upstream did not run a request. */
 type NotRunReason = "overloaded" | "not-connected" | "other-instance" | "aborted";
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -18,6 +18,7 @@
 
 const NOT_RUN: UpstreamResponse = { kind: "not-run", reason: "overloaded" };
 const UNKNOWN: UpstreamResponse = { kind: "unknown", reason: "reset" };
+const STALE: UpstreamResponse = { ...UNKNOWN, isStaleConnection: true };
 
 describe("forwarding", () => {
     let rig: ForwarderRig;
@@ -87,13 +88,13 @@
             expect(rig.client.sent.length).to.equal(2);
         });
 
-        it("does not count attempts at groups that are lost before they have begun to respond", async () => {
+        it("counts attempts at groups that are lost before they have begun to respond", async () => {
             const untilAborted = (_: unknown, signal: AbortSignal) =>
                 new Promise<UpstreamResponse>(resolve => signal.addEventListener("abort", () => resolve(UNKNOWN)));
-            rig.client.script(untilAborted, untilAborted, () => responses.stream(1, 2));
+            rig.client.script(untilAborted, untilAborted);
             const response = rig.send();
-            expect(await markCurrentGroupsLost(response, 2)).to.deep.equal([1, 2]);
-            expect(response.ending).to.equal("complete");
+            await markCurrentGroupsLost(response, 2);
+            expect([rig.client.sent.length, response.refusal?.kind]).to.deep.equal([2, "outcome-unknown"]);
         });
 
         it("uses a group again that was found lost but is still open after the exclusion time", async () => {
@@ -110,15 +111,40 @@
             expect(served.refusal).to.equal(undefined);
         });
 
-        it("does not count an attempt that was reset before the engine could have worked on it", async () => {
-            rig.client.script(
-                () => UNKNOWN,
-                (_, signal) => responses.silentStream(1, 1, signal),
-                () => responses.stream(2, 3),
-            );
+        it("counts an attempt that is reset at once over a new connection", async () => {
+            rig.client.script(() => UNKNOWN, (_, signal) => responses.silentStream(1, 1, signal));
             const response = rig.send();
             await rig.clock.advance(1000);
+            expect([eventIdsOf(response), response.ending]).to.deep.equal([[1], "incomplete"]);
+            expect(rig.client.sent.length).to.equal(2);
+        });
+
+        it("sends a request again to the same group, once, when a kept connection was stale", async () => {
+            rig.client.script(() => responses.brokenStream(1, 1), () => STALE, () => responses.stream(2, 3));
+            const response = rig.send();
+            await rig.clock.advance(100);
             expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3], "complete"]);
+            const [, second, third] = rig.client.sent;
+            expect(third?.upstream).to.equal(second?.upstream);
+        });
+
+        it("does not exceed the route's attempts when connections are stale repeatedly", async () => {
+            rig.client.script(() => STALE, () => STALE, () => STALE, () => STALE);
+            const response = rig.send();
+            await rig.clock.advance(1000);
+            expect(response.refusal?.kind).to.equal("outcome-unknown");
+            expect(new Set(rig.client.sent.map(({ upstream }) => upstream)).size).to.be.at.most(2);
+            expect(rig.client.sent.length).to.be.at.most(4);
+        });
+
+        it("fails at once when the group of a stale connection accepts no more and no attempts are left", async () => {
+            rig.client.script(() => responses.brokenStream(1, 1), () => {
+                rig.directory.remove(rig.client.sent.at(-1)!.upstream, "removed");
+                return STALE;
+            });
+            const response = rig.send();
+            await rig.clock.advance(10);
+            expect([rig.client.sent.length, response.ending]).to.deep.equal([2, "incomplete"]);
         });
 
         it("aborts a broken stream that may not be resumed, so that it does not look complete", async () => {
