Divide the limit of a cold upstream so that the shares add up to it

Cause: each gateway takes limit / gateways, rounded down, but at least one request a second. With 76 gateways the shares add up to 76 instead of 17. A minimum of one for each process is the class of fault: it holds only while there are fewer processes than units to share. The routers' StaticShare does not have it, as it deals the remainder by a hash of the upstream.

Now both use the same function: the remainder of the division goes to different gateways for different upstreams, and the others send nothing to that upstream until it is warm. Gateways compute it from the registered gateways alone, so it holds while they are partitioned. A request for which only cold groups are open is refused at once if none can take it in time; before, it waited for a slot. A gateway that does not know the others yet sends nothing to a cold upstream.

One test asked for one request a second from each of 80 gateways at a limit of 36. It was wrong about the limit; it now counts all 80 gateways together.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -46,4 +46,6 @@
 export type { VmView } from "./ports/VmView.js";
 export { Backoff } from "./util/Backoff.js";
 export { engineUrl } from "./util/engineUrl.js";
+export { equalShare } from "./util/equalShare.js";
+export { hash32 } from "./util/hash32.js";
 export { VmListSync } from "./VmListSync.js";
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -112,7 +112,7 @@
         const gatewayCount = () => this.connections.gatewayCount;
         const knownGateways = () =>
             this.connections.hasHubs && this.connections.connectedPeers().length > 0 ? gatewayCount() : undefined;
-        const coldStartLimiter = ColdStartLimiter.create({ clock, gatewayCount });
+        const coldStartLimiter = ColdStartLimiter.create({ clock, position: () => this.connections.position });
         const retryBudget = RetryBudget.create({ clock, ...settings.retryBudget, gatewayCount, knownGateways });
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const sharedOptions = {
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -111,7 +111,12 @@
             onTimeUntilMs: call.request.receivedAtMs + call.route.targetLatencyMs,
             usefulUntilMs: nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION,
             tryAcquireSlot: () => this.tryAcquireSlot(call, progress),
-            expectedWaitMs: () => this.candidates(call, progress).length > 0 ? 0 : Infinity,
+            expectedWaitMs: () =>
+                Math.min(
+                    ...this.candidates(call, progress).map(upstream =>
+                        this.options.coldStartLimiter.waitMs(upstream, call.service.coldRequestsPerSecond)
+                    ),
+                ),
         }, AbortSignal.any([call.callerResponse.disconnected, call.deadline]));
     }
 
@@ -124,15 +129,13 @@
     }
 
     private tryAcquireSlot(call: ForwardedCall, progress: PlainProgress): PlainSlot | undefined {
-        const { loads, coldStartLimiter, clock } = this.options;
-        const nowMs = clock.monotonicMs();
+        const { loads, coldStartLimiter } = this.options;
         let best: Upstream | undefined;
         let bestCost = Infinity;
         for (const upstream of this.candidates(call, progress)) {
             const load = loads.ownLoad(upstream.id);
-            const isColdLimitReached = upstream.coldUntilMs > nowMs && call.service.coldRequestsPerSecond > 0
-                && !coldStartLimiter.canSend(upstream.id, call.service.coldRequestsPerSecond);
-            if (load.inFlight >= upstream.slots || isColdLimitReached) {
+            const canSend = coldStartLimiter.canSend(upstream, call.service.coldRequestsPerSecond);
+            if (load.inFlight >= upstream.slots || !canSend) {
                 continue;
             }
             const cost = load.inFlight
@@ -147,9 +150,7 @@
         if (!best) {
             return undefined;
         }
-        if (best.coldUntilMs > nowMs) {
-            coldStartLimiter.record(best.id);
-        }
+        coldStartLimiter.record(best);
         return { upstream: best, trackedRequest: loads.trackRequest(best.id, 0, () => undefined) };
     }
 
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -129,7 +129,7 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): Promise<AdmissionOutcome<GroupSlot>> {
-        const { clock, queue, groups } = this.options;
+        const { clock, queue, groups, coldStartLimiter } = this.options;
         const nowMs = clock.monotonicMs();
         const { request, route, service } = call;
         return queue.acquire<GroupSlot>({
@@ -143,21 +143,21 @@
                 if (!hasAttemptsLeft(call, progress) && this.candidates(call, engine, progress).length === 0) {
                     return Infinity;
                 }
-                if (groups.hasOpen(service.name, engine, request.model)) {
-                    return 0;
-                }
-                return groups.isForming(service.name, request.model) ? EXPECTED_FORMATION_MS : Infinity;
+                const coldWaitsMs = groups.openHeads(service.name, engine, request.model).map(head =>
+                    coldStartLimiter.waitMs(head, service.coldRequestsPerSecond)
+                );
+                const isForming = groups.isForming(service.name, request.model);
+                return Math.min(...coldWaitsMs, isForming ? EXPECTED_FORMATION_MS : Infinity);
             },
         }, AbortSignal.any([call.callerResponse.disconnected, call.deadline]));
     }
 
     private candidates(call: ForwardedCall, engine: EngineProfile, progress: StreamProgress): GroupCandidate[] {
-        const { groups, coldStartLimiter, saturatedHeads, clock } = this.options;
+        const { groups, coldStartLimiter, saturatedHeads } = this.options;
         const { request, service } = call;
-        const nowMs = clock.monotonicMs();
         const candidates = groups.candidates(service.name, engine, request.model).filter(({ head }) =>
             !saturatedHeads.isSaturated(head.id)
-            && (head.coldUntilMs <= nowMs || coldStartLimiter.canSend(head.id, service.coldRequestsPerSecond))
+            && coldStartLimiter.canSend(head, service.coldRequestsPerSecond)
         );
         const repeated = candidates.filter(({ head }) => head.id === progress.resendTo);
         return repeated.length > 0 || !hasAttemptsLeft(call, progress) ? repeated : candidates;
@@ -187,9 +187,8 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): GroupSlot | undefined {
-        const { loads, coldStartLimiter, clock, random, gatewayCount } = this.options;
+        const { loads, coldStartLimiter, random, gatewayCount } = this.options;
         const { request } = call;
-        const nowMs = clock.monotonicMs();
         const candidates = this.candidates(call, engine, progress);
         const choice = chooseGroup(
             engine,
@@ -201,9 +200,7 @@
             return undefined;
         }
         const { head, epoch } = choice.candidate;
-        if (head.coldUntilMs > nowMs) {
-            coldStartLimiter.record(head.id);
-        }
+        coldStartLimiter.record(head);
         const groupLost = new AbortController();
         const trackedRequest = loads.trackRequest(
             String(epoch),
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -3,6 +3,7 @@
 import { Backoff } from "@fescuehaven/coordination";
 import { GatewayService, type GatewayUpdate } from "@fescuehaven/protocol";
 import type { Clock, Random } from "@fescuehaven/runtime";
+import type { GatewayPosition } from "../placement/GatewayPosition.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { PeerState } from "./PeerState.js";
 import { Topology } from "./Topology.js";
@@ -56,6 +57,8 @@
     private readonly topology: Topology;
     /** Hubs of each zone as of the last update, the active one first; empty in small fleets. */
     private hubs: ReadonlyMap<string, readonly string[]> = new Map();
+    /** Computed again when a gateway was added or removed. */
+    private cachedPosition: { position: GatewayPosition | undefined; } | undefined;
 
     private constructor(private readonly options: PeerConnectionsOptions) {
         this.topology = Topology.create(options.vm, options.zone);
@@ -69,12 +72,14 @@
     /** Adds a registered gateway, which may be this one. */
     add(vm: string, address: string, zone: string): void {
         this.registered.set(vm, { address, zone });
+        this.cachedPosition = undefined;
         this.update();
     }
 
     /** Removes a gateway whose registration has been removed. */
     remove(vm: string): void {
         this.registered.delete(vm);
+        this.cachedPosition = undefined;
         this.update();
     }
 
@@ -133,6 +138,17 @@
         return Math.max(1, this.registered.size);
     }
 
+    /** Position of this gateway among the registered ones; undefined until it is known to be registered. */
+    get position(): GatewayPosition | undefined {
+        this.cachedPosition ??= { position: this.computePosition() };
+        return this.cachedPosition.position;
+    }
+
+    private computePosition(): GatewayPosition | undefined {
+        const index = [...this.registered.keys()].sort().indexOf(this.options.vm);
+        return index < 0 ? undefined : { index, count: this.registered.size };
+    }
+
     /** True if gateways exchange their state through hubs. */
     get hasHubs(): boolean {
         return this.hubs.size > 0;
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -71,9 +71,11 @@
         }));
     }
 
-    /** Returns true if a group accepts requests for the model. */
-    hasOpen(service: string, engine: EngineProfile, modelName: string | undefined): boolean {
-        return engine.models.some(item => item.name === modelName) && this.openGroups(service, modelName).length > 0;
+    /** Returns the heads of the groups that accept requests for the model. */
+    openHeads(service: string, engine: EngineProfile, modelName: string | undefined): Upstream[] {
+        return engine.models.some(item => item.name === modelName)
+            ? this.openGroups(service, modelName).map(({ head }) => head)
+            : [];
     }
 
     /** Returns true if a group of the model is being formed. */
--- a/packages/gateway/src/util/SlidingWindowCounter.ts
+++ b/packages/gateway/src/util/SlidingWindowCounter.ts
@@ -27,4 +27,12 @@
         this.eventTimesMs.splice(0, firstInWindow < 0 ? this.eventTimesMs.length : firstInWindow);
         return this.eventTimesMs.length;
     }
+
+    /** Returns the time until fewer than `limit` events are within the window; `limit` is at least 1. */
+    msUntilBelow(limit: number): number {
+        const expiringAtMs = this.eventTimesMs.at(-limit);
+        return expiringAtMs === undefined
+            ? 0
+            : Math.max(0, expiringAtMs + this.windowMs - this.clock.monotonicMs());
+    }
 }
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -252,6 +252,24 @@
             expect(sent).to.equal(limit);
         });
 
+        it("refuses at once when the open group stays cold for too long and this gateway has no share", async () => {
+            const gateways = Array.from({ length: 76 }, (_, index) => `gateway-${index}`);
+            const refusals: Array<string | undefined> = [];
+            for (const gateway of gateways) {
+                const one = ForwarderRig.create({
+                    gateways: [gateway, ...gateways.filter(name => name !== gateway)],
+                });
+                one.configure({}, 1, 17);
+                one.directory.set(head("g1", 1, { coldUntilMs: one.clock.monotonicMs() + 6000 }));
+                one.client.script(() => responses.stream(1, 1));
+                const response = one.send();
+                await one.clock.settle();
+                refusals.push(response.refusal?.kind);
+                one.close();
+            }
+            expect(refusals.filter(kind => kind === "not-run").length).to.equal(76 - 17);
+        });
+
         it("logs the remaining cold time of a group and this gateway's share of its limit", async () => {
             rig.configure({}, 2, 17);
             rig.directory.set(head("g1", 1, { coldUntilMs: rig.clock.monotonicMs() + 3000 }));
--- a/packages/gateway/tests/placement/limits.test.ts
+++ b/packages/gateway/tests/placement/limits.test.ts
@@ -4,28 +4,75 @@
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
+import { exampleUpstream } from "../support/exampleUpstream.js";
 
 describe("ColdStartLimiter", () => {
-    it("keeps each gateway within its share of the limit in any second", async () => {
+    const upstream = exampleUpstream("u", { coldUntilMs: 60_000 });
+
+    /** Returns the requests that each of `count` gateways sends within one second, with an attempt every 10 ms. */
+    async function countSentPerGateway(count: number, requestsPerSecond: number): Promise<number[]> {
         const clock = ManualClock.create();
-        const limiter = ColdStartLimiter.create({ clock, gatewayCount: () => 6 });
-        let sent = 0;
+        const limiters = Array.from(
+            { length: count },
+            (_, index) => ColdStartLimiter.create({ clock, position: () => ({ index, count }) }),
+        );
+        const sent = limiters.map(() => 0);
         for (let passedMs = 0; passedMs < 1000; passedMs += 10) {
-            if (limiter.canSend("u", 36)) {
-                limiter.record("u");
-                sent += 1;
-            }
+            limiters.forEach((limiter, index) => {
+                if (limiter.canSend(upstream, requestsPerSecond)) {
+                    limiter.record(upstream);
+                    sent[index]! += 1;
+                }
+            });
             await clock.advance(10);
         }
-        expect(sent).to.equal(6);
+        return sent;
+    }
+
+    it("keeps each gateway within its share of the limit in any second", async () => {
+        expect(await countSentPerGateway(6, 36)).to.deep.equal([6, 6, 6, 6, 6, 6]);
+    });
+
+    it("divides a limit completely when it is not a multiple of the number of gateways", async () => {
+        const sent = await countSentPerGateway(6, 17);
+        expect(sent.reduce((sum, item) => sum + item, 0)).to.equal(17);
+        expect(Math.max(...sent) - Math.min(...sent)).to.equal(1);
+    });
+
+    it("keeps all gateways together within a limit that is smaller than their number", async () => {
+        const sent = await countSentPerGateway(80, 36);
+        expect(sent.filter(item => item === 1).length).to.equal(36);
+        expect(sent.filter(item => item === 0).length).to.equal(44);
+    });
+
+    it("gives the remainder of the limits of several upstreams to different gateways", () => {
+        const clock = ManualClock.create();
+        const limiter = ColdStartLimiter.create({ clock, position: () => ({ index: 0, count: 80 }) });
+        const usable = Array.from({ length: 400 }, (_, index) => exampleUpstream(`u${index}`, { coldUntilMs: 1000 }))
+            .filter(item => limiter.canSend(item, 16));
+        expect(usable.length).to.be.within(40, 120);
+    });
+
+    it("sends nothing to a cold upstream while the other gateways are not known", () => {
+        const limiter = ColdStartLimiter.create({ clock: ManualClock.create(), position: () => undefined });
+        expect(limiter.canSend(upstream, 36)).to.equal(false);
+    });
+
+    it("does not limit requests to a warm upstream or where no limit is configured", () => {
+        const limiter = ColdStartLimiter.create({ clock: ManualClock.create(), position: () => undefined });
+        expect(limiter.canSend(exampleUpstream("u", { coldUntilMs: 0 }), 36)).to.equal(true);
+        expect(limiter.canSend(upstream, 0)).to.equal(true);
     });
 
-    it("allows one request per second where the share is smaller", () => {
+    it("returns the time until the next request may be sent", async () => {
         const clock = ManualClock.create();
-        const limiter = ColdStartLimiter.create({ clock, gatewayCount: () => 80 });
-        expect(limiter.canSend("u", 36)).to.equal(true);
-        limiter.record("u");
-        expect(limiter.canSend("u", 36)).to.equal(false);
+        const cold = exampleUpstream("u", { coldUntilMs: clock.monotonicMs() + 3000 });
+        const limiter = ColdStartLimiter.create({ clock, position: () => ({ index: 0, count: 1 }) });
+        limiter.record(cold);
+        await clock.advance(400);
+        expect(limiter.waitMs(cold, 1)).to.equal(600);
+        const without = ColdStartLimiter.create({ clock, position: () => undefined });
+        expect(without.waitMs(cold, 1)).to.equal(2600);
     });
 });
 
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -71,7 +71,10 @@
             metrics: noMetrics,
             queue,
             loads,
-            coldStartLimiter: ColdStartLimiter.create({ clock, gatewayCount }),
+            coldStartLimiter: ColdStartLimiter.create({
+                clock,
+                position: () => ({ index: [...gateways].sort().indexOf(gateways[0]!), count: gateways.length }),
+            }),
             failureRates,
             retryBudget,
             idleTimeouts,
--- a/packages/router/src/limits/StaticShare.ts
+++ b/packages/router/src/limits/StaticShare.ts
@@ -1,4 +1,4 @@
-import type { VmView } from "@fescuehaven/coordination";
+import { equalShare, type VmView } from "@fescuehaven/coordination";
 import type { ConcurrencyShare } from "../ports/ConcurrencyShare.js";
 import { hash32 } from "../util/hash32.js";
 
@@ -34,13 +34,8 @@
         const isListed = this.position >= 0;
         const divisor = Math.max(this.routerCount + (isListed ? 0 : 1), this.options.plannedRouters);
         const base = Math.floor(limit / divisor);
-        return isListed ? base + this.remainderShare(upstream, limit - base * divisor) : base;
-    }
-
-    private remainderShare(upstream: string, remainder: number): number {
-        const rotatedPosition = (this.position + hash32(upstream)) % this.routerCount;
-        const extra = rotatedPosition < remainder % this.routerCount ? 1 : 0;
-        return Math.floor(remainder / this.routerCount) + extra;
+        const remainder = limit - base * divisor;
+        return isListed ? base + equalShare(remainder, this.routerCount, this.position + hash32(upstream)) : base;
     }
 
     private refresh(): void {
