Count in the retry budget only gateways whose counts are known

Operators could see the retry budget exceeded while zones are partitioned.

Cause: with hubs, a gateway that has any connected peer assumes that it knows the retries of all registered gateways and uses the whole slack. In a partition each zone knows only its own retries, so that three zones use it three times. A gateway that does not know the others yet likewise counted itself as the only one.

Now an update says how many gateways its counts include, and the slack is used in that proportion; while the number of gateways is not known, none of it.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -110,10 +110,12 @@
             onDisconnected: peer => this.exchange.removePeer(peer),
         });
         const gatewayCount = () => this.connections.gatewayCount;
-        const knownGateways = () =>
-            this.connections.hasHubs && this.connections.connectedPeers().length > 0 ? gatewayCount() : undefined;
         const coldStartLimiter = ColdStartLimiter.create({ clock, position: () => this.connections.position });
-        const retryBudget = RetryBudget.create({ clock, ...settings.retryBudget, gatewayCount, knownGateways });
+        const retryBudget = RetryBudget.create({
+            clock,
+            ...settings.retryBudget,
+            gatewayCount: () => this.connections.position?.count,
+        });
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const sharedOptions = {
             clock,
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -295,6 +295,7 @@
             [String(epoch), { inFlight, pendingPrefillTokens: unreadTokens, silentMs }] as const
         ),
         retries: update.retries.map(({ service, requests, retries }) => [service, { requests, retries }] as const),
+        countedGateways: update.countedGateways,
         lostEpochs: update.lostEpochs,
     };
 }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -37,6 +37,7 @@
     atMs: number;
     loads: Array<[string, TargetLoad]>;
     retries: ReadonlyArray<readonly [string, RetryCounts]>;
+    countedGateways: number;
 }
 
 /** Interval between updates while the state changes: short compared with the duration of a request. */
@@ -78,7 +79,7 @@
      * Returns the state for a peer. The active hub relays its zone's load to other zones, and all load to its own zone.
      */
     stateFor(observer: string): PeerState {
-        const { loads, retries } = this.loadSnapshotFor(observer);
+        const { loads, retries, countedGateways } = this.loadSnapshotFor(observer);
         const groups = this.options.lease.isController
             ? { lostEpochs: [...this.lostEpochs.keys()], openGroups: this.options.controller.recentlyOpened() }
             : this.relayedGroups();
@@ -87,6 +88,7 @@
             controllerDistance: this.options.lease.isController ? 0 : Math.min(this.distance + 1, UNREACHABLE_DISTANCE),
             loads,
             retries,
+            countedGateways,
             ...groups,
         };
     }
@@ -105,6 +107,7 @@
             ...snapshot,
             loads: loads.withoutPeer(snapshot.loads, observer),
             retries: retryBudget.withoutPeer(snapshot.retries, observer),
+            countedGateways: retryBudget.countedGateways(peer => peer !== observer),
         };
     }
 
@@ -125,6 +128,7 @@
             atMs: nowMs,
             loads: loads.targetLoads(includes[audience]).filter(([target]) => isEpoch(target)),
             retries: retryBudget.counts(includes[audience]),
+            countedGateways: retryBudget.countedGateways(includes[audience]),
         };
         this.snapshots.set(audience, snapshot);
         return snapshot;
@@ -136,7 +140,7 @@
         this.peerStates.set(peer, state);
         if (this.usesLoadOf(peer)) {
             this.options.loads.setPeerLoads(peer, state.loads);
-            this.options.retryBudget.setPeerCounts(peer, state.retries);
+            this.options.retryBudget.setPeerCounts(peer, state.retries, state.countedGateways);
         }
         else {
             this.options.loads.dropPeer(peer);
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -13,6 +13,8 @@
     loads: ReadonlyArray<readonly [string, TargetLoad]>;
     /** Requests and retries of the sender and of the gateways for which it relays, by service. */
     retries: ReadonlyArray<readonly [string, RetryCounts]>;
+    /** Number of gateways whose requests and retries are included. */
+    countedGateways: number;
     /** Epochs of groups that the controller found lost. */
     lostEpochs: readonly number[];
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -107,6 +107,7 @@
             silentMs: Math.round(load.silentMs),
         })),
         retries: state.retries.map(([service, counts]) => ({ service, ...counts })),
+        countedGateways: state.countedGateways,
         lostEpochs: [...state.lostEpochs],
     });
 }
--- a/packages/gateway/src/placement/RetryBudget.ts
+++ b/packages/gateway/src/placement/RetryBudget.ts
@@ -9,20 +9,20 @@
     /** Additional retries allowed within the window, for all gateways together. */
     slack: number;
     windowMs: number;
-    /** Number of gateways that share the slack. */
-    gatewayCount: () => number;
-    /** Gateways whose counts arrive through hubs, including this one; undefined if each peer reports only its own. */
-    knownGateways?: () => number | undefined;
+    /** Number of gateways that share the slack; undefined while they are not known. */
+    gatewayCount: () => number | undefined;
 }
 
 interface PeerCounts {
     counts: ReadonlyMap<string, RetryCounts>;
+    /** Number of gateways whose counts are included. */
+    countedGateways: number;
     receivedAtMs: number;
 }
 
 /** Fraction of the budget that is used: gateways learn of each other's retries with a delay. */
 const USABLE_FRACTION = 0.72;
-/** A peer's counts are valid for this long; without them, its share of the slack stays reserved for it. */
+/** A peer's counts are valid for this long; without them, its gateways' share of the slack stays reserved for them. */
 const PEER_COUNTS_TTL_MS = 1500;
 
 /**
@@ -48,21 +48,19 @@
 
     /** Takes one retry from the budget; returns false if none is left. */
     tryAcquire(service: string): boolean {
-        const { ratio, slack, gatewayCount, clock } = this.options;
+        const { ratio, slack, clock } = this.options;
         const nowMs = clock.monotonicMs();
         const own = this.counterOf(this.retries, service);
         let requests = this.counterOf(this.requests, service).count;
         let retries = own.count;
-        const knownThroughHubs = this.options.knownGateways?.();
-        let knownGatewayCount = knownThroughHubs ?? 1;
         for (const { counts, receivedAtMs } of this.peers.values()) {
             if (nowMs - receivedAtMs <= PEER_COUNTS_TTL_MS) {
-                knownGatewayCount += knownThroughHubs === undefined ? 1 : 0;
                 requests += counts.get(service)?.requests ?? 0;
                 retries += counts.get(service)?.retries ?? 0;
             }
         }
-        const availableSlack = slack * Math.min(1, knownGatewayCount / Math.max(1, gatewayCount()));
+        const gatewayCount = this.options.gatewayCount() ?? Infinity;
+        const availableSlack = slack * Math.min(1, this.countedGateways(() => true) / gatewayCount);
         if (retries + 1 > USABLE_FRACTION * (ratio * requests + availableSlack)) {
             return false;
         }
@@ -96,6 +94,14 @@
         });
     }
 
+    /** Returns the number of gateways whose counts are known: this one and those counted by the selected peers. */
+    countedGateways(isIncluded: (peer: string) => boolean): number {
+        const nowMs = this.options.clock.monotonicMs();
+        return [...this.peers]
+            .filter(([peer, { receivedAtMs }]) => isIncluded(peer) && nowMs - receivedAtMs <= PEER_COUNTS_TTL_MS)
+            .reduce((sum, [, { countedGateways }]) => sum + countedGateways, 1);
+    }
+
     /** Subtracts a peer's share from the counts. */
     withoutPeer(counts: ReadonlyArray<readonly [string, RetryCounts]>, peer: string): Array<[string, RetryCounts]> {
         const known = this.peers.get(peer);
@@ -114,9 +120,14 @@
         this.peers.delete(peer);
     }
 
-    /** Replaces the counts that a peer has reported. */
-    setPeerCounts(peer: string, counts: ReadonlyArray<readonly [string, RetryCounts]>): void {
-        this.peers.set(peer, { counts: new Map(counts), receivedAtMs: this.options.clock.monotonicMs() });
+    /** Replaces the counts that a peer has reported for `countedGateways` gateways. */
+    setPeerCounts(
+        peer: string,
+        counts: ReadonlyArray<readonly [string, RetryCounts]>,
+        countedGateways = 1,
+    ): void {
+        const receivedAtMs = this.options.clock.monotonicMs();
+        this.peers.set(peer, { counts: new Map(counts), countedGateways, receivedAtMs });
     }
 
     private counterOf(counters: Map<string, SlidingWindowCounter>, service: string): SlidingWindowCounter {
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -55,7 +55,7 @@
             ratio: 0.2,
             slack: 100,
             windowMs: 10_000,
-            gatewayCount: () => connections.gatewayCount,
+            gatewayCount: () => connections.position?.count,
         });
         const gateway: TestGateway = {
             vm,
@@ -100,11 +100,13 @@
         return gateway;
     }
 
-    /** Passes each gateway the states of the peers that it follows, once. */
-    async function exchangeStates(): Promise<void> {
+    /** Passes each gateway the states of the peers that it follows and that are connected, once. */
+    async function exchangeStates(
+        isConnected: (vm: string, peer: string) => boolean = () => true,
+    ): Promise<void> {
         await clock.advance(100);
         for (const { vm, connections, exchange } of gateways.values()) {
-            connections.followedPeers().forEach(peer =>
+            connections.followedPeers().filter(peer => isConnected(vm, peer)).forEach(peer =>
                 exchange.apply(peer, gateways.get(peer)!.exchange.stateFor(vm))
             );
         }
@@ -130,10 +132,28 @@
                 expect(loads.totalLoad(EPOCH).inFlight, vm).to.equal(vms.length);
                 expect(loads.totalLoad(EPOCH).pendingPrefillTokens, vm).to.equal(vms.length * 10);
                 expect(retries.counts(() => true), vm).to.deep.equal([["llm", { requests: vms.length, retries: 0 }]]);
+                expect(retries.countedGateways(() => true), vm).to.equal(vms.length);
             }
         });
     }
 
+    it("keeps the retries of zones that are partitioned from each other within the budget of all", async () => {
+        start(fleets[1]![1]);
+        for (let pass = 0; pass < 5; pass++) {
+            await exchangeStates();
+        }
+        for (let pass = 0; pass < 20; pass++) {
+            await exchangeStates((vm, peer) => vm[0] === peer[0]);
+        }
+        let acquired = 0;
+        for (const vm of ["a5", "b5", "c5"]) {
+            while (gateways.get(vm)!.retries.tryAcquire("llm")) {
+                acquired += 1;
+            }
+        }
+        expect(acquired).to.be.within(60, 100);
+    });
+
     it("updates inactive hubs and a hub's zone less often than the active hub", () => {
         start(fleets[1]![1]);
         const intervalsMs = (vm: string, observers: string[]) =>
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -24,7 +24,15 @@
         term = 1;
         const snapshot = (): PeerState => {
             snapshots += 1;
-            return { term, openGroups: [], controllerDistance: 0, loads: [], retries: [], lostEpochs: [] };
+            return {
+                term,
+                openGroups: [],
+                controllerDistance: 0,
+                loads: [],
+                retries: [],
+                countedGateways: 1,
+                lostEpochs: [],
+            };
         };
         publisher = PeerStatePublisher.create({
             clock,
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -24,6 +24,7 @@
     controllerDistance: 0,
     loads: [["65537", { inFlight: 4, pendingPrefillTokens: 1200, silentMs: 15 }]],
     retries: [["llm", { requests: 40, retries: 2 }]],
+    countedGateways: 4,
     lostEpochs: [65536],
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
 };
--- a/packages/gateway/tests/placement/limits.test.ts
+++ b/packages/gateway/tests/placement/limits.test.ts
@@ -88,6 +88,17 @@
         expect(countAcquired(retryBudget, 200)).to.be.within(10, 130 / 6);
     });
 
+    it("uses none of the slack while the other gateways are not known", () => {
+        const retryBudget = RetryBudget.create({
+            clock: ManualClock.create(),
+            ...budget,
+            gatewayCount: () => undefined,
+        });
+        expect(countAcquired(retryBudget, 200)).to.equal(0);
+        Array.from({ length: 100 }, () => retryBudget.recordRequest("s"));
+        expect(countAcquired(retryBudget, 200)).to.be.within(10, 0.2 * 100);
+    });
+
     it("uses what other gateways have left unused", () => {
         const retryBudget = RetryBudget.create({ clock: ManualClock.create(), ...budget, gatewayCount: () => 6 });
         for (const peer of ["b", "c", "d", "e", "f"]) {
