Wait at a busy group when no attempt is left for another one

Callers could lose a stream to a group that was late but alive: its last attempt was aborted because another group was expected to be quicker, which the route's attempts no longer allow, so that the request failed.

Found while reading what depends on the number of attempts, which now counts every one. Evidence: the new test failed before (the stream ended incomplete) and passes now; 48 forwarding tests pass.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -168,8 +168,8 @@
     }
 
     /**
-     * Returns true if another group is expected to prefill the prompt and send its first event before the busy one
-     * does.
+     * Returns true if an attempt is left for another group that is expected to prefill the prompt and send its first
+     * event before the busy one does.
      */
     private hasQuickerGroup(
         call: ForwardedCall,
@@ -177,6 +177,9 @@
         progress: StreamProgress,
         busyHead: string,
     ): boolean {
+        if (progress.countedAttempts + 1 >= call.route.maxAttempts) {
+            return false;
+        }
         const others = this.candidates(call, engine, progress).filter(({ head }) => head.id !== busyHead);
         const choice = chooseGroup(engine, others, this.requestProfile(call));
         return choice !== undefined && choice.firstEventMs < BUSY_EXTENSION_MS / 2;
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -224,6 +224,17 @@
                 expect([rig.client.sent.length, response.ending]).to.deep.equal([2, "complete"]);
             });
 
+            it("waits longer when no attempt is left for a group that can begin sooner", async () => {
+                rig.client.script(
+                    () => responses.brokenStream(1, 1),
+                    () => rig.clock.sleep(1200).then(() => responses.stream(2, 3)),
+                );
+                const response = rig.send();
+                await rig.clock.settle();
+                await passTimeWhileBusy(rig.client.sent[1]?.upstream, 0);
+                expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3], "complete"]);
+            });
+
             it("sends the request to another group that can begin sooner", async () => {
                 rig.client.script((_, signal) => responses.silentStream(1, 0, signal), () => responses.stream(1, 2));
                 const response = rig.send();
