Let the simulated head give its group up from when a member left

The simulation kept one time for each member, that of its last change of any group, and counted the 4 s from 24:49.209.

Now it keeps the time for each epoch, from the first missing member on. The limit of 4 s is unchanged, and a member whose leaving was never seen does not count as missing.

--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -28,8 +28,10 @@
     version: number;
     /** Epochs that this instance has joined. */
     joinedEpochs: Set<number>;
-    /** When it last left a group, joined another one or became unresponsive. */
-    leftAtMs: number;
+    /** When it left each group that it had joined, by epoch. */
+    leftEpochsAtMs: Map<number, number>;
+    /** When it last became unresponsive. */
+    unresponsiveSinceMs: number;
 }
 
 /** Delay after which an order without a response is executed. */
@@ -76,7 +78,8 @@
             slowdown: 1,
             version: 0,
             joinedEpochs: new Set(),
-            leftAtMs: -Infinity,
+            leftEpochsAtMs: new Map(),
+            unresponsiveSinceMs: Infinity,
         });
         this.registrations.set(upstream);
     }
@@ -84,7 +87,7 @@
     /** Makes a VM unresponsive. By default its registration expires after three heartbeats. */
     makeUnresponsive(id: string, expiresAfterMs = 3600): void {
         this.vm(id).isUnresponsive = true;
-        this.vm(id).leftAtMs = this.clock.monotonicMs();
+        this.vm(id).unresponsiveSinceMs = this.clock.monotonicMs();
         void this.clock.sleep(expiresAfterMs).then(() => this.registrations.remove(id, "silent"));
     }
 
@@ -255,13 +258,22 @@
 
     /** Returns true if a head has given up its group because the group was stalled for too long. */
     private hasGivenUpGroup(headId: string): boolean {
-        const { group } = this.vm(headId).upstream;
-        const missing = this.vm(headId).members.filter(id => {
-            const member = this.vms.get(id);
-            return !member || member.isUnresponsive || member.upstream.group?.epoch !== group?.epoch;
-        });
-        const sinceMs = Math.min(...missing.map(id => this.vms.get(id)?.leftAtMs ?? -Infinity));
-        return missing.length > 0 && this.clock.monotonicMs() - sinceMs >= STALL_MS;
+        const { upstream, members } = this.vm(headId);
+        const epoch = upstream.group?.epoch ?? 0;
+        const missingSinceMs = Math.min(...members.map(id => this.missingSinceMs(id, epoch)));
+        return this.clock.monotonicMs() - missingSinceMs >= STALL_MS;
+    }
+
+    /** Returns since when a member has been missing from its group; Infinity if it is not missing. */
+    private missingSinceMs(id: string, epoch: number): number {
+        const member = this.vms.get(id);
+        if (!member) {
+            return -Infinity;
+        }
+        const leftAtMs = member.upstream.group?.epoch === epoch
+            ? Infinity
+            : member.leftEpochsAtMs.get(epoch) ?? Infinity;
+        return Math.min(leftAtMs, member.isUnresponsive ? member.unresponsiveSinceMs : Infinity);
     }
 
     private withGroup(vm: Vm, order: { group: string; epoch: number; }, act: () => void): OrderOutcome {
@@ -292,8 +304,9 @@
         vm.version += 1;
         const before = vm.upstream;
         vm.upstream = { ...vm.upstream, ...changes };
-        if (before.group?.epoch !== vm.upstream.group?.epoch || before.startedAtMs !== vm.upstream.startedAtMs) {
-            vm.leftAtMs = this.clock.monotonicMs();
+        const hasRestarted = before.startedAtMs !== vm.upstream.startedAtMs;
+        if (before.group && (hasRestarted || before.group.epoch !== vm.upstream.group?.epoch)) {
+            vm.leftEpochsAtMs.set(before.group.epoch, this.clock.monotonicMs());
         }
         if (this.isPublishing) {
             this.registrations.set(vm.upstream);
