--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -55,9 +55,9 @@
 interface StreamProgress {
     lastEventId?: string;
     hasEvents: boolean;
-    /** Attempts that an engine has run or may have run, without repeats at the same head. */
+    /** Attempts that an engine has run or may have run; a resend to the same head is not counted again. */
     countedAttempts: number;
-    /** Head that may get the request once more, because it was sent there over a stale connection. */
+    /** Head to which the request may be sent once more, because the connection to it was stale. */
     resendTo?: string;
     mayHaveRun: boolean;
     /** Attempts that the head did not run. */
@@ -159,8 +159,8 @@
             !saturatedHeads.isSaturated(head.id)
             && coldStartLimiter.canSend(head, service.coldRequestsPerSecond)
         );
-        const repeated = candidates.filter(({ head }) => head.id === progress.resendTo);
-        return repeated.length > 0 || !hasAttemptsLeft(call, progress) ? repeated : candidates;
+        const resendCandidates = candidates.filter(({ head }) => head.id === progress.resendTo);
+        return resendCandidates.length > 0 || !hasAttemptsLeft(call, progress) ? resendCandidates : candidates;
     }
 
     private requestProfile({ request, route }: ForwardedCall): Parameters<typeof chooseGroup>[2] {
@@ -346,15 +346,15 @@
             this.giveUp(call, progress, { kind: "aborted" });
             return true;
         }
-        const isRepeat = progress.resendTo === slot.candidate.head.id;
+        const isResend = progress.resendTo === slot.candidate.head.id;
         progress.resendTo = undefined;
         if (result.kind === "not-run") {
             progress.rejections += 1;
         }
         else {
             progress.mayHaveRun = true;
-            progress.countedAttempts += isRepeat ? 0 : 1;
-            if (!isRepeat && result.kind === "broken" && result.isStaleConnection) {
+            progress.countedAttempts += isResend ? 0 : 1;
+            if (!isResend && result.kind === "broken" && result.isStaleConnection) {
                 progress.resendTo = slot.candidate.head.id;
             }
         }
--- a/packages/gateway/src/util/SlidingWindowCounter.ts
+++ b/packages/gateway/src/util/SlidingWindowCounter.ts
@@ -30,9 +30,8 @@
 
     /** Returns the time until fewer than `limit` events are within the window; `limit` is at least 1. */
     msUntilBelow(limit: number): number {
-        const expiringAtMs = this.eventTimesMs.at(-limit);
-        return expiringAtMs === undefined
+        return this.count < limit
             ? 0
-            : Math.max(0, expiringAtMs + this.windowMs - this.clock.monotonicMs());
+            : this.eventTimesMs.at(-limit)! + this.windowMs - this.clock.monotonicMs();
     }
 }
