Log why a stream that failed was not sent once more

A failed stream was logged with the reason of its last attempt only. Whether it ended because the route does not allow another attempt, because none was left, or because the retry budget was used up could not be told from the log, and so not whether the gateway could have done without ending it. `request failed` now has `retryDenial`. No decision changes. The test fails without the field.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -64,6 +64,9 @@
     rejections: number;
 }
 
+/** Why a request is not sent once more. */
+type RetryDenial = "not resumable" | "too many rejections" | "no attempts left" | "retry budget exhausted";
+
 /**
  * Longest wait for a stream's first event beyond its predicted time. A group that prefills other prompts needs a few
  * hundred milliseconds; callers give up after two seconds.
@@ -358,10 +361,8 @@
                 progress.resendTo = slot.candidate.head.id;
             }
         }
-        const isRepeatable = call.route.isResumable || result.kind === "not-run";
-        const mayRetry = isRepeatable && progress.rejections < MAX_REJECTIONS
-            && (hasAttemptsLeft(call, progress) || progress.resendTo !== undefined);
-        if (mayRetry && this.options.retryBudget.tryAcquire(call.service.name)) {
+        const denial = this.retryDenial(call, progress, result);
+        if (denial === undefined) {
             this.options.metrics.count("retries", result.kind);
             return false;
         }
@@ -371,10 +372,28 @@
             return true;
         }
         const reason = result.kind === "failure-answer" ? "the upstream failed" : result.reason;
-        this.fail(call, progress, reason);
+        this.fail(call, progress, reason, denial);
         return true;
     }
 
+    /** Takes a retry from the budget if the request may be sent once more; otherwise returns why it may not. */
+    private retryDenial(
+        call: ForwardedCall,
+        progress: StreamProgress,
+        result: AttemptResult & { kind: "not-run" | "broken" | "failure-answer"; },
+    ): RetryDenial | undefined {
+        if (!call.route.isResumable && result.kind !== "not-run") {
+            return "not resumable";
+        }
+        if (progress.rejections >= MAX_REJECTIONS) {
+            return "too many rejections";
+        }
+        if (!hasAttemptsLeft(call, progress) && progress.resendTo === undefined) {
+            return "no attempts left";
+        }
+        return this.options.retryBudget.tryAcquire(call.service.name) ? undefined : "retry budget exhausted";
+    }
+
     private giveUp(
         call: ForwardedCall,
         progress: StreamProgress,
@@ -400,11 +419,12 @@
         this.fail(call, progress, outcome.kind === "refused" ? outcome.reason : "the time is over");
     }
 
-    private fail(call: ForwardedCall, progress: StreamProgress, reason: string): void {
+    private fail(call: ForwardedCall, progress: StreamProgress, reason: string, retryDenial?: RetryDenial): void {
         this.options.metrics.count("requests", "failed");
         this.options.log.info("request failed", {
             request: call.request.id,
             reason,
+            retryDenial,
             hasBegun: call.callerResponse.hasStarted,
         });
         if (call.callerResponse.hasStarted) {
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -244,6 +244,14 @@
             });
         });
 
+        it("logs why a broken stream is not resumed", async () => {
+            rig.client.script(() => responses.brokenStream(1, 1), () => responses.brokenStream(2, 2));
+            rig.send();
+            await rig.clock.advance(100);
+            const failed = rig.log.lines.find(({ event }) => event === "request failed");
+            expect(failed?.fields).to.include({ retryDenial: "no attempts left", hasBegun: true });
+        });
+
         it("keeps a cold group within its requests per second when there are more gateways than that", async () => {
             const gateways = Array.from({ length: 76 }, (_, index) => `gateway-${index}`);
             const limit = 17;
