Add failing tests: an upstream that is silent for a second

Seven tests show that a gateway ends a response because its upstream is silent, although the upstream goes on after 1.2 s: a stream that may not be resumed (before and after its first event, and when its group is reported lost), one without attempts left, one that no other group accepts, streams beyond the retry budget, and a plain request without another upstream.

--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -60,6 +60,77 @@
             expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4, 5, 6], "complete"]);
         });
 
+        describe("when an upstream is silent for a second and then goes on", () => {
+            const pause = { last: 2, until: 4, pauseMs: 1200 };
+            const paused = (_: unknown, signal: AbortSignal) => responses.pausedStream(pause, rig.clock, signal);
+
+            it("does not end a stream that may not be resumed", async () => {
+                rig.configure({ isResumable: false }, 2);
+                rig.client.script(paused);
+                const response = rig.send();
+                await rig.clock.advance(1500);
+                expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+            });
+
+            it("does not fail a request that may not be resumed before its first event", async () => {
+                rig.configure({ isResumable: false }, 2);
+                rig.client.script(() => rig.clock.sleep(1900).then(() => responses.stream(1, 4)));
+                const response = rig.send();
+                await rig.clock.advance(2000);
+                expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+            });
+
+            it("does not end a stream for which no attempt is left", async () => {
+                const second = { last: 3, until: 4, pauseMs: 1200 };
+                rig.client.script(
+                    () => responses.brokenStream(1, 2),
+                    (_, signal) => responses.pausedStream(second, rig.clock, signal, 3),
+                );
+                const response = rig.send();
+                await rig.clock.advance(1500);
+                expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+            });
+
+            it("does not end a stream while no other group accepts it", async () => {
+                rig.directory.remove("g2", "removed");
+                rig.client.script(paused);
+                const response = rig.send();
+                await rig.clock.advance(1500);
+                expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+            });
+
+            it("does not end streams for which the retry budget does not suffice", async () => {
+                const limited = ForwarderRig.create({ retrySlack: 2 });
+                limited.configure();
+                limited.directory.set(head("g1", 1));
+                limited.directory.set(head("g2", 2));
+                limited.client.script(
+                    ...Array.from(
+                        { length: 4 },
+                        () => (_: unknown, signal: AbortSignal) => responses.pausedStream(pause, limited.clock, signal),
+                    ),
+                    () => responses.stream(3, 4),
+                );
+                const sent = ["q1", "q2", "q3", "q4"].map(id => limited.send({ id }));
+                await limited.clock.advance(1500);
+                limited.close();
+                expect(sent.map(response => [eventIdsOf(response), response.ending])).to.deep.equal(
+                    sent.map(() => [[1, 2, 3, 4], "complete"]),
+                );
+                expect(limited.client.sent.length).to.equal(5);
+            });
+
+            it("does not end a stream that may not be resumed when its group is reported lost", async () => {
+                rig.configure({ isResumable: false }, 2);
+                rig.client.script(paused);
+                const response = rig.send();
+                await rig.clock.advance(600);
+                rig.loads.abortRequests(rig.client.sent[0]?.upstream === "g1" ? "1" : "2", "members do not answer");
+                await rig.clock.advance(900);
+                expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+            });
+        });
+
         async function markCurrentGroupsLost(response: RecordedResponse, times: number): Promise<number[]> {
             for (let time = 0; time < times; time++) {
                 await rig.clock.settle();
@@ -476,6 +547,17 @@
             expect(response.status).to.equal(200);
         });
 
+        it("does not give up a silent upstream when no other upstream accepts the request", async () => {
+            configure("repeatable");
+            rig.directory.remove("p2", "removed");
+            rig.client.script((_, signal) =>
+                rig.clock.sleep(1200, signal).then(() => signal.aborted ? UNKNOWN : responses.complete(200, "ok"))
+            );
+            const response = rig.send({ model: undefined });
+            await rig.clock.advance(1300);
+            expect([response.status, response.text, response.refusal]).to.deep.equal([200, "ok", undefined]);
+        });
+
         it("does not abort a non-repeatable request when its caller disconnects", async () => {
             configure("once");
             let aborted = false;
--- a/packages/gateway/tests/support/responses.ts
+++ b/packages/gateway/tests/support/responses.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@fescuehaven/runtime";
 import type { UpstreamResponse } from "../../src/ports/UpstreamResponse.js";
 
 const HEAD = { status: 200, headers: ["x-signature", "s"] };
@@ -36,6 +37,24 @@
         })(),
     }),
 
+    /** Returns a complete stream that is silent for a time after the event `last`; fails if it is aborted. */
+    pausedStream: (
+        { last, until, pauseMs }: { last: number; until: number; pauseMs: number; },
+        clock: Clock,
+        signal: AbortSignal,
+        first = 1,
+    ): UpstreamResponse => ({
+        kind: "answered",
+        head: HEAD,
+        isSigned: true,
+        body: (async function*() {
+            yield* events(first, last);
+            await clock.sleep(pauseMs, signal);
+            signal.throwIfAborted();
+            yield* events(last + 1, until);
+        })(),
+    }),
+
     /** Returns a complete response. */
     complete: (status: number, text: string, isSigned = true): UpstreamResponse => ({
         kind: "answered",
