Leave a response at a silent upstream unless another attempt is certain

Cause: after a pause of 750 ms between two events, after a late first event, or when the controller reported a group lost because members did not answer a check, the gateway aborted the attempt first and only then looked whether the request could be sent elsewhere. Where the route does not allow a resume, no attempt or retry budget was left, or no group accepted the request, the response of a sound upstream that was merely silent for a second was ended. Plain repeatable requests had the same order of steps.

Evidence: seven tests on the code before, each of which ends a response that the upstream continues after 1.2 s.

Change: an attempt is abandoned only once a retry has been taken from the budget and another group or upstream, which is not silent itself, accepts the request; otherwise this is checked again every 100 ms. A head whose registration shows another start or epoch no longer works on the request, which is then ended as before.

Three tests asked for the end of a response whose second group is lost or silent. Their bound was the number of attempts; it is now checked until the deadline, and that the response is not ended before. Measured: the seven tests fail before and pass after, all 56 of the file pass; two new safeguards, whose removal fails their tests.

--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -46,6 +46,8 @@
     mayHaveRun: boolean;
     /** Attempts that the upstream did not run. */
     rejections: number;
+    /** The retry budget has been charged for the attempt that follows the current one. */
+    hasReservedRetry: boolean;
 }
 
 /** Costs that are added to an upstream's requests in flight when upstreams are compared. */
@@ -56,6 +58,8 @@
 const SUSPECT_SILENCE_MS = 400;
 /** Multiple of the route's target latency after which a repeatable request is sent to another upstream instead. */
 const RETRY_TIMEOUT_FACTOR = 1.5;
+/** Interval between checks whether a request at a silent upstream can be sent elsewhere by now. */
+const SILENCE_RECHECK_INTERVAL_MS = 100;
 /** Number of rejections after which a request is refused. */
 const MAX_REJECTIONS = 3;
 /** Fraction of the remaining time that a request may spend waiting for a slot. */
@@ -79,6 +83,7 @@
             countedAttempts: 0,
             mayHaveRun: false,
             rejections: 0,
+            hasReservedRetry: false,
         };
         for (;;) {
             const admitted = await this.acquire(call, progress);
@@ -128,16 +133,33 @@
         );
     }
 
+    /** Returns the candidates to which a request may be sent now. */
+    private acceptingCandidates(call: ForwardedCall, progress: PlainProgress): Upstream[] {
+        const { loads, coldStartLimiter } = this.options;
+        return this.candidates(call, progress).filter(upstream =>
+            loads.ownLoad(upstream.id).inFlight < upstream.slots
+            && coldStartLimiter.canSend(upstream, call.service.coldRequestsPerSecond)
+        );
+    }
+
+    /**
+     * Takes a retry from the budget if another upstream accepts the request now. One that is only silent may go on, so
+     * the request is not taken from it for anything less.
+     */
+    private tryReserveRetry(call: ForwardedCall, progress: PlainProgress): boolean {
+        const { loads, retryBudget } = this.options;
+        progress.hasReservedRetry =
+            this.acceptingCandidates(call, progress).some(({ id }) => loads.ownLoad(id).silentMs <= SUSPECT_SILENCE_MS)
+            && retryBudget.tryAcquire(call.service.name);
+        return progress.hasReservedRetry;
+    }
+
     private tryAcquireSlot(call: ForwardedCall, progress: PlainProgress): PlainSlot | undefined {
         const { loads, coldStartLimiter } = this.options;
         let best: Upstream | undefined;
         let bestCost = Infinity;
-        for (const upstream of this.candidates(call, progress)) {
+        for (const upstream of this.acceptingCandidates(call, progress)) {
             const load = loads.ownLoad(upstream.id);
-            const canSend = coldStartLimiter.canSend(upstream, call.service.coldRequestsPerSecond);
-            if (load.inFlight >= upstream.slots || !canSend) {
-                continue;
-            }
             const cost = load.inFlight
                 + (upstream.zone === this.options.zone ? 0 : OTHER_ZONE_COST)
                 + (load.silentMs > SUSPECT_SILENCE_MS ? SUSPECT_COST : 0)
@@ -162,6 +184,9 @@
         const idleTimeout = new AbortController();
         const idleTimeoutMs = canRepeat ? call.route.targetLatencyMs * RETRY_TIMEOUT_FACTOR : Infinity;
         const idleTimer = idleTimeouts.watch(idleTimeoutMs, () => {
+            if (!this.tryReserveRetry(call, progress)) {
+                return SILENCE_RECHECK_INTERVAL_MS;
+            }
             idleTimeout.abort();
             return undefined;
         });
@@ -239,7 +264,8 @@
         const mayRepeat = result.kind === "not-run"
             ? progress.rejections < MAX_REJECTIONS
             : call.route.kind === "repeatable" && progress.countedAttempts < call.route.maxAttempts;
-        if (mayRepeat && retryBudget.tryAcquire(call.service.name)) {
+        if (mayRepeat && (progress.hasReservedRetry || retryBudget.tryAcquire(call.service.name))) {
+            progress.hasReservedRetry = false;
             metrics.count("retries", result.kind);
             return false;
         }
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -47,7 +47,7 @@
     /** Predicted time until the first event. */
     firstEventMs: number;
     trackedRequest: TrackedRequest;
-    /** Aborts, with the reason, when the group is found lost. */
+    /** Aborts, with the reason, when the group is reported lost. */
     groupLost: AbortController;
 }
 
@@ -62,6 +62,8 @@
     mayHaveRun: boolean;
     /** Attempts that the head did not run. */
     rejections: number;
+    /** The retry budget has been charged for the attempt that follows the current one. */
+    hasReservedRetry: boolean;
 }
 
 /** Why a request is not sent once more. */
@@ -88,6 +90,8 @@
 const SAMPLED_GROUPS = 3;
 /** Longest pause between two events: several of the longest passes, and well under the callers' two seconds. */
 const EVENT_PAUSE_LIMIT_MS = 750;
+/** Interval between checks whether a request at a silent upstream can be sent elsewhere by now. */
+const SILENCE_RECHECK_INTERVAL_MS = 100;
 /** Number of rejections after which a request is refused: the view is wrong about several groups, or all are full. */
 const MAX_REJECTIONS = 3;
 /** Time within which a group that is being formed is expected to open: warm joins take about a second. */
@@ -112,6 +116,7 @@
             countedAttempts: 0,
             mayHaveRun: false,
             rejections: 0,
+            hasReservedRetry: false,
         };
         for (;;) {
             const admitted = await this.acquire(call, engine, progress);
@@ -225,23 +230,39 @@
         const { clock, client, idleTimeouts, failureRates, saturatedHeads, loads } = this.options;
         const { head, epoch } = slot.candidate;
         this.logAdmitted(call, slot, progress);
-        const idleTimeout = new AbortController();
+        const abandonment = new AbortController();
         let hasEvents = false;
         let canExtend = true;
+        /** Abandons the attempt if that is of use to the caller; returns false if it continues. */
+        const tryAbandon = (reason: string) => {
+            if (abandonment.signal.aborted) {
+                return true;
+            }
+            if (!this.isUpstreamGone(slot) && !this.tryReserveRetry(call, engine, progress, slot)) {
+                return false;
+            }
+            abandonment.abort(reason);
+            return true;
+        };
         const idleTimer = idleTimeouts.watch(slot.firstEventMs + FIRST_EVENT_MARGIN_MS, () => {
             const isGroupAlive = loads.totalLoad(String(epoch)).silentMs < MAX_ALIVE_SILENCE_MS;
             if (canExtend && !hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, head.id)) {
                 canExtend = false;
                 return BUSY_EXTENSION_MS;
             }
-            idleTimeout.abort();
-            return undefined;
+            const { groupLost } = slot;
+            const reason = groupLost.signal.aborted ? String(groupLost.signal.reason) : "silent for too long";
+            return tryAbandon(reason) ? undefined : SILENCE_RECHECK_INTERVAL_MS;
+        });
+        slot.groupLost.signal.addEventListener("abort", () => {
+            if (!tryAbandon(String(slot.groupLost.signal.reason))) {
+                idleTimer.reset(SILENCE_RECHECK_INTERVAL_MS);
+            }
         });
         const signal = AbortSignal.any([
             call.callerResponse.disconnected,
             call.deadline,
-            slot.groupLost.signal,
-            idleTimeout.signal,
+            abandonment.signal,
         ]);
         try {
             const response = await client.send(head, {
@@ -259,7 +280,7 @@
             }
             if (response.kind === "unknown") {
                 const { reason, isStaleConnection } = response;
-                return this.brokenResult(call, slot, idleTimeout.signal, reason, isStaleConnection);
+                return this.brokenResult(call, slot, abandonment.signal, reason, isStaleConnection);
             }
             if (response.head.status < 200 || response.head.status > 299 || !response.isSigned) {
                 const body = await readBody(response.body);
@@ -286,7 +307,7 @@
                 await call.callerResponse.write(events.bytes);
             }
             if (framer.hasPartialEvent || signal.aborted) {
-                return this.brokenResult(call, slot, idleTimeout.signal, "the stream ended inside an event");
+                return this.brokenResult(call, slot, abandonment.signal, "the stream ended inside an event");
             }
             if (!call.callerResponse.hasStarted) {
                 call.callerResponse.start(response.head);
@@ -299,7 +320,7 @@
             return this.brokenResult(
                 call,
                 slot,
-                idleTimeout.signal,
+                abandonment.signal,
                 error instanceof Error ? error.message : String(error),
             );
         }
@@ -310,11 +331,42 @@
         }
     }
 
+    /**
+     * Takes a retry from the budget if the request may be resumed at a group that accepts it now. An upstream that is
+     * only silent may go on, so its response is not ended for anything less.
+     */
+    private tryReserveRetry(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+        { candidate }: GroupSlot,
+    ): boolean {
+        const isResend = progress.resendTo === candidate.head.id;
+        const attemptsAfterThis = progress.countedAttempts + (isResend ? 0 : 1);
+        const mayRetry = call.route.isResumable && attemptsAfterThis < call.route.maxAttempts
+            && progress.rejections < MAX_REJECTIONS;
+        if (!mayRetry) {
+            return false;
+        }
+        const others = this.candidates(call, engine, progress).filter(({ epoch, load }) =>
+            epoch !== candidate.epoch && load.silentMs < MAX_ALIVE_SILENCE_MS
+        );
+        progress.hasReservedRetry = chooseGroup(engine, others, this.requestProfile(call)) !== undefined
+            && this.options.retryBudget.tryAcquire(call.service.name);
+        return progress.hasReservedRetry;
+    }
+
+    /** Returns true if the head's registration shows that it no longer works on requests that it got in this group. */
+    private isUpstreamGone({ candidate: { head, epoch } }: GroupSlot): boolean {
+        const current = this.options.groups.registrationOf(head.id);
+        return current !== undefined && (current.startedAtMs !== head.startedAtMs || current.group?.epoch !== epoch);
+    }
+
     /** Returns the result of an attempt that was aborted or ended early. */
     private brokenResult(
         call: ForwardedCall,
         slot: GroupSlot,
-        idleTimeout: AbortSignal,
+        abandonment: AbortSignal,
         reason: string,
         isStaleConnection = false,
     ): AttemptResult {
@@ -324,11 +376,7 @@
         if (!slot.groupLost.signal.aborted) {
             this.options.failureRates.record(slot.candidate.head.id, true);
         }
-        const cause = slot.groupLost.signal.aborted
-            ? String(slot.groupLost.signal.reason)
-            : idleTimeout.aborted
-            ? "silent for too long"
-            : reason;
+        const cause = abandonment.aborted ? String(abandonment.reason) : reason;
         return { kind: "broken", reason: cause, isStaleConnection };
     }
 
@@ -382,6 +430,10 @@
         progress: StreamProgress,
         result: AttemptResult & { kind: "not-run" | "broken" | "failure-answer"; },
     ): RetryDenial | undefined {
+        if (progress.hasReservedRetry) {
+            progress.hasReservedRetry = false;
+            return undefined;
+        }
         if (!call.route.isResumable && result.kind !== "not-run") {
             return "not resumable";
         }
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -78,6 +78,11 @@
             : [];
     }
 
+    /** Returns the registration of an upstream, or undefined if it is not registered. */
+    registrationOf(upstreamId: string): Upstream | undefined {
+        return this.options.upstreams.get(upstreamId);
+    }
+
     /** Returns true if a group of the model is being formed. */
     isForming(service: string, modelName: string | undefined): boolean {
         return this.current().members.some(({ service: ofService, model, group }) =>
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -369,4 +369,22 @@
         test: `${GATEWAY}/tests/peers/PeerExchange.test.ts`,
         grep: "keeps the retries of zones that are partitioned from each other within the budget of all",
     },
+    {
+        promise: "gateway: complete responses",
+        name: "a stream is not taken from a silent upstream without another attempt",
+        file: `${GATEWAY}/src/forwarding/StreamDispatcher.ts`,
+        find: "if (!this.isUpstreamGone(slot) && !this.tryReserveRetry(call, engine, progress, slot)) {",
+        replace: "if (this.tryReserveRetry(call, engine, progress, slot) === undefined) {",
+        test: `${GATEWAY}/tests/forwarding/forwarding.test.ts`,
+        grep: "does not end a stream that may not be resumed",
+    },
+    {
+        promise: "gateway: complete responses",
+        name: "a plain request is not taken from a silent upstream without another one",
+        file: `${GATEWAY}/src/forwarding/PlainDispatcher.ts`,
+        find: "if (!this.tryReserveRetry(call, progress)) {",
+        replace: "if (this.tryReserveRetry(call, progress) === undefined) {",
+        test: `${GATEWAY}/tests/forwarding/forwarding.test.ts`,
+        grep: "does not give up a silent upstream when no other upstream accepts the request",
+    },
 ];
