Log the shared prompt parts of attempts that break before their first event

Which part of the prompts the failed requests had in common could not be told from the log, nor whether an attempt had received an event before its upstream ended. No decision changes.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -49,6 +49,8 @@
     trackedRequest: TrackedRequest;
     /** Aborts, with the reason, when the group is reported lost. */
     groupLost: AbortController;
+    /** True once the upstream has sent an event. */
+    hasEvents: boolean;
 }
 
 /** Progress of a stream over all its attempts. */
@@ -218,7 +220,7 @@
             request.promptTokens,
             reason => groupLost.abort(reason),
         );
-        return { ...choice, trackedRequest, groupLost };
+        return { ...choice, trackedRequest, groupLost, hasEvents: false };
     }
 
     private async attempt(
@@ -231,7 +233,6 @@
         const { head, epoch } = slot.candidate;
         this.logAdmitted(call, slot, progress);
         const abandonment = new AbortController();
-        let hasEvents = false;
         let canExtend = true;
         /** Abandons the attempt if that is of use to the caller; returns false if it continues. */
         const tryAbandon = (reason: string) => {
@@ -246,7 +247,9 @@
         };
         const idleTimer = idleTimeouts.watch(slot.firstEventMs + FIRST_EVENT_MARGIN_MS, () => {
             const isGroupAlive = loads.totalLoad(String(epoch)).silentMs < MAX_ALIVE_SILENCE_MS;
-            if (canExtend && !hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, head.id)) {
+            if (
+                canExtend && !slot.hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, head.id)
+            ) {
                 canExtend = false;
                 return BUSY_EXTENSION_MS;
             }
@@ -301,7 +304,7 @@
                     call.callerResponse.start(response.head);
                     this.options.metrics.observe("firstEvent", clock.monotonicMs() - call.request.receivedAtMs);
                 }
-                hasEvents = true;
+                slot.hasEvents = true;
                 progress.hasEvents = true;
                 progress.lastEventId = framer.lastEventId ?? progress.lastEventId;
                 await call.callerResponse.write(events.bytes);
@@ -523,6 +526,10 @@
             outcome: result.kind,
             reason: "reason" in result ? result.reason : undefined,
             isStaleConnection: result.kind === "broken" && result.isStaleConnection ? true : undefined,
+            hasEvents: result.kind === "broken" ? slot.hasEvents : undefined,
+            promptParts: result.kind === "broken" && !slot.hasEvents
+                ? call.request.sharedPromptParts.join(",")
+                : undefined,
             lastEventId: progress.lastEventId,
             durationMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
         });
--- a/packages/gateway/src/model/IncomingRequest.ts
+++ b/packages/gateway/src/model/IncomingRequest.ts
@@ -14,6 +14,8 @@
     receivedAtMs: number;
     model?: string;
     promptTokens: number;
+    /** Ids of the parts of the prompt that other requests may have too. */
+    sharedPromptParts: readonly string[];
     /** Maximum number of tokens in the response. */
     maxAnswerTokens: number;
     /** The caller's estimate of the number of tokens in the response. */
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -320,6 +320,15 @@
             });
         });
 
+        it("logs the shared parts of a prompt if an attempt breaks before its first event", async () => {
+            rig.client.script(() => UNKNOWN, () => responses.brokenStream(1, 1));
+            rig.send({ sharedPromptParts: ["p1", "p2"] });
+            await rig.clock.advance(100);
+            const ended = rig.log.lines.filter(({ event }) => event === "attempt ended").map(({ fields }) => fields);
+            expect(ended[0]).to.include({ hasEvents: false, promptParts: "p1,p2" });
+            expect(ended[1]).to.include({ hasEvents: true, promptParts: undefined });
+        });
+
         it("logs why a broken stream is not resumed", async () => {
             rig.client.script(() => responses.brokenStream(1, 1), () => responses.brokenStream(2, 2));
             rig.send();
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -135,6 +135,7 @@
             receivedAtMs: this.clock.monotonicMs(),
             model: "large",
             promptTokens: 1000,
+            sharedPromptParts: [],
             maxAnswerTokens: 100,
             ...changes,
         }, response);
