Block requests whose prompts crash upstreams

Cause: each attempt was judged by itself. A request under which an upstream crashed went to a second one, the caller's repeat to a third, and nothing related the crashes to a part of the prompts.

Change: a detector records which shared prompt parts were in requests whose upstream ended before the first event. A response that begins clears all its parts. A part is blocked if upstreams crash under it repeatedly, in more than one window of 500 ms, and more often than the share of crashing attempts explains; of parts with the same crashes only their combination is blocked. A suspected request is not sent to a second upstream. Gateways exchange evidence with their state, merged by set union, so that relays and repetitions make no difference; blocked parts are kept in the controller's lease object, which survives a restart of all gateways. Blocked requests are refused at once as not run, with a retry-after delay until the next trial: one request after 60 s, then 8 times as late each time. All tables are bounded.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -23,6 +23,7 @@
 import { ViewServiceHandler } from "./peers/ViewServiceHandler.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
 import { ColdStartLimiter } from "./placement/ColdStartLimiter.js";
+import { CrashingPromptDetector } from "./placement/CrashingPromptDetector.js";
 import { FailureRateTracker } from "./placement/FailureRateTracker.js";
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
@@ -116,6 +117,11 @@
             ...settings.retryBudget,
             gatewayCount: () => this.connections.position?.count,
         });
+        const crashingPrompts = CrashingPromptDetector.create({
+            clock,
+            log,
+            position: () => this.connections.position,
+        });
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const sharedOptions = {
             clock,
@@ -126,6 +132,7 @@
             coldStartLimiter,
             failureRates,
             retryBudget,
+            crashingPrompts,
         };
         const dispatcherOptions = {
             ...sharedOptions,
@@ -141,6 +148,7 @@
             metrics,
             configuration: this.configuration,
             retryBudget,
+            crashingPrompts,
             streams: StreamDispatcher.create({
                 ...dispatcherOptions,
                 groups: this.groups,
@@ -162,6 +170,8 @@
                 this.connections.connectedPeers().length > 0 && !this.exchange.isControllerReachable,
             isConnectedToMostPeers: () =>
                 this.connections.connectedPeers().length * 2 >= this.connections.followedPeers().length,
+            blockedPrompts: () => crashingPrompts.blocked(),
+            onBlockedPrompts: suspects => crashingPrompts.merge({ suspects }),
         });
         const orders = OrderSender.create({ clock, log, metrics, control });
         const hasTraffic = () => this.hasTraffic;
@@ -202,6 +212,7 @@
             controller: this.controller,
             loads: this.loads,
             retryBudget,
+            crashingPrompts,
             upstreams: this.upstreams,
             groups: this.groups,
             onTraffic: () => {
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -1,6 +1,7 @@
 import type { ObjectStore, Revision, StoredObject } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
 import { z } from "zod";
+import { type CrashSuspect, crashSuspectSchema } from "../placement/CrashSuspect.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 
 interface ControllerLeaseOptions {
@@ -19,6 +20,10 @@
     isHolderUnreachableByPeers: () => boolean;
     /** Returns true while most registered peers are connected. */
     isConnectedToMostPeers: () => boolean;
+    /** Returns the blocked parts of prompts, which the lease object keeps while all gateways restart. */
+    blockedPrompts: () => CrashSuspect[];
+    /** Called with the blocked parts of prompts that a lease object from the store has. */
+    onBlockedPrompts: (blocked: CrashSuspect[]) => void;
 }
 
 const leaseSchema = z.object({
@@ -28,8 +33,12 @@
     term: z.int().nonnegative(),
     /** Incremented by every renewal, so that each renewal changes the object. */
     renewals: z.int().nonnegative(),
+    blockedPrompts: z.array(crashSuspectSchema).default([]),
 });
 
+/** The fields that decide who holds the lease. */
+type LeaseClaim = Omit<z.infer<typeof leaseSchema>, "blockedPrompts">;
+
 const LEASE_KEY = { kind: "fescue_controllers", name: "fleet" } as const;
 const POLL_INTERVAL_MS = 100;
 /** Time between renewals; not shorter, because every renewal is an event for all gateways. */
@@ -122,6 +131,7 @@
         this.revision = object.revision;
         this.highestTerm = Math.max(this.highestTerm, parsed.data.term);
         this.changedAtMs = this.options.clock.monotonicMs();
+        this.options.onBlockedPrompts(parsed.data.blockedPrompts);
     }
 
     /** Records that the store was listed. If no lease object was observed by then, no lease exists yet. */
@@ -208,8 +218,9 @@
         return sinceMs >= waitMs && sinceMs >= waitMs + this.options.candidateRank() * RANK_DELAY_MS;
     }
 
-    private async write(lease: z.infer<typeof leaseSchema>): Promise<void> {
-        const { store, clock, log } = this.options;
+    private async write(claim: LeaseClaim): Promise<void> {
+        const { store, clock, log, blockedPrompts } = this.options;
+        const lease = { ...claim, blockedPrompts: blockedPrompts() };
         const outcome = await store.write(LEASE_KEY, lease, this.revision, "claim");
         if (outcome.kind === "committed") {
             this.observe({ ...LEASE_KEY, revision: outcome.revision, value: lease });
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -3,6 +3,7 @@
 import type { ClientAccount } from "../model/ClientAccount.js";
 import type { IncomingRequest } from "../model/IncomingRequest.js";
 import type { Route } from "../model/Route.js";
+import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { CallerResponse } from "../ports/CallerResponse.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -18,6 +19,7 @@
     metrics: GatewayMetrics;
     configuration: ActiveConfiguration;
     retryBudget: RetryBudget;
+    crashingPrompts: CrashingPromptDetector;
     streams: StreamDispatcher;
     plain: PlainDispatcher;
 }
@@ -95,7 +97,7 @@
         callerResponse: CallerResponse,
         ended: AbortSignal,
     ): ForwardedCall | undefined {
-        const { configuration, clock, log, metrics, retryBudget } = this.options;
+        const { configuration, clock, log, metrics, retryBudget, crashingPrompts } = this.options;
         const current = configuration.current;
         if (!current) {
             const reason = "no configuration is known yet";
@@ -129,6 +131,15 @@
             return undefined;
         }
         retryBudget.recordRequest(service.name);
+        const admission = crashingPrompts.admit(service.engine ? request.sharedPromptParts : []);
+        if (admission.kind === "blocked") {
+            const { part, retryAfterMs } = admission;
+            const reason = "upstreams crash under such prompts";
+            metrics.count("refusals", reason);
+            log.info("request refused", { request: request.id, reason, part, retryAfterMs: Math.round(retryAfterMs) });
+            callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
+            return undefined;
+        }
         const allowedMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
         const deadlineMs = request.receivedAtMs + allowedMs;
         const deadline = new AbortController();
@@ -143,6 +154,7 @@
             deadlineMs,
             deadline: AbortSignal.any([deadline.signal, this.shutdownEnd.signal]),
             configurationVersion: current.version,
+            isTrial: admission.kind === "trial",
         };
     }
 
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -4,6 +4,7 @@
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
 import type { ColdStartLimiter } from "../placement/ColdStartLimiter.js";
+import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
@@ -31,6 +32,7 @@
     failureRates: FailureRateTracker;
     saturatedHeads: SaturatedHeads;
     retryBudget: RetryBudget;
+    crashingPrompts: CrashingPromptDetector;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
     zone: string;
@@ -69,7 +71,12 @@
 }
 
 /** Why a request is not sent once more. */
-type RetryDenial = "not resumable" | "too many rejections" | "no attempts left" | "retry budget exhausted";
+type RetryDenial =
+    | "not resumable"
+    | "too many rejections"
+    | "no attempts left"
+    | "upstreams may crash under the prompt"
+    | "retry budget exhausted";
 
 /**
  * Longest wait for a stream's first event beyond its predicted time. A group that prefills other prompts needs a few
@@ -143,13 +150,16 @@
         const nowMs = clock.monotonicMs();
         const { request, route, service } = call;
         return queue.acquire<GroupSlot>({
-            pool: `${service.name}/${request.model ?? ""}`,
+            pool: poolOf(call),
             // A stream that has begun is resumed before others start.
             priority: progress.hasEvents ? -1 : call.priority,
             onTimeUntilMs: request.receivedAtMs + route.targetLatencyMs,
             usefulUntilMs: nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION,
             tryAcquireSlot: () => this.tryAcquireSlot(call, engine, progress),
             expectedWaitMs: () => {
+                if (this.isBlocked(call)) {
+                    return Infinity;
+                }
                 if (!hasAttemptsLeft(call, progress) && this.candidates(call, engine, progress).length === 0) {
                     return Infinity;
                 }
@@ -173,6 +183,11 @@
         return resendCandidates.length > 0 || !hasAttemptsLeft(call, progress) ? resendCandidates : candidates;
     }
 
+    /** Returns true if the prompt has a part that was blocked meanwhile. */
+    private isBlocked(call: ForwardedCall): boolean {
+        return !call.isTrial && this.options.crashingPrompts.isBlocked(call.request.sharedPromptParts);
+    }
+
     private requestProfile({ request, route }: ForwardedCall): Parameters<typeof chooseGroup>[2] {
         return { zone: this.options.zone, promptTokens: request.promptTokens, targetGapMs: route.targetGapMs };
     }
@@ -202,6 +217,9 @@
     ): GroupSlot | undefined {
         const { loads, coldStartLimiter, random, gatewayCount } = this.options;
         const { request } = call;
+        if (this.isBlocked(call)) {
+            return undefined;
+        }
         const candidates = this.candidates(call, engine, progress);
         const choice = chooseGroup(
             engine,
@@ -283,7 +301,7 @@
             }
             if (response.kind === "unknown") {
                 const { reason, isStaleConnection } = response;
-                return this.brokenResult(call, slot, abandonment.signal, reason, isStaleConnection);
+                return this.brokenResult(call, slot, progress, abandonment.signal, reason, isStaleConnection);
             }
             if (response.head.status < 200 || response.head.status > 299 || !response.isSigned) {
                 const body = await readBody(response.body);
@@ -299,6 +317,9 @@
                     continue;
                 }
                 idleTimer.reset(EVENT_PAUSE_LIMIT_MS);
+                if (!slot.hasEvents) {
+                    this.options.crashingPrompts.recordBegun(call.request.sharedPromptParts, poolOf(call));
+                }
                 slot.trackedRequest.recordEvent();
                 if (!call.callerResponse.hasStarted) {
                     call.callerResponse.start(response.head);
@@ -310,7 +331,7 @@
                 await call.callerResponse.write(events.bytes);
             }
             if (framer.hasPartialEvent || signal.aborted) {
-                return this.brokenResult(call, slot, abandonment.signal, "the stream ended inside an event");
+                return this.brokenResult(call, slot, progress, abandonment.signal, "the stream ended inside an event");
             }
             if (!call.callerResponse.hasStarted) {
                 call.callerResponse.start(response.head);
@@ -323,6 +344,7 @@
             return this.brokenResult(
                 call,
                 slot,
+                progress,
                 abandonment.signal,
                 error instanceof Error ? error.message : String(error),
             );
@@ -369,6 +391,7 @@
     private brokenResult(
         call: ForwardedCall,
         slot: GroupSlot,
+        progress: StreamProgress,
         abandonment: AbortSignal,
         reason: string,
         isStaleConnection = false,
@@ -380,6 +403,11 @@
             this.options.failureRates.record(slot.candidate.head.id, true);
         }
         const cause = abandonment.aborted ? String(abandonment.reason) : reason;
+        if (!progress.hasEvents && !abandonment.aborted && !isStaleConnection) {
+            const { id, startedAtMs } = slot.candidate.head;
+            const { sharedPromptParts } = call.request;
+            this.options.crashingPrompts.recordCrash(sharedPromptParts, `${id}/${startedAtMs}`, poolOf(call));
+        }
         return { kind: "broken", reason: cause, isStaleConnection };
     }
 
@@ -446,6 +474,9 @@
         if (!hasAttemptsLeft(call, progress) && progress.resendTo === undefined) {
             return "no attempts left";
         }
+        if (result.kind === "broken" && !this.options.crashingPrompts.mayRetry(call.request.sharedPromptParts)) {
+            return "upstreams may crash under the prompt";
+        }
         return this.options.retryBudget.tryAcquire(call.service.name) ? undefined : "retry budget exhausted";
     }
 
@@ -539,3 +570,8 @@
 function hasAttemptsLeft(call: ForwardedCall, progress: StreamProgress): boolean {
     return progress.countedAttempts < call.route.maxAttempts;
 }
+
+/** Returns the name of the upstreams among which a call's one is chosen. */
+function poolOf({ service, request }: ForwardedCall): string {
+    return `${service.name}/${request.model ?? ""}`;
+}
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -297,5 +297,14 @@
         retries: update.retries.map(({ service, requests, retries }) => [service, { requests, retries }] as const),
         countedGateways: update.countedGateways,
         lostEpochs: update.lostEpochs,
+        crashEvidence: {
+            suspects: update.crashSuspects.map(({ part, pool, crashes, begun, block }) => ({
+                part,
+                pool,
+                crashes: crashes.map(({ upstream, ageMs }) => ({ upstream, ageMs })),
+                begun: begun && { id: begun.id, ageMs: begun.ageMs },
+                block: block && { ageMs: block.ageMs, trials: block.trials },
+            })),
+        },
     };
 }
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { ControllerLease } from "../fleet/ControllerLease.js";
 import type { FleetController } from "../fleet/FleetController.js";
+import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
@@ -22,6 +23,7 @@
     controller: FleetController;
     loads: LoadTracker;
     retryBudget: RetryBudget;
+    crashingPrompts: CrashingPromptDetector;
     upstreams: UpstreamDirectory;
     groups: GroupDirectory;
     /** Called when a peer has requests in flight. */
@@ -89,6 +91,7 @@
             loads,
             retries,
             countedGateways,
+            crashEvidence: this.options.crashingPrompts.state(),
             ...groups,
         };
     }
@@ -138,6 +141,7 @@
     apply(peer: string, state: PeerState): void {
         this.options.lease.observeTerm(state.term);
         this.peerStates.set(peer, state);
+        this.options.crashingPrompts.merge(state.crashEvidence);
         if (this.usesLoadOf(peer)) {
             this.options.loads.setPeerLoads(peer, state.loads);
             this.options.retryBudget.setPeerCounts(peer, state.retries, state.countedGateways);
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from "../placement/CrashEvidence.js";
 import type { RetryCounts } from "../placement/RetryCounts.js";
 import type { TargetLoad } from "../placement/TargetLoad.js";
 import type { OpenGroup } from "./OpenGroup.js";
@@ -17,4 +18,6 @@
     countedGateways: number;
     /** Epochs of groups that the controller found lost. */
     lostEpochs: readonly number[];
+    /** Prompts under which upstreams have crashed, from all gateways of which the sender has learned. */
+    crashEvidence: CrashEvidence;
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -79,7 +79,7 @@
                 if (follower.isUrgent || sinceMs >= intervalMs(observer)) {
                     follower.isUrgent = false;
                     const state = snapshot(observer);
-                    const text = JSON.stringify(state);
+                    const text = JSON.stringify(state, withoutAges);
                     if (text !== sentText || sinceMs >= HEARTBEAT_MS) {
                         sentText = text;
                         sentAtMs = nowMs;
@@ -95,6 +95,11 @@
     }
 }
 
+/** Omits ages of evidence, which change all the time; heartbeats update them. */
+function withoutAges(key: string, value: unknown): unknown {
+    return key === "ageMs" ? undefined : value;
+}
+
 function toUpdate(state: PeerState): GatewayUpdate {
     return create(GatewayUpdateSchema, {
         term: state.term,
@@ -109,5 +114,12 @@
         retries: state.retries.map(([service, counts]) => ({ service, ...counts })),
         countedGateways: state.countedGateways,
         lostEpochs: [...state.lostEpochs],
+        crashSuspects: state.crashEvidence.suspects.map(({ part, pool, crashes, begun, block }) => ({
+            part,
+            pool,
+            crashes: crashes.map(({ upstream, ageMs }) => ({ upstream, ageMs: Math.round(ageMs) })),
+            begun: begun && { id: begun.id, ageMs: Math.round(begun.ageMs) },
+            block: block && { ageMs: Math.round(block.ageMs), trials: block.trials },
+        })),
     });
 }
--- a/packages/gateway/src/placement/CrashEvidence.ts
+++ b/packages/gateway/src/placement/CrashEvidence.ts
@@ -1,2 +1,6 @@
-/** Crashes of upstreams and the parts of prompts under which they occurred, as gateways report them to each other. */
-export type CrashEvidence = Readonly<Record<string, unknown>>;
+import type { CrashSuspect } from "./CrashSuspect.js";
+
+/** What a gateway knows of prompts that crash upstreams, as it is sent to other gateways. */
+export interface CrashEvidence {
+    suspects: readonly CrashSuspect[];
+}
--- a/packages/gateway/tests/fleet/ControllerLease.test.ts
+++ b/packages/gateway/tests/fleet/ControllerLease.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock, MemoryObjectStore } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { ControllerLease } from "../../src/fleet/ControllerLease.js";
+import type { CrashSuspect } from "../../src/placement/CrashSuspect.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
 /** A gateway that competes for the lease. */
@@ -11,6 +12,7 @@
     silenceMs: Map<string, number>;
     isHolderUnreachableByPeers: boolean;
     isConnectedToMostPeers: boolean;
+    blockedPrompts: CrashSuspect[];
 }
 
 describe("ControllerLease", () => {
@@ -33,6 +35,7 @@
             silenceMs: new Map(),
             isHolderUnreachableByPeers: false,
             isConnectedToMostPeers: true,
+            blockedPrompts: [],
         };
         candidate.lease = ControllerLease.create({
             clock,
@@ -44,6 +47,10 @@
             candidateRank: () => rank,
             isHolderUnreachableByPeers: () => candidate.isHolderUnreachableByPeers,
             isConnectedToMostPeers: () => candidate.isConnectedToMostPeers,
+            blockedPrompts: () => candidate.blockedPrompts,
+            onBlockedPrompts: blocked => {
+                candidate.blockedPrompts = blocked;
+            },
         });
         void watchStore(candidate);
         void candidate.lease.run(candidate.stop.signal);
@@ -73,6 +80,19 @@
         expect(controllers()).to.deep.equal(["1"]);
     });
 
+    it("keeps blocked prompt parts while all gateways restart", async () => {
+        const blocked = [{ part: "bad", pool: "llm/large", crashes: [], block: { ageMs: 0, trials: 0 } }];
+        const first = start("a");
+        first.blockedPrompts = blocked;
+        await clock.advance(3000);
+        first.stop.abort();
+        const [restarted, other] = [start("a", 0, "a-2"), start("b", 1)];
+        await clock.advance(3000);
+        expect(restarted.lease.isController).to.equal(true);
+        expect(restarted.blockedPrompts).to.deep.equal(blocked);
+        expect(other.blockedPrompts).to.deep.equal(blocked);
+    });
+
     it("stays with its holder while the holder is reachable", async () => {
         const first = start("a");
         await clock.advance(500);
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -4,6 +4,7 @@
 import type { FleetController } from "../../src/fleet/FleetController.js";
 import { PeerConnections } from "../../src/peers/PeerConnections.js";
 import { PeerExchange } from "../../src/peers/PeerExchange.js";
+import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
@@ -20,6 +21,7 @@
     connections: PeerConnections;
     loads: LoadTracker;
     retries: RetryBudget;
+    crashingPrompts: CrashingPromptDetector;
     exchange: PeerExchange;
     flushes: number;
 }
@@ -57,8 +59,14 @@
             windowMs: 10_000,
             gatewayCount: () => connections.position?.count,
         });
+        const crashingPrompts = CrashingPromptDetector.create({
+            clock,
+            log,
+            position: () => connections.position,
+        });
         const gateway: TestGateway = {
             vm,
+            crashingPrompts,
             connections,
             loads,
             retries,
@@ -79,10 +87,13 @@
                     candidateRank: () => 0,
                     isHolderUnreachableByPeers: () => false,
                     isConnectedToMostPeers: () => true,
+                    blockedPrompts: () => [],
+                    onBlockedPrompts: () => undefined,
                 }),
                 controller: { recentlyOpened: () => [] } as unknown as FleetController,
                 loads,
                 retryBudget: retries,
+                crashingPrompts,
                 upstreams,
                 groups: GroupDirectory.create({
                     clock,
@@ -137,6 +148,31 @@
         });
     }
 
+    for (const [title, vms] of fleets) {
+        it(`adds up the crashes that each gateway of ${title} has seen under a prompt part`, async () => {
+            start(vms);
+            await exchangeStates();
+            const detectors = vms.map(vm => gateways.get(vm)!.crashingPrompts);
+            detectors.slice(0, 5).forEach((detector, index) =>
+                detector.recordCrash(["bad", `own-${index}`], `u${index}`)
+            );
+            for (let pass = 0; pass < 6; pass++) {
+                await exchangeStates();
+            }
+            detectors.slice(0, 5).forEach((detector, index) =>
+                detector.recordCrash(["bad", `own-${index}`], `v${index}`)
+            );
+            for (let pass = 0; pass < 12; pass++) {
+                await exchangeStates();
+                detectors.forEach(detector => detector.recordBegun(["sound"]));
+            }
+            expect(detectors.map(detector => detector.isBlocked(["sound", "bad"]))).to.deep.equal(vms.map(() => true));
+            expect(detectors.map(detector => detector.isBlocked(["sound", "own-0"]))).to.deep.equal(
+                vms.map(() => false),
+            );
+        });
+    }
+
     it("keeps the retries of zones that are partitioned from each other within the budget of all", async () => {
         start(fleets[1]![1]);
         for (let pass = 0; pass < 5; pass++) {
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -32,6 +32,7 @@
                 retries: [],
                 countedGateways: 1,
                 lostEpochs: [],
+                crashEvidence: { suspects: [] },
             };
         };
         publisher = PeerStatePublisher.create({
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -26,6 +26,7 @@
     retries: [["llm", { requests: 40, retries: 2 }]],
     countedGateways: 4,
     lostEpochs: [65536],
+    crashEvidence: { suspects: [] },
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
 };
 
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -80,6 +80,8 @@
             candidateRank: () => 0,
             isHolderUnreachableByPeers: () => false,
             isConnectedToMostPeers: () => true,
+            blockedPrompts: () => [],
+            onBlockedPrompts: () => undefined,
         });
         const controller = FleetController.create({
             clock,
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -8,6 +8,7 @@
 import type { Route } from "../../src/model/Route.js";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
+import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
@@ -51,6 +52,11 @@
     readonly loads = LoadTracker.create(this.clock);
     readonly evacuated = new Set<string>();
     readonly configuration = ActiveConfiguration.create(this.log);
+    readonly crashingPrompts = CrashingPromptDetector.create({
+        clock: this.clock,
+        log: this.log,
+        position: () => ({ index: 0, count: 1 }),
+    });
     readonly groups: GroupDirectory;
     private readonly forwarder: RequestForwarder;
     private readonly stop = new AbortController();
@@ -77,6 +83,7 @@
             }),
             failureRates,
             retryBudget,
+            crashingPrompts: this.crashingPrompts,
             idleTimeouts,
             client,
             zone: "a",
@@ -89,6 +96,7 @@
             metrics: noMetrics,
             configuration: this.configuration,
             retryBudget,
+            crashingPrompts: this.crashingPrompts,
             streams: StreamDispatcher.create({
                 ...shared,
                 groups: this.groups,
