Add failing tests: crashing prompts after a partition and among other crashes of a large fleet

A gateway that was partitioned while its peers found a crashing part has to block it soon after, and 79 gateways have to find it among crashes at random, of a zone, one after the other, and resets of all connections, without blocking another part.

--- a/packages/gateway/tests/placement/CrashingPromptDetector.test.ts
+++ b/packages/gateway/tests/placement/CrashingPromptDetector.test.ts
@@ -240,7 +240,7 @@
             fleet.at(15_000, () => fleet.crashZone(1));
             [23_000, 24_000, 25_000].forEach(atMs => fleet.at(atMs, () => fleet.resetConnections()));
             for (let index = 0; index < 6; index++) {
-                fleet.at(32_000 + index * 1700, () => fleet.crashHeads(head => head === index));
+                fleet.at(32_000 + index * 1700, () => fleet.crashHeads(head => head % 6 === index));
             }
         }
 
@@ -272,6 +272,17 @@
             });
         }
 
+        it("blocks nothing but the part that crashes upstreams at the same time, with 79 gateways", () => {
+            const fleet = SimulatedCrashes.create({ gateways: 79, seed: 18 });
+            fleet.crashingParts.add(BAD);
+            addSound(fleet, { perSecond: 240, untilMs: 50_000 });
+            addFaults(fleet);
+            fleet.addTraffic(2, { fromMs: 13_000, untilMs: 50_000 }, () => badParts(fleet, BAD));
+            fleet.run(50_000);
+            expect(fleet.blockedSound()).to.deep.equal([]);
+            expectFound(fleet, BAD);
+        });
+
         it("blocks nothing when the connections of 79 gateways are reset under requests with a new part", () => {
             const fleet = SimulatedCrashes.create({ gateways: 79, seed: 9 });
             addSound(fleet, { perSecond: 240, untilMs: 20_000 });
@@ -341,6 +352,26 @@
             expectSoundServed(fleet, BAD);
         });
 
+        it("blocks a part soon after a partition in which the other gateways found it", () => {
+            const fleet = createFleet(17, 40_000);
+            fleet.at(START_MS - 1000, () => fleet.setCutOff(2, true));
+            fleet.run(20_000);
+            fleet.setCutOff(2, false);
+            fleet.run(20_000 + EXCHANGE_MS);
+            const joinedAtMs = fleet.nowMs;
+            for (let request = 0; request < 5; request++) {
+                fleet.send(badParts(fleet, BAD), 2);
+            }
+            fleet.run(40_000);
+            const sent = fleet.decisions.filter(({ atMs, parts, blockedPart }) =>
+                atMs >= joinedAtMs && parts.includes(BAD) && blockedPart === undefined
+            );
+            expect(countAsked(fleet, BAD, joinedAtMs - 1)).to.be.at.least(8);
+            expect(sent.length).to.be.at.most(MAX_LATE_SENDS);
+            const blocked = fleet.blockedSound(fleet.soundServedFromMs(BAD)).filter(({ isInTouch }) => isInTouch);
+            expect(blocked).to.deep.equal([]);
+        });
+
         it("keeps a part blocked when all gateways restart and one of them reads a stored state", () => {
             const fleet = createFleet(12, 60_000);
             fleet.run(25_000);
