--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export { PinoDecisionLog } from "./adapters/PinoDecisionLog.js";
 export { PromGatewayMetrics } from "./adapters/PromGatewayMetrics.js";
+export { readBody } from "./forwarding/readBody.js";
 export { Gateway } from "./Gateway.js";
 export type { GatewayPorts } from "./GatewayPorts.js";
 export type { GatewaySettings } from "./GatewaySettings.js";
