Frame events in linear time and limit the size of one event

The framer now searches only the new chunk, appends to a growing buffer, and rejects an event of more than 1 MiB, which breaks the attempt.

--- a/packages/gateway/src/forwarding/EventFramer.ts
+++ b/packages/gateway/src/forwarding/EventFramer.ts
@@ -1,3 +1,5 @@
+import { GrowingBuffer } from "./GrowingBuffer.js";
+
 /** Consecutive complete events of a stream. */
 interface FramedEvents {
     bytes: Buffer;
@@ -6,10 +8,18 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Events hold a few tokens each. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
+/** An event does not end. */
+class EventTooLongError extends Error {}
 
 /** Splits a stream of server-sent events at event boundaries and tracks the id of the last complete event. */
 export class EventFramer {
-    private remainder: Buffer = Buffer.alloc(0);
+    /** Beginning of the next event. */
+    private partialEvent = GrowingBuffer.create();
+    /** Length of the line with which the data so far ends. */
+    private partialLineLength = 0;
     private lastId: string | undefined;
 
     private constructor() {}
@@ -26,30 +36,48 @@
 
     /** True if the data so far ends inside an event. */
     get hasPartialEvent(): boolean {
-        return this.remainder.length > 0;
+        return this.partialEvent.length > 0;
     }
 
-    /** Appends a chunk and returns the events that it completes; undefined if it completes none. */
+    /**
+     * Appends a chunk and returns the events that it completes; undefined if it completes none. Throws if an event is too
+     * long.
+     */
     push(chunk: Buffer): FramedEvents | undefined {
-        const bytes = this.remainder.length > 0 ? Buffer.concat([this.remainder, chunk]) : chunk;
         let end = 0;
         let count = 0;
-        let lineStart = 0;
-        for (let index = bytes.indexOf(LINE_FEED); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
-            const lineEnd = index > lineStart && bytes[index - 1] === CARRIAGE_RETURN ? index - 1 : index;
-            if (lineEnd === lineStart) {
+        let lineStart = -this.partialLineLength;
+        for (let index = chunk.indexOf(LINE_FEED); index >= 0; index = chunk.indexOf(LINE_FEED, index + 1)) {
+            const lineLength = index - lineStart;
+            if (lineLength === 0 || (lineLength === 1 && this.byteBefore(index, chunk) === CARRIAGE_RETURN)) {
                 end = index + 1;
                 count += 1;
             }
             lineStart = index + 1;
         }
-        this.remainder = Buffer.from(bytes.subarray(end));
+        this.partialLineLength = chunk.length - lineStart;
         if (end === 0) {
+            this.appendPartial(chunk);
             return undefined;
         }
-        const completeBytes = bytes.subarray(0, end);
-        this.lastId = lastIdIn(completeBytes) ?? this.lastId;
-        return { bytes: completeBytes, count };
+        const bytes = this.partialEvent.length > 0
+            ? Buffer.concat([this.partialEvent.bytes, chunk.subarray(0, end)])
+            : chunk.subarray(0, end);
+        this.partialEvent = GrowingBuffer.create();
+        this.appendPartial(chunk.subarray(end));
+        this.lastId = lastIdIn(bytes) ?? this.lastId;
+        return { bytes, count };
+    }
+
+    private byteBefore(index: number, chunk: Buffer): number | undefined {
+        return index > 0 ? chunk[index - 1] : this.partialEvent.bytes.at(-1);
+    }
+
+    private appendPartial(bytes: Buffer): void {
+        if (this.partialEvent.length + bytes.length > MAX_EVENT_BYTES) {
+            throw new EventTooLongError(`an event is longer than ${MAX_EVENT_BYTES} bytes`);
+        }
+        this.partialEvent.append(bytes);
     }
 }
 
--- a/packages/gateway/src/forwarding/readBody.ts
+++ b/packages/gateway/src/forwarding/readBody.ts
@@ -1,3 +1,5 @@
+import { GrowingBuffer } from "./GrowingBuffer.js";
+
 /** Result of reading a body. */
 type BodyResult = { kind: "completed"; bytes: Buffer; } | { kind: "broken"; reason: string; };
 
@@ -6,24 +8,17 @@
 
 /** Reads a body to its end; a longer one than the limit is broken. Never rejects. */
 export async function readBody(body: AsyncIterable<Buffer>, maxBytes = MAX_BODY_BYTES): Promise<BodyResult> {
-    let bytes = Buffer.alloc(0);
-    let length = 0;
+    const read = GrowingBuffer.create();
     try {
         for await (const chunk of body) {
-            const newLength = length + chunk.length;
-            if (newLength > maxBytes) {
+            if (read.length + chunk.length > maxBytes) {
                 return { kind: "broken", reason: `the body is longer than ${maxBytes} bytes` };
             }
-            // Chunks are copied: tiny ones would take far more memory as buffers of their own.
-            if (newLength > bytes.length) {
-                bytes = Buffer.concat([bytes.subarray(0, length)], Math.max(newLength, 2 * bytes.length));
-            }
-            chunk.copy(bytes, length);
-            length = newLength;
+            read.append(chunk);
         }
     }
     catch (error) {
         return { kind: "broken", reason: error instanceof Error ? error.message : String(error) };
     }
-    return { kind: "completed", bytes: bytes.subarray(0, length) };
+    return { kind: "completed", bytes: read.bytes };
 }
--- a/packages/gateway/tests/forwarding/EventFramer.test.ts
+++ b/packages/gateway/tests/forwarding/EventFramer.test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
 import { EventFramer } from "../../src/forwarding/EventFramer.js";
 
+const MAX_EVENT_BYTES = 1024 * 1024;
+/** Callers give up a stream that pauses for two seconds. */
+const MAX_EVENT_DURATION_MS = 2000;
+
 const cases: ReadonlyArray<
     { title: string; chunks: string[]; completeEvents: string; lastId?: string; hasPartialEvent: boolean; }
 > = [
@@ -61,4 +65,59 @@
             });
         });
     }
+
+    it("frames the same events however they are divided into chunks", () => {
+        const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n: c\n\nid:3\ndata:d\ndata: e\n\nid: 4\nda";
+        for (let size = 1; size <= text.length; size++) {
+            const framer = EventFramer.create();
+            let framed = "";
+            let count = 0;
+            for (let start = 0; start < text.length; start += size) {
+                const events = framer.push(Buffer.from(text.slice(start, start + size)));
+                framed += events?.bytes.toString() ?? "";
+                count += events?.count ?? 0;
+            }
+            expect({ framed, count, lastId: framer.lastEventId, isPartial: framer.hasPartialEvent }, `size ${size}`)
+                .to.deep.equal({
+                    framed: text.slice(0, text.lastIndexOf("id: 4")),
+                    count: 5,
+                    lastId: "3",
+                    isPartial: true,
+                });
+        }
+    });
+
+    it("takes time in proportion to the size of an event that arrives in many pieces", () => {
+        const event = Buffer.from(`id: 1\ndata: ${"x".repeat(MAX_EVENT_BYTES - 100)}\n\n`);
+        const framer = EventFramer.create();
+        const startMs = performance.now();
+        let framed: Buffer | undefined;
+        for (let start = 0; start < event.length; start += 16) {
+            framed = framer.push(event.subarray(start, start + 16))?.bytes;
+        }
+        const durationMs = performance.now() - startMs;
+        expect(framed?.equals(event)).to.equal(true);
+        expect(durationMs, "duration in ms").to.be.lessThan(MAX_EVENT_DURATION_MS);
+    });
+
+    it("rejects an event that does not end", () => {
+        const framer = EventFramer.create();
+        const chunk = Buffer.alloc(1000, "x");
+        const pushAll = () => {
+            for (let bytes = 0; bytes < 2 * MAX_EVENT_BYTES; bytes += chunk.length) {
+                framer.push(chunk);
+            }
+        };
+        expect(pushAll).to.throw("event is longer than");
+    });
+
+    it("does not limit the number of events", () => {
+        const framer = EventFramer.create();
+        const event = Buffer.from(`data: ${"x".repeat(1000)}\n\n`);
+        let count = 0;
+        for (let bytes = 0; bytes < 2 * MAX_EVENT_BYTES; bytes += event.length) {
+            count += framer.push(event)?.count ?? 0;
+        }
+        expect(count).to.equal(Math.ceil(2 * MAX_EVENT_BYTES / event.length));
+    });
 });
