Remove unused pools of the admission queue

Every model that callers named in a request left an entry in the queue of requests for good, also if nothing serves it, and each release of a slot and each check of the queue visits all entries. Pools without waiting and recently admitted requests are now removed when a pool is added. Before the change 10,000 names left 10,000 pools, whether admitted or refused.

--- a/packages/gateway/src/placement/AdmissionQueue.ts
+++ b/packages/gateway/src/placement/AdmissionQueue.ts
@@ -162,7 +162,15 @@
     }
 
     private pool(name: string): Pool {
-        const pool = this.pools.get(name) ?? {
+        return this.pools.get(name) ?? this.addPool(name);
+    }
+
+    /** Adds a pool and removes unused ones: callers choose the names of models. */
+    private addPool(name: string): Pool {
+        this.pools.forEach(({ waiters, admitted }, other) =>
+            waiters.length === 0 && admitted.count === 0 && this.pools.delete(other)
+        );
+        const pool = {
             waiters: [],
             admitted: SlidingWindowCounter.create(this.options.clock, ADMISSION_RATE_WINDOW_MS),
         };
--- /dev/null
+++ b/packages/gateway/tests/placement/tableSizes.test.ts
@@ -0,0 +1,54 @@
+import { ManualClock, SeededRandom } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
+
+const KEYS = 10_000;
+/** Time between two uses of new keys, far longer than any entry is valid. */
+const PAUSE_MS = 60_000;
+/** Entries that may remain of keys that are no longer used. */
+const MAX_ENTRIES = 10;
+
+describe("tables of keys that come and go", () => {
+    let clock: ManualClock;
+
+    beforeEach(() => {
+        clock = ManualClock.create();
+    });
+
+    async function useKeys(use: (index: number) => Promise<void> | void): Promise<void> {
+        for (let index = 0; index < KEYS; index++) {
+            await use(index);
+            clock.pause(PAUSE_MS);
+        }
+    }
+
+    it("forget pools of requests that are neither waiting nor recent", async () => {
+        const queue = AdmissionQueue.create({ clock, random: SeededRandom.create(1) });
+        await useKeys(async index => {
+            await queue.acquire({
+                pool: `s/model-${index}`,
+                priority: 1,
+                onTimeUntilMs: Infinity,
+                usefulUntilMs: Infinity,
+                tryAcquireSlot: () => index,
+                expectedWaitMs: () => 0,
+            }, new AbortController().signal);
+        });
+        expect(queue.waiting().length).to.be.at.most(MAX_ENTRIES);
+    });
+
+    it("keep no pool for refused requests", async () => {
+        const queue = AdmissionQueue.create({ clock, random: SeededRandom.create(1) });
+        for (let index = 0; index < KEYS; index++) {
+            await queue.acquire({
+                pool: `s/model-${index}`,
+                priority: 1,
+                onTimeUntilMs: 0,
+                usefulUntilMs: 0,
+                tryAcquireSlot: () => undefined,
+                expectedWaitMs: () => Infinity,
+            }, new AbortController().signal);
+        }
+        expect(queue.waiting().length).to.be.at.most(MAX_ENTRIES);
+    });
+});
