Remove old failure rates

The failure rates kept an entry for every upstream that ever got a request; instances get new ids with each start. Tallies that have lost their weight (ten half-lives) are removed when another upstream is added. Before the change 10,000 upstreams left 10,000 entries.

--- a/packages/gateway/src/placement/FailureRateTracker.ts
+++ b/packages/gateway/src/placement/FailureRateTracker.ts
@@ -8,6 +8,8 @@
 
 /** Half-life of recorded attempts: a failure that has ended is forgotten within about ten seconds. */
 const HALF_LIFE_MS = 3000;
+/** After ten half-lives, a tally has no weight any more. */
+const TALLY_TTL_MS = 10 * HALF_LIFE_MS;
 /** Number of successful attempts assumed in advance, so that a single failure has little weight. */
 const PRIOR_ATTEMPTS = 4;
 
@@ -22,8 +24,16 @@
         return new FailureRateTracker(clock);
     }
 
+    /** Number of upstreams with recorded attempts. */
+    get size(): number {
+        return this.tallies.size;
+    }
+
     /** Records the end of an attempt. */
     record(upstreamId: string, hasFailed: boolean): void {
+        if (!this.tallies.has(upstreamId)) {
+            this.removeOldTallies();
+        }
         const tally = this.decayed(upstreamId);
         this.tallies.set(upstreamId, {
             attempts: tally.attempts + 1,
@@ -38,6 +48,11 @@
         return failures / (attempts + PRIOR_ATTEMPTS);
     }
 
+    private removeOldTallies(): void {
+        const sinceMs = this.clock.monotonicMs() - TALLY_TTL_MS;
+        this.tallies.forEach((tally, id) => tally.atMs < sinceMs && this.tallies.delete(id));
+    }
+
     private decayed(upstreamId: string): Tally {
         const nowMs = this.clock.monotonicMs();
         const tally = this.tallies.get(upstreamId) ?? { attempts: 0, failures: 0, atMs: nowMs };
--- a/packages/gateway/tests/placement/tableSizes.test.ts
+++ b/packages/gateway/tests/placement/tableSizes.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock, SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
+import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 
 const KEYS = 10_000;
 /** Time between two uses of new keys, far longer than any entry is valid. */
@@ -51,4 +52,10 @@
         }
         expect(queue.waiting().length).to.be.at.most(MAX_ENTRIES);
     });
+
+    it("forget the failure rates of upstreams that are gone", async () => {
+        const rates = FailureRateTracker.create(clock);
+        await useKeys(index => rates.record(`u${index}`, true));
+        expect(rates.size).to.be.at.most(MAX_ENTRIES);
+    });
 });
