Remove expired pauses between events

The mean pauses between events kept an entry for every epoch of a group that ever had a stream. Those that are no longer valid are removed when another group is added. Before the change 10,000 epochs left 10,000 entries.

--- a/packages/gateway/src/placement/LoadTracker.ts
+++ b/packages/gateway/src/placement/LoadTracker.ts
@@ -80,7 +80,15 @@
         return record && this.clock.monotonicMs() - record.atMs <= PAUSE_TTL_MS ? record.meanMs : undefined;
     }
 
+    /** Number of targets with a recorded pause. */
+    get pauseCount(): number {
+        return this.pauses.size;
+    }
+
     private recordPause(target: string, pauseMs: number, atMs: number): void {
+        if (!this.pauses.has(target)) {
+            this.pauses.forEach((record, other) => atMs - record.atMs > PAUSE_TTL_MS && this.pauses.delete(other));
+        }
         const knownMs = this.meanPauseMs(target);
         const meanMs = knownMs === undefined ? pauseMs : knownMs + PAUSE_WEIGHT * (pauseMs - knownMs);
         this.pauses.set(target, { meanMs, atMs });
--- a/packages/gateway/tests/placement/tableSizes.test.ts
+++ b/packages/gateway/tests/placement/tableSizes.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
+import { LoadTracker } from "../../src/placement/LoadTracker.js";
 
 const KEYS = 10_000;
 /** Time between two uses of new keys, far longer than any entry is valid. */
@@ -58,4 +59,15 @@
         await useKeys(index => rates.record(`u${index}`, true));
         expect(rates.size).to.be.at.most(MAX_ENTRIES);
     });
+
+    it("forget the pauses of groups that are gone", async () => {
+        const loads = LoadTracker.create(clock);
+        await useKeys(index => {
+            const request = loads.trackRequest(String(index), 1, () => undefined);
+            request.recordEvent();
+            request.recordEvent();
+            request.end();
+        });
+        expect(loads.pauseCount).to.be.at.most(MAX_ENTRIES);
+    });
 });
