Remove lost groups whose exclusion has ended

The groups that were found lost were kept by epoch for good. Those whose exclusion has ended are removed when another one is found lost. Before the change 10,000 lost groups left 10,000 entries.

--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -44,10 +44,20 @@
     /** Excludes a group that was found lost, whatever its head reports. Returns false if it was excluded already. */
     markLost(epoch: number): boolean {
         const isNew = !this.isLost(epoch);
+        if (isNew) {
+            [...this.lostEpochs.keys()].filter(other => !this.isLost(other)).forEach(other =>
+                this.lostEpochs.delete(other)
+            );
+        }
         this.lostEpochs.set(epoch, this.options.clock.monotonicMs());
         return isNew;
     }
 
+    /** Number of recorded groups that were found lost. */
+    get lostGroupCount(): number {
+        return this.lostEpochs.size;
+    }
+
     /** Returns true if the group was found lost recently. */
     isLost(epoch: number): boolean {
         const lostAtMs = this.lostEpochs.get(epoch) ?? -Infinity;
--- a/packages/gateway/tests/placement/tableSizes.test.ts
+++ b/packages/gateway/tests/placement/tableSizes.test.ts
@@ -2,7 +2,10 @@
 import { expect } from "chai";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
+import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
+import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
+import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
 const KEYS = 10_000;
 /** Time between two uses of new keys, far longer than any entry is valid. */
@@ -70,4 +73,17 @@
         });
         expect(loads.pauseCount).to.be.at.most(MAX_ENTRIES);
     });
+
+    it("forget groups that were lost", async () => {
+        const loads = LoadTracker.create(clock);
+        const groups = GroupDirectory.create({
+            clock,
+            upstreams: UpstreamDirectory.create({ clock, log: SilentDecisionLog.create(), returnGraceMs: 2000 }),
+            loads,
+            failureRates: FailureRateTracker.create(clock),
+            isEvacuated: () => false,
+        });
+        await useKeys(index => void groups.markLost(index));
+        expect(groups.lostGroupCount).to.be.at.most(MAX_ENTRIES);
+    });
 });
