Do not end a stream as complete that ended before its first event

A caller got an empty response that looked complete when its upstream ended the response before the first event: a response without a length ends with its connection, and the gateway only checked that it did not end inside an event. Such an attempt is now broken, and resumed or failed like one that ends inside an event. A stream that was resumed after an event may be empty: the event may have been the last.

Of the new tests of where a stream's connection ends, the two before the first event fail without the change ("complete" with no text, with and without resumption). Those for an end inside an event pass before and after.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -333,6 +333,9 @@
             if (framer.hasPartialEvent || signal.aborted) {
                 return this.brokenResult(call, slot, progress, abandonment.signal, "the stream ended inside an event");
             }
+            if (!progress.hasEvents && call.request.lastEventId === undefined) {
+                return this.brokenResult(call, slot, idleTimeout.signal, "the stream ended before its first event");
+            }
             if (!call.callerResponse.hasStarted) {
                 call.callerResponse.start(response.head);
             }
