--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -334,7 +334,8 @@
                 return this.brokenResult(call, slot, progress, abandonment.signal, "the stream ended inside an event");
             }
             if (!progress.hasEvents && call.request.lastEventId === undefined) {
-                return this.brokenResult(call, slot, idleTimeout.signal, "the stream ended before its first event");
+                const reason = "the stream ended before its first event";
+                return this.brokenResult(call, slot, progress, abandonment.signal, reason);
             }
             if (!call.callerResponse.hasStarted) {
                 call.callerResponse.start(response.head);
