Close a serving group whose member has left instead of declaring it lost

Cause: a member that has drained stays until its group's requests have ended, but is no longer registered and refuses connections. The controller took it for failed, declared the group lost while it was sending events, and re-formed it at once; so it did for a head whose registration had been removed. Streams were moved, met the same at the second group, and were ended.

Change: while a group's requests receive events, a missing registration or a refused check closes the group as a draining member does: no new requests, and it is re-formed when the requests have ended, at the latest after 2 s. A silent group, a head that has restarted and one in another epoch are lost as before. Two tests, which fail without the change.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -346,6 +346,10 @@
 
     private advanceOpen(view: ServiceView, group: ManagedGroup): void {
         const head = this.currentHead(group);
+        if (!head && this.isServing(group)) {
+            this.startClosing(group, head, "the head is no longer registered");
+            return;
+        }
         if (!head || head.startedAtMs !== group.members[0]?.startedAtMs) {
             this.loseGroup(view, group, "the head is no longer registered", idsOf(group.members.slice(0, 1)));
             return;
@@ -362,7 +366,7 @@
         const draining = group.members.filter(member => this.options.upstreams.get(member.id)?.state === "draining");
         group.drainSinceMs = draining.length > 0 ? group.drainSinceMs ?? this.nowMs() : undefined;
         if (draining.length > 0 && (head.state === "draining" || this.mayReplaceDraining(group))) {
-            this.startClosing(group, head);
+            this.startClosing(group, head, "a member is draining");
             return;
         }
         this.checkMembers(view, group);
@@ -406,7 +410,11 @@
                 && this.options.loads.totalLoad(String(group.epoch)).silentMs > MAX_SILENCE_MS;
             const fresh = this.freshView(view);
             const slow = this.replaceableSlowMembers(fresh, group);
-            if (failed.size > 0 || isSilentTooLong) {
+            if (failed.size > 0 && unlisted.length > 0 && this.isServing(group)) {
+                // A member that leaves stays until the group's requests have ended, but may not respond any more.
+                this.startClosing(group, this.currentHead(group), "a member has left");
+            }
+            else if (failed.size > 0 || isSilentTooLong) {
                 const reason = failed.size > 0 ? "members do not answer" : "silent though all members answer";
                 this.loseGroup(fresh, group, reason, new Set([...failed, ...slow]));
             }
@@ -441,17 +449,26 @@
         return unavailable < Math.max(1, Math.floor(ofModel.length * MAX_UNAVAILABLE_SHARE));
     }
 
-    private startClosing(group: ManagedGroup, head: Upstream): void {
-        this.options.log.info("closing group: a member is draining", { group: group.name, epoch: group.epoch });
+    /** Returns true if the group's requests have received events until now. */
+    private isServing(group: ManagedGroup): boolean {
+        const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
+        return inFlight > 0 && silentMs <= SILENCE_BEFORE_CHECK_MS + this.options.loadLagMs();
+    }
+
+    /** Lets the requests of a group end before it is re-formed; a head that is not registered gets no new ones. */
+    private startClosing(group: ManagedGroup, head: Upstream | undefined, reason: string): void {
+        this.options.log.info("closing group", { group: group.name, epoch: group.epoch, reason });
         this.setPhase(group, "closing");
-        if (!this.options.orders.isBusy(head)) {
+        if (head && !this.options.orders.isBusy(head)) {
             void this.options.orders.send(head, { kind: "close", group: group.name, epoch: group.epoch });
         }
     }
 
     private advanceClosing(view: ServiceView, group: ManagedGroup): void {
         const head = this.currentHead(group);
-        const isClosed = !head || head.group?.epoch !== group.epoch || head.group.phase === "ready";
+        const isClosed = head
+            ? head.group?.epoch !== group.epoch || head.group.phase === "ready"
+            : !this.isServing(group);
         if (isClosed || this.nowMs() - group.phaseSinceMs > CLOSE_TIMEOUT_MS) {
             group.lostAtMs ??= group.phaseSinceMs;
             this.reform(view, group, "a member is draining", new Set());
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -56,6 +56,36 @@
         rig.stopController();
     });
 
+    it("lets the requests of a group end when its head has drained and left", async () => {
+        const rig = await createFormedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        const epoch = head.group?.epoch;
+        const others = [...rig.directory.all()].filter(item => item.group?.epoch === epoch && item.id !== head.id);
+        rig.fleet.leaveFleet(head.id);
+        await rig.run(1900);
+        expect(rig.lostEpochs).to.deep.equal([]);
+        expect(others.map(({ id }) => rig.fleet.state(id).group?.epoch)).to.deep.equal(others.map(() => epoch));
+        await rig.run(2000);
+        expect(others.map(({ id }) => rig.fleet.state(id).group?.epoch)).not.to.include(epoch);
+        rig.stopController();
+    });
+
+    it("closes a serving group before it is re-formed when a member has drained and left", async () => {
+        const rig = await createFormedRig();
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        const member = [...rig.directory.all()].find(item =>
+            item.group?.epoch === head.group?.epoch && item.group?.rank === 1
+        )!;
+        rig.fleet.leaveFleet(member.id);
+        await rig.run(4000);
+        expect(rig.lostEpochs).to.deep.equal([]);
+        const closed = rig.log.lines.find(({ event }) => event === "closing group");
+        expect(closed?.fields).to.include({ epoch: head.group?.epoch, reason: "a member has left" });
+        expect(rig.countCompleteGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("does not change the groups of a partitioned zone", async () => {
         const rig = await createFormedRig();
         const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -22,6 +22,8 @@
     lastModel?: string;
     /** Does not respond to anything; its registration stays until it expires. */
     isUnresponsive: boolean;
+    /** Has left the fleet and accepts no connections, but stays in its group until the group's requests have ended. */
+    hasLeft: boolean;
     /** Factor on its usual durations. */
     slowdown: number;
     /** Incremented by every change of state, so that earlier timers have no effect. */
@@ -75,6 +77,7 @@
             highestEpoch: 0,
             members: [],
             isUnresponsive: false,
+            hasLeft: false,
             slowdown: 1,
             version: 0,
             joinedEpochs: new Set(),
@@ -91,6 +94,17 @@
         void this.clock.sleep(expiresAfterMs).then(() => this.registrations.remove(id, "silent"));
     }
 
+    /** Lets a drained VM leave: its registration is removed and it responds to nothing, but its group still serves. */
+    leaveFleet(id: string): void {
+        this.vm(id).hasLeft = true;
+        this.registrations.remove(id, "left");
+    }
+
+    /** Returns true if a VM has left the fleet. */
+    hasLeft(id: string): boolean {
+        return this.vm(id).hasLeft;
+    }
+
     /** Makes an unresponsive VM responsive again, in its former state. */
     makeResponsive(id: string): void {
         this.vm(id).isUnresponsive = false;
@@ -142,6 +156,9 @@
     /** Returns a report of the upstream's state. */
     async fetchReport(upstream: Upstream): Promise<UpstreamReport> {
         const vm = this.vms.get(upstream.id);
+        if (vm?.hasLeft) {
+            return { kind: "unreachable", reason: "connection refused" };
+        }
         if (!vm || vm.isUnresponsive) {
             await this.clock.sleep(RESPONSE_TIMEOUT_MS);
             return { kind: "unreachable", reason: "no answer" };
