--- /dev/null
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -0,0 +1,239 @@
+import { ManualClock, MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
+import { Gateway } from "../../src/Gateway.js";
+import type { GatewaySettings } from "../../src/GatewaySettings.js";
+import type { Route } from "../../src/model/Route.js";
+import type { ServingConfiguration } from "../../src/model/ServingConfiguration.js";
+import type { Upstream } from "../../src/model/Upstream.js";
+import type { UpstreamClient } from "../../src/ports/UpstreamClient.js";
+import type { UpstreamRequest } from "../../src/ports/UpstreamRequest.js";
+import type { UpstreamResponse } from "../../src/ports/UpstreamResponse.js";
+import { exampleEngine } from "./exampleEngine.js";
+import { noMetrics } from "./noMetrics.js";
+import { RecordedResponse } from "./RecordedResponse.js";
+import { SilentDecisionLog } from "./SilentDecisionLog.js";
+import { SimulatedUpstreams } from "./SimulatedUpstreams.js";
+
+interface Registration {
+    upstream: Upstream;
+    /** Incremented by every registration of the upstream. */
+    sequence: number;
+}
+
+const UPSTREAM_KIND = "servers";
+const CONFIGURATION_KEY = { kind: "config", name: "main" };
+const EVACUATION_KIND = "evacuations";
+const EVENT_PAUSE_MS = 100;
+const RETRY_MS = 100;
+
+/** A whole gateway, of which only store, upstreams and callers are simulated. */
+export class GatewayRig {
+    readonly clock = ManualClock.create();
+    readonly store = MemoryObjectStore.create(this.clock);
+    readonly log = SilentDecisionLog.create();
+    readonly fleet: SimulatedUpstreams;
+    /** Ids of the upstreams to which requests were sent, in order. */
+    readonly sentTo: string[] = [];
+    readonly gateway: Gateway;
+    private readonly registrations = new Map<string, Registration>();
+    private requests = 0;
+
+    private constructor() {
+        const { clock, store, log } = this;
+        this.fleet = SimulatedUpstreams.create(clock, exampleEngine, {
+            set: upstream => this.register(upstream),
+            remove: id => this.unregister(id),
+        });
+        this.gateway = Gateway.create(settings, {
+            clock,
+            random: SeededRandom.create(1),
+            log,
+            metrics: noMetrics,
+            store,
+            client: this.createClient(),
+            control: this.fleet,
+            objects: {
+                configuration: {
+                    ...CONFIGURATION_KEY,
+                    decode: value => ({ kind: "decoded", value: toConfiguration(value) }),
+                },
+                upstreams: {
+                    kind: UPSTREAM_KIND,
+                    decode: (_, value) => ({ kind: "decoded", value: toUpstream(value) }),
+                },
+                evacuations: { kind: EVACUATION_KIND },
+            },
+        });
+    }
+
+    /** Starts a gateway with a configuration and without upstreams. */
+    static async start(): Promise<GatewayRig> {
+        const rig = new GatewayRig();
+        await rig.configure(1);
+        await rig.gateway.start();
+        await rig.clock.advance(100);
+        return rig;
+    }
+
+    /** Writes the operator's configuration. Its only prefixes are `/llm/`, `/app/` and the one of its version. */
+    async configure(version: number): Promise<void> {
+        await this.write(CONFIGURATION_KEY, { version });
+    }
+
+    /** Evacuates a zone, or ends its evacuation. */
+    async evacuate(zone: string, isEvacuated: boolean): Promise<void> {
+        await this.write({ kind: EVACUATION_KIND, name: zone }, isEvacuated ? {} : undefined);
+    }
+
+    /** Adds or replaces a registration. */
+    register(upstream: Upstream): void {
+        const { sequence = 0 } = this.registrations.get(upstream.id) ?? {};
+        this.registrations.set(upstream.id, { upstream, sequence: sequence + 1 });
+        void this.writeRegistration(upstream.id);
+    }
+
+    /** Removes a registration. */
+    unregister(id: string): void {
+        this.registrations.delete(id);
+        void this.writeRegistration(id);
+    }
+
+    /** Makes the store unavailable for `awayMs`; then it comes back from the copy. */
+    async restore(copy: ReturnType<MemoryObjectStore["copy"]>, awayMs: number): Promise<void> {
+        this.store.faults.outage = true;
+        await this.clock.advance(awayMs);
+        this.store.restore(copy);
+        this.store.faults.outage = false;
+    }
+
+    /** Writes all registrations again, as upstreams do after a store outage. */
+    async registerAgain(): Promise<void> {
+        const listed = await this.store.list([UPSTREAM_KIND]);
+        const stored = listed.kind === "listed" ? listed.objects.map(object => object.name) : [];
+        for (const id of new Set([...stored, ...this.registrations.keys()])) {
+            await this.writeRegistration(id);
+        }
+    }
+
+    /** Sends a request below a path prefix. */
+    send(prefix: "llm" | "app" | `v${number}`, changes: { model?: string; } = {}): RecordedResponse {
+        const response = RecordedResponse.create();
+        this.requests += 1;
+        this.gateway.handle({
+            id: `request-${this.requests}`,
+            method: "POST",
+            target: `/${prefix}/`,
+            host: "h.test",
+            headers: [],
+            callerTimeoutMs: 8000,
+            receivedAtMs: this.clock.monotonicMs(),
+            model: "large",
+            promptTokens: 1000,
+            maxAnswerTokens: 100,
+            ...changes,
+        }, response);
+        return response;
+    }
+
+    /** Stops the gateway. */
+    async close(): Promise<void> {
+        await this.gateway.close();
+    }
+
+    private async writeRegistration(id: string): Promise<void> {
+        await this.write({ kind: UPSTREAM_KIND, name: id }, this.registrations.get(id));
+    }
+
+    /** Writes or removes an object, and retries until the store accepts that. */
+    private async write(key: { kind: string; name: string; }, value: unknown): Promise<void> {
+        for (;;) {
+            const stored = this.store.peek(key.kind, key.name);
+            if (JSON.stringify(stored?.value) === JSON.stringify(value)) {
+                return;
+            }
+            const revision = stored?.revision ?? 0;
+            const outcome = value === undefined
+                ? await this.store.remove(key, revision)
+                : await this.store.write(key, value, revision);
+            if (outcome.kind === "committed") {
+                return;
+            }
+            await this.clock.sleep(RETRY_MS);
+        }
+    }
+
+    /** Creates a client whose upstreams send 30 events, one every `EVENT_PAUSE_MS`, or one complete response. */
+    private createClient(): UpstreamClient {
+        return {
+            send: async (upstream, call, signal): Promise<UpstreamResponse> => {
+                this.sentTo.push(upstream.id);
+                return {
+                    kind: "answered",
+                    head: { status: 200, headers: [] },
+                    isSigned: true,
+                    body: this.events(upstream, call, signal),
+                };
+            },
+        };
+    }
+
+    private async *events(upstream: Upstream, call: UpstreamRequest, signal: AbortSignal): AsyncGenerator<Buffer> {
+        const first = Number(call.resumeAfter ?? 0) + 1;
+        for (let id = first; id <= 30; id++) {
+            await this.clock.sleep(EVENT_PAUSE_MS, signal);
+            signal.throwIfAborted();
+            yield Buffer.from(`id: ${id}\ndata: ${upstream.id}\n\n`);
+        }
+    }
+}
+
+const settings: GatewaySettings = {
+    vm: "gateway-0",
+    host: "127.0.0.1",
+    zone: "a",
+    callerListen: "",
+    readinessListen: "",
+    peerListen: { host: "127.0.0.1", port: 0 },
+    seedPeers: [],
+    metricsPort: 0,
+    storeAddress: "",
+    storeWritesPerSecond: 400,
+    storeReadsPerSecond: 2000,
+    shutdownGraceMs: 8000,
+    groupStallMs: 4000,
+    heartbeatIntervalMs: 1200,
+    retryBudget: { ratio: 0.2, slack: 130, windowMs: 10_000 },
+    loadCeiling: { windowMs: 5000, overage: 1.1 },
+};
+
+function toConfiguration(value: unknown): ServingConfiguration {
+    const { version } = value as { version: number; };
+    const route = (prefix: string, kind: Route["kind"], service: string): Route => ({
+        name: prefix,
+        host: "h.test",
+        pathPrefix: `/${prefix}/`,
+        kind,
+        timeoutMs: 8000,
+        targetLatencyMs: 400,
+        targetGapMs: 250,
+        priority: 1,
+        targets: [{ service, weight: 1 }],
+        maxAttempts: 2,
+        isPublic: true,
+        isResumable: false,
+    });
+    return {
+        version,
+        routes: [route("llm", "stream", "llm"), route("app", "once", "app"), route(`v${version}`, "once", "app")],
+        services: new Map([
+            ["llm", { name: "llm", connectionLimit: 99, coldRequestsPerSecond: 0, engine: exampleEngine }],
+            ["app", { name: "app", connectionLimit: 99, coldRequestsPerSecond: 0 }],
+        ]),
+        hasAccounts: false,
+        accountsByKey: new Map(),
+        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    };
+}
+
+function toUpstream(value: unknown): Upstream {
+    return (value as Registration).upstream;
+}
--- a/packages/testing/src/fakes/MemoryObjectStore.ts
+++ b/packages/testing/src/fakes/MemoryObjectStore.ts
@@ -15,6 +15,14 @@
 /** Number of changes that the store keeps for watches. */
 const HISTORY_LENGTH = 10_000;
 
+/** State of the store at one moment. */
+interface StoreCopy {
+    revision: Revision;
+    objects: Map<string, StoredObject>;
+    history: ObjectChange[];
+    compactedRevision: Revision;
+}
+
 const UNAVAILABLE = { kind: "unavailable", retryAfterMs: 100 } as const;
 
 /** The platform's object API in memory, with faults that tests switch on. The platform stand-in uses it too. */
@@ -31,7 +39,8 @@
     readonly calls = { read: 0, list: 0, write: 0, remove: 0, watch: 0 };
 
     private revision: Revision = 0;
-    private readonly objects = new Map<string, StoredObject>();
+    private restores = 0;
+    private objects = new Map<string, StoredObject>();
     private history: ObjectChange[] = [];
     private compactedRevision: Revision = 0;
     private waiters: Array<() => void> = [];
@@ -100,6 +109,7 @@
             return UNAVAILABLE;
         }
         const deadlineMs = this.clock.monotonicMs() + waitMs;
+        const { restores } = this;
         for (;;) {
             if (after < this.compactedRevision || after > this.revision) {
                 return { kind: "compacted" };
@@ -111,7 +121,7 @@
                 return { kind: "changed", changes: structuredClone(changes), revision: this.revision };
             }
             await this.nextChange(deadlineMs - this.clock.monotonicMs(), signal);
-            if (this.faults.outage) {
+            if (this.faults.outage || this.restores !== restores) {
                 return UNAVAILABLE;
             }
         }
@@ -123,6 +133,22 @@
         this.compactedRevision = this.revision;
     }
 
+    /** Returns a copy from which the store can be restored later. */
+    copy(): StoreCopy {
+        const { revision, compactedRevision } = this;
+        return { revision, objects: new Map(this.objects), history: [...this.history], compactedRevision };
+    }
+
+    /** Loses everything that was written since the copy. Its revisions are assigned again; waiting watches fail. */
+    restore(copy: StoreCopy): void {
+        this.restores += 1;
+        this.revision = copy.revision;
+        this.objects = new Map(copy.objects);
+        this.history = [...copy.history];
+        this.compactedRevision = copy.compactedRevision;
+        this.wakeWaiters();
+    }
+
     /** Returns the current object regardless of faults and without counting a call; for assertions. */
     peek(kind: string, name: string): StoredObject | undefined {
         return this.objects.get(idOf({ kind, name }));
@@ -156,6 +182,10 @@
             const dropped = this.history.shift();
             this.compactedRevision = dropped?.object.revision ?? this.compactedRevision;
         }
+        this.wakeWaiters();
+    }
+
+    private wakeWaiters(): void {
         const woken = this.waiters;
         this.waiters = [];
         woken.forEach(wake => wake());
