Read the era from every response of the store

A store that comes back from an older copy assigns its revisions again, so that a revision says nothing without its era. The platform states the era in a header of every response, which nothing read.

`watch`, `write` and `remove` take the era of their revision. A watch of an ended era is not sent, or its response is discarded, and it returns `compacted`; an update of an ended era is not sent. Callers that pass no era behave as before.

--- a/packages/platform/src/adapters/PlatformHttp.ts
+++ b/packages/platform/src/adapters/PlatformHttp.ts
@@ -25,7 +25,14 @@
 
 /** Result of a call. */
 type PlatformResponse =
-    | { kind: "answered"; status: number; body: unknown; etag?: string; }
+    | {
+        kind: "answered";
+        status: number;
+        body: unknown;
+        etag?: string;
+        /** Values by lower-case name. */
+        headers: Readonly<Record<string, string | string[] | undefined>>;
+    }
     /** The connection was refused: nothing reached the platform. */
     | { kind: "not-sent"; }
     /** No usable response: the call may have taken effect. */
@@ -75,6 +82,7 @@
                 status: response.statusCode,
                 body: text === "" ? undefined : JSON.parse(text),
                 etag: typeof etag === "string" ? etag : undefined,
+                headers: response.headers,
             };
         }
         catch (error) {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,7 @@
 export { PlatformHttp } from "./adapters/PlatformHttp.js";
 export type { CallClass } from "./CallClass.js";
 export { CallLimiter } from "./CallLimiter.js";
+export type { Era } from "./Era.js";
 export type { ListOutcome } from "./ListOutcome.js";
 export type { ObjectChange } from "./ObjectChange.js";
 export type { ObjectKey } from "./ObjectKey.js";
--- a/packages/testing/src/fakes/MemoryObjectStore.ts
+++ b/packages/testing/src/fakes/MemoryObjectStore.ts
@@ -1,4 +1,6 @@
 import type {
+    CallClass,
+    Era,
     ListOutcome,
     ObjectChange,
     ObjectKey,
@@ -39,7 +41,7 @@
     readonly calls = { read: 0, list: 0, write: 0, remove: 0, watch: 0 };
 
     private revision: Revision = 0;
-    private restores = 0;
+    private currentEra: Era = 0;
     private objects = new Map<string, StoredObject>();
     private history: ObjectChange[] = [];
     private compactedRevision: Revision = 0;
@@ -52,6 +54,11 @@
         return new MemoryObjectStore(clock);
     }
 
+    /** Number of times that the store was restored from a copy. */
+    get era(): Era {
+        return this.currentEra;
+    }
+
     /** Reads one object. */
     async read(key: ObjectKey): Promise<ReadOutcome> {
         this.calls.read += 1;
@@ -60,7 +67,9 @@
             return UNAVAILABLE;
         }
         const object = this.objects.get(idOf(key));
-        return object ? { kind: "found", object: structuredClone(object) } : { kind: "absent" };
+        return object
+            ? { kind: "found", object: structuredClone(object), ...this.eraField }
+            : { kind: "absent", ...this.eraField };
     }
 
     /** Reads all objects of the kinds. */
@@ -71,11 +80,20 @@
             return UNAVAILABLE;
         }
         const objects = [...this.objects.values()].filter(object => kinds.includes(object.kind));
-        return { kind: "listed", objects: structuredClone(objects), revision: this.revision };
+        return { kind: "listed", objects: structuredClone(objects), revision: this.revision, ...this.eraField };
     }
 
     /** Writes `value` if the object's revision is `expected`; 0 means that the object doesn't exist. */
-    async write(key: ObjectKey, value: unknown, expected: Revision): Promise<UpdateOutcome> {
+    async write(
+        key: ObjectKey,
+        value: unknown,
+        expected: Revision,
+        _callClass?: CallClass,
+        era?: Era,
+    ): Promise<UpdateOutcome> {
+        if (this.hasEnded(era)) {
+            return UNAVAILABLE;
+        }
         this.calls.write += 1;
         return this.update(key, expected, () => {
             const object = { ...key, revision: this.revision, value: structuredClone(value) };
@@ -85,7 +103,15 @@
     }
 
     /** Removes the object if its revision is `expected`. */
-    async remove(key: ObjectKey, expected: Revision): Promise<UpdateOutcome> {
+    async remove(
+        key: ObjectKey,
+        expected: Revision,
+        _callClass?: CallClass,
+        era?: Era,
+    ): Promise<UpdateOutcome> {
+        if (this.hasEnded(era)) {
+            return UNAVAILABLE;
+        }
         this.calls.remove += 1;
         return this.update(key, expected, () => {
             this.objects.delete(idOf(key));
@@ -99,7 +125,11 @@
         after: Revision,
         waitMs: number,
         signal: AbortSignal,
+        era?: Era,
     ): Promise<WatchOutcome> {
+        if (this.hasEnded(era)) {
+            return { kind: "compacted", ...this.eraField };
+        }
         this.calls.watch += 1;
         await this.applyDelay();
         if (this.faults.silentWatches) {
@@ -109,19 +139,24 @@
             return UNAVAILABLE;
         }
         const deadlineMs = this.clock.monotonicMs() + waitMs;
-        const { restores } = this;
+        const eraBefore = this.era;
         for (;;) {
             if (after < this.compactedRevision || after > this.revision) {
-                return { kind: "compacted" };
+                return { kind: "compacted", ...this.eraField };
             }
             const changes = this.history.filter(change =>
                 change.object.revision > after && kinds.includes(change.object.kind)
             );
             if (changes.length > 0 || this.clock.monotonicMs() >= deadlineMs || signal.aborted) {
-                return { kind: "changed", changes: structuredClone(changes), revision: this.revision };
+                return {
+                    kind: "changed",
+                    changes: structuredClone(changes),
+                    revision: this.revision,
+                    ...this.eraField,
+                };
             }
             await this.nextChange(deadlineMs - this.clock.monotonicMs(), signal);
-            if (this.faults.outage || this.restores !== restores) {
+            if (this.faults.outage || this.era !== eraBefore) {
                 return UNAVAILABLE;
             }
         }
@@ -139,9 +174,9 @@
         return { revision, objects: new Map(this.objects), history: [...this.history], compactedRevision };
     }
 
-    /** Loses everything that was written since the copy. Its revisions are assigned again; waiting watches fail. */
+    /** Loses everything that was written since the copy. Its revisions are assigned again; waiting watches fail. Starts an era. */
     restore(copy: StoreCopy): void {
-        this.restores += 1;
+        this.currentEra += 1;
         this.revision = copy.revision;
         this.objects = new Map(copy.objects);
         this.history = [...copy.history];
@@ -165,7 +200,7 @@
         }
         const current = this.objects.get(idOf(key))?.revision ?? 0;
         if (current !== expected) {
-            return { kind: "conflict", current };
+            return { kind: "conflict", current, ...this.eraField };
         }
         this.revision += 1;
         this.appendToHistory(apply());
@@ -173,7 +208,17 @@
             this.faults.loseNextAnswers -= 1;
             return { kind: "unknown" };
         }
-        return { kind: "committed", revision: this.revision };
+        return { kind: "committed", revision: this.revision, ...this.eraField };
+    }
+
+    /** The era as a part of an outcome; outcomes of a store that was never restored have none. */
+    private get eraField(): { era?: Era; } {
+        return this.era === 0 ? {} : { era: this.era };
+    }
+
+    /** Returns true if the caller is behind: a client that knows the current era does not send such calls. */
+    private hasEnded(era: Era | undefined): boolean {
+        return era !== undefined && era < this.era;
     }
 
     private appendToHistory(change: ObjectChange): void {
