List every kind again when the store begins a new era

What callers saw: nothing yet; found by tests of a store that is restored from an older copy. A watch continued from a revision of the previous history as soon as that revision existed again, and missed the changes before it; a listing after a short restore removed upstreams at once that were about to register again.

Change: `StoreEras` knows the newest era that any part of a gateway has learned of. When it rises, one line is logged and every `StoreWatch` gives its cursor up, aborts its call and lists again after a random delay (up to 50 ms at hubs and the controller, 400 ms elsewhere). Such a listing counts as one after an outage, so that missing upstreams get their grace period. A cursor carries its era and is never sent to the store of a newer one. Views read through peers carry the era: a view of an older era is not used, and a follower of an older era has to list again.

Uses of a revision in packages/gateway/src: - StoreWatch: the cursor has an era; given up when the era rises - WatchCache: `compactedRevision`, history and Math.max(after, revision) compare within the cache's era only; other eras get `compacted` (older) or `unavailable` (newer) - ViewServiceHandler, gateway.proto: era in list and watch messages - PeerAssistedStore: cursor of watch and probe; the last known states of several peers compare by era, then by revision; conditional updates pass the era on - Gateway.watch: passes the listing's era to the cache; the revision of an invalid configuration is only logged - ControllerLease.observe and write, Registration: unchanged here - ActiveConfiguration, UpstreamDirectory, PeerConnections: use no revision

Measured: 79 gateways with five kinds each list all kinds again within 1 s with at most 2,000 calls.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -31,6 +31,7 @@
 import { SaturatedHeads } from "./placement/SaturatedHeads.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
 import { Registration } from "./Registration.js";
+import { StoreEras } from "./StoreEras.js";
 import { StoreWatch } from "./StoreWatch.js";
 import { UpstreamDirectory } from "./UpstreamDirectory.js";
 import { WatchCache } from "./WatchCache.js";
@@ -56,6 +57,12 @@
 /** Pause before other watches are renewed. */
 const DEFAULT_WATCH_PAUSE_MS = 50;
 const SWEEP_INTERVAL_MS = 200;
+/**
+ * Longest pause before a kind is listed again after a restore of the store: the calls of 79 gateways stay below 2,000 a
+ * second. Hubs and the controller are first, because others read through hubs and wait for orders.
+ */
+const FIRST_RELIST_DELAY_MS = 50;
+const RELIST_DELAY_MS = 400;
 /** Loads that a hub relays to the controller are older by this time: two pauses between the hub's updates. */
 const HUB_LOAD_LAG_MS = 200;
 const REGISTRATION_KIND = "fescue_gateways";
@@ -78,6 +85,7 @@
     private readonly forwarder: RequestForwarder;
     private readonly caches = new Map<string, WatchCache>();
     private readonly assistedStore: PeerAssistedStore;
+    private readonly eras: StoreEras;
     private readonly watches: StoreWatch[];
     private readonly upstreamWatch: StoreWatch;
     private readonly stop = createStopController();
@@ -87,6 +95,7 @@
 
     private constructor(settings: GatewaySettings, private readonly ports: GatewayPorts) {
         const { clock, random, log, metrics, store, client, control } = ports;
+        this.eras = StoreEras.create({ clock, log, metrics });
         this.configuration = ActiveConfiguration.create(log);
         this.upstreams = UpstreamDirectory.create({ clock, log, returnGraceMs: REREGISTRATION_GRACE_MS });
         this.loads = LoadTracker.create(clock);
@@ -229,7 +238,7 @@
             ...settings.peerListen,
             services: [
                 router => this.statePublisher.registerOn(router),
-                router => ViewServiceHandler.create(this.caches).registerOn(router),
+                router => ViewServiceHandler.create(this.caches, () => this.eras.current).registerOn(router),
             ],
             interceptors: [],
         });
@@ -249,7 +258,7 @@
             const sources = this.connections.viewSources();
             return sources.length > 0 ? sources : seeds;
         };
-        this.assistedStore = PeerAssistedStore.create({ clock, random, log, store, hub, peers });
+        this.assistedStore = PeerAssistedStore.create({ clock, random, log, eras: this.eras, store, hub, peers });
         this.upstreamWatch = this.watchUpstreams();
         this.watches = [
             this.watchConfiguration(),
@@ -337,7 +346,7 @@
         kind: string,
         waitMs: () => number,
         pauseMs: () => number,
-        onListing: (objects: readonly StoredObject[], isAfterOutage: boolean) => void,
+        onListing: (objects: readonly StoredObject[], isAfterOutage: boolean, isRestored: boolean) => void,
         onChange: (change: ObjectChange) => void,
     ): StoreWatch {
         const { clock, random, log, metrics } = this.ports;
@@ -353,11 +362,14 @@
             random,
             log,
             metrics,
+            eras: this.eras,
             waitMs,
             pauseMs,
-            onListing: (objects, isAfterOutage) => {
-                cache.applyListing(objects);
-                onListing(objects, isAfterOutage);
+            maxRelistDelayMs: () =>
+                this.connections.isHub || this.lease.isController ? FIRST_RELIST_DELAY_MS : RELIST_DELAY_MS,
+            onListing: (objects, isAfterOutage, { era, isRestored }) => {
+                cache.applyListing(objects, era);
+                onListing(objects, isAfterOutage, isRestored);
             },
             onChange: change => {
                 cache.applyChange(change);
--- a/packages/gateway/src/WatchCache.ts
+++ b/packages/gateway/src/WatchCache.ts
@@ -1,4 +1,4 @@
-import type { ObjectChange, Revision, StoredObject, WatchOutcome } from "@fescuehaven/platform";
+import type { Era, ObjectChange, Revision, StoredObject, WatchOutcome } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
 
 interface RecordedChange {
@@ -20,6 +20,7 @@
     private history: RecordedChange[] = [];
     private pending: ObjectChange[] = [];
     private revision: Revision | undefined;
+    private era: Era | undefined;
     private compactedRevision: Revision = 0;
     private waiters = new Set<() => void>();
 
@@ -33,8 +34,9 @@
         return new WatchCache(clock, isSourceResponding);
     }
 
-    /** Replaces all objects by those of a listing. */
-    applyListing(objects: readonly StoredObject[]): void {
+    /** Replaces all objects by those of a listing from an era. */
+    applyListing(objects: readonly StoredObject[], era?: Era): void {
+        this.era = era;
         this.objects.clear();
         objects.forEach(object => this.objects.set(object.name, object));
         this.history = [];
@@ -73,28 +75,31 @@
     }
 
     /** Returns the last known objects. `isCurrent` is false while they are not kept up to date by the store. */
-    list(): { objects: StoredObject[]; revision: Revision; isCurrent: boolean; } {
+    list(): { objects: StoredObject[]; revision: Revision; era?: Era; isCurrent: boolean; } {
         return {
             objects: [...this.objects.values()],
             revision: this.revision ?? 0,
+            ...(this.era !== undefined && { era: this.era }),
             isCurrent: this.revision !== undefined && this.isSourceResponding(),
         };
     }
 
-    /** Waits up to `waitMs` for changes after the revision `after`. */
-    async watch(after: Revision, waitMs: number, signal: AbortSignal): Promise<WatchOutcome> {
+    /** Waits up to `waitMs` for changes after the revision `after` of an era. */
+    async watch(after: Revision, waitMs: number, signal: AbortSignal, era: Era = 0): Promise<WatchOutcome> {
         const deadlineMs = this.clock.monotonicMs() + waitMs;
         for (;;) {
-            if (this.revision === undefined || !this.isSourceResponding()) {
+            const ownEra = this.era ?? 0;
+            if (this.revision === undefined || !this.isSourceResponding() || ownEra < era) {
                 return UNAVAILABLE;
             }
-            if (after < this.compactedRevision) {
-                return { kind: "compacted" };
+            const eraField = this.era === undefined ? {} : { era: this.era };
+            if (after < this.compactedRevision || ownEra > era) {
+                return { kind: "compacted", ...eraField };
             }
             const changes = this.history.filter(({ asOf }) => asOf > after).map(({ change }) => change);
             const remainingMs = deadlineMs - this.clock.monotonicMs();
             if (changes.length > 0 || remainingMs <= 0 || signal.aborted) {
-                return { kind: "changed", changes, revision: Math.max(after, this.revision) };
+                return { kind: "changed", changes, revision: Math.max(after, this.revision), ...eraField };
             }
             await this.waitForAdvance(remainingMs, signal);
         }
--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -11,6 +11,7 @@
     groupsLost: "Serving groups found lost, by reason",
     orders: "Orders to upstreams by outcome",
     storeFailures: "Failed calls to the platform's store, by kind",
+    storeEras: "Eras of the platform's store, each of which began with a restore from an older copy",
 } as const;
 
 const histogramHelp = {
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -2,6 +2,7 @@
 import { createGrpcTransport } from "@connectrpc/connect-node";
 import type {
     CallClass,
+    Era,
     ListOutcome,
     ObjectChange,
     ObjectKey,
@@ -15,6 +16,7 @@
 import { type ObjectMessage, ViewService } from "@fescuehaven/protocol";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { DecisionLog } from "../ports/DecisionLog.js";
+import type { StoreEras } from "../StoreEras.js";
 
 /** A gateway whose view of the store can be read. */
 interface ViewSource {
@@ -27,6 +29,7 @@
     clock: Clock;
     random: Random;
     log: DecisionLog;
+    eras: StoreEras;
     /** The platform's store. */
     store: ObjectStore;
     /** Hub whose view is used; undefined if there is none or it is not reachable. */
@@ -39,10 +42,18 @@
 interface PeerListing {
     objects: StoredObject[];
     revision: Revision;
+    /** Era of the revision, or a newer one that the peer has learned of. */
+    era?: Era;
     /** False if the peer does not reach the store either and this is its last known state. */
     isCurrent: boolean;
 }
 
+/** Position of a watch in the store. */
+interface Cursor {
+    revision: Revision;
+    era: Era;
+}
+
 /** Timeout of a listing from a peer. */
 const LIST_TIMEOUT_MS = 1000;
 /** Additional time beyond a watch's own wait after which the call to a peer is aborted. */
@@ -89,18 +100,28 @@
     }
 
     /** Reads one object from the platform's store. */
-    read(key: ObjectKey, callClass: CallClass): Promise<ReadOutcome> {
-        return this.options.store.read(key, callClass);
+    async read(key: ObjectKey, callClass: CallClass): Promise<ReadOutcome> {
+        const outcome = await this.options.store.read(key, callClass);
+        if (outcome.kind !== "unavailable") {
+            this.options.eras.observe(outcome.era);
+        }
+        return outcome;
     }
 
     /** Writes one object to the platform's store. */
-    write(key: ObjectKey, value: unknown, expected: Revision, callClass: CallClass): Promise<UpdateOutcome> {
-        return this.options.store.write(key, value, expected, callClass);
+    async write(
+        key: ObjectKey,
+        value: unknown,
+        expected: Revision,
+        callClass: CallClass,
+        era?: Era,
+    ): Promise<UpdateOutcome> {
+        return this.observeUpdate(await this.options.store.write(key, value, expected, callClass, era));
     }
 
     /** Removes one object from the platform's store. */
-    remove(key: ObjectKey, expected: Revision, callClass: CallClass): Promise<UpdateOutcome> {
-        return this.options.store.remove(key, expected, callClass);
+    async remove(key: ObjectKey, expected: Revision, callClass: CallClass, era?: Era): Promise<UpdateOutcome> {
+        return this.observeUpdate(await this.options.store.remove(key, expected, callClass, era));
     }
 
     /** Lists the objects of one kind. */
@@ -108,7 +129,7 @@
         const [kind = ""] = kinds;
         const hub = this.options.hub();
         const hubListing = hub && await this.listAt(hub, kind);
-        if (hubListing?.isCurrent) {
+        if (hubListing?.isCurrent && this.isOfNewestEra(hubListing)) {
             return this.listedOutcome(kind, hubListing, true);
         }
         const storeListing = await this.options.store.list(kinds, callClass);
@@ -125,16 +146,21 @@
         after: Revision,
         waitMs: number,
         signal: AbortSignal,
+        era: Era = 0,
     ): Promise<WatchOutcome> {
         const [kind = ""] = kinds;
+        if (era < this.options.eras.current) {
+            return { kind: "compacted", era: this.options.eras.current };
+        }
+        const cursor = { revision: after, era };
         const hub = this.options.hub();
-        const hubOutcome = hub && await this.watchAt(hub, kind, after, PEER_WATCH_MS, signal);
+        const hubOutcome = hub && await this.watchAt(hub, kind, cursor, PEER_WATCH_MS, signal);
         if (hubOutcome) {
             this.fallbackKinds.delete(kind);
             return hubOutcome;
         }
         if (!this.unavailableKinds.has(kind)) {
-            const storeOutcome = await this.options.store.watch(kinds, after, waitMs, signal);
+            const storeOutcome = await this.options.store.watch(kinds, after, waitMs, signal, era);
             if (storeOutcome.kind !== "unavailable" || signal.aborted) {
                 this.fallbackKinds.delete(kind);
                 this.failedKinds.delete(kind);
@@ -146,10 +172,10 @@
                 return storeOutcome;
             }
             this.unavailableKinds.add(kind);
-            void this.probe(kind, after, signal);
+            void this.probe(kind, cursor, signal);
         }
         for (const peer of this.fallbackPeers()) {
-            const peerOutcome = await this.watchAt(peer, kind, after, FALLBACK_WATCH_MS, signal);
+            const peerOutcome = await this.watchAt(peer, kind, cursor, FALLBACK_WATCH_MS, signal);
             if (peerOutcome) {
                 this.recordFallback(kind, peer);
                 return peerOutcome;
@@ -160,10 +186,10 @@
     }
 
     /** Checks at intervals whether the store is available again. */
-    private async probe(kind: string, after: Revision, signal: AbortSignal): Promise<void> {
+    private async probe(kind: string, { revision, era }: Cursor, signal: AbortSignal): Promise<void> {
         while (this.unavailableKinds.has(kind) && !signal.aborted) {
             await this.options.clock.sleep(PROBE_INTERVAL_MS, signal);
-            const outcome = await this.options.store.watch([kind], after, PROBE_WAIT_MS, signal);
+            const outcome = await this.options.store.watch([kind], revision, PROBE_WAIT_MS, signal, era);
             if (outcome.kind !== "unavailable") {
                 this.unavailableKinds.delete(kind);
                 this.failedKinds.delete(kind);
@@ -173,25 +199,25 @@
 
     private listedOutcome(
         kind: string,
-        { objects, revision }: { objects: StoredObject[]; revision: Revision; },
+        { objects, revision, era }: { objects: StoredObject[]; revision: Revision; era?: Era; },
         isAuthoritative: boolean,
     ): ListOutcome {
         this.listedKinds.add(kind);
         if (isAuthoritative) {
             this.fallbackKinds.delete(kind);
         }
-        return { kind: "listed", objects, revision };
+        return { kind: "listed", objects, revision, ...(era !== undefined && { era }) };
     }
 
     private async listAtPeers(kind: string): Promise<PeerListing | undefined> {
         let lastListing: PeerListing | undefined;
         for (const peer of this.fallbackPeers()) {
             const listing = await this.listAt(peer, kind);
-            if (listing?.isCurrent) {
+            if (listing?.isCurrent && this.isOfNewestEra(listing)) {
                 this.recordFallback(kind, peer);
                 return listing;
             }
-            if (listing && listing.revision > (lastListing?.revision ?? 0)) {
+            if (listing && isNewer(listing, lastListing)) {
                 lastListing = listing;
             }
         }
@@ -218,21 +244,29 @@
 
     private listAt(source: ViewSource, kind: string): Promise<PeerListing | undefined> {
         return this.callPeer(source, AbortSignal.timeout(LIST_TIMEOUT_MS), async (client, signal) => {
-            const { objects, revision, isAvailable } = await client.listObjects({ kind }, { signal });
-            return { objects: objects.map(object => toStoredObject(kind, object)), revision, isCurrent: isAvailable };
+            const { objects, revision, isAvailable, era } = await client.listObjects({ kind }, { signal });
+            this.options.eras.observe(era);
+            return {
+                objects: objects.map(object => toStoredObject(kind, object)),
+                revision,
+                ...eraField(era),
+                isCurrent: isAvailable,
+            };
         });
     }
 
     private watchAt(
         source: ViewSource,
         kind: string,
-        after: Revision,
+        cursor: Cursor,
         waitMs: number,
         signal: AbortSignal,
     ): Promise<WatchOutcome | undefined> {
         const limit = AbortSignal.any([signal, AbortSignal.timeout(waitMs + WATCH_GRACE_MS)]);
         return this.callPeer(source, limit, async (client, callSignal): Promise<WatchOutcome | undefined> => {
-            const response = await client.watchObjects({ kind, after, waitMs }, { signal: callSignal });
+            const { revision: after, era } = cursor;
+            const response = await client.watchObjects({ kind, after, waitMs, era }, { signal: callSignal });
+            this.options.eras.observe(response.era);
             if (!response.isAvailable) {
                 return undefined;
             }
@@ -241,11 +275,22 @@
                 return change.isRemoved ? { kind: "removed", object } : { kind: "written", object };
             });
             return response.isCompacted
-                ? { kind: "compacted" }
-                : { kind: "changed", changes, revision: response.revision };
+                ? { kind: "compacted", ...eraField(response.era) }
+                : { kind: "changed", changes, revision: response.revision, ...eraField(response.era) };
         });
     }
 
+    private isOfNewestEra({ era = 0 }: PeerListing): boolean {
+        return era >= this.options.eras.current;
+    }
+
+    private observeUpdate(outcome: UpdateOutcome): UpdateOutcome {
+        if (outcome.kind === "committed" || outcome.kind === "conflict") {
+            this.options.eras.observe(outcome.era);
+        }
+        return outcome;
+    }
+
     /** Calls a peer; returns undefined if the call fails or the peer has no current view. */
     private async callPeer<T>(
         { address, silent }: ViewSource,
@@ -268,6 +313,15 @@
     }
 }
 
+function isNewer(listing: PeerListing, other: PeerListing | undefined): boolean {
+    const [era, otherEra] = [listing.era ?? 0, other?.era ?? 0];
+    return era === otherEra ? listing.revision > (other?.revision ?? 0) : era > otherEra;
+}
+
+function eraField(era: Era): { era?: Era; } {
+    return era === 0 ? {} : { era };
+}
+
 function toStoredObject(kind: string, object: ObjectMessage | undefined): StoredObject {
     const { name = "", revision = 0, valueJson = "" } = object ?? {};
     return { kind, name, revision, value: valueJson === "" ? undefined : JSON.parse(valueJson) as unknown };
--- a/packages/gateway/src/peers/ViewServiceHandler.ts
+++ b/packages/gateway/src/peers/ViewServiceHandler.ts
@@ -1,15 +1,18 @@
 import type { ConnectRouter, HandlerContext } from "@connectrpc/connect";
-import type { ObjectChange, StoredObject } from "@fescuehaven/platform";
+import type { Era, ObjectChange, StoredObject } from "@fescuehaven/platform";
 import { ViewService } from "@fescuehaven/protocol";
 import type { WatchCache } from "../WatchCache.js";
 
 /** Serves this gateway's view of the store to other gateways, so that few gateways read the store itself. */
 export class ViewServiceHandler {
-    private constructor(private readonly caches: ReadonlyMap<string, WatchCache>) {}
+    private constructor(
+        private readonly caches: ReadonlyMap<string, WatchCache>,
+        private readonly newestEra: () => Era,
+    ) {}
 
-    /** Creates the handler with one cache for each kind of object. */
-    static create(caches: ReadonlyMap<string, WatchCache>): ViewServiceHandler {
-        return new ViewServiceHandler(caches);
+    /** Creates the handler with one cache for each kind of object, and the newest era of the store that is known. */
+    static create(caches: ReadonlyMap<string, WatchCache>, newestEra: () => Era = () => 0): ViewServiceHandler {
+        return new ViewServiceHandler(caches, newestEra);
     }
 
     /** Adds the handler to a server. */
@@ -21,14 +24,19 @@
                     isAvailable: view?.isCurrent ?? false,
                     objects: view?.objects.map(toMessage),
                     revision: view?.revision,
+                    era: view?.era,
                 };
             },
-            watchObjects: async ({ kind, after, waitMs }, context: HandlerContext) => {
-                const outcome = await this.caches.get(kind)?.watch(after, waitMs, context.signal);
+            watchObjects: async (request, context: HandlerContext) => {
+                const { kind, after, waitMs } = request;
+                const outcome = await this.caches.get(kind)?.watch(after, waitMs, context.signal, request.era);
                 if (outcome?.kind !== "changed") {
-                    return { isAvailable: outcome?.kind === "compacted", isCompacted: true };
+                    const isAvailable = outcome?.kind === "compacted";
+                    const era = isAvailable ? outcome.era : this.newestEra();
+                    return { isAvailable, isCompacted: true, era };
                 }
-                return { isAvailable: true, changes: outcome.changes.map(toChange), revision: outcome.revision };
+                const { changes, revision } = outcome;
+                return { isAvailable: true, changes: changes.map(toChange), revision, era: outcome.era };
             },
         });
     }
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -1,7 +1,10 @@
 /** Counters and latency histograms. */
 export interface GatewayMetrics {
     /** Counts an event by its reason. */
-    count(name: "requests" | "refusals" | "retries" | "groupsLost" | "orders" | "storeFailures", reason: string): void;
+    count(
+        name: "requests" | "refusals" | "retries" | "groupsLost" | "orders" | "storeFailures" | "storeEras",
+        reason: string,
+    ): void;
 
     /** Adds a duration to a histogram. */
     observe(name: "firstEvent" | "answer" | "queueWait" | "repair", durationMs: number): void;
--- a/packages/gateway/tests/WatchCache.test.ts
+++ b/packages/gateway/tests/WatchCache.test.ts
@@ -70,4 +70,34 @@
         expect(cache.list()).to.deep.equal({ isCurrent: false, objects: [object("a", 3)], revision: 5 });
         expect((await cache.watch(5, 1000, signal)).kind).to.equal("unavailable");
     });
+
+    describe("of a store that was restored from an older copy", () => {
+        beforeEach(() => {
+            cache.applyListing([object("a", 2)], 1);
+            cache.advance(4);
+        });
+
+        it("states its era", () => {
+            expect(cache.list()).to.deep.equal({ isCurrent: true, objects: [object("a", 2)], revision: 4, era: 1 });
+        });
+
+        it("makes followers of an older era list again, whatever their revision", async () => {
+            for (const after of [3, 4, 9]) {
+                expect(await cache.watch(after, 1000, signal, 0)).to.deep.equal({ kind: "compacted", era: 1 });
+            }
+        });
+
+        it("makes a waiting follower of an older era list again at once", async () => {
+            const watching = cache.watch(4, 1000, signal, 1);
+            await clock.settle();
+            cache.applyListing([], 2);
+            cache.advance(4);
+            await clock.settle();
+            expect(await watching).to.deep.equal({ kind: "compacted", era: 2 });
+        });
+
+        it("is unavailable to followers of a newer era", async () => {
+            expect((await cache.watch(4, 1000, signal, 2)).kind).to.equal("unavailable");
+        });
+    });
 });
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -8,7 +8,9 @@
 import type { PeerState } from "../../src/peers/PeerState.js";
 import { PeerStatePublisher } from "../../src/peers/PeerStatePublisher.js";
 import { ViewServiceHandler } from "../../src/peers/ViewServiceHandler.js";
+import { StoreEras } from "../../src/StoreEras.js";
 import { WatchCache } from "../../src/WatchCache.js";
+import { noMetrics } from "../support/noMetrics.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
 async function freePort(): Promise<number> {
@@ -104,6 +106,7 @@
         let fallbackPeers: Array<{ address: string; silent: AbortSignal; }>;
         let log: SilentDecisionLog;
         let store: PeerAssistedStore;
+        let eras: StoreEras;
         let stop: AbortController;
         let signal: AbortSignal;
 
@@ -117,10 +120,12 @@
             hubs = [hub()];
             fallbackPeers = [];
             log = SilentDecisionLog.create();
+            eras = StoreEras.create({ clock, log, metrics: noMetrics });
             store = PeerAssistedStore.create({
                 clock,
                 random: SeededRandom.create(1),
                 log,
+                eras,
                 store: platformStore,
                 hub: () => hubs[0],
                 peers: () => fallbackPeers,
@@ -221,6 +226,7 @@
                     clock,
                     random: SeededRandom.create(1),
                     log,
+                    eras: StoreEras.create({ clock, log, metrics: noMetrics }),
                     store: platformStore,
                     hub: () => undefined,
                     peers: () => fallbackPeers,
@@ -232,6 +238,69 @@
             });
         });
 
+        describe("while the store was restored from an older copy", () => {
+            const things = { kind: "things", name: "a", value: { x: 2 } };
+
+            it("does not list a hub's view of an older era", async () => {
+                eras.observe(0, 9);
+                eras.observe(1, 4);
+                platformStore.restore(platformStore.copy());
+                const listed = await store.list(["things"], "read");
+                expect(listed.kind === "listed" && listed.objects.map(item => item.name)).to.deep.equal(["direct"]);
+            });
+
+            it("does not watch a hub's view of an older era, nor the store from a revision of an older era", async () => {
+                eras.observe(0, 9);
+                eras.observe(1, 4);
+                expect(await store.watch(["things"], 5, 2000, signal, 0)).to.deep.equal({ kind: "compacted", era: 1 });
+                expect(platformStore.calls.watch).to.equal(0);
+                platformStore.restore(platformStore.copy());
+                const seen = await store.watch(["things"], 0, 10, signal, 1);
+                expect([seen.kind, platformStore.calls.watch]).to.deep.equal(["changed", 1]);
+            });
+
+            it("learns of the era from a hub and lists again there", async () => {
+                await store.list(["things"], "read");
+                const watching = store.watch(["things"], 5, 2000, signal, 0);
+                setTimeout(() => {
+                    cache.applyListing([{ ...things, revision: 4 }], 1);
+                    cache.advance(4);
+                }, 50);
+                expect(await watching).to.deep.equal({ kind: "compacted", era: 1 });
+                expect(eras.current).to.equal(1);
+                const listed = await store.list(["things"], "read");
+                expect(listed).to.deep.equal({
+                    kind: "listed",
+                    objects: [{ ...things, revision: 4 }],
+                    revision: 4,
+                    era: 1,
+                });
+            });
+
+            it("starts from the last known state of the newest era, whatever its revision", async () => {
+                const newerPort = await freePort();
+                const newer = WatchCache.create(clock, () => false);
+                newer.applyListing([{ ...things, revision: 2 }], 1);
+                newer.advance(2);
+                const newerServer = PeerServer.create({
+                    host: "127.0.0.1",
+                    port: newerPort,
+                    services: [
+                        router => ViewServiceHandler.create(new Map([["things", newer]])).registerOn(router),
+                    ],
+                    interceptors: [],
+                });
+                await newerServer.listen();
+                isCurrent = false;
+                platformStore.faults.outage = true;
+                fallbackPeers = [...hubs, { address: `127.0.0.1:${newerPort}`, silent: silent.signal }];
+                hubs = [];
+                const listed = await store.list(["things"], "read");
+                expect(listed.kind === "listed" && [listed.revision, listed.era]).to.deep.equal([2, 1]);
+                await newerServer.close();
+            });
+        });
+
         it("writes to the store directly", async () => {
             expect((await store.write({ kind: "things", name: "b" }, 1, 0, "claim")).kind).to.equal("committed");
         });
--- a/packages/gateway/tests/views.test.ts
+++ b/packages/gateway/tests/views.test.ts
@@ -1,8 +1,11 @@
+import type { ObjectStore } from "@fescuehaven/platform";
 import { ManualClock, MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
+import { setMaxListeners } from "node:events";
 import { ActiveConfiguration } from "../src/ActiveConfiguration.js";
 import type { Route } from "../src/model/Route.js";
 import type { ServingConfiguration } from "../src/model/ServingConfiguration.js";
+import { StoreEras } from "../src/StoreEras.js";
 import { StoreWatch } from "../src/StoreWatch.js";
 import { UpstreamDirectory } from "../src/UpstreamDirectory.js";
 import { exampleUpstream } from "./support/exampleUpstream.js";
@@ -137,14 +140,18 @@
     let seen: string[];
     let stop: AbortController;
     let watch: StoreWatch;
+    let eras: StoreEras;
 
     beforeEach(async () => {
         clock = ManualClock.create();
         store = MemoryObjectStore.create(clock);
         seen = [];
         stop = new AbortController();
+        eras = StoreEras.create({ clock, log: SilentDecisionLog.create(), metrics: noMetrics });
         watch = StoreWatch.create({
             store,
+            eras,
+            maxRelistDelayMs: () => 100,
             kind: "things",
             clock,
             random: SeededRandom.create(1),
@@ -192,4 +199,94 @@
         expect(seen.at(-1)).to.equal("list 1 after outage");
         expect(watch.isConnected).to.equal(true);
     });
+
+    describe("of a store that was restored from an older copy", () => {
+        it("lists again at once, although its revision exists again", async () => {
+            const copy = store.copy();
+            await store.write({ kind: "things", name: "b" }, 1, 0);
+            await clock.advance(200);
+            store.restore(copy);
+            await store.write({ kind: "things", name: "c" }, 1, 0);
+            await store.write({ kind: "things", name: "d" }, 1, 0);
+            await clock.advance(300);
+            expect(seen).to.deep.equal(["list 1", "written b", "list 3 after outage"]);
+            await store.write({ kind: "things", name: "e" }, 1, 0);
+            await clock.advance(200);
+            expect(seen.at(-1)).to.equal("written e");
+        });
+
+        it("lists again at once after another part of the gateway has learned of the era", async () => {
+            const { watch: watches } = store.calls;
+            eras.observe(1, 1);
+            store.restore(store.copy());
+            await clock.advance(100);
+            expect([seen.at(-1), store.calls.watch - watches]).to.deep.equal(["list 1 after outage", 1]);
+        });
+
+        it("does not apply a listing of an older era", async () => {
+            eras.observe(2, 1);
+            store.restore(store.copy());
+            await clock.advance(1000);
+            expect([seen, watch.isConnected]).to.deep.equal([["list 1"], false]);
+            store.restore(store.copy());
+            await clock.advance(1000);
+            expect([seen, watch.isConnected]).to.deep.equal([["list 1", "list 1 after outage"], true]);
+        });
+
+        it("logs the new era once", async () => {
+            const log = SilentDecisionLog.create();
+            const logged = StoreEras.create({ clock, log, metrics: noMetrics });
+            const revisions: Array<[number, number]> = [[0, 8], [1, 5], [1, 6], [0, 9]];
+            revisions.forEach(([era, revision]) => logged.observe(era, revision));
+            expect(log.lines.map(({ fields }) => fields)).to.deep.equal([
+                { era: 1, before: 0, revision: 5, revisionBefore: 8 },
+            ]);
+        });
+    });
+
+    it("keeps 79 gateways within the read rate when the store is restored from an older copy", async () => {
+        setMaxListeners(0, stop.signal);
+        const kinds = ["config", "servers", "evacuations", "leases", "gateways"];
+        const times: number[] = [];
+        const relisted = new Set<string>();
+        for (let gateway = 0; gateway < 79; gateway++) {
+            const log = SilentDecisionLog.create();
+            const gatewayEras = StoreEras.create({ clock, log, metrics: noMetrics });
+            for (const kind of kinds) {
+                const counted: ObjectStore = {
+                    read: key => store.read(key),
+                    write: (key, value, expected) => store.write(key, value, expected),
+                    remove: (key, expected) => store.remove(key, expected),
+                    list: listed => {
+                        times.push(clock.monotonicMs());
+                        return store.list(listed);
+                    },
+                    watch: (...args) => {
+                        times.push(clock.monotonicMs());
+                        return store.watch(...args);
+                    },
+                };
+                const following = StoreWatch.create({
+                    store: counted,
+                    eras: gatewayEras,
+                    maxRelistDelayMs: () => 400,
+                    kind,
+                    clock,
+                    random: SeededRandom.create(gateway),
+                    log,
+                    metrics: noMetrics,
+                    waitMs: () => 2200,
+                    pauseMs: () => 50,
+                    onListing: (_, isAfterOutage) => isAfterOutage && relisted.add(`${gateway} ${kind}`),
+                    onChange: () => undefined,
+                });
+                void following.run(stop.signal);
+            }
+        }
+        await clock.advance(1000);
+        times.length = 0;
+        store.restore(store.copy());
+        await clock.advance(1000);
+        expect([relisted.size, times.length <= 2000]).to.deep.equal([79 * kinds.length, true]);
+    });
 });
