Write lease and registration again after a restore of the store

What callers saw: nothing yet; found by tests of a store that is restored from an older copy. The controller's lease and the gateway's registration were lost and never written again: the lease ignored the copy's object because its revision was lower, its own renewals carried a revision of the previous era and conflicted, and the registration was written only once. A gateway that held the lease in a term that was outdated never acquired it again.

Change: the lease compares revisions within an era only, and its updates carry the era, so that those of an ended era are not sent. A holder whose lease is missing or older in the copy stays the controller and writes its lease again in the same term, unless the copy or a peer shows a newer term. Everyone else applies the copy's state. The registration is checked and written again whenever the era rises. Both go through `PeerAssistedStore`, so that their responses make the era known to all watches.

Not shown: two real fleet controllers at the same upstreams.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -3,6 +3,7 @@
 import { setMaxListeners } from "node:events";
 import { ActiveConfiguration } from "./ActiveConfiguration.js";
 import { ControllerLease } from "./fleet/ControllerLease.js";
+import { EpochSource } from "./fleet/EpochSource.js";
 import { FleetController } from "./fleet/FleetController.js";
 import { MemberProber } from "./fleet/MemberProber.js";
 import { OrderSender } from "./fleet/OrderSender.js";
@@ -167,10 +168,18 @@
             }),
             plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated }),
         });
+        // The controller reads the store directly, because its reconcile passes wait for the members' registrations.
+        const hub = () => this.lease.isController ? undefined : this.connections.reachableHub();
+        const seeds = settings.seedPeers.map(address => ({ address, silent: this.stop.signal }));
+        const peers = () => {
+            const sources = this.connections.viewSources();
+            return sources.length > 0 ? sources : seeds;
+        };
+        this.assistedStore = PeerAssistedStore.create({ clock, random, log, eras: this.eras, store, hub, peers });
         this.lease = ControllerLease.create({
             clock,
             log,
-            store,
+            store: this.assistedStore,
             vm: settings.vm,
             incarnation: random.uniqueId(),
             peerSilenceMs: vm => this.exchange.silenceMs(vm),
@@ -181,6 +190,7 @@
                 this.connections.connectedPeers().length * 2 >= this.connections.followedPeers().length,
             blockedPrompts: () => crashingPrompts.blocked(),
             onBlockedPrompts: suspects => crashingPrompts.merge({ suspects }),
+            highestUpstreamTerm: () => EpochSource.highestTerm(this.upstreams.all()),
         });
         const orders = OrderSender.create({ clock, log, metrics, control });
         const hasTraffic = () => this.hasTraffic;
@@ -246,19 +256,12 @@
             clock,
             random,
             log,
-            store,
+            store: this.assistedStore,
             key: { kind: REGISTRATION_KIND, name: settings.vm },
             address: `${settings.peerListen.host}:${settings.peerListen.port}`,
             zone: settings.zone,
         });
-        // The controller reads the store directly, because its reconcile passes wait for the members' registrations.
-        const hub = () => this.lease.isController ? undefined : this.connections.reachableHub();
-        const seeds = settings.seedPeers.map(address => ({ address, silent: this.stop.signal }));
-        const peers = () => {
-            const sources = this.connections.viewSources();
-            return sources.length > 0 ? sources : seeds;
-        };
-        this.assistedStore = PeerAssistedStore.create({ clock, random, log, eras: this.eras, store, hub, peers });
+        this.eras.onRise(() => this.registration.writeAgain());
         this.upstreamWatch = this.watchUpstreams();
         this.watches = [
             this.watchConfiguration(),
@@ -487,10 +490,10 @@
             () => GATEWAY_WATCH_WAIT_MS,
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => {
-                objects.forEach(object => this.lease.observe(object));
-                this.lease.recordListing();
+                objects.forEach(object => this.lease.observe(object, this.eras.current));
+                this.lease.recordListing(this.eras.current);
             },
-            change => change.kind === "written" && this.lease.observe(change.object),
+            change => change.kind === "written" && this.lease.observe(change.object, this.eras.current),
         );
     }
 
--- a/packages/gateway/src/Registration.ts
+++ b/packages/gateway/src/Registration.ts
@@ -3,6 +3,7 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import { z } from "zod";
 import type { DecisionLog } from "./ports/DecisionLog.js";
+import { WakeSignal } from "./util/WakeSignal.js";
 
 interface RegistrationOptions {
     clock: Clock;
@@ -22,6 +23,9 @@
 
 /** Registers this gateway in the store, where its peers find its address. */
 export class Registration {
+    private readonly lost = WakeSignal.create();
+    private isWritten = false;
+
     private constructor(private readonly options: RegistrationOptions) {}
 
     /** Creates a registration. It is written only after `run` was called. */
@@ -39,8 +43,25 @@
         return parsed.data;
     }
 
-    /** Tries to write the registration until the store contains it or `signal` aborts. */
+    /** Writes the registration again if the store lacks it. */
+    writeAgain(): void {
+        this.isWritten = false;
+        this.lost.notify();
+    }
+
+    /** Keeps the registration in the store until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            this.isWritten = true;
+            await this.write(signal);
+            if (this.isWritten) {
+                await this.lost.wait(signal);
+            }
+        }
+    }
+
+    /** Tries to write the registration until the store contains it or `signal` aborts. */
+    private async write(signal: AbortSignal): Promise<void> {
         const { clock, random, store, key, address, zone } = this.options;
         const backoff = Backoff.create({ random, firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS });
         while (!signal.aborted) {
@@ -50,7 +71,7 @@
             }
             if (current.kind !== "unavailable") {
                 const expected = current.kind === "found" ? current.object.revision : 0;
-                const outcome = await store.write(key, { address, zone }, expected, "status");
+                const outcome = await store.write(key, { address, zone }, expected, "status", current.era ?? 0);
                 if (outcome.kind === "committed") {
                     return;
                 }
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore, Revision, StoredObject } from "@fescuehaven/platform";
+import type { Era, ObjectStore, Revision, StoredObject } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
 import { z } from "zod";
 import { type CrashSuspect, crashSuspectSchema } from "../placement/CrashSuspect.js";
@@ -24,6 +24,8 @@
     blockedPrompts: () => CrashSuspect[];
     /** Called with the blocked parts of prompts that a lease object from the store has. */
     onBlockedPrompts: (blocked: CrashSuspect[]) => void;
+    /** Returns the highest term in which a registered upstream has joined its group. */
+    highestUpstreamTerm: () => number;
 }
 
 const leaseSchema = z.object({
@@ -66,13 +68,17 @@
  */
 export class ControllerLease {
     private lease: z.infer<typeof leaseSchema> | undefined;
+    /** Revision and era of the object in the store; the revision is 0 if there is none. */
     private revision: Revision = 0;
+    private era: Era = 0;
     private isStoreStateKnown = false;
     private changedAtMs: number;
     private renewedAtMs = -Infinity;
     private highestTerm = 0;
     private lastPollAtMs: number;
     private mustRenew = false;
+    /** The store lacks this gateway's lease or has an older state of it. */
+    private mustRestore = false;
 
     private constructor(private readonly options: ControllerLeaseOptions) {
         this.changedAtMs = options.clock.monotonicMs();
@@ -108,9 +114,9 @@
             || (this.lease !== undefined && this.options.peerSilenceMs(this.lease.vm) <= HOLDER_REACHABLE_MS);
     }
 
-    /** Applies a lease object read from the store. Other objects and older revisions are ignored. */
-    observe(object: StoredObject): void {
-        const isNewer = object.revision > this.revision;
+    /** Applies a lease object read from the store in an era. Other objects and older states are ignored. */
+    observe(object: StoredObject, era: Era = 0): void {
+        const isNewer = era === this.era ? object.revision > this.revision : era > this.era;
         if (object.kind !== LEASE_KEY.kind || object.name !== LEASE_KEY.name || !isNewer) {
             return;
         }
@@ -119,6 +125,16 @@
             this.options.log.warn("invalid lease object", { revision: object.revision });
             return;
         }
+        const isRestored = era > this.era;
+        this.era = era;
+        this.revision = object.revision;
+        if (isRestored) {
+            this.observeTerm(this.options.highestUpstreamTerm());
+            if (this.supersedes(parsed.data)) {
+                this.mustRestore = true;
+                return;
+            }
+        }
         if (this.lease?.incarnation !== parsed.data.incarnation || this.lease.term !== parsed.data.term) {
             this.options.log.info("controller changed", {
                 holder: parsed.data.vm,
@@ -128,15 +144,38 @@
         }
         this.isStoreStateKnown = true;
         this.lease = parsed.data;
-        this.revision = object.revision;
+        this.mustRestore = false;
         this.highestTerm = Math.max(this.highestTerm, parsed.data.term);
         this.changedAtMs = this.options.clock.monotonicMs();
         this.options.onBlockedPrompts(parsed.data.blockedPrompts);
     }
 
-    /** Records that the store was listed. If no lease object was observed by then, no lease exists yet. */
-    recordListing(): void {
+    /** Records that the store was listed. If no lease object of the era was observed by then, none exists. */
+    recordListing(era: Era = 0): void {
         this.isStoreStateKnown = true;
+        if (era > this.era) {
+            this.observeAbsence(era);
+        }
+    }
+
+    /** Records that the store has no lease object. */
+    private observeAbsence(era: Era): void {
+        this.era = era;
+        this.revision = 0;
+        this.observeTerm(this.options.highestUpstreamTerm());
+        if (this.isOwn) {
+            this.mustRestore = true;
+        }
+        else {
+            this.lease = undefined;
+            this.changedAtMs = this.options.clock.monotonicMs();
+        }
+    }
+
+    /** Returns true if this gateway holds the lease in a newer term than an object from an older copy of the store. */
+    private supersedes({ term, incarnation }: z.infer<typeof leaseSchema>): boolean {
+        const isHolder = this.isOwn && this.lease?.term === this.highestTerm;
+        return isHolder && (term < this.highestTerm || incarnation === this.options.incarnation);
     }
 
     /** Applies a term that a peer knows. A higher term ends the term of this gateway. */
@@ -180,13 +219,14 @@
     private async renewOrAcquire(nowMs: number): Promise<void> {
         const { vm, incarnation } = this.options;
         if (this.lease && this.isOwn && this.lease.term === this.highestTerm) {
-            if (this.mustRenew || nowMs - this.renewedAtMs >= RENEWAL_INTERVAL_MS) {
+            if (this.mustRenew || this.mustRestore || nowMs - this.renewedAtMs >= RENEWAL_INTERVAL_MS) {
                 await this.write({ ...this.lease, renewals: this.lease.renewals + 1 });
             }
             return;
         }
         if (this.hasExpired(nowMs)) {
-            await this.write({ vm, incarnation, term: this.highestTerm + 1, renewals: 0 });
+            const term = Math.max(this.highestTerm, this.options.highestUpstreamTerm()) + 1;
+            await this.write({ vm, incarnation, term, renewals: 0 });
         }
     }
 
@@ -201,6 +241,10 @@
             // The holder is an earlier run of this process, which has certainly ended.
             return true;
         }
+        if (this.isOwn) {
+            // A newer term exists, but its lease is not in the store; its holder writes it again soon.
+            return this.mayAcquire(nowMs, HOLDER_REACHABLE_MS);
+        }
         if (this.isHolderReachable) {
             return false;
         }
@@ -221,9 +265,9 @@
     private async write(claim: LeaseClaim): Promise<void> {
         const { store, clock, log, blockedPrompts } = this.options;
         const lease = { ...claim, blockedPrompts: blockedPrompts() };
-        const outcome = await store.write(LEASE_KEY, lease, this.revision, "claim");
+        const outcome = await store.write(LEASE_KEY, lease, this.revision, "claim", this.era);
         if (outcome.kind === "committed") {
-            this.observe({ ...LEASE_KEY, revision: outcome.revision, value: lease });
+            this.observe({ ...LEASE_KEY, revision: outcome.revision, value: lease }, outcome.era);
             this.renewedAtMs = clock.monotonicMs();
             this.mustRenew = false;
             return;
@@ -231,8 +275,11 @@
         log.info("lease update was not written", { outcome: outcome.kind, term: lease.term, renewals: lease.renewals });
         if (outcome.kind === "conflict" || outcome.kind === "unknown") {
             const current = await store.read(LEASE_KEY, "claim");
+            if (current.kind === "absent") {
+                this.observeAbsence(current.era ?? 0);
+            }
             if (current.kind === "found") {
-                this.observe(current.object);
+                this.observe(current.object, current.era);
                 const parsed = leaseSchema.safeParse(current.object.value);
                 if (
                     parsed.success && parsed.data.incarnation === this.options.incarnation
--- a/packages/gateway/src/fleet/EpochSource.ts
+++ b/packages/gateway/src/fleet/EpochSource.ts
@@ -1,3 +1,4 @@
+import type { Upstream } from "../model/Upstream.js";
 import type { UpstreamDirectory } from "../UpstreamDirectory.js";
 
 /** Number of epochs in one term: an epoch's lower 16 bits are a counter, the bits above are the term. */
@@ -14,6 +15,15 @@
         return new EpochSource(upstreams);
     }
 
+    /** Returns the highest term of the epochs that upstreams show; 0 if none belongs to a group. */
+    static highestTerm(upstreams: Iterable<Upstream>): number {
+        let epoch = 0;
+        for (const { group } of upstreams) {
+            epoch = Math.max(epoch, group?.epoch ?? 0);
+        }
+        return Math.floor(epoch / EPOCHS_PER_TERM);
+    }
+
     /** Starts a term. */
     start(term: number): void {
         this.lastEpoch = term * EPOCHS_PER_TERM;
--- a/packages/gateway/tests/fleet/ControllerLease.test.ts
+++ b/packages/gateway/tests/fleet/ControllerLease.test.ts
@@ -13,6 +13,7 @@
     isHolderUnreachableByPeers: boolean;
     isConnectedToMostPeers: boolean;
     blockedPrompts: CrashSuspect[];
+    highestUpstreamTerm: number;
 }
 
 describe("ControllerLease", () => {
@@ -36,6 +37,7 @@
             isHolderUnreachableByPeers: false,
             isConnectedToMostPeers: true,
             blockedPrompts: [],
+            highestUpstreamTerm: 0,
         };
         candidate.lease = ControllerLease.create({
             clock,
@@ -51,6 +53,7 @@
             onBlockedPrompts: blocked => {
                 candidate.blockedPrompts = blocked;
             },
+            highestUpstreamTerm: () => candidate.highestUpstreamTerm,
         });
         void watchStore(candidate);
         void candidate.lease.run(candidate.stop.signal);
@@ -63,8 +66,8 @@
         while (!stop.signal.aborted) {
             const listed = await store.list([ControllerLease.kind]);
             if (listed.kind === "listed") {
-                listed.objects.forEach(object => lease.observe(object));
-                lease.recordListing();
+                listed.objects.forEach(object => lease.observe(object, listed.era));
+                lease.recordListing(listed.era);
             }
             await clock.sleep(50, stop.signal);
         }
@@ -174,6 +177,116 @@
         expect(first.lease.isController).to.equal(false);
     });
 
+    describe("in a store that was restored from an older copy", () => {
+        function storedLease(): { vm: string; term: number; } | undefined {
+            return store.peek(ControllerLease.kind, "fleet")?.value as { vm: string; term: number; } | undefined;
+        }
+
+        it("is written again by its holder, which stays the controller, if the copy has no lease", async () => {
+            const copy = store.copy();
+            const first = start("a");
+            await clock.advance(1000);
+            const second = start("b", 1);
+            second.silenceMs.set("a", 100);
+            await clock.advance(500);
+            store.restore(copy);
+            await clock.advance(300);
+            expect([storedLease()?.vm, controllers()]).to.deep.equal(["a", ["1"]]);
+            await clock.advance(10_000);
+            expect([first.lease.isController, controllers()]).to.deep.equal([true, ["1"]]);
+        });
+
+        it("is written again by its holder if the copy has an older renewal", async () => {
+            const first = start("a");
+            await clock.advance(1000);
+            const copy = store.copy();
+            await clock.advance(6000);
+            store.restore(copy);
+            await clock.advance(300);
+            const renewals = (store.peek(ControllerLease.kind, "fleet")?.value as { renewals: number; }).renewals;
+            expect([first.lease.isController, renewals]).to.deep.equal([true, 3]);
+            await clock.advance(20_000);
+            expect(first.lease.isController).to.equal(true);
+        });
+
+        it("has one controller, in the higher term, if the copy names an earlier holder", async () => {
+            const first = start("a");
+            await clock.advance(1000);
+            const copy = store.copy();
+            const second = start("b", 1);
+            await clock.advance(100);
+            first.lease.observeTerm(2);
+            await store.remove({ kind: ControllerLease.kind, name: "fleet" }, 1);
+            await store.write(
+                { kind: ControllerLease.kind, name: "fleet" },
+                { vm: "b", incarnation: "b-1", term: 2, renewals: 0 },
+                0,
+            );
+            await clock.advance(300);
+            expect(second.lease.isController).to.equal(true);
+            store.restore(copy);
+            await clock.advance(300);
+            expect([storedLease()?.vm, storedLease()?.term, controllers()]).to.deep.equal(["b", 2, ["2"]]);
+        });
+
+        it("is acquired in a term above all that an upstream has seen", async () => {
+            const copy = store.copy();
+            const first = start("a");
+            await clock.advance(1000);
+            first.stop.abort();
+            store.restore(copy);
+            const second = start("b");
+            second.highestUpstreamTerm = 7;
+            await clock.advance(1000);
+            expect([second.lease.isController, second.lease.term]).to.deep.equal([true, 8]);
+        });
+
+        it("makes nobody the controller in a term below one that an upstream has seen", async () => {
+            const first = start("a");
+            await clock.advance(1000);
+            const copy = store.copy();
+            await clock.advance(1000);
+            first.highestUpstreamTerm = 3;
+            store.restore(copy);
+            await clock.advance(100);
+            expect(first.lease.isController).to.equal(false);
+            await clock.advance(3000);
+            expect([first.lease.isController, first.lease.term]).to.deep.equal([true, 4]);
+        });
+
+        it("is acquired by another gateway if its holder has gone", async () => {
+            const first = start("a");
+            await clock.advance(500);
+            const copy = store.copy();
+            const second = start("b", 1);
+            second.silenceMs.set("a", 100);
+            await clock.advance(3000);
+            first.stop.abort();
+            second.silenceMs.delete("a");
+            second.isHolderUnreachableByPeers = true;
+            store.restore(copy);
+            await clock.advance(3000);
+            expect([second.lease.isController, second.lease.term]).to.deep.equal([true, 2]);
+        });
+
+        it("ends the term of a holder that does not reach the store before another one gives orders", async () => {
+            const first = start("a");
+            await clock.advance(1000);
+            const copy = store.copy();
+            first.stop.abort();
+            store.restore(copy);
+            const second = start("b");
+            second.isHolderUnreachableByPeers = true;
+            await clock.advance(3000);
+            first.lease.observeTerm(second.lease.term);
+            expect([first.lease.isController, second.lease.isController, second.lease.term]).to.deep.equal([
+                false,
+                true,
+                2,
+            ]);
+        });
+    });
+
     it("is resolved by a read when the response to a renewal was lost", async () => {
         const first = start("a");
         await clock.advance(500);
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -89,6 +89,7 @@
                     isConnectedToMostPeers: () => true,
                     blockedPrompts: () => [],
                     onBlockedPrompts: () => undefined,
+                    highestUpstreamTerm: () => 0,
                 }),
                 controller: { recentlyOpened: () => [] } as unknown as FleetController,
                 loads,
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -1,6 +1,7 @@
 import { ManualClock, MemoryObjectStore } from "@fescuehaven/testing";
 import { ActiveConfiguration } from "../../src/ActiveConfiguration.js";
 import { ControllerLease } from "../../src/fleet/ControllerLease.js";
+import { EpochSource } from "../../src/fleet/EpochSource.js";
 import { FleetController } from "../../src/fleet/FleetController.js";
 import { MemberProber } from "../../src/fleet/MemberProber.js";
 import { OrderSender } from "../../src/fleet/OrderSender.js";
@@ -82,6 +83,7 @@
             isConnectedToMostPeers: () => true,
             blockedPrompts: () => [],
             onBlockedPrompts: () => undefined,
+            highestUpstreamTerm: () => EpochSource.highestTerm(this.directory.all()),
         });
         const controller = FleetController.create({
             clock,
