Keep newer known state when the store comes back from an older copy

What callers saw: streams that may not be resumed were cut, and requests refused, when the store came back from a copy older than the groups that served them; requests went to upstreams that were draining or gone, and to evacuated zones. Found by tests, not seen in production.

Cause: the listing after a restore replaced the known state. Members of a group that was formed after the copy appeared to have left it, so the controller announced the group as lost.

Change, for the first listing of an era: - UpstreamDirectory applies a registration only if it is newer than the known one, by the start time and the number that each registration of an instance states. A missing upstream gets the grace period of `returnGraceMs`, also if a further listing lacks it. An instance that had been removed is ignored until it registers again, or until the store has not removed it for 5 s. - EvacuatedZones (new, taken out of Gateway) keeps the known state of a zone for the same period, in which operators repeat their changes; then the copy's state counts. - ActiveConfiguration never went back; it now logs once that the store is behind, or has no configuration.

In every listing, a registration of an instance with a lower number than the known one is ignored.

--- a/packages/gateway/src/ActiveConfiguration.ts
+++ b/packages/gateway/src/ActiveConfiguration.ts
@@ -6,6 +6,7 @@
 export class ActiveConfiguration {
     private configuration: ServingConfiguration | undefined;
     private routesByHost = new Map<string, Route[]>();
+    private isStoreBehind = false;
     private readonly listeners = new Set<(configuration: ServingConfiguration) => void>();
 
     private constructor(private readonly log: DecisionLog) {}
@@ -28,6 +29,7 @@
     /** Activates a configuration if it is newer than the active one. */
     adopt(configuration: ServingConfiguration): void {
         const before = this.configuration?.version;
+        this.setStoreBehind(configuration.version < (before ?? 0), configuration.version);
         if (before !== undefined && configuration.version <= before) {
             return;
         }
@@ -41,6 +43,21 @@
         this.listeners.forEach(listener => listener(configuration));
     }
 
+    /** Records that the store has no configuration. */
+    recordAbsence(): void {
+        this.setStoreBehind(this.configuration !== undefined);
+    }
+
+    private setStoreBehind(isBehind: boolean, version?: number): void {
+        if (isBehind && !this.isStoreBehind) {
+            this.log.warn("the store's configuration is older than the active one, which stays active", {
+                version,
+                active: this.configuration?.version,
+            });
+        }
+        this.isStoreBehind = isBehind;
+    }
+
     /** Returns the route of the host with the longest matching path prefix, or undefined if no route matches. */
     match(hostHeader: string, target: string): Route | undefined {
         const host = hostHeader.replace(/:\d+$/, "").toLowerCase();
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -2,6 +2,7 @@
 import type { ObjectChange, StoredObject } from "@fescuehaven/platform";
 import { setMaxListeners } from "node:events";
 import { ActiveConfiguration } from "./ActiveConfiguration.js";
+import { EvacuatedZones } from "./EvacuatedZones.js";
 import { ControllerLease } from "./fleet/ControllerLease.js";
 import { EpochSource } from "./fleet/EpochSource.js";
 import { FleetController } from "./fleet/FleetController.js";
@@ -72,7 +73,7 @@
 export class Gateway {
     private readonly configuration: ActiveConfiguration;
     private readonly upstreams: UpstreamDirectory;
-    private readonly evacuatedZones = new Set<string>();
+    private readonly evacuatedZones: EvacuatedZones;
     private readonly loads: LoadTracker;
     private readonly groups: GroupDirectory;
     private readonly queue: AdmissionQueue;
@@ -101,6 +102,12 @@
         this.upstreams = UpstreamDirectory.create({ clock, log, returnGraceMs: REREGISTRATION_GRACE_MS });
         this.loads = LoadTracker.create(clock);
         const failureRates = FailureRateTracker.create(clock);
+        this.evacuatedZones = EvacuatedZones.create({
+            clock,
+            log,
+            returnGraceMs: REREGISTRATION_GRACE_MS,
+            onChange: () => this.queue.admitWaiting(),
+        });
         const isEvacuated = (zone: string) => this.evacuatedZones.has(zone);
         this.groups = GroupDirectory.create({
             clock,
@@ -340,6 +347,7 @@
         while (!signal.aborted) {
             await clock.sleep(SWEEP_INTERVAL_MS, signal);
             this.upstreams.expireMissing();
+            this.evacuatedZones.settle();
             this.connections.update();
             this.exchange.sweep();
         }
@@ -405,7 +413,12 @@
             kind,
             () => this.urgentWatchWaitMs(),
             () => DEFAULT_WATCH_PAUSE_MS,
-            objects => objects.forEach(apply),
+            objects => {
+                objects.forEach(apply);
+                if (!objects.some(object => object.name === name)) {
+                    this.configuration.recordAbsence();
+                }
+            },
             change => change.kind === "written" && apply(change.object),
         );
     }
@@ -416,9 +429,9 @@
             kind,
             () => this.urgentWatchWaitMs(),
             () => this.upstreamWatchPauseMs(),
-            (objects, isAfterOutage) => {
+            (objects, isAfterOutage, isRestored) => {
                 const decoded = objects.map(object => this.decodeUpstream(object)).filter(item => item !== undefined);
-                this.upstreams.replaceAll(decoded, isAfterOutage);
+                this.upstreams.replaceAll(decoded, isAfterOutage, isRestored);
             },
             change => {
                 const upstream = change.kind === "written" ? this.decodeUpstream(change.object) : undefined;
@@ -459,28 +472,13 @@
 
     private watchEvacuations(): StoreWatch {
         const { kind } = this.ports.objects.evacuations;
-        const setEvacuated = (zone: string, isEvacuated: boolean) => {
-            if (this.evacuatedZones.has(zone) !== isEvacuated) {
-                this.ports.log.info(isEvacuated ? "zone evacuated" : "zone evacuation ended", { zone });
-            }
-            if (isEvacuated) {
-                this.evacuatedZones.add(zone);
-            }
-            else {
-                this.evacuatedZones.delete(zone);
-            }
-            this.queue.admitWaiting();
-        };
         return this.watch(
             kind,
             () => this.urgentWatchWaitMs(),
             () => DEFAULT_WATCH_PAUSE_MS,
-            objects => {
-                const listed = new Set(objects.map(object => object.name));
-                [...this.evacuatedZones].filter(zone => !listed.has(zone)).forEach(zone => setEvacuated(zone, false));
-                listed.forEach(zone => setEvacuated(zone, true));
-            },
-            change => setEvacuated(change.object.name, change.kind === "written"),
+            (objects, _, isRestored) =>
+                this.evacuatedZones.replaceAll(new Set(objects.map(object => object.name)), isRestored),
+            change => this.evacuatedZones.set(change.object.name, change.kind === "written"),
         );
     }
 
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -10,6 +10,20 @@
     returnGraceMs: number;
 }
 
+/** An upstream in an older copy of the store that had been removed since. */
+interface WithheldUpstream {
+    upstream: Upstream;
+    sinceMs: number;
+}
+
+/**
+ * A removed upstream that a restored store lists again is ignored for this time. By then the store has removed it if
+ * it is silent: after three heartbeats.
+ */
+const WITHHOLD_MS = 5000;
+/** Removals are remembered for longer than the age of any copy of the store. */
+const REMOVAL_RETENTION_MS = 60_000;
+
 /** Availability of an upstream that takes no requests; most of these are group members other than the head. */
 const NO_REQUESTS = "nothing";
 
@@ -17,6 +31,9 @@
 export class UpstreamDirectory {
     private readonly upstreams = new Map<string, Upstream>();
     private readonly missingSinceMs = new Map<string, number>();
+    /** Instances that were removed recently. */
+    private readonly removals = new Map<string, { startedAtMs: number; atMs: number; }>();
+    private readonly withheld = new Map<string, WithheldUpstream>();
     private readonly listeners = new Set<() => void>();
     private changeCount = 0;
 
@@ -51,6 +68,8 @@
     set(upstream: Upstream): void {
         const before = this.upstreams.get(upstream.id);
         this.missingSinceMs.delete(upstream.id);
+        this.withheld.delete(upstream.id);
+        this.removals.delete(upstream.id);
         this.upstreams.set(upstream.id, upstream);
         this.logChange(before, upstream);
         this.notifyListeners();
@@ -74,7 +93,11 @@
     /** Removes an upstream. */
     remove(id: string, reason: string): void {
         this.missingSinceMs.delete(id);
-        if (this.upstreams.delete(id)) {
+        this.withheld.delete(id);
+        const { startedAtMs } = this.upstreams.get(id) ?? {};
+        if (startedAtMs !== undefined) {
+            this.upstreams.delete(id);
+            this.removals.set(id, { startedAtMs, atMs: this.options.clock.monotonicMs() });
             this.options.log.info("upstream removed", { upstream: id, reason });
             this.notifyListeners();
         }
@@ -82,24 +105,54 @@
 
     /**
      * Applies a listing of all upstreams. Missing ones are removed; after a store outage, only after a grace period.
+     * From a store that was restored from an older copy, only what is newer than the known state is applied.
      */
-    replaceAll(upstreams: readonly Upstream[], isAfterOutage: boolean): void {
+    replaceAll(upstreams: readonly Upstream[], isAfterOutage: boolean, isRestored = false): void {
+        const nowMs = this.options.clock.monotonicMs();
         const listed = new Set(upstreams.map(upstream => upstream.id));
         for (const id of [...this.upstreams.keys()]) {
             if (listed.has(id)) {
                 continue;
             }
             if (isAfterOutage) {
-                this.missingSinceMs.set(id, this.options.clock.monotonicMs());
+                this.missingSinceMs.set(id, nowMs);
             }
-            else {
+            else if (!this.missingSinceMs.has(id)) {
                 this.remove(id, "missing from the listing");
             }
         }
-        upstreams.forEach(upstream => this.set(upstream));
+        for (const upstream of upstreams) {
+            const { id } = upstream;
+            const isRemoved = upstream.startedAtMs <= (this.removals.get(id)?.startedAtMs ?? -Infinity);
+            if (this.withheld.has(id) || (isRestored && isRemoved)) {
+                this.withheld.set(id, { upstream, sinceMs: this.withheld.get(id)?.sinceMs ?? nowMs });
+            }
+            else if (this.isOutdated(upstream, isRestored)) {
+                this.missingSinceMs.delete(id);
+            }
+            else {
+                this.set(upstream);
+            }
+        }
+    }
+
+    /** Returns true if an older registration than the known one is listed; one of the same number tells nothing new. */
+    private isOutdated({ id, startedAtMs, registrationNumber }: Upstream, isRestored: boolean): boolean {
+        const known = this.upstreams.get(id);
+        if (!known) {
+            return false;
+        }
+        if (known.startedAtMs !== startedAtMs) {
+            return isRestored && startedAtMs < known.startedAtMs;
+        }
+        return registrationNumber < known.registrationNumber
+            || (isRestored && registrationNumber === known.registrationNumber);
     }
 
-    /** Removes the upstreams that have not registered again in time after a store outage. */
+    /**
+     * Removes the upstreams that have not registered again in time after a store outage, and adds those that a restored
+     * store has not removed again.
+     */
     expireMissing(): void {
         const nowMs = this.options.clock.monotonicMs();
         for (const [id, sinceMs] of [...this.missingSinceMs]) {
@@ -107,6 +160,12 @@
                 this.remove(id, "did not register again after a store outage");
             }
         }
+        for (const { upstream, sinceMs } of [...this.withheld.values()]) {
+            if (nowMs - sinceMs >= WITHHOLD_MS) {
+                this.set(upstream);
+            }
+        }
+        this.removals.forEach(({ atMs }, id) => nowMs - atMs > REMOVAL_RETENTION_MS && this.removals.delete(id));
     }
 
     /**
--- a/packages/gateway/src/model/Upstream.ts
+++ b/packages/gateway/src/model/Upstream.ts
@@ -5,6 +5,8 @@
     id: string;
     /** When its process started, Unix time; distinguishes instances with the same id. */
     startedAtMs: number;
+    /** Grows with every registration of the instance; 0 if the registration states none. */
+    registrationNumber: number;
     service: string;
     /** Address on which it listens, HOST:PORT. */
     address: string;
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -235,5 +235,6 @@
 }
 
 function toUpstream(value: unknown): Upstream {
-    return (value as Registration).upstream;
+    const { upstream, sequence } = value as Registration;
+    return { ...upstream, registrationNumber: sequence };
 }
--- a/packages/gateway/tests/support/exampleUpstream.ts
+++ b/packages/gateway/tests/support/exampleUpstream.ts
@@ -5,6 +5,7 @@
     return {
         id,
         startedAtMs: 1000,
+        registrationNumber: 0,
         service: "llm",
         address: `${id}:80`,
         zone: "a",
--- a/packages/gateway/tests/views.test.ts
+++ b/packages/gateway/tests/views.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { setMaxListeners } from "node:events";
 import { ActiveConfiguration } from "../src/ActiveConfiguration.js";
+import { EvacuatedZones } from "../src/EvacuatedZones.js";
 import type { Route } from "../src/model/Route.js";
 import type { ServingConfiguration } from "../src/model/ServingConfiguration.js";
 import { StoreEras } from "../src/StoreEras.js";
@@ -57,6 +58,32 @@
     });
 });
 
+describe("ActiveConfiguration of a store that was restored from an older copy", () => {
+    it("stays, and logs once that the store is behind", () => {
+        const log = SilentDecisionLog.create();
+        const active = ActiveConfiguration.create(log);
+        const behind = () => log.lines.filter(({ event }) => event.startsWith("the store's configuration is older"));
+        [3, 7, 5, 5].forEach(version => active.adopt(configuration(version)));
+        expect([active.current?.version, behind().map(({ fields }) => fields)]).to.deep.equal([
+            7,
+            [{ version: 5, active: 7 }],
+        ]);
+        [7, 7, 5].forEach(version => active.adopt(configuration(version)));
+        expect([active.current?.version, behind().length]).to.deep.equal([7, 2]);
+    });
+
+    it("stays, and logs once, if the store has none", () => {
+        const log = SilentDecisionLog.create();
+        const active = ActiveConfiguration.create(log);
+        active.recordAbsence();
+        active.adopt(configuration(3));
+        expect(log.lines.length).to.equal(1);
+        active.recordAbsence();
+        active.recordAbsence();
+        expect([active.current?.version, log.lines.length]).to.deep.equal([3, 2]);
+    });
+});
+
 describe("UpstreamDirectory", () => {
     let clock: ManualClock;
     let directory: UpstreamDirectory;
@@ -116,6 +143,62 @@
         expect(ids()).to.deep.equal(["u1"]);
     });
 
+    describe("of a store that was restored from an older copy", () => {
+        const group = { name: "g", epoch: 5, rank: 0, phase: "open" as const };
+        const cases: ReadonlyArray<[string, Parameters<typeof exampleUpstream>[1], boolean]> = [
+            ["an older registration", { registrationNumber: 3 }, false],
+            ["the known registration", { registrationNumber: 4 }, false],
+            ["a newer registration", { registrationNumber: 5 }, true],
+            ["an earlier instance", { startedAtMs: 900, registrationNumber: 9 }, false],
+            ["a later instance", { startedAtMs: 1100, registrationNumber: 1 }, true],
+        ];
+        for (const [title, changes, isApplied] of cases) {
+            it(`${isApplied ? "applies" : "ignores"} ${title}`, () => {
+                directory.set(exampleUpstream("u1", { registrationNumber: 4, group }));
+                directory.replaceAll([exampleUpstream("u1", changes), exampleUpstream("u2")], true, true);
+                expect(directory.get("u1")?.group === undefined).to.equal(isApplied);
+            });
+        }
+
+        it("ignores an older registration also in a later listing", () => {
+            directory.set(exampleUpstream("u1", { registrationNumber: 4, group }));
+            directory.replaceAll([exampleUpstream("u1", { registrationNumber: 3 })], false);
+            expect(directory.get("u1")?.group).to.deep.equal(group);
+        });
+
+        it("keeps upstreams for the whole grace period that are missing again from a later listing", async () => {
+            directory.replaceAll([exampleUpstream("u2")], true, true);
+            await clock.advance(1700);
+            directory.replaceAll([exampleUpstream("u2")], false);
+            expect(ids()).to.deep.equal(["u1", "u2"]);
+            await clock.advance(200);
+            directory.expireMissing();
+            expect(ids()).to.deep.equal(["u2"]);
+        });
+
+        it("adds a removed upstream only if the store has not removed it again", async () => {
+            const listed = ["u1", "u2"].map(id => exampleUpstream(id));
+            listed.forEach(({ id }) => directory.remove(id, "registration removed"));
+            directory.replaceAll(listed, true, true);
+            directory.replaceAll(listed, false);
+            await clock.advance(4900);
+            directory.expireMissing();
+            expect(ids()).to.deep.equal([]);
+            directory.remove("u1", "registration removed");
+            await clock.advance(200);
+            directory.expireMissing();
+            expect(ids()).to.deep.equal(["u2"]);
+        });
+
+        it("adds a removed upstream at once when it registers again or has restarted", () => {
+            ["u1", "u2"].forEach(id => directory.remove(id, "registration removed"));
+            directory.replaceAll([exampleUpstream("u1"), exampleUpstream("u2", { startedAtMs: 1100 })], true, true);
+            expect(ids()).to.deep.equal(["u2"]);
+            directory.set(exampleUpstream("u1"));
+            expect(ids()).to.deep.equal(["u2", "u1"]);
+        });
+    });
+
     const recordCases: ReadonlyArray<
         [string, { epoch: number; phase: "joining" | "ready" | "open" | "closing"; }, boolean]
     > = [
@@ -134,6 +217,45 @@
     }
 });
 
+describe("EvacuatedZones of a store that was restored from an older copy", () => {
+    let clock: ManualClock;
+    let zones: EvacuatedZones;
+
+    beforeEach(() => {
+        clock = ManualClock.create();
+        const log = SilentDecisionLog.create();
+        zones = EvacuatedZones.create({ clock, log, returnGraceMs: 1800, onChange: () => undefined });
+        zones.replaceAll(new Set(["a", "b"]), false);
+        zones.set("b", false);
+        zones.replaceAll(new Set(["b"]), true);
+    });
+
+    async function evacuatedAfter(durationMs: number): Promise<string[]> {
+        await clock.advance(durationMs);
+        zones.settle();
+        return ["a", "b"].filter(zone => zones.has(zone));
+    }
+
+    it("keeps the known states while operators can repeat their changes", async () => {
+        expect(await evacuatedAfter(1700)).to.deep.equal(["a"]);
+        zones.replaceAll(new Set(["b"]), false);
+        expect(await evacuatedAfter(0)).to.deep.equal(["a"]);
+        zones.set("a", true);
+        zones.set("b", false);
+        expect(await evacuatedAfter(5000)).to.deep.equal(["a"]);
+    });
+
+    it("applies the copy's states that operators have not changed in time", async () => {
+        expect(await evacuatedAfter(1900)).to.deep.equal(["b"]);
+    });
+
+    it("applies changes at once", async () => {
+        zones.set("a", false);
+        zones.set("b", true);
+        expect(await evacuatedAfter(0)).to.deep.equal(["b"]);
+    });
+});
+
 describe("StoreWatch", () => {
     let clock: ManualClock;
     let store: MemoryObjectStore;
