Log and measure how a restored store is read again

An operator could not see when a gateway had read everything again after the store came back from an older copy.

Measured: the new test fails without the line and the histogram.

--- a/packages/gateway/src/StoreWatch.ts
+++ b/packages/gateway/src/StoreWatch.ts
@@ -150,6 +150,10 @@
         this.listedEra = eras.current;
         this.relistDelayMs = 0;
         log.info("listed store objects", { kind, count: objects.length, revision, era, isAfterOutage });
+        if (isRestored) {
+            log.info("restored store was read again", { kind, era, afterMs: Math.round(eras.ageMs) });
+            this.options.metrics.observe("restoredRead", eras.ageMs);
+        }
         this.options.onListing(objects, isAfterOutage, { era, isRestored });
         this.options.onRevision?.(revision);
     }
--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -19,6 +19,7 @@
     answer: "Seconds until the whole answer of a plain request",
     queueWait: "Seconds that a request waited for a place",
     repair: "Seconds from a lost member until its group was open again",
+    restoredRead: "Seconds from a new era of the platform's store until a kind was listed again",
 } as const;
 
 /** Counters and histograms in the Prometheus text format. */
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -7,5 +7,5 @@
     ): void;
 
     /** Adds a duration to a histogram. */
-    observe(name: "firstEvent" | "answer" | "queueWait" | "repair", durationMs: number): void;
+    observe(name: "firstEvent" | "answer" | "queueWait" | "repair" | "restoredRead", durationMs: number): void;
 }
--- a/packages/gateway/tests/views.test.ts
+++ b/packages/gateway/tests/views.test.ts
@@ -355,6 +355,34 @@
             expect([seen, watch.isConnected]).to.deep.equal([["list 1", "list 1 after outage"], true]);
         });
 
+        it("logs when all objects are known again, and measures the time", async () => {
+            const log = SilentDecisionLog.create();
+            const observed: Array<[string, number]> = [];
+            const metrics = { ...noMetrics, observe: (name: string, ms: number) => observed.push([name, ms]) };
+            const following = StoreWatch.create({
+                store,
+                eras,
+                maxRelistDelayMs: () => 100,
+                kind: "things",
+                clock,
+                random: SeededRandom.create(1),
+                log,
+                metrics,
+                waitMs: () => 2000,
+                pauseMs: () => 100,
+                onListing: () => undefined,
+                onChange: () => undefined,
+            });
+            void following.run(stop.signal);
+            await clock.advance(100);
+            store.restore(store.copy());
+            await clock.advance(500);
+            const lines = log.lines.filter(({ event }) => event === "restored store was read again");
+            expect(lines.map(({ fields }) => [fields.kind, fields.era])).to.deep.equal([["things", 1]]);
+            expect(observed.map(([name]) => name)).to.deep.equal(["restoredRead"]);
+            expect(observed[0]?.[1]).to.be.within(0, 1000);
+        });
+
         it("logs the new era once", async () => {
             const log = SilentDecisionLog.create();
             const logged = StoreEras.create({ clock, log, metrics: noMetrics });
