Give no orders once an upstream shows a newer term

What callers saw: nothing yet. After a restore of the store, a holder from before that does not reach the store and the gateway that acquired the lease in the restored store both gave orders that upstreams accepted. A check of members that ended after the other controller had begun made the older one form the group again; its epoch was above all registered ones and so fell into the newer term, and the newer controller took the partial group over and dissolved its own.

Change: the term of the upstreams' epochs counts as a term that this gateway knows. A controller whose term is below it gives no orders, also not after a check of members during which that happened. The directory caches its highest epoch, since it is needed at every poll.

In the test, registrations reach both controllers at once.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -197,7 +197,7 @@
                 this.connections.connectedPeers().length * 2 >= this.connections.followedPeers().length,
             blockedPrompts: () => crashingPrompts.blocked(),
             onBlockedPrompts: suspects => crashingPrompts.merge({ suspects }),
-            highestUpstreamTerm: () => EpochSource.highestTerm(this.upstreams.all()),
+            highestUpstreamTerm: () => EpochSource.highestTerm(this.upstreams),
         });
         const orders = OrderSender.create({ clock, log, metrics, control });
         const hasTraffic = () => this.hasTraffic;
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -36,6 +36,8 @@
     private readonly withheld = new Map<string, WithheldUpstream>();
     private readonly listeners = new Set<() => void>();
     private changeCount = 0;
+    /** Computed again when the directory has changed. */
+    private cachedHighestEpoch: { version: number; epoch: number; } | undefined;
 
     private constructor(private readonly options: UpstreamDirectoryOptions) {}
 
@@ -49,6 +51,18 @@
         return this.changeCount;
     }
 
+    /** Highest epoch of a group that an upstream shows; 0 if none belongs to a group. */
+    get highestEpoch(): number {
+        if (this.cachedHighestEpoch?.version !== this.version) {
+            let epoch = 0;
+            for (const { group } of this.upstreams.values()) {
+                epoch = Math.max(epoch, group?.epoch ?? 0);
+            }
+            this.cachedHighestEpoch = { version: this.version, epoch };
+        }
+        return this.cachedHighestEpoch.epoch;
+    }
+
     /** Calls `listener` after every change. */
     onChange(listener: () => void): void {
         this.listeners.add(listener);
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -101,7 +101,7 @@
     /** True while this gateway acts as the controller. */
     get isController(): boolean {
         const isHolder = this.isOwn && this.lease?.term === this.highestTerm;
-        if (!isHolder || this.mustRenew) {
+        if (!isHolder || this.mustRenew || this.options.highestUpstreamTerm() > this.highestTerm) {
             return false;
         }
         const isFresh = this.options.clock.monotonicMs() - this.renewedAtMs < RENEWAL_VALIDITY_MS;
@@ -128,12 +128,9 @@
         const isRestored = era > this.era;
         this.era = era;
         this.revision = object.revision;
-        if (isRestored) {
-            this.observeTerm(this.options.highestUpstreamTerm());
-            if (this.supersedes(parsed.data)) {
-                this.mustRestore = true;
-                return;
-            }
+        if (isRestored && this.supersedes(parsed.data)) {
+            this.mustRestore = true;
+            return;
         }
         if (this.lease?.incarnation !== parsed.data.incarnation || this.lease.term !== parsed.data.term) {
             this.options.log.info("controller changed", {
@@ -162,7 +159,6 @@
     private observeAbsence(era: Era): void {
         this.era = era;
         this.revision = 0;
-        this.observeTerm(this.options.highestUpstreamTerm());
         if (this.isOwn) {
             this.mustRestore = true;
         }
@@ -181,6 +177,10 @@
     /** Applies a term that a peer knows. A higher term ends the term of this gateway. */
     observeTerm(term: number): void {
         if (term > this.highestTerm) {
+            if (this.isOwn && this.lease?.term === this.highestTerm) {
+                // The holder of the newer term gets time to write its lease.
+                this.changedAtMs = this.options.clock.monotonicMs();
+            }
             this.highestTerm = term;
         }
     }
@@ -196,6 +196,7 @@
                 this.changedAtMs = Math.max(this.changedAtMs, nowMs - EXPIRY_MS / 2);
             }
             this.lastPollAtMs = nowMs;
+            this.observeTerm(this.options.highestUpstreamTerm());
             if (this.isStoreStateKnown) {
                 await this.renewOrAcquire(nowMs);
                 // A slow call to the store is not a pause of the process.
--- a/packages/gateway/src/fleet/EpochSource.ts
+++ b/packages/gateway/src/fleet/EpochSource.ts
@@ -1,4 +1,3 @@
-import type { Upstream } from "../model/Upstream.js";
 import type { UpstreamDirectory } from "../UpstreamDirectory.js";
 
 /** Number of epochs in one term: an epoch's lower 16 bits are a counter, the bits above are the term. */
@@ -15,13 +14,9 @@
         return new EpochSource(upstreams);
     }
 
-    /** Returns the highest term of the epochs that upstreams show; 0 if none belongs to a group. */
-    static highestTerm(upstreams: Iterable<Upstream>): number {
-        let epoch = 0;
-        for (const { group } of upstreams) {
-            epoch = Math.max(epoch, group?.epoch ?? 0);
-        }
-        return Math.floor(epoch / EPOCHS_PER_TERM);
+    /** Returns the highest term in which an upstream has joined its group; 0 if none belongs to a group. */
+    static highestTerm(upstreams: UpstreamDirectory): number {
+        return Math.floor(upstreams.highestEpoch / EPOCHS_PER_TERM);
     }
 
     /** Starts a term. */
@@ -31,10 +26,7 @@
 
     /** Returns a new epoch. */
     next(): number {
-        for (const { group } of this.upstreams.all()) {
-            this.lastEpoch = Math.max(this.lastEpoch, group?.epoch ?? 0);
-        }
-        this.lastEpoch += 1;
+        this.lastEpoch = Math.max(this.lastEpoch, this.upstreams.highestEpoch) + 1;
         return this.lastEpoch;
     }
 }
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -278,7 +278,7 @@
             && this.memberChecker.isCheckDue(group, CHECK_INTERVAL_MS)
         ) {
             void this.memberChecker.check(group, unjoined, undefined).then(failed => {
-                if (this.groups.get(group.name) !== group || group.phase !== "joining") {
+                if (!this.isCurrent(group, "joining")) {
                     return;
                 }
                 if (failed.size > 0) {
@@ -403,7 +403,7 @@
             unlisted: unlisted.length,
         });
         void this.memberChecker.check(group, toCheck, epoch).then(failed => {
-            if (this.groups.get(group.name) !== group || group.phase !== "open") {
+            if (!this.isCurrent(group, "open")) {
                 return;
             }
             const isSilentTooLong = isSilent && this.isReachable(group)
@@ -730,6 +730,11 @@
         );
     }
 
+    /** Returns true if this gateway still is the controller and has not changed the group while it waited. */
+    private isCurrent(group: ManagedGroup, phase: ManagedGroup["phase"]): boolean {
+        return this.options.lease.isController && this.groups.get(group.name) === group && group.phase === phase;
+    }
+
     private setPhase(group: ManagedGroup, phase: ManagedGroup["phase"]): void {
         group.phase = phase;
         group.phaseSinceMs = this.nowMs();
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -1,4 +1,4 @@
-import { SeededRandom } from "@fescuehaven/testing";
+import { MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { FleetRig } from "../support/FleetRig.js";
 
@@ -56,6 +56,29 @@
         rig.stopController();
     });
 
+    it("has one controller whose orders upstreams accept after the store was restored from an older copy", async () => {
+        const rig = FleetRig.create(2, 11);
+        // The first controller still sees the store as before the restore, in which it holds the lease.
+        const firstStore = MemoryObjectStore.create(rig.clock);
+        const first = rig.addController("first", true, firstStore);
+        await rig.run(FORMATION_MS);
+        firstStore.faults.outage = true;
+        const second = rig.addController("second");
+        await rig.run(2000);
+        const secondTerm = second.term;
+        const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+        const member = [...rig.directory.all()].find(item =>
+            item.group?.epoch === head.group?.epoch && item.group?.rank === 1
+        )!;
+        rig.fleet.makeUnresponsive(member.id);
+        await rig.run(10_000);
+        const since = rig.acceptedOrders.findIndex(({ incarnation }) => incarnation === "second");
+        const byFirst = rig.acceptedOrders.slice(since).filter(({ incarnation }) => incarnation === "first");
+        expect([secondTerm > 1, byFirst, rig.fleet.violations]).to.deep.equal([true, [], []]);
+        expect([rig.countCompleteGroups(), first.isController]).to.deep.equal([{ large: 2, small: 2 }, false]);
+        rig.stopController();
+    });
+
     it("lets the requests of a group end when its head has drained and left", async () => {
         const rig = await createFormedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -9,6 +9,7 @@
 import { WeightLoadLimiter } from "../../src/fleet/WeightLoadLimiter.js";
 import type { Upstream } from "../../src/model/Upstream.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
+import type { UpstreamControl } from "../../src/ports/UpstreamControl.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
 import { exampleUpstream } from "./exampleUpstream.js";
@@ -37,7 +38,10 @@
     readonly unreachableZones = new Set<string>();
     private readonly loads = LoadTracker.create(this.clock);
     private readonly configuration = ActiveConfiguration.create(this.log);
+    /** Accepted orders, with the incarnation of the controller that sent each. */
+    readonly acceptedOrders: Array<{ incarnation: string; upstream: string; kind: string; epoch: number; }> = [];
     private stop = new AbortController();
+    private readonly stops: AbortController[] = [];
 
     private constructor() {
         const service = { name: "llm", connectionLimit: 100, coldRequestsPerSecond: 0, engine: exampleEngine };
@@ -67,9 +71,26 @@
     /** Starts a controller process and stops the earlier one. */
     startController(incarnation: string, hasTraffic = true): void {
         this.stop.abort();
+        this.addController(incarnation, hasTraffic);
+    }
+
+    /** Starts a controller process beside those that run. */
+    addController(incarnation: string, hasTraffic = true, store = this.store): ControllerLease {
         this.stop = new AbortController();
-        const { clock, log, store } = this;
-        const orders = OrderSender.create({ clock, log, metrics: noMetrics, control: this.fleet });
+        this.stops.push(this.stop);
+        const { clock, log } = this;
+        const control: UpstreamControl = {
+            fetchReport: upstream => this.fleet.fetchReport(upstream),
+            order: async (upstream, order, expectedOrderCount) => {
+                const outcome = await this.fleet.order(upstream, order, expectedOrderCount);
+                if (outcome.kind === "accepted") {
+                    const epoch = "epoch" in order ? order.epoch : 0;
+                    this.acceptedOrders.push({ incarnation, upstream: upstream.id, kind: order.kind, epoch });
+                }
+                return outcome;
+            },
+        };
+        const orders = OrderSender.create({ clock, log, metrics: noMetrics, control });
         const weightLoadLimiter = WeightLoadLimiter.create({ clock, windowMs: 5000, hasTraffic: () => hasTraffic });
         const lease = ControllerLease.create({
             clock,
@@ -83,7 +104,7 @@
             isConnectedToMostPeers: () => true,
             blockedPrompts: () => [],
             onBlockedPrompts: () => undefined,
-            highestUpstreamTerm: () => EpochSource.highestTerm(this.directory.all()),
+            highestUpstreamTerm: () => EpochSource.highestTerm(this.directory),
         });
         const controller = FleetController.create({
             clock,
@@ -115,11 +136,12 @@
         });
         void lease.run(this.stop.signal);
         void controller.run(this.stop.signal);
+        return lease;
     }
 
-    /** Stops the controller. */
+    /** Stops all controllers. */
     stopController(): void {
-        this.stop.abort();
+        this.stops.forEach(stop => stop.abort());
     }
 
     /**
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -127,6 +127,7 @@
             callerTimeoutMs: 8000,
             receivedAtMs: this.clock.monotonicMs(),
             model: "large",
+            sharedPromptParts: [],
             promptTokens: 1000,
             maxAnswerTokens: 100,
             ...changes,
