Let streams that have begun wait for a group instead of cutting them off

Cause: a stream that had begun was queued behind all new requests that could still be on time, was refused when new ones were, and ended after three rejections, although ending it cuts a response off.

Change: it goes first, waits until its deadline, and rejections do not end it; the retry budget still bounds its attempts. An attempt is not abandoned if its prompt is blocked meanwhile, and a response that has ended is delivered although the attempt was being abandoned. A group whose head has left is re-formed when nothing is in flight there any more.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -468,7 +468,7 @@
         const head = this.currentHead(group);
         const isClosed = head
             ? head.group?.epoch !== group.epoch || head.group.phase === "ready"
-            : !this.isServing(group);
+            : this.options.loads.totalLoad(String(group.epoch)).inFlight === 0;
         if (isClosed || this.nowMs() - group.phaseSinceMs > CLOSE_TIMEOUT_MS) {
             group.lostAtMs ??= group.phaseSinceMs;
             this.reform(view, group, "a member is draining", new Set());
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -153,8 +153,11 @@
             pool: poolOf(call),
             // A stream that has begun is resumed before others start.
             priority: progress.hasEvents ? -1 : call.priority,
-            onTimeUntilMs: request.receivedAtMs + route.targetLatencyMs,
-            usefulUntilMs: nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION,
+            // The response of a stream that has begun would be cut off if it did not get a slot.
+            onTimeUntilMs: progress.hasEvents ? Infinity : request.receivedAtMs + route.targetLatencyMs,
+            usefulUntilMs: progress.hasEvents
+                ? call.deadlineMs
+                : nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION,
             tryAcquireSlot: () => this.tryAcquireSlot(call, engine, progress),
             expectedWaitMs: () => {
                 if (this.isBlocked(call)) {
@@ -166,8 +169,8 @@
                 const coldWaitsMs = groups.openHeads(service.name, engine, request.model).map(head =>
                     coldStartLimiter.waitMs(head, service.coldRequestsPerSecond)
                 );
-                const isForming = groups.isForming(service.name, request.model);
-                return Math.min(...coldWaitsMs, isForming ? EXPECTED_FORMATION_MS : Infinity);
+                const mayOpen = progress.hasEvents || groups.isForming(service.name, request.model);
+                return Math.min(...coldWaitsMs, mayOpen ? EXPECTED_FORMATION_MS : Infinity);
             },
         }, AbortSignal.any([call.callerResponse.disconnected, call.deadline]));
     }
@@ -330,7 +333,7 @@
                 progress.lastEventId = framer.lastEventId ?? progress.lastEventId;
                 await call.callerResponse.write(events.bytes);
             }
-            if (framer.hasPartialEvent || signal.aborted) {
+            if (framer.hasPartialEvent || call.deadline.aborted || call.callerResponse.disconnected.aborted) {
                 return this.brokenResult(call, slot, progress, abandonment.signal, "the stream ended inside an event");
             }
             if (!progress.hasEvents && call.request.lastEventId === undefined) {
@@ -373,7 +376,7 @@
         const isResend = progress.resendTo === candidate.head.id;
         const attemptsAfterThis = progress.countedAttempts + (isResend ? 0 : 1);
         const mayRetry = call.route.isResumable && attemptsAfterThis < call.route.maxAttempts
-            && progress.rejections < MAX_REJECTIONS;
+            && (progress.hasEvents || progress.rejections < MAX_REJECTIONS) && !this.isBlocked(call);
         if (!mayRetry) {
             return false;
         }
@@ -472,7 +475,7 @@
         if (!call.route.isResumable && result.kind !== "not-run") {
             return "not resumable";
         }
-        if (progress.rejections >= MAX_REJECTIONS) {
+        if (progress.rejections >= MAX_REJECTIONS && !progress.hasEvents) {
             return "too many rejections";
         }
         if (!hasAttemptsLeft(call, progress) && progress.resendTo === undefined) {
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -132,6 +132,41 @@
             });
         });
 
+        it("keeps a broken stream waiting while no group accepts it, and resumes it before new requests", async () => {
+            rig.client.script(
+                () => responses.brokenStream(1, 2),
+                call => responses.stream(call.resumeAfter === "2" ? 3 : 9, 4),
+                () => responses.stream(1, 1),
+            );
+            const response = rig.send({ id: "q1" });
+            rig.directory.remove("g1", "removed");
+            rig.directory.remove("g2", "removed");
+            await rig.clock.advance(3800);
+            expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2], "open"]);
+            rig.directory.set(exampleUpstream("u3", { group: { name: "g3", epoch: 3, rank: 0, phase: "joining" } }));
+            const fresh = rig.send({ id: "q2" });
+            await rig.clock.settle();
+            rig.directory.set(head("g3", 3));
+            await rig.clock.advance(100);
+            expect(rig.client.sent.map(({ call }) => call.request.id)).to.deep.equal(["q1", "q1", "q2"]);
+            expect([eventIdsOf(response), response.ending, fresh.ending]).to.deep.equal([
+                [1, 2, 3, 4],
+                "complete",
+                "complete",
+            ]);
+        });
+
+        it("does not end a stream that has begun because several groups are full", async () => {
+            rig.client.script(
+                () => responses.brokenStream(1, 2),
+                ...Array.from({ length: 5 }, () => () => NOT_RUN),
+                () => responses.stream(3, 4),
+            );
+            const response = rig.send();
+            await rig.clock.advance(3000);
+            expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4], "complete"]);
+        });
+
         async function markCurrentGroupsLost(response: RecordedResponse, times: number): Promise<number[]> {
             for (let time = 0; time < times; time++) {
                 await rig.clock.settle();
