Refuse calls of a shutting down router until load balancers have noticed it

Callers saw a kept connection reset while a router was restarted: the router closed its idle connections as soon as no call was in progress, a few milliseconds after its readiness had ended, and a call that a load balancer still sent there got neither a response nor a refusal.

A router now keeps its connections open for `readinessLagMs` after the end of readiness and refuses calls as not run meanwhile, reads what has arrived before it closes idle connections, and refuses calls that are read while it closes itself: the HTTP library's response to these did not say whether the call had run.

The test of calls in progress on shutdown advances the clock by the new delay; its checks are unchanged.

--- a/packages/router/src/RouterSettings.ts
+++ b/packages/router/src/RouterSettings.ts
@@ -34,6 +34,9 @@
     callerStallMs: z.number().int().min(100).max(3_600_000).default(60_000).describe(
         "A call whose caller receives nothing of its response for this long is aborted, ms",
     ),
+    readinessLagMs: z.number().int().min(0).max(600_000).default(1000).describe(
+        "Time after the end of readiness in which calls are refused rather than connections closed, ms",
+    ),
     maxForwardsPerPeer: z.number().int().min(0).max(100_000).default(256).describe(
         "Calls forwarded at once to one router of another availability zone",
     ),
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -58,7 +58,10 @@
     registerOn(router: ConnectRouter): void;
     /** Runs the router's periodic work until `signal` aborts. */
     run(signal: AbortSignal): Promise<void>;
-    /** Refuses new calls at once; resolves once those in progress have completed and the server is closed. */
+    /**
+     * Refuses new calls at once. Resolves once those in progress have completed, load balancers have had the time to
+     * notice that the router is not ready, and the server is closed.
+     */
     drain(): Promise<void>;
 }
 
@@ -179,7 +182,7 @@
         },
         drain: async () => {
             events.record({ kind: "process-draining" });
-            await calls.drain();
+            await Promise.all([calls.drain(), clock.sleep(settings.readinessLagMs)]);
             await keyed.waitForWrites();
             await server.close();
         },
--- a/packages/router/src/server/RouterServer.ts
+++ b/packages/router/src/server/RouterServer.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationView } from "@fescuehaven/coordination";
-import type { Clock, Random } from "@fescuehaven/runtime";
+import { type Clock, type Random, waitUntilSocketsRead } from "@fescuehaven/runtime";
 import type { EventRecorder, Logger, Metrics } from "@fescuehaven/telemetry";
 import fastify, {
     type FastifyInstance,
@@ -55,6 +55,8 @@
         this.http = fastify({
             bodyLimit: options.bodyLimitBytes,
             forceCloseConnections: "idle",
+            // Requests that arrive while the server closes are refused by the handler, which says whether they ran.
+            return503OnClosing: false,
             serverFactory: options.serverFactory,
         });
         this.addParsers();
@@ -72,8 +74,9 @@
         return this.http.listen({ host, port });
     }
 
-    /** Stops listening and closes idle connections. */
+    /** Stops listening and closes idle connections, once requests that have arrived are read. */
     async close(): Promise<void> {
+        await waitUntilSocketsRead();
         await this.http.close();
     }
 
--- a/packages/router/tests/callers.test.ts
+++ b/packages/router/tests/callers.test.ts
@@ -5,6 +5,8 @@
 import { ScriptedEngine } from "./support/ScriptedEngine.js";
 import { waitFor } from "./support/waitFor.js";
 
+const READINESS_LAG_MS = 1500;
+
 describe("callers", () => {
     let engine: ScriptedEngine;
     let fixture: RouterFixture;
@@ -13,7 +15,7 @@
 
     beforeEach(async () => {
         engine = await ScriptedEngine.start();
-        fixture = RouterFixture.create({ settings: { callerStallMs: 20_000 } });
+        fixture = RouterFixture.create({ settings: { callerStallMs: 20_000, readinessLagMs: READINESS_LAG_MS } });
         fixture.addGroup("g1", { url: engine.url });
         url = await fixture.router.server.listen("127.0.0.1", 0);
     });
@@ -62,6 +64,7 @@
         const response = await before;
         expect(response.status).to.equal(200);
         expect(await response.text()).to.contain("assistant");
+        await fixture.clock.advance(READINESS_LAG_MS);
         await drained;
         expect(engine.calls).to.have.length(1);
     });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,3 +6,4 @@
 export type { SchemaError } from "./SchemaError.js";
 export type { SettingsOutcome } from "./SettingsOutcome.js";
 export { describeSchemaErrors } from "./util/describeSchemaErrors.js";
+export { waitUntilSocketsRead } from "./util/waitUntilSocketsRead.js";
