Divide the detector of crashing prompts into its tables and its judgement

The class held the table of suspects, the responses that have begun, the attempts of each pool, the judgement and the reports to other gateways in 470 lines. One suspect with its crashes and evidence, the bounded table of suspects, the responses that have begun and the attempts by pool are classes of their own now; the detector keeps the judgement and the exchange of evidence.

--- a/packages/gateway/src/placement/CrashingPromptDetector.ts
+++ b/packages/gateway/src/placement/CrashingPromptDetector.ts
@@ -1,11 +1,15 @@
 import { hash32 } from "@fescuehaven/coordination";
 import type { Clock } from "@fescuehaven/runtime";
 import type { DecisionLog } from "../ports/DecisionLog.js";
-import { AttemptHistory } from "./AttemptHistory.js";
+import { AttemptHistories } from "./AttemptHistories.js";
+import type { AttemptHistory } from "./AttemptHistory.js";
+import { BegunResponses } from "./BegunResponses.js";
 import type { CrashEvidence } from "./CrashEvidence.js";
 import type { CrashSuspect } from "./CrashSuspect.js";
 import type { GatewayPosition } from "./GatewayPosition.js";
 import type { PromptAdmission } from "./PromptAdmission.js";
+import type { PromptSuspect } from "./PromptSuspect.js";
+import { PromptSuspectTable } from "./PromptSuspectTable.js";
 
 interface CrashingPromptDetectorOptions {
     clock: Clock;
@@ -14,42 +18,8 @@
     position: () => GatewayPosition | undefined;
 }
 
-interface Suspect {
-    part: string;
-    pool: string;
-    /** Crashes by start of the upstream. */
-    crashes: Map<number, Crash>;
-    /** Number of crashes, of which only some count if they may have a common cause. */
-    evidence: number;
-    firstCrashMs: number;
-    lastCrashMs: number;
-    block?: Block;
-    /** Reported until then even without crashes, so that other gateways learn that it is not a suspect. */
-    reportUntilMs: number;
-}
-
-/** A response that has begun. */
-interface Beginning {
-    id: number;
-    /** On the monotonic clock. */
-    atMs: number;
-}
-
-interface Crash {
-    atMs: number;
-    /** True if this gateway had sent a request there. */
-    isOwn: boolean;
-}
+type Block = NonNullable<PromptSuspect["block"]>;
 
-interface Block {
-    sinceMs: number;
-    trials: number;
-}
-
-/** Crashes within this time may have one common cause, such as the loss of an availability zone. */
-const COMMON_CAUSE_WINDOW_MS = 500;
-/** Number of crashes within the common-cause window that count as evidence. */
-const MAX_EVIDENCE_PER_WINDOW = 2;
 /** Evidence below which a part is never blocked, and below which its requests are retried as usual. */
 const MIN_EVIDENCE_TO_BLOCK = 3;
 const MIN_EVIDENCE_TO_DENY_RETRY = 2;
@@ -74,8 +44,8 @@
 const PRIOR_CRASHES = 1;
 /** Evidence is kept for this long after the last crash. */
 const EVIDENCE_TTL_MS = 600_000;
-/** Evidence of a single crash, or that a suspect is none, is sent to other gateways for this long. */
-const SHORT_REPORT_MS = 15_000;
+/** A part is relayed as sound if a response with it has begun within this time. */
+const RELAYED_BEGINNING_MS = 15_000;
 /** Interval between checks whether suspects have become certain. */
 const CHECK_INTERVAL_MS = 50;
 /** Pause until the first trial of a blocked part; each trial multiplies it by the factor, up to the longest. */
@@ -88,13 +58,9 @@
 const ISOLATED_TRIAL_TURN_MS = 600_000;
 /** A gateway to which no evidence was reported for this time is isolated; several heartbeats of its peers. */
 const ISOLATED_AFTER_MS = 2000;
-/** Limits of the tables. */
-const MAX_SUSPECTS = 256;
+/** Limits of a report to another gateway. */
 const MAX_REPORTED_SUSPECTS = 32;
 const MAX_REPORTED_CLEARED_PARTS = 64;
-const MAX_CRASHES_PER_SUSPECT = 8;
-const MAX_BEGUN_PARTS = 4096;
-const MAX_POOLS = 64;
 
 /**
  * Finds parts of prompts that crash every upstream that begins to respond to them, and blocks requests with such a part.
@@ -103,18 +69,18 @@
  * handles only some of the requests.
  */
 export class CrashingPromptDetector {
-    private readonly suspects = new Map<string, Suspect>();
-    /** The latest response to a prompt with each part that has begun; the least recent first. */
-    private readonly beginnings = new Map<string, Beginning>();
-    /** This gateway's attempts by pool. */
-    private readonly histories = new Map<string, AttemptHistory>();
+    private readonly suspects = PromptSuspectTable.create();
+    private readonly begunResponses = BegunResponses.create();
+    private readonly histories: AttemptHistories;
     private checkedAtMs = -Infinity;
     /** When another gateway last reported evidence. */
     private mergedAtMs = -Infinity;
     /** True if there is evidence that has not been checked yet. */
     private isOutdated = false;
 
-    private constructor(private readonly options: CrashingPromptDetectorOptions) {}
+    private constructor(private readonly options: CrashingPromptDetectorOptions) {
+        this.histories = AttemptHistories.create(options.clock, ATTEMPT_HISTORY_MS);
+    }
 
     /** Creates a detector without evidence. */
     static create(options: CrashingPromptDetectorOptions): CrashingPromptDetector {
@@ -148,18 +114,20 @@
 
     /** Returns true if a request may be sent to another upstream after one has crashed under it. */
     mayRetry(parts: readonly string[]): boolean {
-        const blocked = [...this.suspects.values()].filter(isBlockedSuspect);
+        const blocked = this.suspects.blocked();
         return !parts.some(part => {
             const suspect = this.suspects.get(part);
             return suspect && suspect.evidence >= MIN_EVIDENCE_TO_DENY_RETRY
                 && this.soundProbability(suspect) < DENY_RETRY_PROBABILITY
-                && !blocked.some(other => other !== suspect && explains(other, suspect) && !parts.includes(other.part));
+                && !blocked.some(other =>
+                    other !== suspect && suspect.isExplainedBy(other) && !parts.includes(other.part)
+                );
         });
     }
 
     /** Records that an upstream has sent the first event of a response to a prompt with these parts. */
     recordBegun(parts: readonly string[], pool = ""): void {
-        this.historyOf(pool).record("begun");
+        this.histories.of(pool).record("begun");
         const atMs = this.options.clock.monotonicMs();
         const id = hash32(`${this.options.position()?.index}/${atMs}`);
         parts.forEach(part => this.setBegun(part, { id, atMs }));
@@ -167,8 +135,8 @@
 
     /** Records that an upstream ended before the first event; `upstream` identifies the start of its process. */
     recordCrash(parts: readonly string[], upstream: string, pool = ""): void {
-        this.historyOf(pool).record("crashed");
-        const crash: Crash = { atMs: this.options.clock.monotonicMs(), isOwn: true };
+        this.histories.of(pool).record("crashed");
+        const crash = { atMs: this.options.clock.monotonicMs(), isOwn: true };
         parts.forEach(part => this.addCrash(part, pool, hash32(upstream), crash));
         this.blockSuspects();
     }
@@ -177,10 +145,10 @@
     state(): CrashEvidence {
         this.blockSuspects();
         const nowMs = this.options.clock.monotonicMs();
-        const reported = [...this.suspects.values()]
-            .filter(suspect => isReported(suspect, nowMs))
-            .sort((left, right) => compareRanks(rankOf(right), rankOf(left)) || (left.part < right.part ? -1 : 1));
-        const isSuspect = (suspect: Suspect) => suspect.block !== undefined || suspect.evidence > 0;
+        const reported = this.suspects.all()
+            .filter(suspect => suspect.isReported(nowMs))
+            .sort((left, right) => right.compareTo(left) || (left.part < right.part ? -1 : 1));
+        const isSuspect = (suspect: PromptSuspect) => suspect.block !== undefined || suspect.evidence > 0;
         const suspects = reported.filter(isSuspect).slice(0, MAX_REPORTED_SUSPECTS);
         const cleared = reported.filter(suspect => !isSuspect(suspect)).slice(-MAX_REPORTED_CLEARED_PARTS);
         return { suspects: [...suspects, ...cleared].map(suspect => this.toReport(suspect, nowMs)) };
@@ -197,9 +165,9 @@
         this.mergedAtMs = nowMs;
         for (const { part, pool, crashes, begun, block } of suspects) {
             if (begun) {
-                if (begun.ageMs < SHORT_REPORT_MS && !this.suspects.has(part)) {
+                if (begun.ageMs < RELAYED_BEGINNING_MS) {
                     // Relayed, as the gateways that follow this one may know of crashes.
-                    this.addSuspect(part, pool);
+                    this.suspects.getOrAdd(part, pool);
                 }
                 this.setBegun(part, { id: begun.id, atMs: nowMs - begun.ageMs });
             }
@@ -223,88 +191,54 @@
      * same crashes, either may be the cause, so a request is refused only if it has both. A part all of whose crashes
      * are explained by another one is not a cause.
      */
-    private findBlocking(parts: readonly string[]): Suspect & { block: Block; } | undefined {
-        if (this.suspects.size === 0) {
+    private findBlocking(parts: readonly string[]): PromptSuspect & { block: Block; } | undefined {
+        if (this.suspects.isEmpty) {
             return undefined;
         }
         this.blockSuspects();
-        const blocked = [...this.suspects.values()].filter(isBlockedSuspect);
+        const blocked = this.suspects.blocked();
         return blocked.find(suspect =>
             parts.includes(suspect.part)
             && blocked.every(other =>
-                other === suspect || !explains(other, suspect)
-                || (explains(suspect, other) && parts.includes(other.part))
+                other === suspect || !suspect.isExplainedBy(other)
+                || (other.isExplainedBy(suspect) && parts.includes(other.part))
             )
         );
     }
 
     private begunAtMs(part: string): number {
-        return this.beginnings.get(part)?.atMs ?? -Infinity;
+        return this.begunResponses.get(part)?.atMs ?? -Infinity;
     }
 
-    private setBegun(part: string, reported: Beginning): void {
-        const known = this.beginnings.get(part);
-        // The earliest report of one response is the most accurate, as later ones were relayed.
-        const isNews = !known || (reported.id === known.id ? reported.atMs < known.atMs : reported.atMs > known.atMs);
-        if (!isNews) {
-            return;
-        }
-        this.beginnings.delete(part);
-        this.beginnings.set(part, reported);
-        if (this.beginnings.size > MAX_BEGUN_PARTS) {
-            this.beginnings.delete(this.beginnings.keys().next().value ?? "");
-        }
-        const suspect = this.suspects.get(part);
+    private setBegun(part: string, reported: { id: number; atMs: number; }): void {
+        const suspect = this.begunResponses.record(part, reported) ? this.suspects.get(part) : undefined;
         if (!suspect) {
             return;
         }
         const hadCrashes = suspect.crashes.size > 0;
-        if (suspect.firstCrashMs <= reported.atMs) {
-            suspect.crashes.forEach((crash, upstream) =>
-                crash.atMs <= reported.atMs && suspect.crashes.delete(upstream)
-            );
-            updateEvidence(suspect);
-        }
-        if (suspect.crashes.size > 0) {
+        if (!suspect.clearUntil(reported.atMs)) {
             return;
         }
-        suspect.reportUntilMs = Math.max(suspect.reportUntilMs, reported.atMs + SHORT_REPORT_MS);
+        suspect.reportFrom(reported.atMs);
         if (suspect.block && (hadCrashes || reported.atMs > suspect.block.sinceMs)) {
             this.options.log.info("prompt part is no longer blocked", { part, trials: suspect.block.trials });
             suspect.block = undefined;
         }
     }
 
-    private addCrash(part: string, pool: string, upstream: number, crash: Crash): void {
-        const nowMs = this.options.clock.monotonicMs();
+    private addCrash(part: string, pool: string, upstream: number, crash: { atMs: number; isOwn: boolean; }): void {
+        const suspect = this.suspects.getOrAdd(part, pool);
         if (crash.atMs <= this.begunAtMs(part)) {
             // A gateway that reports it has not learned yet that a response has begun since.
-            const suspect = this.suspects.get(part) ?? this.addSuspect(part, pool);
-            suspect.reportUntilMs = nowMs + SHORT_REPORT_MS;
-            return;
-        }
-        const suspect = this.suspects.get(part) ?? this.addSuspect(part, pool);
-        const known = suspect.crashes.get(upstream);
-        if (known && known.atMs <= crash.atMs && (known.isOwn || !crash.isOwn)) {
-            return;
+            suspect.reportFrom(this.options.clock.monotonicMs());
         }
-        // The earliest report is the most accurate one, as later ones were relayed.
-        suspect.crashes.set(upstream, {
-            atMs: Math.min(crash.atMs, known?.atMs ?? Infinity),
-            isOwn: crash.isOwn || known?.isOwn === true,
-        });
-        suspect.pool = crash.isOwn ? pool : suspect.pool;
-        suspect.reportUntilMs = Math.max(suspect.reportUntilMs, crash.atMs + SHORT_REPORT_MS);
-        if (suspect.crashes.size > MAX_CRASHES_PER_SUSPECT) {
-            const [oldest] = [...suspect.crashes].reduce((first, next) => next[1].atMs < first[1].atMs ? next : first);
-            suspect.crashes.delete(oldest);
+        else if (suspect.addCrash(pool, upstream, crash)) {
+            this.isOutdated = true;
         }
-        updateEvidence(suspect);
-        this.isOutdated = true;
     }
 
     private adoptBlock(part: string, pool: string, block: Block): void {
-        const suspect = this.suspects.get(part) ?? this.addSuspect(part, pool);
+        const suspect = this.suspects.getOrAdd(part, pool);
         if (!suspect.block) {
             this.options.log.warn("prompt part blocked", { part, crashes: suspect.crashes.size, isReported: true });
         }
@@ -313,26 +247,6 @@
         }
     }
 
-    private addSuspect(part: string, pool: string): Suspect {
-        if (this.suspects.size >= MAX_SUSPECTS) {
-            const least = [...this.suspects.values()].reduce((first, next) =>
-                compareRanks(rankOf(next), rankOf(first)) < 0 ? next : first
-            );
-            this.suspects.delete(least.part);
-        }
-        const suspect: Suspect = {
-            part,
-            pool,
-            crashes: new Map(),
-            evidence: 0,
-            firstCrashMs: Infinity,
-            lastCrashMs: -Infinity,
-            reportUntilMs: -Infinity,
-        };
-        this.suspects.set(part, suspect);
-        return suspect;
-    }
-
     /** Blocks suspects with enough evidence, and forgets old evidence. */
     private blockSuspects(): void {
         const nowMs = this.options.clock.monotonicMs();
@@ -341,11 +255,11 @@
         }
         this.checkedAtMs = nowMs;
         this.isOutdated = false;
-        for (const suspect of this.suspects.values()) {
+        for (const suspect of this.suspects.all()) {
             if (suspect.block) {
                 continue;
             }
-            if (nowMs > suspect.reportUntilMs && nowMs - suspect.lastCrashMs > EVIDENCE_TTL_MS) {
+            if (suspect.isExpired(nowMs, EVIDENCE_TTL_MS)) {
                 this.suspects.delete(suspect.part);
                 continue;
             }
@@ -365,37 +279,26 @@
     }
 
     /** Returns true if chance or the state of the upstreams hardly explain the crashes under a suspect. */
-    private isCause(suspect: Suspect): boolean {
+    private isCause(suspect: PromptSuspect): boolean {
         const probability = this.soundProbability(suspect);
-        return this.beginnings.has(suspect.part)
+        return this.begunResponses.get(suspect.part)
             ? probability < KNOWN_PART_BLOCK_PROBABILITY
                 && this.othersSinceFirstCrash(suspect).begun >= MIN_BEGUN_ATTEMPTS
             : probability < BLOCK_PROBABILITY;
     }
 
     /** Returns the probability with which a part that is not the cause would collect as much evidence. */
-    private soundProbability(suspect: Suspect): number {
+    private soundProbability(suspect: PromptSuspect): number {
         const { begun, crashed } = this.othersSinceFirstCrash(suspect);
         const crashShare = (crashed + PRIOR_CRASHES) / (begun + crashed + PRIOR_ATTEMPTS);
         return crashShare ** suspect.evidence;
     }
 
     /** Returns this gateway's attempts without the suspect, from shortly before the suspect's first crash. */
-    private othersSinceFirstCrash(suspect: Suspect): ReturnType<AttemptHistory["countsSince"]> {
+    private othersSinceFirstCrash(suspect: PromptSuspect): ReturnType<AttemptHistory["countsSince"]> {
         const sinceMs = suspect.firstCrashMs - CRASH_SHARE_LEAD_MS;
-        const { begun, crashed } = this.historyOf(suspect.pool).countsSince(sinceMs);
-        const own = [...suspect.crashes.values()].filter(({ isOwn }) => isOwn).length;
-        return { begun, crashed: Math.max(0, crashed - own) };
-    }
-
-    private historyOf(pool: string): AttemptHistory {
-        const history = this.histories.get(pool) ?? AttemptHistory.create(this.options.clock, ATTEMPT_HISTORY_MS);
-        this.histories.delete(pool);
-        this.histories.set(pool, history);
-        if (this.histories.size > MAX_POOLS) {
-            this.histories.delete(this.histories.keys().next().value ?? "");
-        }
-        return history;
+        const { begun, crashed } = this.histories.of(suspect.pool).countsSince(sinceMs);
+        return { begun, crashed: Math.max(0, crashed - suspect.ownCrashCount) };
     }
 
     /** Returns how long after the due time this gateway has its turn for a trial; Infinity while others are unknown. */
@@ -410,8 +313,8 @@
         return turn * (isIsolated ? ISOLATED_TRIAL_TURN_MS : TRIAL_TURN_MS);
     }
 
-    private toReport({ part, pool, crashes, block }: Suspect, nowMs: number): CrashSuspect {
-        const begun = this.beginnings.get(part);
+    private toReport({ part, pool, crashes, block }: PromptSuspect, nowMs: number): CrashSuspect {
+        const begun = this.begunResponses.get(part);
         return {
             part,
             pool,
@@ -425,47 +328,6 @@
     }
 }
 
-function isBlockedSuspect(suspect: Suspect): suspect is Suspect & { block: Block; } {
-    return suspect.block !== undefined;
-}
-
-function isReported(suspect: Suspect, nowMs: number): boolean {
-    return suspect.block !== undefined || suspect.evidence > 1 || nowMs < suspect.reportUntilMs;
-}
-
-/** Returns true if all known crashes of `suspect` were crashes of `other` too. */
-function explains(other: Suspect, suspect: Suspect): boolean {
-    return suspect.crashes.size > 0 && [...suspect.crashes.keys()].every(upstream => other.crashes.has(upstream));
-}
-
-/** Recomputes what follows from the crashes of a suspect. */
-function updateEvidence(suspect: Suspect): void {
-    const timesMs = [...suspect.crashes.values()].map(({ atMs }) => atMs).sort((left, right) => left - right);
-    suspect.firstCrashMs = timesMs[0] ?? Infinity;
-    suspect.lastCrashMs = timesMs.at(-1) ?? -Infinity;
-    suspect.evidence = 0;
-    let windowStartMs = -Infinity;
-    let inWindow = 0;
-    for (const atMs of timesMs) {
-        if (atMs - windowStartMs >= COMMON_CAUSE_WINDOW_MS) {
-            windowStartMs = atMs;
-            inWindow = 0;
-        }
-        inWindow += 1;
-        suspect.evidence += inWindow <= MAX_EVIDENCE_PER_WINDOW ? 1 : 0;
-    }
-}
-
 function nextTrialAtMs({ sinceMs, trials }: Block): number {
     return sinceMs + Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** trials);
 }
-
-/** Returns the importance of a suspect: blocked ones first, then by evidence, then by the last crash. */
-function rankOf(suspect: Suspect): [number, number, number] {
-    return [suspect.block ? 1 : 0, suspect.evidence, suspect.lastCrashMs];
-}
-
-function compareRanks(left: readonly number[], right: readonly number[]): number {
-    const index = left.findIndex((value, position) => value !== right[position]);
-    return index < 0 ? 0 : left[index]! - right[index]!;
-}
