Compute the evidence of crashing prompts once for all peers

An active hub sorted and converted its suspects anew for every gateway that follows it, several hundred times a second in a zone of 26 gateways.

The new test failed before (two equal reports, not the same one); it also checks that a later crash is reported after the interval.

--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { ControllerLease } from "../fleet/ControllerLease.js";
 import type { FleetController } from "../fleet/FleetController.js";
+import type { CrashEvidence } from "../placement/CrashEvidence.js";
 import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
@@ -48,7 +49,7 @@
 const ZONE_UPDATE_INTERVAL_MS = 200;
 /** The same to inactive hubs, which need only heartbeats. */
 const INACTIVE_HUB_UPDATE_INTERVAL_MS = 400;
-/** A load snapshot is reused for this long: a small fraction of the interval between updates. */
+/** A snapshot for several peers is reused for this long: a small fraction of the interval between updates. */
 const SNAPSHOT_TTL_MS = 25;
 /** A lost group is announced for this long: a broken connection is restored within a few seconds. */
 const LOST_GROUP_ANNOUNCEMENT_MS = 5000;
@@ -64,6 +65,7 @@
     /** Epochs of groups that this controller found lost, with the time on the monotonic clock. */
     private readonly lostEpochs = new Map<number, number>();
     private readonly snapshots = new Map<Audience, LoadSnapshot>();
+    private evidenceSnapshot: { atMs: number; evidence: CrashEvidence; } | undefined;
 
     private constructor(private readonly options: PeerExchangeOptions) {}
 
@@ -91,11 +93,21 @@
             loads,
             retries,
             countedGateways,
-            crashEvidence: this.options.crashingPrompts.state(),
+            crashEvidence: this.crashEvidence(),
             ...groups,
         };
     }
 
+    /** Returns the evidence of crashing prompts, computed once for all peers. */
+    private crashEvidence(): CrashEvidence {
+        const { clock, crashingPrompts } = this.options;
+        const nowMs = clock.monotonicMs();
+        if (!this.evidenceSnapshot || nowMs - this.evidenceSnapshot.atMs >= SNAPSHOT_TTL_MS) {
+            this.evidenceSnapshot = { atMs: nowMs, evidence: crashingPrompts.state() };
+        }
+        return this.evidenceSnapshot.evidence;
+    }
+
     /** Returns load and retries for a peer. The active hub leaves out what a peer of its zone has reported itself. */
     private loadSnapshotFor(observer: string): LoadSnapshot {
         const { connections, zone, loads, retryBudget } = this.options;
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -126,6 +126,21 @@
 
     afterEach(() => gateways.forEach(({ connections }) => connections.close()));
 
+    it("computes the evidence of crashing prompts once for all its peers", async () => {
+        start(["a1", "a2", "a3"]);
+        const { crashingPrompts, exchange } = gateways.get("a1")!;
+        crashingPrompts.recordCrash(["part"], "upstream/1");
+        const { crashEvidence } = exchange.stateFor("a2");
+        expect(crashEvidence.suspects.map(({ part }) => part)).to.deep.equal(["part"]);
+        expect(exchange.stateFor("a3").crashEvidence).to.equal(crashEvidence);
+        await clock.advance(100);
+        crashingPrompts.recordCrash(["other part"], "upstream/2");
+        expect(exchange.stateFor("a2").crashEvidence.suspects.map(({ part }) => part)).to.have.members([
+            "part",
+            "other part",
+        ]);
+    });
+
     const fleets: ReadonlyArray<[string, string[]]> = [
         ["a small fleet", ["a1", "a2", "b1", "c1"]],
         ["zones with hubs", ["a", "b", "c"].flatMap(zone => [1, 2, 3, 4, 5, 6].map(index => `${zone}${index}`))],
