--- a/packages/router/tests/shutdown.test.ts
+++ b/packages/router/tests/shutdown.test.ts
@@ -42,7 +42,7 @@
         socket.write(callBytes);
         await closed;
         expect(received).to.match(/^HTTP\/1\.1 503 /).and.to.match(/^connection: close\r$/im);
-        expect(received).to.contain("\"type\":\"draining\"").and.to.contain("\"ran\":\"no\"");
+        expect(received).to.contain('"type":"draining"').and.to.contain('"ran":"no"');
         await fixture.clock.advance(1);
         await drained;
     });
@@ -60,7 +60,7 @@
         await fixture.clock.advance(READINESS_LAG_MS);
         socket.write(callBytes.slice(-1));
         await closed;
-        expect(received).to.contain("\"type\":\"draining\"").and.to.contain("\"ran\":\"no\"");
+        expect(received).to.contain('"type":"draining"').and.to.contain('"ran":"no"');
         await drained;
     });
 });
