Avoid upstreams that accept no connections

Callers of sound requests were refused although other groups could serve them. An upstream that has crashed remains registered for 2.6 to 3.5 s; requests were still sent to it, each of these attempts used up one of a request's three rejections and was charged to the retry budget.

SaturatedHeads becomes AvoidedUpstreams, which both dispatchers use. An upstream whose connection was refused is avoided by this gateway for 2 s and then tried by one request at a time, until it responds or its registration shows another start of the process. While no upstream can be reached, each is tried every 0.5 s, as the gateway's own link may be down; nothing is shared with other gateways, which may reach the upstream. A request tries an unreachable upstream once; a stream that has begun tries it again, because its response would be cut off. Such attempts count neither as rejections nor as a reason to abandon a silent upstream for. A request for which nothing else is open or being formed is refused at once, with the retry-after delay of the queue (2 to 3 s, about the time until a group is formed again). Entries are removed 10 s after the last attempt.

Retry budget: the users' rule counts arrivals beyond the first of each request. A request that could not connect has not arrived, so what was charged for it pays for the next attempt; the next attempt is charged nothing more. Rejections by an upstream are charged as before.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -24,13 +24,13 @@
 import { PeerStatePublisher } from "./peers/PeerStatePublisher.js";
 import { ViewServiceHandler } from "./peers/ViewServiceHandler.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
+import { AvoidedUpstreams } from "./placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "./placement/ColdStartLimiter.js";
 import { CrashingPromptDetector } from "./placement/CrashingPromptDetector.js";
 import { FailureRateTracker } from "./placement/FailureRateTracker.js";
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
 import { RetryBudget } from "./placement/RetryBudget.js";
-import { SaturatedHeads } from "./placement/SaturatedHeads.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
 import { Registration } from "./Registration.js";
 import { StoreEras } from "./StoreEras.js";
@@ -148,6 +148,7 @@
             loads: this.loads,
             coldStartLimiter,
             failureRates,
+            avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
             crashingPrompts,
         };
@@ -169,7 +170,6 @@
             streams: StreamDispatcher.create({
                 ...dispatcherOptions,
                 groups: this.groups,
-                saturatedHeads: SaturatedHeads.create(clock),
                 random,
                 gatewayCount,
             }),
--- a/packages/gateway/src/forwarding/AttemptResult.ts
+++ b/packages/gateway/src/forwarding/AttemptResult.ts
@@ -7,7 +7,12 @@
     /** The upstream ran the request and sent a complete error response. */
     | { kind: "failure-answer"; head: ResponseHead; body: Buffer; }
     /** The upstream did not run the request. */
-    | { kind: "not-run"; reason: string; }
+    | {
+        kind: "not-run";
+        reason: string;
+        /** False if the upstream accepted no connection. */
+        hasArrived: boolean;
+    }
     /** The attempt ended early or without a response; the request may have run. */
     | {
         kind: "broken";
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -2,6 +2,7 @@
 import type { Upstream } from "../model/Upstream.js";
 import type { AdmissionOutcome } from "../placement/AdmissionOutcome.js";
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
+import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import type { ColdStartLimiter } from "../placement/ColdStartLimiter.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
@@ -25,6 +26,7 @@
     loads: LoadTracker;
     coldStartLimiter: ColdStartLimiter;
     failureRates: FailureRateTracker;
+    avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
@@ -40,11 +42,14 @@
 }
 
 interface PlainProgress {
+    /** Upstreams that the request has reached. */
     triedUpstreams: Set<string>;
+    /** Upstreams that accepted no connection. */
+    unreachableUpstreams: Set<string>;
     /** Attempts after which the request may have run. */
     countedAttempts: number;
     mayHaveRun: boolean;
-    /** Attempts that the upstream did not run. */
+    /** Attempts that the upstream rejected. */
     rejections: number;
     /** The retry budget has been charged for the attempt that follows the current one. */
     hasReservedRetry: boolean;
@@ -80,6 +85,7 @@
     async run(call: ForwardedCall): Promise<void> {
         const progress: PlainProgress = {
             triedUpstreams: new Set(),
+            unreachableUpstreams: new Set(),
             countedAttempts: 0,
             mayHaveRun: false,
             rejections: 0,
@@ -93,8 +99,9 @@
             }
             const { upstream } = admitted.slot;
             this.options.metrics.observe("queueWait", admitted.waitedMs);
-            progress.triedUpstreams.add(upstream.id);
             const result = await this.attempt(call, admitted.slot, progress);
+            const isUnreachable = result.kind === "not-run" && !result.hasArrived;
+            (isUnreachable ? progress.unreachableUpstreams : progress.triedUpstreams).add(upstream.id);
             this.options.log.info("attempt ended", {
                 request: call.request.id,
                 upstream: upstream.id,
@@ -126,10 +133,13 @@
     }
 
     private candidates(call: ForwardedCall, progress: PlainProgress): Upstream[] {
-        return [...this.options.upstreams.all()].filter(upstream =>
-            upstream.service === call.service.name && upstream.state === "ready"
-            && !progress.triedUpstreams.has(upstream.id)
-            && !this.options.isEvacuated(upstream.zone)
+        const { upstreams, avoidedUpstreams, isEvacuated } = this.options;
+        const ready = [...upstreams.all()].filter(upstream =>
+            upstream.service === call.service.name && upstream.state === "ready" && !isEvacuated(upstream.zone)
+        );
+        return [...avoidedUpstreams.usable(ready)].filter(upstream =>
+            !progress.triedUpstreams.has(upstream.id)
+            && !(progress.unreachableUpstreams.has(upstream.id) && avoidedUpstreams.isUnreachable(upstream))
         );
     }
 
@@ -146,16 +156,18 @@
      * Takes a retry from the budget if another upstream accepts the request now. One that is only silent may go on, so
      * the request is not taken from it for anything less.
      */
-    private tryReserveRetry(call: ForwardedCall, progress: PlainProgress): boolean {
-        const { loads, retryBudget } = this.options;
-        progress.hasReservedRetry =
-            this.acceptingCandidates(call, progress).some(({ id }) => loads.ownLoad(id).silentMs <= SUSPECT_SILENCE_MS)
-            && retryBudget.tryAcquire(call.service.name);
+    private tryReserveRetry(call: ForwardedCall, progress: PlainProgress, upstream: Upstream): boolean {
+        const { loads, avoidedUpstreams, retryBudget } = this.options;
+        const isAccepted = this.acceptingCandidates(call, progress).some(other =>
+            other.id !== upstream.id && loads.ownLoad(other.id).silentMs <= SUSPECT_SILENCE_MS
+            && !avoidedUpstreams.isUnreachable(other)
+        );
+        progress.hasReservedRetry = isAccepted && retryBudget.tryAcquire(call.service.name);
         return progress.hasReservedRetry;
     }
 
     private tryAcquireSlot(call: ForwardedCall, progress: PlainProgress): PlainSlot | undefined {
-        const { loads, coldStartLimiter } = this.options;
+        const { loads, coldStartLimiter, avoidedUpstreams } = this.options;
         let best: Upstream | undefined;
         let bestCost = Infinity;
         for (const upstream of this.acceptingCandidates(call, progress)) {
@@ -173,18 +185,19 @@
             return undefined;
         }
         coldStartLimiter.record(best);
+        avoidedUpstreams.recordAttempt(best);
         return { upstream: best, trackedRequest: loads.trackRequest(best.id, 0, () => undefined) };
     }
 
     private async attempt(call: ForwardedCall, slot: PlainSlot, progress: PlainProgress): Promise<AttemptResult> {
-        const { clock, client, failureRates, idleTimeouts } = this.options;
+        const { clock, client, failureRates, avoidedUpstreams, idleTimeouts } = this.options;
         const { upstream } = slot;
         const isRepeatable = call.route.kind === "repeatable";
         const canRepeat = isRepeatable && progress.countedAttempts + 1 < call.route.maxAttempts;
         const idleTimeout = new AbortController();
         const idleTimeoutMs = canRepeat ? call.route.targetLatencyMs * RETRY_TIMEOUT_FACTOR : Infinity;
         const idleTimer = idleTimeouts.watch(idleTimeoutMs, () => {
-            if (!this.tryReserveRetry(call, progress)) {
+            if (!this.tryReserveRetry(call, progress, upstream)) {
                 return SILENCE_RECHECK_INTERVAL_MS;
             }
             idleTimeout.abort();
@@ -209,7 +222,17 @@
             const response = await client.send(upstream, { request, remainingMs, account }, signal);
             if (response.kind === "not-run") {
                 failureRates.record(upstream.id, true);
-                return { kind: "not-run", reason: response.reason };
+                const hasArrived = response.reason !== "not-connected";
+                if (hasArrived) {
+                    avoidedUpstreams.recordReached(upstream);
+                }
+                else {
+                    avoidedUpstreams.record(upstream, "not-connected");
+                }
+                return { kind: "not-run", reason: response.reason, hasArrived };
+            }
+            if (response.kind === "answered") {
+                avoidedUpstreams.recordReached(upstream);
             }
             const body = response.kind === "answered" ? await readBody(response.body) : undefined;
             slot.trackedRequest.recordEvent();
@@ -251,7 +274,7 @@
             return true;
         }
         if (result.kind === "not-run") {
-            progress.rejections += 1;
+            progress.rejections += result.hasArrived ? 1 : 0;
         }
         else {
             progress.mayHaveRun = true;
@@ -264,7 +287,9 @@
         const mayRepeat = result.kind === "not-run"
             ? progress.rejections < MAX_REJECTIONS
             : call.route.kind === "repeatable" && progress.countedAttempts < call.route.maxAttempts;
-        if (mayRepeat && (progress.hasReservedRetry || retryBudget.tryAcquire(call.service.name))) {
+        // The budget limits arrivals: what it was charged for an attempt that did not arrive pays for the next one.
+        const isPaid = progress.hasReservedRetry || (result.kind === "not-run" && !result.hasArrived);
+        if (mayRepeat && (isPaid || retryBudget.tryAcquire(call.service.name))) {
             progress.hasReservedRetry = false;
             metrics.count("retries", result.kind);
             return false;
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -1,7 +1,9 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EngineProfile } from "../model/EngineProfile.js";
+import type { Upstream } from "../model/Upstream.js";
 import type { AdmissionOutcome } from "../placement/AdmissionOutcome.js";
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
+import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
 import type { ColdStartLimiter } from "../placement/ColdStartLimiter.js";
 import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
@@ -10,7 +12,6 @@
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
-import type { SaturatedHeads } from "../placement/SaturatedHeads.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
@@ -30,7 +31,7 @@
     loads: LoadTracker;
     coldStartLimiter: ColdStartLimiter;
     failureRates: FailureRateTracker;
-    saturatedHeads: SaturatedHeads;
+    avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
     crashingPrompts: CrashingPromptDetector;
     idleTimeouts: IdleTimeoutMonitor;
@@ -64,8 +65,10 @@
     /** Head to which the request may be sent once more, because the connection to it was stale. */
     resendTo?: string;
     mayHaveRun: boolean;
-    /** Attempts that the head did not run. */
+    /** Attempts that the head rejected. */
     rejections: number;
+    /** Heads that accepted no connection. */
+    unreachableHeads: Set<string>;
     /** The retry budget has been charged for the attempt that follows the current one. */
     hasReservedRetry: boolean;
 }
@@ -125,6 +128,7 @@
             countedAttempts: 0,
             mayHaveRun: false,
             rejections: 0,
+            unreachableHeads: new Set(),
             hasReservedRetry: false,
         };
         for (;;) {
@@ -146,7 +150,7 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): Promise<AdmissionOutcome<GroupSlot>> {
-        const { clock, queue, groups, coldStartLimiter } = this.options;
+        const { clock, queue, groups, coldStartLimiter, avoidedUpstreams } = this.options;
         const nowMs = clock.monotonicMs();
         const { request, route, service } = call;
         return queue.acquire<GroupSlot>({
@@ -166,9 +170,14 @@
                 if (!hasAttemptsLeft(call, progress) && this.candidates(call, engine, progress).length === 0) {
                     return Infinity;
                 }
-                const coldWaitsMs = groups.openHeads(service.name, engine, request.model).map(head =>
-                    coldStartLimiter.waitMs(head, service.coldRequestsPerSecond)
-                );
+                const heads = groups.openHeads(service.name, engine, request.model);
+                const usableHeads = avoidedUpstreams.usable(heads);
+                const coldWaitsMs = heads
+                    .filter(head =>
+                        !avoidedUpstreams.isUnreachable(head)
+                        || (usableHeads.has(head) && this.mayTry(head, progress))
+                    )
+                    .map(head => coldStartLimiter.waitMs(head, service.coldRequestsPerSecond));
                 const mayOpen = progress.hasEvents || groups.isForming(service.name, request.model);
                 return Math.min(...coldWaitsMs, mayOpen ? EXPECTED_FORMATION_MS : Infinity);
             },
@@ -176,16 +185,38 @@
     }
 
     private candidates(call: ForwardedCall, engine: EngineProfile, progress: StreamProgress): GroupCandidate[] {
-        const { groups, coldStartLimiter, saturatedHeads } = this.options;
+        const { groups, coldStartLimiter, avoidedUpstreams } = this.options;
         const { request, service } = call;
-        const candidates = groups.candidates(service.name, engine, request.model).filter(({ head }) =>
-            !saturatedHeads.isSaturated(head.id)
+        const open = groups.candidates(service.name, engine, request.model);
+        const usableHeads = avoidedUpstreams.usable(open.map(({ head }) => head));
+        const candidates = open.filter(({ head }) =>
+            usableHeads.has(head) && this.mayTry(head, progress)
             && coldStartLimiter.canSend(head, service.coldRequestsPerSecond)
         );
         const resendCandidates = candidates.filter(({ head }) => head.id === progress.resendTo);
         return resendCandidates.length > 0 || !hasAttemptsLeft(call, progress) ? resendCandidates : candidates;
     }
 
+    /**
+     * Returns false if the request has found the head unreachable and no other one has reached it since. The response of
+     * a stream that has begun would be cut off, so its request tries the head again.
+     */
+    private mayTry(head: Upstream, { unreachableHeads, hasEvents }: StreamProgress): boolean {
+        return hasEvents || !unreachableHeads.has(head.id) || !this.options.avoidedUpstreams.isUnreachable(head);
+    }
+
+    /** Returns the groups other than that of `epoch` that accept the request and whose heads can be reached. */
+    private reachableOthers(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+        epoch: number,
+    ): GroupCandidate[] {
+        return this.candidates(call, engine, progress).filter(candidate =>
+            candidate.epoch !== epoch && !this.options.avoidedUpstreams.isUnreachable(candidate.head)
+        );
+    }
+
     /** Returns true if the prompt has a part that was blocked meanwhile. */
     private isBlocked(call: ForwardedCall): boolean {
         return !call.isTrial && this.options.crashingPrompts.isBlocked(call.request.sharedPromptParts);
@@ -203,12 +234,12 @@
         call: ForwardedCall,
         engine: EngineProfile,
         progress: StreamProgress,
-        busyHead: string,
+        busyEpoch: number,
     ): boolean {
         if (progress.countedAttempts + 1 >= call.route.maxAttempts) {
             return false;
         }
-        const others = this.candidates(call, engine, progress).filter(({ head }) => head.id !== busyHead);
+        const others = this.reachableOthers(call, engine, progress, busyEpoch);
         const choice = chooseGroup(engine, others, this.requestProfile(call));
         return choice !== undefined && choice.firstEventMs < BUSY_EXTENSION_MS / 2;
     }
@@ -218,7 +249,7 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): GroupSlot | undefined {
-        const { loads, coldStartLimiter, random, gatewayCount } = this.options;
+        const { loads, coldStartLimiter, avoidedUpstreams, random, gatewayCount } = this.options;
         const { request } = call;
         if (this.isBlocked(call)) {
             return undefined;
@@ -235,6 +266,7 @@
         }
         const { head, epoch } = choice.candidate;
         coldStartLimiter.record(head);
+        avoidedUpstreams.recordAttempt(head);
         const groupLost = new AbortController();
         const trackedRequest = loads.trackRequest(
             String(epoch),
@@ -250,7 +282,7 @@
         slot: GroupSlot,
         progress: StreamProgress,
     ): Promise<AttemptResult> {
-        const { clock, client, idleTimeouts, failureRates, saturatedHeads, loads } = this.options;
+        const { clock, client, idleTimeouts, failureRates, avoidedUpstreams, loads } = this.options;
         const { head, epoch } = slot.candidate;
         this.logAdmitted(call, slot, progress);
         const abandonment = new AbortController();
@@ -269,7 +301,7 @@
         const idleTimer = idleTimeouts.watch(slot.firstEventMs + FIRST_EVENT_MARGIN_MS, () => {
             const isGroupAlive = loads.totalLoad(String(epoch)).silentMs < MAX_ALIVE_SILENCE_MS;
             if (
-                canExtend && !slot.hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, head.id)
+                canExtend && !slot.hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, epoch)
             ) {
                 canExtend = false;
                 return BUSY_EXTENSION_MS;
@@ -297,15 +329,20 @@
             }, signal);
             if (response.kind === "not-run") {
                 failureRates.record(head.id, true);
-                if (response.reason === "overloaded") {
-                    saturatedHeads.record(head.id);
+                const { reason } = response;
+                if (reason === "not-connected" || reason === "overloaded") {
+                    avoidedUpstreams.record(head, reason);
+                }
+                else {
+                    avoidedUpstreams.recordReached(head);
                 }
-                return { kind: "not-run", reason: response.reason };
+                return { kind: "not-run", reason, hasArrived: reason !== "not-connected" };
             }
             if (response.kind === "unknown") {
                 const { reason, isStaleConnection } = response;
                 return this.brokenResult(call, slot, progress, abandonment.signal, reason, isStaleConnection);
             }
+            avoidedUpstreams.recordReached(head);
             if (response.head.status < 200 || response.head.status > 299 || !response.isSigned) {
                 const body = await readBody(response.body);
                 failureRates.record(head.id, true);
@@ -380,8 +417,8 @@
         if (!mayRetry) {
             return false;
         }
-        const others = this.candidates(call, engine, progress).filter(({ epoch, load }) =>
-            epoch !== candidate.epoch && load.silentMs < MAX_ALIVE_SILENCE_MS
+        const others = this.reachableOthers(call, engine, progress, candidate.epoch).filter(({ load }) =>
+            load.silentMs < MAX_ALIVE_SILENCE_MS
         );
         progress.hasReservedRetry = chooseGroup(engine, others, this.requestProfile(call)) !== undefined
             && this.options.retryBudget.tryAcquire(call.service.name);
@@ -438,7 +475,10 @@
         const isResend = progress.resendTo === slot.candidate.head.id;
         progress.resendTo = undefined;
         if (result.kind === "not-run") {
-            progress.rejections += 1;
+            progress.rejections += result.hasArrived ? 1 : 0;
+            if (!result.hasArrived) {
+                progress.unreachableHeads.add(slot.candidate.head.id);
+            }
         }
         else {
             progress.mayHaveRun = true;
@@ -484,7 +524,11 @@
         if (result.kind === "broken" && !this.options.crashingPrompts.mayRetry(call.request.sharedPromptParts)) {
             return "upstreams may crash under the prompt";
         }
-        return this.options.retryBudget.tryAcquire(call.service.name) ? undefined : "retry budget exhausted";
+        // The budget limits arrivals: what it was charged for an attempt that did not arrive pays for the next one.
+        const hasArrived = result.kind !== "not-run" || result.hasArrived;
+        return !hasArrived || this.options.retryBudget.tryAcquire(call.service.name)
+            ? undefined
+            : "retry budget exhausted";
     }
 
     private giveUp(
--- a/packages/gateway/src/ports/UpstreamResponse.ts
+++ b/packages/gateway/src/ports/UpstreamResponse.ts
@@ -1,3 +1,4 @@
+import type { NotRunReason } from "./NotRunReason.js";
 import type { ResponseHead } from "./ResponseHead.js";
 
 /** Result of sending a request to an upstream. */
@@ -19,6 +20,3 @@
         /** True if a connection kept from an earlier request was lost before any response arrived. */
         isStaleConnection?: boolean;
     };
-
-/** Reason why an upstream did not run a request. */
-type NotRunReason = "overloaded" | "not-connected" | "other-instance" | "aborted";
--- a/packages/gateway/tests/placement/tableSizes.test.ts
+++ b/packages/gateway/tests/placement/tableSizes.test.ts
@@ -1,10 +1,12 @@
 import { ManualClock, SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
+import { AvoidedUpstreams } from "../../src/placement/AvoidedUpstreams.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
+import { exampleUpstream } from "../support/exampleUpstream.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
 const KEYS = 10_000;
@@ -63,6 +65,14 @@
         expect(rates.size).to.be.at.most(MAX_ENTRIES);
     });
 
+    it("forget avoided upstreams that are gone", async () => {
+        const avoided = AvoidedUpstreams.create(clock);
+        await useKeys(index =>
+            avoided.record(exampleUpstream(`u${index}`), index % 2 ? "not-connected" : "overloaded")
+        );
+        expect(avoided.size).to.be.at.most(MAX_ENTRIES);
+    });
+
     it("forget the pauses of groups that are gone", async () => {
         const loads = LoadTracker.create(clock);
         await useKeys(index => {
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -7,13 +7,13 @@
 import type { IncomingRequest } from "../../src/model/IncomingRequest.js";
 import type { Route } from "../../src/model/Route.js";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
+import { AvoidedUpstreams } from "../../src/placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
 import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
-import { SaturatedHeads } from "../../src/placement/SaturatedHeads.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
 import { noMetrics } from "./noMetrics.js";
@@ -82,6 +82,7 @@
                 position: () => ({ index: [...gateways].sort().indexOf(gateways[0]!), count: gateways.length }),
             }),
             failureRates,
+            avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
             crashingPrompts: this.crashingPrompts,
             idleTimeouts,
@@ -100,7 +101,6 @@
             streams: StreamDispatcher.create({
                 ...shared,
                 groups: this.groups,
-                saturatedHeads: SaturatedHeads.create(clock),
                 random,
                 gatewayCount,
             }),
--- a/packages/gateway/tests/support/ScriptedUpstreamClient.ts
+++ b/packages/gateway/tests/support/ScriptedUpstreamClient.ts
@@ -6,10 +6,14 @@
 /** Behaviour of an upstream for one attempt. */
 type Script = (call: UpstreamRequest, signal: AbortSignal) => Promise<UpstreamResponse> | UpstreamResponse;
 
+/** Behaviour of all upstreams for all attempts. */
+type Behaviour = (upstream: Upstream, signal: AbortSignal) => Promise<UpstreamResponse> | UpstreamResponse;
+
 /** Runs one script for each attempt, in order. */
 export class ScriptedUpstreamClient implements UpstreamClient {
     readonly sent: Array<{ upstream: string; call: UpstreamRequest; }> = [];
     private readonly scripts: Script[] = [];
+    private behaviour: Behaviour | undefined;
 
     /** Creates a client without scripts. */
     static create(): ScriptedUpstreamClient {
@@ -21,10 +25,18 @@
         this.scripts.push(...scripts);
     }
 
+    /** Sets the behaviour for attempts without a script. */
+    serve(behaviour: Behaviour): void {
+        this.behaviour = behaviour;
+    }
+
     /** Runs the next script. */
     async send(upstream: Upstream, call: UpstreamRequest, signal: AbortSignal): Promise<UpstreamResponse> {
         this.sent.push({ upstream: upstream.id, call });
         const script = this.scripts.shift();
+        if (!script && this.behaviour) {
+            return this.behaviour(upstream, signal);
+        }
         if (!script) {
             throw new Error(`no script left for an attempt at ${upstream.id}`);
         }
