Do not take an upstream for silent while its caller reads slowly

A sound stream was abandoned and resumed at another group, which used an attempt and the retry budget, because its caller took longer than 750 ms to read: while the gateway waits until the caller has taken the events, it reads nothing from the upstream, but the idle timer of the attempt ran on. A group whose only stream had such a caller also looked silent to all gateways and to the controller, and the time counted in the mean pause between its events.

The idle timer is paused while a write waits and restarted after it. A tracked request is paused too: it does not count in the silence of its target, the silence starts when it is read again, and the mean pause leaves the time out. A target of which this gateway reads nothing keeps the silence that the peers report, and is not silent without peers.

PlainDispatcher is not affected: readBody reads a response as a whole before anything is sent to the caller.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -356,7 +356,6 @@
                 if (!events) {
                     continue;
                 }
-                idleTimer.reset(EVENT_PAUSE_LIMIT_MS);
                 if (!slot.hasEvents) {
                     this.options.crashingPrompts.recordBegun(call.request.sharedPromptParts, poolOf(call));
                 }
@@ -368,7 +367,12 @@
                 slot.hasEvents = true;
                 progress.hasEvents = true;
                 progress.lastEventId = framer.lastEventId ?? progress.lastEventId;
+                // Until the caller has taken the events, nothing is read from the upstream.
+                idleTimer.reset(Infinity);
+                slot.trackedRequest.pause();
                 await call.callerResponse.write(events.bytes);
+                slot.trackedRequest.resume();
+                idleTimer.reset(EVENT_PAUSE_LIMIT_MS);
             }
             if (framer.hasPartialEvent || call.deadline.aborted || call.callerResponse.disconnected.aborted) {
                 return this.brokenResult(call, slot, progress, abandonment.signal, "the stream ended inside an event");
--- a/packages/gateway/src/placement/LoadTracker.ts
+++ b/packages/gateway/src/placement/LoadTracker.ts
@@ -15,7 +15,8 @@
 }
 
 interface RequestRecord {
-    startedAtMs: number;
+    /** Since when its response is read; Infinity while it is not, because its caller reads slowly. */
+    readSinceMs: number;
     pendingPrefillTokens: number;
     lastEventAtMs?: number;
     abort: (reason: string) => void;
@@ -51,7 +52,7 @@
         const nowMs = this.clock.monotonicMs();
         const load = this.own.get(target) ?? { requests: new Set(), lastEventAtMs: nowMs };
         this.own.set(target, load);
-        const request: RequestRecord = { startedAtMs: nowMs, pendingPrefillTokens: promptTokens, abort };
+        const request: RequestRecord = { readSinceMs: nowMs, pendingPrefillTokens: promptTokens, abort };
         load.requests.add(request);
         return {
             recordEvent: () => {
@@ -63,6 +64,14 @@
                 request.pendingPrefillTokens = 0;
                 load.lastEventAtMs = eventAtMs;
             },
+            pause: () => {
+                request.readSinceMs = Infinity;
+            },
+            resume: () => {
+                const readSinceMs = this.clock.monotonicMs();
+                request.readSinceMs = readSinceMs;
+                request.lastEventAtMs = request.lastEventAtMs === undefined ? undefined : readSinceMs;
+            },
             end: () => {
                 load.requests.delete(request);
                 if (load.requests.size === 0) {
@@ -101,19 +110,21 @@
         return requests.length;
     }
 
-    /** Returns the load that this process's requests put on a target. */
+    /**
+     * Returns the load that this process's requests put on a target. A target of whose requests none is read is not silent.
+     */
     ownLoad(target: string): TargetLoad {
         const load = this.own.get(target);
         if (!load) {
             return { inFlight: 0, pendingPrefillTokens: 0, silentMs: 0 };
         }
         let pendingPrefillTokens = 0;
-        let oldestStartAtMs = Infinity;
+        let readSinceMs = Infinity;
         for (const request of load.requests) {
             pendingPrefillTokens += request.pendingPrefillTokens;
-            oldestStartAtMs = Math.min(oldestStartAtMs, request.startedAtMs);
+            readSinceMs = Math.min(readSinceMs, request.readSinceMs);
         }
-        const silentMs = this.clock.monotonicMs() - Math.max(load.lastEventAtMs, oldestStartAtMs);
+        const silentMs = this.clock.monotonicMs() - Math.max(load.lastEventAtMs, readSinceMs);
         return { inFlight: load.requests.size, pendingPrefillTokens, silentMs: Math.max(0, silentMs) };
     }
 
@@ -162,7 +173,8 @@
      */
     totalLoad(target: string, isIncluded: (peer: string) => boolean = () => true): TargetLoad {
         const own = this.ownLoad(target);
-        const total = { ...own, silentMs: own.inFlight > 0 ? own.silentMs : Infinity };
+        const isRead = [...this.own.get(target)?.requests ?? []].some(({ readSinceMs }) => readSinceMs < Infinity);
+        const total = { ...own, silentMs: isRead ? own.silentMs : Infinity };
         const nowMs = this.clock.monotonicMs();
         for (const [peer, loads] of this.peers) {
             const peerLoad = loads.get(target);
@@ -176,6 +188,6 @@
             total.pendingPrefillTokens += peerLoad.load.pendingPrefillTokens;
             total.silentMs = Math.min(total.silentMs, peerLoad.load.silentMs + nowMs - peerLoad.receivedAtMs);
         }
-        return total.inFlight > 0 ? total : { inFlight: 0, pendingPrefillTokens: 0, silentMs: 0 };
+        return total.silentMs < Infinity ? total : { ...total, silentMs: 0 };
     }
 }
--- a/packages/gateway/src/placement/TargetLoad.ts
+++ b/packages/gateway/src/placement/TargetLoad.ts
@@ -4,6 +4,6 @@
     inFlight: number;
     /** Total prompt tokens of requests that have had no event yet. */
     pendingPrefillTokens: number;
-    /** Time since the target's last event while it had requests in flight. */
+    /** Time since the target's last event while it had requests in flight whose responses were read. */
     silentMs: number;
 }
--- a/packages/gateway/src/placement/TrackedRequest.ts
+++ b/packages/gateway/src/placement/TrackedRequest.ts
@@ -3,6 +3,12 @@
     /** Records that the target sent an event of the request. */
     recordEvent(): void;
 
+    /** Records that the response is not read for a time, because its caller reads slowly. */
+    pause(): void;
+
+    /** Records that the response is read again. */
+    resume(): void;
+
     /** Removes the request from the target's load. */
     end(): void;
 }
--- a/packages/gateway/tests/placement/limits.test.ts
+++ b/packages/gateway/tests/placement/limits.test.ts
@@ -4,6 +4,7 @@
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
+import type { TrackedRequest } from "../../src/placement/TrackedRequest.js";
 import { exampleUpstream } from "../support/exampleUpstream.js";
 
 describe("ColdStartLimiter", () => {
@@ -185,6 +186,46 @@
         expect(loads.totalLoad("7").inFlight).to.equal(3);
     });
 
+    describe("while a request is not read because its caller reads slowly", () => {
+        let clock: ManualClock;
+        let loads: LoadTracker;
+        let unread: TrackedRequest;
+
+        beforeEach(async () => {
+            clock = ManualClock.create();
+            loads = LoadTracker.create(clock);
+            unread = loads.trackRequest("7", 1000, () => undefined);
+            unread.recordEvent();
+            unread.pause();
+            await clock.advance(600);
+        });
+
+        it("counts no silence of its target, and counts it from when it is read again", async () => {
+            expect(loads.totalLoad("7")).to.deep.equal({ inFlight: 1, pendingPrefillTokens: 0, silentMs: 0 });
+            unread.resume();
+            await clock.advance(40);
+            expect(loads.totalLoad("7").silentMs).to.equal(40);
+        });
+
+        it("counts the silence of the other requests", async () => {
+            loads.trackRequest("7", 1000, () => undefined);
+            await clock.advance(300);
+            expect(loads.totalLoad("7").silentMs).to.equal(300);
+        });
+
+        it("leaves the silence that other gateways report", () => {
+            loads.setPeerLoads("b", [["7", { inFlight: 3, pendingPrefillTokens: 0, silentMs: 450 }]]);
+            expect(loads.totalLoad("7")).to.deep.equal({ inFlight: 4, pendingPrefillTokens: 0, silentMs: 450 });
+        });
+
+        it("does not count that time as a pause between two events", async () => {
+            unread.resume();
+            await clock.advance(30);
+            unread.recordEvent();
+            expect(loads.meanPauseMs("7")).to.equal(30);
+        });
+    });
+
     it("ignores loads of peers that fell silent", async () => {
         const clock = ManualClock.create();
         const loads = LoadTracker.create(clock);
--- a/packages/gateway/tests/support/RecordedResponse.ts
+++ b/packages/gateway/tests/support/RecordedResponse.ts
@@ -9,6 +9,7 @@
     text = "";
     ending: "open" | "complete" | "incomplete" = "open";
     refusal: CallerRefusal | undefined;
+    private untilRead: () => Promise<void> = () => Promise.resolve();
 
     /** Creates a response of which nothing has been sent. */
     static create(): RecordedResponse {
@@ -43,6 +44,12 @@
     /** Records a part of the body. */
     async write(part: Buffer): Promise<void> {
         this.text += part.toString();
+        await this.untilRead();
+    }
+
+    /** Makes the caller read slowly: each write waits for `untilRead`. */
+    delayWrites(untilRead: () => Promise<void>): void {
+        this.untilRead = untilRead;
     }
 
     /** Ends the response as complete. */
