End an attempt that was aborted while its caller reads nothing

A stream whose caller stopped reading was held beyond its deadline for as long as the caller kept its connection, and stayed in the load of its group; if the group was lost meanwhile, the stream was not resumed before the caller read.

The attempt waited for the caller to take the events, whatever happened. It now waits no longer than until it is aborted: by the deadline, by the caller, or because it is abandoned.

Failing first: two tests of slowCallers.test.ts. With a deadline of 1 s the response was still open after 1.1 s, and one request in flight at the group; after the loss of the group nothing was sent to the other one within 100 ms. The silent stream of the test support now also ends if it was aborted before it falls silent.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -320,6 +320,7 @@
             call.deadline,
             abandonment.signal,
         ]);
+        const aborted = new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
         try {
             const response = await client.send(head, {
                 request: call.request,
@@ -370,7 +371,7 @@
                 // Until the caller has taken the events, nothing is read from the upstream.
                 idleTimer.reset(Infinity);
                 slot.trackedRequest.pause();
-                await call.callerResponse.write(events.bytes);
+                await Promise.race([call.callerResponse.write(events.bytes), aborted]);
                 slot.trackedRequest.resume();
                 idleTimer.reset(EVENT_PAUSE_LIMIT_MS);
             }
--- a/packages/gateway/tests/forwarding/slowCallers.test.ts
+++ b/packages/gateway/tests/forwarding/slowCallers.test.ts
@@ -52,6 +52,27 @@
         expect(loadAtFirst()).to.include({ inFlight: 1, silentMs: 0 });
     });
 
+    it("holds neither its request nor its load beyond the deadline if it stops reading", async () => {
+        rig.configure({ timeoutMs: 1000 }, 2);
+        rig.client.script((_, signal) => responses.silentStream(1, 1, signal));
+        const response = rig.send();
+        response.delayWrites(() => new Promise(() => undefined));
+        await rig.clock.advance(1100);
+        expect([response.ending, loadAtFirst().inFlight]).to.deep.equal(["incomplete", 0]);
+    });
+
+    it("is resumed elsewhere once its group is lost, although it reads nothing", async () => {
+        rig.client.script((_, signal) => responses.silentStream(1, 1, signal), () => responses.stream(2, 4));
+        const response = rig.send();
+        response.delayWrites(() => rig.clock.sleep(UNREAD_MS));
+        await rig.clock.advance(100);
+        const epoch = rig.client.sent[0]?.upstream === "g1" ? 1 : 2;
+        rig.groups.markLost(epoch);
+        rig.loads.abortRequests(String(epoch), "members do not answer");
+        await rig.clock.advance(100);
+        expect([rig.client.sent.length, loadAtFirst().inFlight]).to.deep.equal([2, 0]);
+    });
+
     it("does not hide that its upstream falls silent once it has read", async () => {
         rig.client.script((_, signal) => responses.silentStream(1, 1, signal), () => responses.stream(2, 4));
         const response = rig.send();
--- a/packages/gateway/tests/support/responses.ts
+++ b/packages/gateway/tests/support/responses.ts
@@ -32,7 +32,9 @@
         isSigned: true,
         body: (async function*() {
             yield* events(first, last);
-            await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
+            if (!signal.aborted) {
+                await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
+            }
             throw new Error("aborted");
         })(),
     }),
