Keep one copy of how dispatchers reserve retries

Both dispatchers had a copy of the interval after which a silent upstream is considered again, of the flag for a retry that was taken in advance, and of the rule that an attempt that did not arrive is charged nothing more. The interval now belongs to IdleTimeoutMonitor, the other two to RequestRetries. GroupDirectory only passed on registrations for the one question whether a head has left its group; it answers that question now.

--- a/packages/gateway/src/forwarding/IdleTimeoutMonitor.ts
+++ b/packages/gateway/src/forwarding/IdleTimeoutMonitor.ts
@@ -20,6 +20,8 @@
 
 /** Detects exchanges in which nothing has been received within their timeout. */
 export class IdleTimeoutMonitor {
+    /** Interval between checks whether a request at a silent upstream can be sent elsewhere by now. */
+    readonly recheckIntervalMs = 100;
     private readonly exchanges = new Set<MonitoredExchange>();
     private readonly wakeSignal = WakeSignal.create();
 
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -6,6 +6,7 @@
 import type { ColdStartLimiter } from "../placement/ColdStartLimiter.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
+import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -51,8 +52,7 @@
     mayHaveRun: boolean;
     /** Attempts that the upstream rejected. */
     rejections: number;
-    /** The retry budget has been charged for the attempt that follows the current one. */
-    hasReservedRetry: boolean;
+    retries: RequestRetries;
 }
 
 /** Costs that are added to an upstream's requests in flight when upstreams are compared. */
@@ -63,8 +63,6 @@
 const SUSPECT_SILENCE_MS = 400;
 /** Multiple of the route's target latency after which a repeatable request is sent to another upstream instead. */
 const RETRY_TIMEOUT_FACTOR = 1.5;
-/** Interval between checks whether a request at a silent upstream can be sent elsewhere by now. */
-const SILENCE_RECHECK_INTERVAL_MS = 100;
 /** Number of rejections after which a request is refused. */
 const MAX_REJECTIONS = 3;
 /** Fraction of the remaining time that a request may spend waiting for a slot. */
@@ -89,7 +87,7 @@
             countedAttempts: 0,
             mayHaveRun: false,
             rejections: 0,
-            hasReservedRetry: false,
+            retries: RequestRetries.create(this.options.retryBudget, call.service.name),
         };
         for (;;) {
             const admitted = await this.acquire(call, progress);
@@ -157,13 +155,12 @@
      * the request is not taken from it for anything less.
      */
     private tryReserveRetry(call: ForwardedCall, progress: PlainProgress, upstream: Upstream): boolean {
-        const { loads, avoidedUpstreams, retryBudget } = this.options;
+        const { loads, avoidedUpstreams } = this.options;
         const isAccepted = this.acceptingCandidates(call, progress).some(other =>
             other.id !== upstream.id && loads.ownLoad(other.id).silentMs <= SUSPECT_SILENCE_MS
             && !avoidedUpstreams.isUnreachable(other)
         );
-        progress.hasReservedRetry = isAccepted && retryBudget.tryAcquire(call.service.name);
-        return progress.hasReservedRetry;
+        return isAccepted && progress.retries.tryReserve();
     }
 
     private tryAcquireSlot(call: ForwardedCall, progress: PlainProgress): PlainSlot | undefined {
@@ -198,7 +195,7 @@
         const idleTimeoutMs = canRepeat ? call.route.targetLatencyMs * RETRY_TIMEOUT_FACTOR : Infinity;
         const idleTimer = idleTimeouts.watch(idleTimeoutMs, () => {
             if (!this.tryReserveRetry(call, progress, upstream)) {
-                return SILENCE_RECHECK_INTERVAL_MS;
+                return idleTimeouts.recheckIntervalMs;
             }
             idleTimeout.abort();
             return undefined;
@@ -268,7 +265,7 @@
 
     /** Decides what follows an attempt; returns true if the request is finished, false if it is to be retried. */
     private handleResult(call: ForwardedCall, progress: PlainProgress, result: AttemptResult): boolean {
-        const { metrics, retryBudget } = this.options;
+        const { metrics } = this.options;
         if (result.kind === "delivered") {
             metrics.count("requests", "delivered");
             return true;
@@ -287,10 +284,8 @@
         const mayRepeat = result.kind === "not-run"
             ? progress.rejections < MAX_REJECTIONS
             : call.route.kind === "repeatable" && progress.countedAttempts < call.route.maxAttempts;
-        // The budget limits arrivals: what it was charged for an attempt that did not arrive pays for the next one.
-        const isPaid = progress.hasReservedRetry || (result.kind === "not-run" && !result.hasArrived);
-        if (mayRepeat && (isPaid || retryBudget.tryAcquire(call.service.name))) {
-            progress.hasReservedRetry = false;
+        const hasArrived = result.kind !== "not-run" || result.hasArrived;
+        if (mayRepeat && (progress.retries.useReserved() || progress.retries.tryTake(hasArrived))) {
             metrics.count("retries", result.kind);
             return false;
         }
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -11,6 +11,7 @@
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
+import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -71,8 +72,7 @@
     unreachableHeads: Set<string>;
     /** Groups that broke the stream off or were given up. */
     brokenEpochs: Set<number>;
-    /** The retry budget has been charged for the attempt that follows the current one. */
-    hasReservedRetry: boolean;
+    retries: RequestRetries;
 }
 
 /** Why a request is not sent once more. */
@@ -104,8 +104,6 @@
 const SAMPLED_GROUPS = 3;
 /** Longest pause between two events: several of the longest passes, and well under the callers' two seconds. */
 const EVENT_PAUSE_LIMIT_MS = 750;
-/** Interval between checks whether a request at a silent upstream can be sent elsewhere by now. */
-const SILENCE_RECHECK_INTERVAL_MS = 100;
 /** Number of rejections after which a request is refused: the view is wrong about several groups, or all are full. */
 const MAX_REJECTIONS = 3;
 /** Time within which a group that is being formed is expected to open: warm joins take about a second. */
@@ -132,7 +130,7 @@
             rejections: 0,
             unreachableHeads: new Set(),
             brokenEpochs: new Set(),
-            hasReservedRetry: false,
+            retries: RequestRetries.create(this.options.retryBudget, call.service.name),
         };
         for (;;) {
             const admitted = await this.acquire(call, engine, progress);
@@ -295,7 +293,7 @@
             if (abandonment.signal.aborted) {
                 return true;
             }
-            if (!this.isUpstreamGone(slot) && !this.tryReserveRetry(call, engine, progress, slot)) {
+            if (!this.options.groups.hasLeft(head, epoch) && !this.tryReserveRetry(call, engine, progress, slot)) {
                 return false;
             }
             abandonment.abort(reason);
@@ -311,11 +309,11 @@
             }
             const { groupLost } = slot;
             const reason = groupLost.signal.aborted ? String(groupLost.signal.reason) : "silent for too long";
-            return tryAbandon(reason) ? undefined : SILENCE_RECHECK_INTERVAL_MS;
+            return tryAbandon(reason) ? undefined : idleTimeouts.recheckIntervalMs;
         });
         slot.groupLost.signal.addEventListener("abort", () => {
             if (!tryAbandon(String(slot.groupLost.signal.reason))) {
-                idleTimer.reset(SILENCE_RECHECK_INTERVAL_MS);
+                idleTimer.reset(idleTimeouts.recheckIntervalMs);
             }
         });
         const signal = AbortSignal.any([
@@ -428,15 +426,7 @@
         const others = this.reachableOthers(call, engine, progress, candidate.epoch).filter(({ load }) =>
             load.silentMs < MAX_ALIVE_SILENCE_MS
         );
-        progress.hasReservedRetry = chooseGroup(engine, others, this.requestProfile(call)) !== undefined
-            && this.options.retryBudget.tryAcquire(call.service.name);
-        return progress.hasReservedRetry;
-    }
-
-    /** Returns true if the head's registration shows that it no longer works on requests that it got in this group. */
-    private isUpstreamGone({ candidate: { head, epoch } }: GroupSlot): boolean {
-        const current = this.options.groups.registrationOf(head.id);
-        return current !== undefined && (current.startedAtMs !== head.startedAtMs || current.group?.epoch !== epoch);
+        return chooseGroup(engine, others, this.requestProfile(call)) !== undefined && progress.retries.tryReserve();
     }
 
     /** Returns the result of an attempt that was aborted or ended early. */
@@ -519,8 +509,7 @@
         progress: StreamProgress,
         result: AttemptResult & { kind: "not-run" | "broken" | "failure-answer"; },
     ): RetryDenial | undefined {
-        if (progress.hasReservedRetry) {
-            progress.hasReservedRetry = false;
+        if (progress.retries.useReserved()) {
             return undefined;
         }
         if (!call.route.isResumable && result.kind !== "not-run") {
@@ -535,11 +524,8 @@
         if (result.kind === "broken" && !this.options.crashingPrompts.mayRetry(call.request.sharedPromptParts)) {
             return "upstreams may crash under the prompt";
         }
-        // The budget limits arrivals: what it was charged for an attempt that did not arrive pays for the next one.
         const hasArrived = result.kind !== "not-run" || result.hasArrived;
-        return !hasArrived || this.options.retryBudget.tryAcquire(call.service.name)
-            ? undefined
-            : "retry budget exhausted";
+        return progress.retries.tryTake(hasArrived) ? undefined : "retry budget exhausted";
     }
 
     private giveUp(
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -88,9 +88,10 @@
             : [];
     }
 
-    /** Returns the registration of an upstream, or undefined if it is not registered. */
-    registrationOf(upstreamId: string): Upstream | undefined {
-        return this.options.upstreams.get(upstreamId);
+    /** Returns true if the head's registration shows that it no longer works on requests that it got in the group. */
+    hasLeft(head: Upstream, epoch: number): boolean {
+        const current = this.options.upstreams.get(head.id);
+        return current !== undefined && (current.startedAtMs !== head.startedAtMs || current.group?.epoch !== epoch);
     }
 
     /** Returns true if a group of the model is being formed. */
