Test that unreachable and broken upstreams are no reason to move requests

A test of the claim replaces one that passed without it, because failure rates alone steered its requests away; it asks for exactly one attempt where the upstream would otherwise be preferred.

--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -86,6 +86,23 @@
                 expect(rig.client.sent.map(({ upstream }) => upstream)).to.deep.equal(["g1", "g2"]);
             });
 
+            it("does not give the other group up for the first one when that falls silent", async () => {
+                rig.close();
+                rig = ForwarderRig.create();
+                rig.configure({ maxAttempts: 3 });
+                rig.directory.set(head("g1", 1));
+                rig.directory.set(head("g2", 2));
+                const pause = { last: 4, until: 6, pauseMs: 1200 };
+                rig.client.script(
+                    () => responses.brokenStream(1, 3),
+                    (_, signal) => responses.pausedStream(pause, rig.clock, signal, 4),
+                );
+                const response = rig.send();
+                await rig.clock.advance(1500);
+                expect([eventIdsOf(response), response.ending]).to.deep.equal([[1, 2, 3, 4, 5, 6], "complete"]);
+                expect(rig.client.sent.length).to.equal(2);
+            });
+
             it("resumes at the same group if it is the only one", async () => {
                 rig.directory.remove("g2", "removed");
                 const response = rig.send();
--- a/packages/gateway/tests/forwarding/unreachableUpstreams.test.ts
+++ b/packages/gateway/tests/forwarding/unreachableUpstreams.test.ts
@@ -7,6 +7,7 @@
 import { responses } from "../support/responses.js";
 
 const NOT_CONNECTED: UpstreamResponse = { kind: "not-run", reason: "not-connected" };
+const UNKNOWN: UpstreamResponse = { kind: "unknown", reason: "reset" };
 /** Avoidance of an upstream whose connection was refused, while others can be reached. */
 const AVOIDANCE_MS = 2000;
 /** Registrations of upstreams that have crashed are removed after up to this time. */
@@ -21,10 +22,13 @@
     let rig: ForwarderRig;
     /** Instances, as ID/START, whose connections are refused. */
     let dead: Set<string>;
+    /** Time until a connection to a dead instance fails. */
+    let connectTimeoutMs: number;
 
     beforeEach(() => {
         rig = ForwarderRig.create();
         dead = new Set();
+        connectTimeoutMs = 0;
         serveAll();
     });
 
@@ -33,7 +37,9 @@
     function serveAll(): void {
         rig.client.serve(upstream => {
             if (dead.has(`${upstream.id}/${upstream.startedAtMs}`)) {
-                return NOT_CONNECTED;
+                return connectTimeoutMs > 0
+                    ? rig.clock.sleep(connectTimeoutMs).then(() => NOT_CONNECTED)
+                    : NOT_CONNECTED;
             }
             return upstream.service === "app" ? responses.complete(200, "ok") : responses.stream(1, 2);
         });
@@ -160,16 +166,33 @@
         });
 
         it("is tried by one request at a time after the avoidance time", async () => {
+            rig.configure({ targetGapMs: 1000 }, 2);
             rig.directory.set(head("g1", 1));
             rig.directory.set(head("g2", 2));
             crash("g1");
-            await sendEvery(50, 100, "large");
-            await rig.clock.advance(AVOIDANCE_MS);
-            const attemptsBefore = attemptsAt("g1");
+            connectTimeoutMs = 250;
+            rig.send();
+            await rig.clock.advance(connectTimeoutMs + AVOIDANCE_MS);
+            rig.loads.setPeerLoads("peer", [["2", { inFlight: 3, pendingPrefillTokens: 25_000, silentMs: 0 }]]);
             const sent = Array.from({ length: 10 }, (_, index) => rig.send({ id: `p${index}` }));
-            await rig.clock.settle();
+            await rig.clock.advance(connectTimeoutMs);
             expect(sent.map(({ status }) => status)).to.deep.equal(sent.map(() => 200));
-            expect(attemptsAt("g1") - attemptsBefore).to.be.at.most(1);
+            expect(attemptsAt("g1")).to.equal(2);
+        });
+
+        it("is no reason to give up a silent group", async () => {
+            rig.directory.set(head("g1", 1));
+            rig.directory.set(head("g2", 2));
+            crash("g1");
+            rig.send();
+            await rig.clock.advance(AVOIDANCE_MS - 500);
+            const pause = { last: 1, until: 2, pauseMs: 1200 };
+            rig.client.script((_, signal) => responses.pausedStream(pause, rig.clock, signal));
+            const attemptsBefore = rig.client.sent.length;
+            const response = rig.send({ id: "q2" });
+            await rig.clock.advance(1500);
+            expect([response.ending, response.status]).to.deep.equal(["complete", 200]);
+            expect(rig.client.sent.length - attemptsBefore).to.equal(1);
         });
 
         it("does not end a begun stream that finds no other group, and resumes it when it can be reached again", async () => {
@@ -199,9 +222,9 @@
             });
         });
 
-        function addUpstreams(count: number): void {
+        function addUpstreams(count: number, slots = 2): void {
             for (let index = 1; index <= count; index++) {
-                rig.directory.set(exampleUpstream(`p${index}`, { service: "app", slots: 2 }));
+                rig.directory.set(exampleUpstream(`p${index}`, { service: "app", slots }));
             }
         }
 
@@ -227,6 +250,54 @@
             expect(served.status).to.equal(200);
         });
 
+        it("gets all requests again once one has reached it", async () => {
+            addUpstreams(2);
+            crash("p1");
+            await sendEvery(50, 200);
+            dead.clear();
+            await sendEvery(50, AVOIDANCE_MS + 500);
+            crash("p2");
+            const sent = await sendEvery(50, 500);
+            expect(sent.map(({ status }) => status)).to.deep.equal(sent.map(() => 200));
+        });
+
+        it("is tried by one request at a time after the avoidance time", async () => {
+            addUpstreams(2, 18);
+            crash("p1");
+            connectTimeoutMs = 250;
+            rig.send({ model: undefined });
+            await rig.clock.advance(connectTimeoutMs + AVOIDANCE_MS);
+            rig.client.serve(({ id }) => {
+                const result = id === "p1" ? NOT_CONNECTED : responses.complete(200, "ok");
+                return rig.clock.sleep(connectTimeoutMs).then(() => result);
+            });
+            const sent = Array.from({ length: 10 }, (_, index) => rig.send({ id: `p${index}`, model: undefined }));
+            await rig.clock.advance(2 * connectTimeoutMs);
+            expect(sent.map(({ status }) => status)).to.deep.equal(sent.map(() => 200));
+            expect(attemptsAt("p1")).to.equal(2);
+        });
+
+        it("is no reason to give up a silent upstream", async () => {
+            rig.configure({
+                kind: "repeatable",
+                targets: [{ service: "app", weight: 1 }],
+                targetLatencyMs: 200,
+                timeoutMs: 2000,
+            }, 2);
+            addUpstreams(2);
+            crash("p1");
+            rig.send({ model: undefined });
+            await rig.clock.advance(AVOIDANCE_MS - 100);
+            const attemptsBefore = rig.client.sent.length;
+            rig.client.script((_, signal) =>
+                rig.clock.sleep(1200, signal).then(() => signal.aborted ? UNKNOWN : responses.complete(200, "late"))
+            );
+            const response = rig.send({ id: "q2", model: undefined });
+            await rig.clock.advance(1300);
+            expect([response.status, response.text]).to.deep.equal([200, "late"]);
+            expect(rig.client.sent.length - attemptsBefore).to.equal(1);
+        });
+
         it("refuses requests at once as not run where no upstream is left, and is tried now and then", async () => {
             addUpstreams(2);
             crash("p1", "p2");
