--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -1,7 +1,9 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { EngineProfile } from "../model/EngineProfile.js";
+import type { Upstream } from "../model/Upstream.js";
 import type { AdmissionOutcome } from "../placement/AdmissionOutcome.js";
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
+import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
 import type { ColdStartLimiter } from "../placement/ColdStartLimiter.js";
 import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
@@ -9,8 +11,8 @@
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
+import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
-import type { SaturatedHeads } from "../placement/SaturatedHeads.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
@@ -30,7 +32,7 @@
     loads: LoadTracker;
     coldStartLimiter: ColdStartLimiter;
     failureRates: FailureRateTracker;
-    saturatedHeads: SaturatedHeads;
+    avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
     crashingPrompts: CrashingPromptDetector;
     idleTimeouts: IdleTimeoutMonitor;
@@ -64,10 +66,13 @@
     /** Head to which the request may be sent once more, because the connection to it was stale. */
     resendTo?: string;
     mayHaveRun: boolean;
-    /** Attempts that the head did not run. */
+    /** Attempts that the head rejected. */
     rejections: number;
-    /** The retry budget has been charged for the attempt that follows the current one. */
-    hasReservedRetry: boolean;
+    /** Heads that accepted no connection. */
+    unreachableHeads: Set<string>;
+    /** Groups that broke the stream off or were given up. */
+    brokenEpochs: Set<number>;
+    retries: RequestRetries;
 }
 
 /** Why a request is not sent once more. */
@@ -99,8 +104,6 @@
 const SAMPLED_GROUPS = 3;
 /** Longest pause between two events: several of the longest passes, and well under the callers' two seconds. */
 const EVENT_PAUSE_LIMIT_MS = 750;
-/** Interval between checks whether a request at a silent upstream can be sent elsewhere by now. */
-const SILENCE_RECHECK_INTERVAL_MS = 100;
 /** Number of rejections after which a request is refused: the view is wrong about several groups, or all are full. */
 const MAX_REJECTIONS = 3;
 /** Time within which a group that is being formed is expected to open: warm joins take about a second. */
@@ -125,7 +128,9 @@
             countedAttempts: 0,
             mayHaveRun: false,
             rejections: 0,
-            hasReservedRetry: false,
+            unreachableHeads: new Set(),
+            brokenEpochs: new Set(),
+            retries: RequestRetries.create(this.options.retryBudget, call.service.name),
         };
         for (;;) {
             const admitted = await this.acquire(call, engine, progress);
@@ -146,7 +151,7 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): Promise<AdmissionOutcome<GroupSlot>> {
-        const { clock, queue, groups, coldStartLimiter } = this.options;
+        const { clock, queue, groups, coldStartLimiter, avoidedUpstreams } = this.options;
         const nowMs = clock.monotonicMs();
         const { request, route, service } = call;
         return queue.acquire<GroupSlot>({
@@ -166,9 +171,14 @@
                 if (!hasAttemptsLeft(call, progress) && this.candidates(call, engine, progress).length === 0) {
                     return Infinity;
                 }
-                const coldWaitsMs = groups.openHeads(service.name, engine, request.model).map(head =>
-                    coldStartLimiter.waitMs(head, service.coldRequestsPerSecond)
-                );
+                const heads = groups.openHeads(service.name, engine, request.model);
+                const usableHeads = avoidedUpstreams.usable(heads);
+                const coldWaitsMs = heads
+                    .filter(head =>
+                        !avoidedUpstreams.isUnreachable(head)
+                        || (usableHeads.has(head) && this.mayTry(head, progress))
+                    )
+                    .map(head => coldStartLimiter.waitMs(head, service.coldRequestsPerSecond));
                 const mayOpen = progress.hasEvents || groups.isForming(service.name, request.model);
                 return Math.min(...coldWaitsMs, mayOpen ? EXPECTED_FORMATION_MS : Infinity);
             },
@@ -176,16 +186,39 @@
     }
 
     private candidates(call: ForwardedCall, engine: EngineProfile, progress: StreamProgress): GroupCandidate[] {
-        const { groups, coldStartLimiter, saturatedHeads } = this.options;
+        const { groups, coldStartLimiter, avoidedUpstreams } = this.options;
         const { request, service } = call;
-        const candidates = groups.candidates(service.name, engine, request.model).filter(({ head }) =>
-            !saturatedHeads.isSaturated(head.id)
+        const open = groups.candidates(service.name, engine, request.model);
+        const usableHeads = avoidedUpstreams.usable(open.map(({ head }) => head));
+        const candidates = open.filter(({ head }) =>
+            usableHeads.has(head) && this.mayTry(head, progress)
             && coldStartLimiter.canSend(head, service.coldRequestsPerSecond)
         );
         const resendCandidates = candidates.filter(({ head }) => head.id === progress.resendTo);
         return resendCandidates.length > 0 || !hasAttemptsLeft(call, progress) ? resendCandidates : candidates;
     }
 
+    /**
+     * Returns false if the request has found the head unreachable and no other one has reached it since. The response of
+     * a stream that has begun would be cut off, so its request tries the head again.
+     */
+    private mayTry(head: Upstream, { unreachableHeads, hasEvents }: StreamProgress): boolean {
+        return hasEvents || !unreachableHeads.has(head.id) || !this.options.avoidedUpstreams.isUnreachable(head);
+    }
+
+    /** Returns the groups other than that of `epoch` that are reachable, accept the request and have not broken it off. */
+    private reachableOthers(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+        epoch: number,
+    ): GroupCandidate[] {
+        return this.candidates(call, engine, progress).filter(candidate =>
+            candidate.epoch !== epoch && !progress.brokenEpochs.has(candidate.epoch)
+            && !this.options.avoidedUpstreams.isUnreachable(candidate.head)
+        );
+    }
+
     /** Returns true if the prompt has a part that was blocked meanwhile. */
     private isBlocked(call: ForwardedCall): boolean {
         return !call.isTrial && this.options.crashingPrompts.isBlocked(call.request.sharedPromptParts);
@@ -203,12 +236,12 @@
         call: ForwardedCall,
         engine: EngineProfile,
         progress: StreamProgress,
-        busyHead: string,
+        busyEpoch: number,
     ): boolean {
         if (progress.countedAttempts + 1 >= call.route.maxAttempts) {
             return false;
         }
-        const others = this.candidates(call, engine, progress).filter(({ head }) => head.id !== busyHead);
+        const others = this.reachableOthers(call, engine, progress, busyEpoch);
         const choice = chooseGroup(engine, others, this.requestProfile(call));
         return choice !== undefined && choice.firstEventMs < BUSY_EXTENSION_MS / 2;
     }
@@ -218,23 +251,23 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): GroupSlot | undefined {
-        const { loads, coldStartLimiter, random, gatewayCount } = this.options;
+        const { loads, coldStartLimiter, avoidedUpstreams, random, gatewayCount } = this.options;
         const { request } = call;
         if (this.isBlocked(call)) {
             return undefined;
         }
         const candidates = this.candidates(call, engine, progress);
-        const choice = chooseGroup(
-            engine,
-            candidates,
-            this.requestProfile(call),
-            gatewayCount() > MAX_GATEWAYS_COMPARING_ALL ? { count: SAMPLED_GROUPS, random } : undefined,
-        );
+        const others = candidates.filter(({ epoch }) => !progress.brokenEpochs.has(epoch));
+        const profile = this.requestProfile(call);
+        const sampling = gatewayCount() > MAX_GATEWAYS_COMPARING_ALL ? { count: SAMPLED_GROUPS, random } : undefined;
+        const choice = chooseGroup(engine, others, profile, sampling)
+            ?? chooseGroup(engine, candidates, profile, sampling);
         if (!choice) {
             return undefined;
         }
         const { head, epoch } = choice.candidate;
         coldStartLimiter.record(head);
+        avoidedUpstreams.recordAttempt(head);
         const groupLost = new AbortController();
         const trackedRequest = loads.trackRequest(
             String(epoch),
@@ -250,7 +283,7 @@
         slot: GroupSlot,
         progress: StreamProgress,
     ): Promise<AttemptResult> {
-        const { clock, client, idleTimeouts, failureRates, saturatedHeads, loads } = this.options;
+        const { clock, client, idleTimeouts, failureRates, avoidedUpstreams, loads } = this.options;
         const { head, epoch } = slot.candidate;
         this.logAdmitted(call, slot, progress);
         const abandonment = new AbortController();
@@ -260,7 +293,7 @@
             if (abandonment.signal.aborted) {
                 return true;
             }
-            if (!this.isUpstreamGone(slot) && !this.tryReserveRetry(call, engine, progress, slot)) {
+            if (!this.options.groups.hasLeft(head, epoch) && !this.tryReserveRetry(call, engine, progress, slot)) {
                 return false;
             }
             abandonment.abort(reason);
@@ -269,18 +302,18 @@
         const idleTimer = idleTimeouts.watch(slot.firstEventMs + FIRST_EVENT_MARGIN_MS, () => {
             const isGroupAlive = loads.totalLoad(String(epoch)).silentMs < MAX_ALIVE_SILENCE_MS;
             if (
-                canExtend && !slot.hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, head.id)
+                canExtend && !slot.hasEvents && isGroupAlive && !this.hasQuickerGroup(call, engine, progress, epoch)
             ) {
                 canExtend = false;
                 return BUSY_EXTENSION_MS;
             }
             const { groupLost } = slot;
             const reason = groupLost.signal.aborted ? String(groupLost.signal.reason) : "silent for too long";
-            return tryAbandon(reason) ? undefined : SILENCE_RECHECK_INTERVAL_MS;
+            return tryAbandon(reason) ? undefined : idleTimeouts.recheckIntervalMs;
         });
         slot.groupLost.signal.addEventListener("abort", () => {
             if (!tryAbandon(String(slot.groupLost.signal.reason))) {
-                idleTimer.reset(SILENCE_RECHECK_INTERVAL_MS);
+                idleTimer.reset(idleTimeouts.recheckIntervalMs);
             }
         });
         const signal = AbortSignal.any([
@@ -288,6 +321,7 @@
             call.deadline,
             abandonment.signal,
         ]);
+        const aborted = new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
         try {
             const response = await client.send(head, {
                 request: call.request,
@@ -297,15 +331,20 @@
             }, signal);
             if (response.kind === "not-run") {
                 failureRates.record(head.id, true);
-                if (response.reason === "overloaded") {
-                    saturatedHeads.record(head.id);
+                const { reason } = response;
+                if (reason === "not-connected" || reason === "overloaded") {
+                    avoidedUpstreams.record(head, reason);
+                }
+                else {
+                    avoidedUpstreams.recordReached(head);
                 }
-                return { kind: "not-run", reason: response.reason };
+                return { kind: "not-run", reason, hasArrived: reason !== "not-connected" };
             }
             if (response.kind === "unknown") {
                 const { reason, isStaleConnection } = response;
                 return this.brokenResult(call, slot, progress, abandonment.signal, reason, isStaleConnection);
             }
+            avoidedUpstreams.recordReached(head);
             if (response.head.status < 200 || response.head.status > 299 || !response.isSigned) {
                 const body = await readBody(response.body);
                 failureRates.record(head.id, true);
@@ -319,7 +358,6 @@
                 if (!events) {
                     continue;
                 }
-                idleTimer.reset(EVENT_PAUSE_LIMIT_MS);
                 if (!slot.hasEvents) {
                     this.options.crashingPrompts.recordBegun(call.request.sharedPromptParts, poolOf(call));
                 }
@@ -331,7 +369,12 @@
                 slot.hasEvents = true;
                 progress.hasEvents = true;
                 progress.lastEventId = framer.lastEventId ?? progress.lastEventId;
-                await call.callerResponse.write(events.bytes);
+                // Until the caller has taken the events, nothing is read from the upstream.
+                idleTimer.reset(Infinity);
+                slot.trackedRequest.pause();
+                await Promise.race([call.callerResponse.write(events.bytes), aborted]);
+                slot.trackedRequest.resume();
+                idleTimer.reset(EVENT_PAUSE_LIMIT_MS);
             }
             if (framer.hasPartialEvent || call.deadline.aborted || call.callerResponse.disconnected.aborted) {
                 return this.brokenResult(call, slot, progress, abandonment.signal, "the stream ended inside an event");
@@ -380,18 +423,10 @@
         if (!mayRetry) {
             return false;
         }
-        const others = this.candidates(call, engine, progress).filter(({ epoch, load }) =>
-            epoch !== candidate.epoch && load.silentMs < MAX_ALIVE_SILENCE_MS
+        const others = this.reachableOthers(call, engine, progress, candidate.epoch).filter(({ load }) =>
+            load.silentMs < MAX_ALIVE_SILENCE_MS
         );
-        progress.hasReservedRetry = chooseGroup(engine, others, this.requestProfile(call)) !== undefined
-            && this.options.retryBudget.tryAcquire(call.service.name);
-        return progress.hasReservedRetry;
-    }
-
-    /** Returns true if the head's registration shows that it no longer works on requests that it got in this group. */
-    private isUpstreamGone({ candidate: { head, epoch } }: GroupSlot): boolean {
-        const current = this.options.groups.registrationOf(head.id);
-        return current !== undefined && (current.startedAtMs !== head.startedAtMs || current.group?.epoch !== epoch);
+        return chooseGroup(engine, others, this.requestProfile(call)) !== undefined && progress.retries.tryReserve();
     }
 
     /** Returns the result of an attempt that was aborted or ended early. */
@@ -438,7 +473,10 @@
         const isResend = progress.resendTo === slot.candidate.head.id;
         progress.resendTo = undefined;
         if (result.kind === "not-run") {
-            progress.rejections += 1;
+            progress.rejections += result.hasArrived ? 1 : 0;
+            if (!result.hasArrived) {
+                progress.unreachableHeads.add(slot.candidate.head.id);
+            }
         }
         else {
             progress.mayHaveRun = true;
@@ -446,6 +484,9 @@
             if (!isResend && result.kind === "broken" && result.isStaleConnection) {
                 progress.resendTo = slot.candidate.head.id;
             }
+            else if (result.kind === "broken") {
+                progress.brokenEpochs.add(slot.candidate.epoch);
+            }
         }
         const denial = this.retryDenial(call, progress, result);
         if (denial === undefined) {
@@ -468,8 +509,7 @@
         progress: StreamProgress,
         result: AttemptResult & { kind: "not-run" | "broken" | "failure-answer"; },
     ): RetryDenial | undefined {
-        if (progress.hasReservedRetry) {
-            progress.hasReservedRetry = false;
+        if (progress.retries.useReserved()) {
             return undefined;
         }
         if (!call.route.isResumable && result.kind !== "not-run") {
@@ -484,7 +524,8 @@
         if (result.kind === "broken" && !this.options.crashingPrompts.mayRetry(call.request.sharedPromptParts)) {
             return "upstreams may crash under the prompt";
         }
-        return this.options.retryBudget.tryAcquire(call.service.name) ? undefined : "retry budget exhausted";
+        const hasArrived = result.kind !== "not-run" || result.hasArrived;
+        return progress.retries.tryTake(hasArrived) ? undefined : "retry budget exhausted";
     }
 
     private giveUp(
