Re-form a suspected group once nothing is in flight there

What callers saw: streams were broken off by an upstream that was sound. A group whose member did not respond for 0.6 s, that was without events for 1.5 s, or that had a slow member was declared lost and re-formed at once. The joins of its members ended every stream that its gateways had kept because no other group took it.

Cause: one function served suspicion and certainty, and a join cannot be taken back.

Change: a failure is certain if a registration shows another start, another epoch or a group that is neither open nor closing, if a registered member that is not draining refuses connections, or if another instance responds; then the group is re-formed at once as before. Otherwise it is announced as lost, so that gateways send nothing new and move what other groups take, and it is re-formed once nothing is in flight, after 2 s without an event (callers abandon a stream that pauses for two seconds), or after 10 s (a draining member leaves by then). Meanwhile silent members are checked again, so that one that responds is kept. Reports state whether the connection was refused.

Spare upstreams are not used for a replacement beside the suspected group: a domain has fewer spares than a group members.

Tests changed: the rig's requests end 2 s after a group stops taking new ones, and a head that is closed with requests in flight finishes them first. Before, requests never ended, so that no group was ever free of them. The test of a group that was reported lost and is back states that nothing is in flight, as its rig did before.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -15,6 +15,7 @@
 import { FleetStabilityMonitor } from "./FleetStabilityMonitor.js";
 import type { ManagedGroup } from "./ManagedGroup.js";
 import { MemberChecker } from "./MemberChecker.js";
+import type { MemberFailure } from "./MemberFailure.js";
 import type { MemberProber } from "./MemberProber.js";
 import type { ObservedGroup } from "./ObservedGroup.js";
 import { observeGroups } from "./observeGroups.js";
@@ -64,14 +65,29 @@
     observed: Map<string, ObservedGroup>;
 }
 
+/** A failure of a group that is certain, and the members that must not be part of it when it is re-formed. */
+interface GroupFailure {
+    reason: string;
+    excluded: ReadonlySet<string>;
+}
+
 /** Pause between two reconcile passes; short compared to the 200 ms of a warm join. */
 const RECONCILE_INTERVAL_MS = 40;
 /** Pause between two checks of the lease while another gateway is the controller; `ControllerLease` polls as often. */
 const LEASE_POLL_INTERVAL_MS = 100;
 /** Silence of a group, as seen by all gateways, after which its members are checked; longer than most engine passes. */
 const SILENCE_BEFORE_CHECK_MS = 220;
-/** Silence after which a group is re-formed even though all its members respond. */
+/** Silence after which a group counts as lost even though all its members respond. */
 const MAX_SILENCE_MS = 1500;
+/**
+ * Silence after which the requests of a group no longer count: callers abandon a stream that pauses for two seconds. A
+ * sound group may be silent for a second and go on.
+ */
+const ABANDONED_AFTER_MS = 2000;
+/** A draining member leaves after this time, even if its group has requests in flight. */
+const MAX_DRAIN_MS = 10_000;
+/** Time between announcements of a group that is lost and still has requests; much shorter than gateways exclude it. */
+const LOSS_ANNOUNCEMENT_INTERVAL_MS = 3000;
 /** Minimum time between two checks of the members of one group. */
 const CHECK_INTERVAL_MS = 400;
 /**
@@ -247,6 +263,7 @@
         opening: (view, group) => this.advanceOpening(view, group),
         open: (view, group) => this.advanceOpen(view, group),
         closing: (view, group) => this.advanceClosing(view, group),
+        lost: (view, group) => this.advanceLost(view, group),
         incomplete: (view, group) => this.advanceIncomplete(view, group),
     };
 
@@ -282,7 +299,8 @@
                     return;
                 }
                 if (failed.size > 0) {
-                    this.reform(this.freshView(view), group, "a member does not respond", failed);
+                    const excluded = new Set(failed.keys());
+                    this.reform(this.freshView(view), group, "a member does not respond", excluded);
                 }
                 else {
                     this.orderJoins(group, unjoined);
@@ -350,17 +368,17 @@
             this.startClosing(group, head, "the head is no longer registered");
             return;
         }
-        if (!head || head.startedAtMs !== group.members[0]?.startedAtMs) {
-            this.loseGroup(view, group, "the head is no longer registered", idsOf(group.members.slice(0, 1)));
+        const failure = this.headFailure(group);
+        if (failure) {
+            this.loseGroup(view, group, failure);
             return;
         }
-        const phase = head.group?.epoch === group.epoch ? head.group.phase : "another epoch";
-        if (phase === "closing") {
-            this.setPhase(group, "closing");
+        if (!head) {
+            this.suspectGroup(view, group, "the head is no longer registered", new Set(), []);
             return;
         }
-        if (phase !== "open") {
-            this.loseGroup(view, group, `the head says ${phase}`, new Set());
+        if (head.group?.phase === "closing") {
+            this.setPhase(group, "closing");
             return;
         }
         const draining = group.members.filter(member => this.options.upstreams.get(member.id)?.state === "draining");
@@ -375,17 +393,14 @@
     /** Checks members that may be unreachable because the group is silent or their registrations are missing. */
     private checkMembers(view: ServiceView, group: ManagedGroup): void {
         const load = this.options.loads.totalLoad(String(group.epoch));
-        const ageMs = this.nowMs() - group.phaseSinceMs;
-        const silenceMs = SILENCE_BEFORE_CHECK_MS + this.options.loadLagMs();
-        const isSilent = load.inFlight > 0 && load.silentMs > silenceMs && ageMs > silenceMs;
-        const changed = group.members.filter(member => {
-            const current = this.options.upstreams.get(member.id);
-            return current && (current.startedAtMs !== member.startedAtMs || current.group?.epoch !== group.epoch);
-        });
-        if (changed.length > 0 && ageMs > EPOCH_CHECK_MIN_AGE_MS) {
-            this.loseGroup(view, group, "a member has restarted or left", new Set());
+        const ageMs = this.openAgeMs(group);
+        const failure = this.memberFailure(group);
+        if (failure) {
+            this.loseGroup(view, group, failure);
             return;
         }
+        const silenceMs = SILENCE_BEFORE_CHECK_MS + this.options.loadLagMs();
+        const isSilent = load.inFlight > 0 && load.silentMs > silenceMs && ageMs > silenceMs;
         const unlisted = group.members.filter(member => !this.options.upstreams.get(member.id));
         const isDue = isSilent
             ? this.memberChecker.isCheckDue(group, CHECK_INTERVAL_MS)
@@ -414,12 +429,16 @@
                 // A member that leaves stays until the group's requests have ended, but may not respond any more.
                 this.startClosing(group, this.currentHead(group), "a member has left");
             }
+            else if (this.isCertain(failed)) {
+                const excluded = new Set([...failed.keys(), ...slow]);
+                this.loseGroup(fresh, group, { reason: "members do not answer", excluded });
+            }
             else if (failed.size > 0 || isSilentTooLong) {
                 const reason = failed.size > 0 ? "members do not answer" : "silent though all members answer";
-                this.loseGroup(fresh, group, reason, new Set([...failed, ...slow]));
+                this.suspectGroup(fresh, group, reason, slow, group.members.filter(({ id }) => failed.has(id)));
             }
             else if (slow.size > 0) {
-                this.loseGroup(fresh, group, "members are slow", slow);
+                this.suspectGroup(fresh, group, "members are slow", slow, []);
             }
         });
     }
@@ -429,7 +448,7 @@
      * them.
      */
     private replaceableSlowMembers(view: ServiceView, group: ManagedGroup): Set<string> {
-        const slow = group.members.filter(member => this.health.isSlow(member.id));
+        const slow = group.members.filter(({ id }) => this.health.isSlow(id) || group.loss?.slow.has(id));
         const spares = this.freeUpstreams(view).filter(upstream =>
             upstream.domain === group.domain && upstream.model === group.model.name
             && !this.health.isSlow(upstream.id)
@@ -449,6 +468,52 @@
         return unavailable < Math.max(1, Math.floor(ofModel.length * MAX_UNAVAILABLE_SHARE));
     }
 
+    /** Returns true if a failed check shows that the group cannot serve any more; a silent member may respond later. */
+    private isCertain(failed: ReadonlyMap<string, MemberFailure>): boolean {
+        // A member that leaves as announced refuses connections while its head still has work.
+        return [...failed].some(([id, { kind }]) =>
+            kind === "replaced" || (kind === "refused" && this.options.upstreams.get(id)?.state === "ready")
+        );
+    }
+
+    /** Returns how the registration of a group's head shows that the group cannot serve any more. */
+    private headFailure(group: ManagedGroup): GroupFailure | undefined {
+        const head = this.currentHead(group);
+        if (!head) {
+            return undefined;
+        }
+        if (head.startedAtMs !== group.members[0]?.startedAtMs) {
+            return { reason: "the head has restarted", excluded: new Set([head.id]) };
+        }
+        const phase = head.group?.epoch === group.epoch ? head.group.phase : "another epoch";
+        return phase === "open" || phase === "closing"
+            ? undefined
+            : { reason: `the head says ${phase}`, excluded: new Set() };
+    }
+
+    /** Returns how the registrations of a group's members show that the group cannot serve any more. */
+    private memberFailure(group: ManagedGroup): GroupFailure | undefined {
+        const hasChanged = group.members.some(member => {
+            const current = this.options.upstreams.get(member.id);
+            return current && (current.startedAtMs !== member.startedAtMs || current.group?.epoch !== group.epoch);
+        });
+        return hasChanged && this.openAgeMs(group) > EPOCH_CHECK_MIN_AGE_MS
+            ? { reason: "a member has restarted or left", excluded: new Set() }
+            : undefined;
+    }
+
+    /** Returns the time since the group has opened. */
+    private openAgeMs(group: ManagedGroup): number {
+        return this.nowMs() - (group.loss?.openSinceMs ?? group.phaseSinceMs);
+    }
+
+    /** Returns true if a join of the group's members would end requests whose callers still wait for them. */
+    private isInUse(group: ManagedGroup): boolean {
+        const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
+        return inFlight > 0 && silentMs < ABANDONED_AFTER_MS + this.options.loadLagMs()
+            && this.nowMs() - group.phaseSinceMs < MAX_DRAIN_MS;
+    }
+
     /** Returns true if the group's requests have received events until now. */
     private isServing(group: ManagedGroup): boolean {
         const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
@@ -484,11 +549,66 @@
         }
     }
 
-    private loseGroup(view: ServiceView, group: ManagedGroup, reason: string, excluded: ReadonlySet<string>): void {
+    /** Re-forms a group that certainly cannot serve any more. */
+    private loseGroup(view: ServiceView, group: ManagedGroup, { reason, excluded }: GroupFailure): void {
+        this.announceLoss(group, reason);
+        this.reform(view, group, reason, excluded);
+    }
+
+    /**
+     * Keeps new requests from a group that may have failed, and re-forms it once those in flight have ended elsewhere or
+     * there: the joins of its members end them, although the group may have been silent only for a moment.
+     */
+    private suspectGroup(
+        view: ServiceView,
+        group: ManagedGroup,
+        reason: string,
+        slow: ReadonlySet<string>,
+        silent: readonly Upstream[],
+    ): void {
+        this.announceLoss(group, reason);
+        group.loss = { reason, slow, silent, openSinceMs: group.phaseSinceMs, announcedAtMs: this.nowMs() };
+        this.setPhase(group, "lost");
+        this.advanceLost(view, group);
+    }
+
+    private announceLoss(group: ManagedGroup, reason: string): void {
         this.options.metrics.count("groupsLost", reason);
         group.lostAtMs ??= this.nowMs();
         this.options.announceLost(group.epoch, reason);
-        this.reform(view, group, reason, excluded);
+    }
+
+    private advanceLost(view: ServiceView, group: ManagedGroup): void {
+        const { loss } = group;
+        if (!loss) {
+            return;
+        }
+        const failure = this.headFailure(group) ?? this.memberFailure(group);
+        if (failure || !this.isInUse(group)) {
+            const slow = this.replaceableSlowMembers(view, group);
+            this.reform(view, group, loss.reason, new Set([...slow, ...failure?.excluded ?? []]));
+            return;
+        }
+        if (this.nowMs() - loss.announcedAtMs > LOSS_ANNOUNCEMENT_INTERVAL_MS) {
+            loss.announcedAtMs = this.nowMs();
+            this.options.announceLost(group.epoch, loss.reason);
+        }
+        if (loss.silent.length === 0 || !this.memberChecker.isCheckDue(group, CHECK_INTERVAL_MS)) {
+            return;
+        }
+        const epoch = this.openAgeMs(group) > EPOCH_CHECK_MIN_AGE_MS ? group.epoch : undefined;
+        void this.memberChecker.check(group, loss.silent, epoch).then(failed => {
+            if (!this.isCurrent(group, "lost")) {
+                return;
+            }
+            if (this.isCertain(failed)) {
+                const fresh = this.freshView(view);
+                const slow = this.replaceableSlowMembers(fresh, group);
+                this.reform(fresh, group, loss.reason, new Set([...failed.keys(), ...slow]));
+                return;
+            }
+            loss.silent = loss.silent.filter(({ id }) => failed.has(id));
+        });
     }
 
     /** Re-forms a group under the same name with a higher epoch. Returns false if its domain has too few usable VMs. */
--- a/packages/gateway/src/fleet/ManagedGroup.ts
+++ b/packages/gateway/src/fleet/ManagedGroup.ts
@@ -1,5 +1,6 @@
 import type { ModelProfile } from "../model/ModelProfile.js";
 import type { Upstream } from "../model/Upstream.js";
+import type { GroupLoss } from "./GroupLoss.js";
 
 /** A serving group in the state that the controller wants. */
 export interface ManagedGroup {
@@ -10,11 +11,14 @@
     epoch: number;
     /** Members by rank, as registered when they were chosen. */
     members: readonly Upstream[];
-    phase: "joining" | "opening" | "open" | "closing" | "incomplete";
+    /** A `lost` group gets no new requests; it is re-formed once those in flight have ended. */
+    phase: "joining" | "opening" | "open" | "closing" | "lost" | "incomplete";
     /** Start of the phase, monotonic. */
     phaseSinceMs: number;
     /** When the group stopped serving, used to measure the repair time; undefined for a new or open group. */
     lostAtMs?: number;
+    /** Present while the phase is `lost`. */
+    loss?: GroupLoss;
     /** When the last check of its members ended, monotonic. */
     checkedAtMs: number;
     isChecking: boolean;
--- a/packages/gateway/src/fleet/MemberChecker.ts
+++ b/packages/gateway/src/fleet/MemberChecker.ts
@@ -2,6 +2,7 @@
 import type { Upstream } from "../model/Upstream.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { ManagedGroup } from "./ManagedGroup.js";
+import type { MemberFailure } from "./MemberFailure.js";
 import type { MemberProber } from "./MemberProber.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
@@ -31,8 +32,12 @@
         return !group.isChecking && this.options.clock.monotonicMs() - group.checkedAtMs >= intervalMs;
     }
 
-    /** Checks members. Returns the ids of those that do not respond, have restarted or are not at `epoch`. */
-    async check(group: ManagedGroup, members: readonly Upstream[], epoch: number | undefined): Promise<Set<string>> {
+    /** Checks members. Returns those that do not respond, have restarted or are not at `epoch`, by their ids. */
+    async check(
+        group: ManagedGroup,
+        members: readonly Upstream[],
+        epoch: number | undefined,
+    ): Promise<Map<string, MemberFailure>> {
         const { clock, log, prober, health, isReachable } = this.options;
         group.isChecking = true;
         const checkStartedAtMs = clock.monotonicMs();
@@ -41,21 +46,24 @@
         group.checkedAtMs = clock.monotonicMs();
         if (!isReachable(group, checkStartedAtMs)) {
             // A partition looks like the loss of all members behind it, until its gateways count as silent.
-            return new Set();
+            return new Map();
         }
         for (const member of members) {
-            const reason = failed.get(member.id);
-            if (reason !== undefined) {
-                log.info("member check failed", { group: group.name, upstream: member.id, reason });
-                if (!reason.startsWith("belongs")) {
-                    health.markUnresponsive(member);
-                }
+            const failure = failed.get(member.id);
+            if (!failure) {
+                health.markResponsive(member);
+                continue;
+            }
+            const { reason } = failure;
+            log.info("member check failed", { group: group.name, upstream: member.id, reason });
+            if (!reason.startsWith("belongs")) {
+                health.markUnresponsive(member);
             }
         }
         slow.forEach((factor, id) => {
             log.info("member is slow", { group: group.name, upstream: id, factor });
             health.markSlow(id);
         });
-        return new Set(failed.keys());
+        return failed;
     }
 }
--- a/packages/gateway/src/fleet/MemberProber.ts
+++ b/packages/gateway/src/fleet/MemberProber.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { Upstream } from "../model/Upstream.js";
 import type { UpstreamReport } from "../ports/UpstreamReport.js";
+import type { MemberFailure } from "./MemberFailure.js";
 import type { OrderSender } from "./OrderSender.js";
 
 interface MemberProberOptions {
@@ -18,8 +19,8 @@
 
 /** Findings about members, by their ids. */
 interface MemberFindings {
-    /** Reason for each member that failed the check. */
-    failed: Map<string, string>;
+    /** Members that failed the check. */
+    failed: Map<string, MemberFailure>;
     /** Slowdown factor of each slow member. */
     slow: Map<string, number>;
 }
@@ -42,9 +43,9 @@
         const findings: MemberFindings = { failed: new Map(), slow: new Map() };
         await Promise.all(members.map(async member => {
             const report = await this.requestReport(member);
-            const reason = failureReason(member, report, epoch);
-            if (reason !== undefined) {
-                findings.failed.set(member.id, reason);
+            const failure = failureOf(member, report, epoch);
+            if (failure) {
+                findings.failed.set(member.id, failure);
             }
             else if (report.kind === "reported" && report.slowdown >= SLOW_FACTOR) {
                 findings.slow.set(member.id, report.slowdown);
@@ -75,17 +76,19 @@
             return earliest;
         }
         const [one, other] = await Promise.all([first, second]);
-        return other.kind === "unreachable" ? one : other;
+        return other.kind === "unreachable" && !other.isRefused ? one : other;
     }
 }
 
-/** Returns why a member failed the check, or undefined if it passed. */
-function failureReason(member: Upstream, report: UpstreamReport, epoch: number | undefined): string | undefined {
+/** Returns how a member failed the check, or undefined if it passed. */
+function failureOf(member: Upstream, report: UpstreamReport, epoch: number | undefined): MemberFailure | undefined {
     if (report.kind === "unreachable") {
-        return report.reason;
+        return { reason: report.reason, kind: report.isRefused ? "refused" : "silent" };
     }
     if (report.kind === "other-instance" || report.startedAtMs !== member.startedAtMs) {
-        return "another instance responds";
+        return { reason: "another instance responds", kind: "replaced" };
     }
-    return epoch !== undefined && report.group?.epoch !== epoch ? "belongs to another group or epoch" : undefined;
+    return epoch !== undefined && report.group?.epoch !== epoch
+        ? { reason: "belongs to another group or epoch", kind: "replaced" }
+        : undefined;
 }
--- a/packages/gateway/src/fleet/UpstreamHealth.ts
+++ b/packages/gateway/src/fleet/UpstreamHealth.ts
@@ -36,6 +36,13 @@
         this.unresponsiveInstances.set(instanceKeyOf(upstream), this.options.clock.monotonicMs());
     }
 
+    /** Records that this instance of an upstream responds. */
+    markResponsive(upstream: Upstream): void {
+        if (this.unresponsiveInstances.delete(instanceKeyOf(upstream))) {
+            this.options.log.info("upstream responds again", { upstream: upstream.id });
+        }
+    }
+
     /** Records that the upstream reported that it is slow. */
     markSlow(id: string): void {
         this.slowAtMs.set(id, this.options.clock.monotonicMs());
@@ -84,7 +91,7 @@
 
     /** Checks an unresponsive upstream again that is still registered, unless it was checked recently. */
     private recheck(upstream: Upstream, checkedAtMs: number): void {
-        const { clock, prober, log } = this.options;
+        const { clock, prober } = this.options;
         const instanceKey = instanceKeyOf(upstream);
         if (clock.monotonicMs() - checkedAtMs < UNRESPONSIVE_RECHECK_MS) {
             return;
@@ -92,8 +99,7 @@
         this.unresponsiveInstances.set(instanceKey, clock.monotonicMs());
         void prober.isAlive(upstream).then(isAlive => {
             if (isAlive) {
-                log.info("upstream responds again", { upstream: upstream.id });
-                this.unresponsiveInstances.delete(instanceKey);
+                this.markResponsive(upstream);
             }
         });
     }
--- a/packages/gateway/src/ports/UpstreamReport.ts
+++ b/packages/gateway/src/ports/UpstreamReport.ts
@@ -15,4 +15,5 @@
     }
     /** Another upstream responded at this address. */
     | { kind: "other-instance"; }
-    | { kind: "unreachable"; reason: string; };
+    /** `isRefused` is true if the VM refused the connection: no process listens at the address any more. */
+    | { kind: "unreachable"; reason: string; isRefused: boolean; };
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -79,6 +79,106 @@
         rig.stopController();
     });
 
+    describe("when a group is suspected to have failed", () => {
+        async function createRigWithSuspect() {
+            const rig = await createFormedRig();
+            const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+            const epoch = head.group?.epoch ?? 0;
+            const members = [...rig.directory.all()].filter(item => item.group?.epoch === epoch);
+            const member = members.find(item => item.group?.rank === 2)!;
+            /** Runs until the group is open in another epoch. Returns the time that it took, or Infinity. */
+            const runUntilReplaced = async (limitMs: number): Promise<number> => {
+                for (let passedMs = 0; passedMs < limitMs; passedMs += 100) {
+                    const isReplaced = rig.fleet.openHeads().some(({ group }) =>
+                        group?.name === head.group?.name && group?.epoch !== epoch
+                    );
+                    if (isReplaced) {
+                        return passedMs;
+                    }
+                    await rig.run(100);
+                }
+                return Infinity;
+            };
+            const hasRejoined = () => members.some(({ id }) => rig.fleet.state(id).group?.epoch !== epoch);
+            return { rig, head, epoch, members, member, hasRejoined, runUntilReplaced };
+        }
+
+        for (const silentMs of [700, 1200, 1700]) {
+            it(`breaks off no requests of a member that is silent for ${silentMs} ms and goes on`, async () => {
+                const { rig, epoch, member, hasRejoined, runUntilReplaced } = await createRigWithSuspect();
+                rig.requestDurationMs = 4000;
+                rig.fleet.makeUnresponsive(member.id, 1e9);
+                await rig.run(silentMs);
+                rig.fleet.makeResponsive(member.id);
+                await rig.run(2000);
+                expect([new Set(rig.lostEpochs), hasRejoined()]).to.deep.equal([new Set([epoch]), false]);
+                expect(await runUntilReplaced(6000)).to.be.lessThan(6000);
+                expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+                expect(rig.fleet.violations).to.deep.equal([]);
+                rig.stopController();
+            });
+        }
+
+        it("breaks off no requests of a group without events whose members all respond", async () => {
+            const { rig, epoch, hasRejoined, runUntilReplaced } = await createRigWithSuspect();
+            rig.requestDurationMs = 4000;
+            rig.silentEpochs.add(epoch);
+            await rig.run(1800);
+            rig.silentEpochs.clear();
+            await rig.run(1500);
+            expect([new Set(rig.lostEpochs), hasRejoined()]).to.deep.equal([new Set([epoch]), false]);
+            expect(await runUntilReplaced(6000)).to.be.lessThan(6000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            rig.stopController();
+        });
+
+        it("breaks off no requests of a group with a slow member", async () => {
+            const { rig, epoch, member, runUntilReplaced } = await createRigWithSuspect();
+            rig.requestDurationMs = 4000;
+            rig.fleet.slowDown(member.id, 4);
+            await rig.run(2000);
+            expect(new Set(rig.lostEpochs)).to.deep.equal(new Set([epoch]));
+            expect(await runUntilReplaced(6000)).to.be.lessThan(6000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            expect(rig.fleet.isSlow(rig.fleet.openHeads().find(item => item.model === "large")!)).to.equal(false);
+            rig.stopController();
+        });
+
+        it("re-forms it at once when nothing is in flight there any more", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            rig.requestDurationMs = 0;
+            rig.fleet.makeUnresponsive(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(1700);
+            rig.stopController();
+        });
+
+        it("re-forms it at once when a member's process has ended", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.crash(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(1700);
+            rig.stopController();
+        });
+
+        it("re-forms it at once when a member has restarted", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.makeUnresponsive(member.id, 1e9);
+            await rig.run(1000);
+            rig.fleet.restart(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(1000);
+            rig.stopController();
+        });
+
+        it("re-forms it after a bounded silence although requests stay in flight", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.makeUnresponsive(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(REPAIR_TARGET_MS);
+            rig.stopController();
+        });
+    });
+
     it("lets the requests of a group end when its head has drained and left", async () => {
         const rig = await createFormedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
@@ -188,6 +288,7 @@
         const rig = await createFormedRig();
         const before = rig.fleet.openHeads().map(item => item.group?.epoch ?? 0);
         const upstreams = [...rig.directory.all()];
+        rig.requestDurationMs = 0;
         upstreams.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
         await rig.run(6000);
         expect(rig.lostEpochs).to.include.members(before);
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -7,8 +7,8 @@
 import { OrderSender } from "../../src/fleet/OrderSender.js";
 import { StandbyPool } from "../../src/fleet/StandbyPool.js";
 import { WeightLoadLimiter } from "../../src/fleet/WeightLoadLimiter.js";
-import type { Upstream } from "../../src/model/Upstream.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
+import type { TargetLoad } from "../../src/placement/TargetLoad.js";
 import type { UpstreamControl } from "../../src/ports/UpstreamControl.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
@@ -17,7 +17,7 @@
 import { SilentDecisionLog } from "./SilentDecisionLog.js";
 import { SimulatedUpstreams } from "./SimulatedUpstreams.js";
 
-/** Number of requests that each open group always has in flight, so that its silence is visible. */
+/** Number of requests that each group that takes requests has in flight, so that its silence is visible. */
 const IN_FLIGHT_PER_GROUP = 5;
 const STEP_MS = 100;
 /** A zone is reachable while something was received from a gateway there within this time. */
@@ -33,6 +33,10 @@
     readonly lostEpochs: number[] = [];
     isViewFresh = true;
     loadLagMs = 0;
+    /** Time for which requests stay in flight at a group that takes no new ones. */
+    requestDurationMs = 2000;
+    /** Groups whose requests get no events although all their members are sound. */
+    readonly silentEpochs = new Set<number>();
     /** Returns when something was last received from gateways of other zones. */
     lastPeerUpdateAtMs: () => number = () => this.clock.monotonicMs();
     readonly unreachableZones = new Set<string>();
@@ -42,6 +46,9 @@
     readonly acceptedOrders: Array<{ incarnation: string; upstream: string; kind: string; epoch: number; }> = [];
     private stop = new AbortController();
     private readonly stops: AbortController[] = [];
+    /** When a group last took requests and when they last got an event, by epoch. */
+    private readonly lastRequestAtMs = new Map<number, number>();
+    private readonly lastEventAtMs = new Map<number, number>();
 
     private constructor() {
         const service = { name: "llm", connectionLimit: 100, coldRequestsPerSecond: 0, engine: exampleEngine };
@@ -145,27 +152,42 @@
     }
 
     /**
-     * Advances the clock while every open group has requests in flight. A group with an unresponsive member is silent.
+     * Advances the clock while every group that takes requests has some in flight. A group with an unresponsive member is
+     * silent.
      */
     async run(durationMs: number): Promise<void> {
-        const silentSinceMs = new Map<number, number>();
         for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
-            const nowMs = this.clock.monotonicMs();
-            const loads = this.openMembers().map(head => {
-                const epoch = head.group?.epoch ?? 0;
-                const isOpen = this.fleet.openHeads().some(open => open.id === head.id);
-                const isServing = isOpen && this.fleet.isComplete(head);
-                // A slow group's events come every 400 ms.
-                const isPausing = this.fleet.isSlow(head) && nowMs % 400 !== 0;
-                silentSinceMs.set(epoch, isServing && !isPausing ? nowMs : silentSinceMs.get(epoch) ?? nowMs);
-                const silentMs = nowMs - silentSinceMs.get(epoch)!;
-                return [String(epoch), { inFlight: IN_FLIGHT_PER_GROUP, pendingPrefillTokens: 0, silentMs }] as const;
-            });
-            this.loads.setPeerLoads("callers", loads);
+            this.updateLoads();
             await this.clock.advance(STEP_MS);
         }
     }
 
+    private updateLoads(): void {
+        const nowMs = this.clock.monotonicMs();
+        const heads = this.fleet.servingHeads();
+        const loads = new Map<string, TargetLoad>();
+        for (const head of heads) {
+            const epoch = head.group?.epoch ?? 0;
+            const isRegistered = this.directory.get(head.id)?.group?.phase === "open";
+            if (isRegistered && !this.lostEpochs.includes(epoch)) {
+                this.lastRequestAtMs.set(epoch, nowMs);
+            }
+            if (nowMs - (this.lastRequestAtMs.get(epoch) ?? -Infinity) > this.requestDurationMs) {
+                continue;
+            }
+            const isSound = this.fleet.isComplete(head) && !this.silentEpochs.has(epoch);
+            // A slow group's events come every 400 ms.
+            const isPausing = this.fleet.isSlow(head) && nowMs % 400 !== 0;
+            const lastEventAtMs = isSound && !isPausing ? nowMs : this.lastEventAtMs.get(epoch) ?? nowMs;
+            this.lastEventAtMs.set(epoch, lastEventAtMs);
+            const silentMs = nowMs - lastEventAtMs;
+            loads.set(String(epoch), { inFlight: IN_FLIGHT_PER_GROUP, pendingPrefillTokens: 0, silentMs });
+        }
+        this.loads.setPeerLoads("callers", [...loads]);
+        this.fleet.busyEpochs.forEach(epoch => !loads.has(String(epoch)) && this.fleet.endRequests(epoch));
+        loads.forEach((_, epoch) => this.fleet.busyEpochs.add(Number(epoch)));
+    }
+
     /** Returns the number of complete open groups by model. */
     countCompleteGroups(): Record<string, number> {
         const counts: Record<string, number> = {};
@@ -176,9 +198,4 @@
         }
         return counts;
     }
-
-    private openMembers(): Upstream[] {
-        const registered = [...this.directory.all()].filter(upstream => upstream.group?.phase === "open");
-        return [...registered, ...this.fleet.openHeads().filter(head => this.fleet.hasLeft(head.id))];
-    }
 }
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -22,6 +22,8 @@
     lastModel?: string;
     /** Does not respond to anything; its registration stays until it expires. */
     isUnresponsive: boolean;
+    /** Its process has ended, so that its VM refuses connections. */
+    hasCrashed: boolean;
     /** Has left the fleet and accepts no connections, but stays in its group until the group's requests have ended. */
     hasLeft: boolean;
     /** Factor on its usual durations. */
@@ -48,6 +50,10 @@
 export class SimulatedUpstreams implements UpstreamControl {
     /** Violations of invariants that were found when orders were executed. */
     readonly violations: string[] = [];
+    /** Epochs of groups whose head has requests in progress. */
+    readonly busyEpochs = new Set<number>();
+    /** Epochs of sound groups that had requests in progress when a member joined again, which ends the requests. */
+    readonly brokenOffEpochs = new Set<number>();
     /** Number of following orders that get no response and are executed late. */
     lateOrders = 0;
     /** Upstreams whose next order gets no response and is executed late. */
@@ -77,6 +83,7 @@
             highestEpoch: 0,
             members: [],
             isUnresponsive: false,
+            hasCrashed: false,
             hasLeft: false,
             slowdown: 1,
             version: 0,
@@ -94,6 +101,22 @@
         void this.clock.sleep(expiresAfterMs).then(() => this.registrations.remove(id, "silent"));
     }
 
+    /** Ends the process of a VM, which then refuses connections. Its registration expires after three heartbeats. */
+    crash(id: string): void {
+        this.vm(id).hasCrashed = true;
+        this.makeUnresponsive(id);
+    }
+
+    /** Ends the requests of a group. A head that is being closed is ready then. */
+    endRequests(epoch: number): void {
+        this.busyEpochs.delete(epoch);
+        for (const vm of this.vms.values()) {
+            if (vm.upstream.group?.epoch === epoch && vm.upstream.group.phase === "closing") {
+                this.setGroupPhase(vm, "ready");
+            }
+        }
+    }
+
     /** Lets a drained VM leave: its registration is removed and it responds to nothing, but its group still serves. */
     leaveFleet(id: string): void {
         this.vm(id).hasLeft = true;
@@ -128,7 +151,8 @@
     /** Restarts a VM after a crash. Its weights stay staged on its host. */
     restart(id: string): void {
         const vm = this.vm(id);
-        Object.assign(vm, { orderCount: 0, highestEpoch: 0, members: [], lastModel: undefined, isUnresponsive: false });
+        Object.assign(vm, { orderCount: 0, highestEpoch: 0, members: [], lastModel: undefined });
+        Object.assign(vm, { isUnresponsive: false, hasCrashed: false });
         vm.joinedEpochs.clear();
         this.update(vm, { startedAtMs: this.clock.now().getTime(), group: undefined, model: undefined });
     }
@@ -140,6 +164,13 @@
             .map(vm => vm.upstream);
     }
 
+    /** Returns the heads that take requests or finish those in progress. */
+    servingHeads(): Upstream[] {
+        return [...this.vms.values()]
+            .filter(({ upstream: { group } }) => group?.phase === "open" || group?.phase === "closing")
+            .map(vm => vm.upstream);
+    }
+
     /** Returns true if all members of the head's group respond and are at the head's epoch. */
     isComplete(head: Upstream): boolean {
         return this.vm(head.id).members.every(id => {
@@ -156,12 +187,12 @@
     /** Returns a report of the upstream's state. */
     async fetchReport(upstream: Upstream): Promise<UpstreamReport> {
         const vm = this.vms.get(upstream.id);
-        if (vm?.hasLeft) {
-            return { kind: "unreachable", reason: "connection refused" };
+        if (vm?.hasLeft || vm?.hasCrashed) {
+            return { kind: "unreachable", reason: "connection refused", isRefused: true };
         }
         if (!vm || vm.isUnresponsive) {
             await this.clock.sleep(RESPONSE_TIMEOUT_MS);
-            return { kind: "unreachable", reason: "no answer" };
+            return { kind: "unreachable", reason: "no answer", isRefused: false };
         }
         const { startedAtMs, group, model, stagedModels } = vm.upstream;
         return {
@@ -208,7 +239,12 @@
     } = {
         join: (vm, order) => this.join(vm, order),
         open: (vm, order) => this.open(vm, order),
-        close: (vm, order) => this.withGroup(vm, order, () => this.setGroupPhase(vm, "ready")),
+        close: (vm, order) =>
+            this.withGroup(
+                vm,
+                order,
+                () => this.setGroupPhase(vm, this.busyEpochs.has(order.epoch) ? "closing" : "ready"),
+            ),
         leave: (vm, order) => this.withGroup(vm, order, () => this.update(vm, { group: undefined, model: undefined })),
         stage: (vm, order) => {
             // Staging runs independently of the upstream's state, so a change of state does not cancel it.
@@ -225,6 +261,7 @@
             return { kind: "refused", status: 412 };
         }
         this.checkOnlyOneGroup(vm, order);
+        this.recordBrokenOffRequests(vm);
         const isWarm = vm.lastModel === order.model;
         const isStaged = vm.upstream.stagedModels.includes(order.model);
         const { loadFromStoreMs, loadFromHostMs } = this.modelOf(order.model);
@@ -273,6 +310,15 @@
         }
     }
 
+    /** Records that requests in progress end because a member of their group joins again. */
+    private recordBrokenOffRequests(vm: Vm): void {
+        const { group } = vm.upstream;
+        const head = this.servingHeads().find(item => item.group?.epoch === group?.epoch);
+        if (group && head && this.busyEpochs.has(group.epoch) && this.isComplete(head)) {
+            this.brokenOffEpochs.add(group.epoch);
+        }
+    }
+
     /** Returns true if a head has given up its group because the group was stalled for too long. */
     private hasGivenUpGroup(headId: string): boolean {
         const { upstream, members } = this.vm(headId);
@@ -301,7 +347,7 @@
         return { kind: "accepted" };
     }
 
-    private setGroupPhase(vm: Vm, phase: "ready" | "open"): void {
+    private setGroupPhase(vm: Vm, phase: "ready" | "open" | "closing"): void {
         const { group } = vm.upstream;
         if (group) {
             this.update(vm, { group: { ...group, phase } });
