Let the requests of a closing group end however long they take

What callers saw: beside planned work, streams that took longer than two seconds after their group was closed were broken off by the upstream. A group with a draining or departed member was re-formed 2 s after the close order, whatever was in flight.

Evidence: with requests of 6 s, members of a group whose head or member drained had joined again within 5 s (two new tests, which failed on the code before).

Change: a closing group is re-formed once its head is ready. It is re-formed earlier only if its requests have had no event for 2 s, and after 10 s, when a draining member leaves anyway. A head that does not become ready although no gateway has requests there is waited for during 2 s, as before.

Cost: a group with long requests is out of service until they have ended, which can be 8 s later than before.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -104,7 +104,7 @@
 const REPORT_INTERVAL_MS = 200;
 /** The open order is repeated if the head's registration does not show the open group after this time. */
 const OPEN_RETRY_AFTER_MS = 900;
-/** Time for the requests of a closing group to finish; most responses take about two seconds. */
+/** A head that has been closed and has no requests of gateways any more is ready within this time. */
 const CLOSE_TIMEOUT_MS = 2000;
 /**
  * A draining member is replaced after this time at the latest: it leaves after ten seconds, even if its head has work.
@@ -514,6 +514,10 @@
             && this.nowMs() - group.phaseSinceMs < MAX_DRAIN_MS;
     }
 
+    private hasRequests(group: ManagedGroup): boolean {
+        return this.options.loads.totalLoad(String(group.epoch)).inFlight > 0;
+    }
+
     /** Returns true if the group's requests have received events until now. */
     private isServing(group: ManagedGroup): boolean {
         const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
@@ -531,10 +535,10 @@
 
     private advanceClosing(view: ServiceView, group: ManagedGroup): void {
         const head = this.currentHead(group);
-        const isClosed = head
-            ? head.group?.epoch !== group.epoch || head.group.phase === "ready"
-            : this.options.loads.totalLoad(String(group.epoch)).inFlight === 0;
-        if (isClosed || this.nowMs() - group.phaseSinceMs > CLOSE_TIMEOUT_MS) {
+        const isClosed = this.headFailure(group) !== undefined;
+        const isAbandoned = !this.isInUse(group)
+            && (!head || this.hasRequests(group) || this.nowMs() - group.phaseSinceMs > CLOSE_TIMEOUT_MS);
+        if (isClosed || isAbandoned) {
             group.lostAtMs ??= group.phaseSinceMs;
             this.reform(view, group, "a member is draining", new Set());
         }
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -17,6 +17,30 @@
     return rig;
 }
 
+/** Returns a formed fleet, and one of its large groups with functions that observe it. */
+async function createRigWithTarget() {
+    const rig = await createFormedRig();
+    const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+    const epoch = head.group?.epoch ?? 0;
+    const members = [...rig.directory.all()].filter(item => item.group?.epoch === epoch);
+    const member = members.find(item => item.group?.rank === 2)!;
+    /** Runs until the group is open in another epoch. Returns the time that it took, or Infinity. */
+    const runUntilReplaced = async (limitMs: number): Promise<number> => {
+        for (let passedMs = 0; passedMs < limitMs; passedMs += 100) {
+            const isReplaced = rig.fleet.openHeads().some(({ group }) =>
+                group?.name === head.group?.name && group?.epoch !== epoch
+            );
+            if (isReplaced) {
+                return passedMs;
+            }
+            await rig.run(100);
+        }
+        return Infinity;
+    };
+    const hasRejoined = () => members.some(({ id }) => rig.fleet.state(id).group?.epoch !== epoch);
+    return { rig, head, epoch, members, member, hasRejoined, runUntilReplaced };
+}
+
 describe("FleetController", () => {
     it("forms one group of each model in each domain and prepares two spares with weights in memory", async () => {
         const rig = await createFormedRig();
@@ -80,32 +104,9 @@
     });
 
     describe("when a group is suspected to have failed", () => {
-        async function createRigWithSuspect() {
-            const rig = await createFormedRig();
-            const head = rig.fleet.openHeads().find(item => item.model === "large")!;
-            const epoch = head.group?.epoch ?? 0;
-            const members = [...rig.directory.all()].filter(item => item.group?.epoch === epoch);
-            const member = members.find(item => item.group?.rank === 2)!;
-            /** Runs until the group is open in another epoch. Returns the time that it took, or Infinity. */
-            const runUntilReplaced = async (limitMs: number): Promise<number> => {
-                for (let passedMs = 0; passedMs < limitMs; passedMs += 100) {
-                    const isReplaced = rig.fleet.openHeads().some(({ group }) =>
-                        group?.name === head.group?.name && group?.epoch !== epoch
-                    );
-                    if (isReplaced) {
-                        return passedMs;
-                    }
-                    await rig.run(100);
-                }
-                return Infinity;
-            };
-            const hasRejoined = () => members.some(({ id }) => rig.fleet.state(id).group?.epoch !== epoch);
-            return { rig, head, epoch, members, member, hasRejoined, runUntilReplaced };
-        }
-
         for (const silentMs of [700, 1200, 1700]) {
             it(`breaks off no requests of a member that is silent for ${silentMs} ms and goes on`, async () => {
-                const { rig, epoch, member, hasRejoined, runUntilReplaced } = await createRigWithSuspect();
+                const { rig, epoch, member, hasRejoined, runUntilReplaced } = await createRigWithTarget();
                 rig.requestDurationMs = 4000;
                 rig.fleet.makeUnresponsive(member.id, 1e9);
                 await rig.run(silentMs);
@@ -120,7 +121,7 @@
         }
 
         it("breaks off no requests of a group without events whose members all respond", async () => {
-            const { rig, epoch, hasRejoined, runUntilReplaced } = await createRigWithSuspect();
+            const { rig, epoch, hasRejoined, runUntilReplaced } = await createRigWithTarget();
             rig.requestDurationMs = 4000;
             rig.silentEpochs.add(epoch);
             await rig.run(1800);
@@ -133,7 +134,7 @@
         });
 
         it("breaks off no requests of a group with a slow member", async () => {
-            const { rig, epoch, member, runUntilReplaced } = await createRigWithSuspect();
+            const { rig, epoch, member, runUntilReplaced } = await createRigWithTarget();
             rig.requestDurationMs = 4000;
             rig.fleet.slowDown(member.id, 4);
             await rig.run(2000);
@@ -145,7 +146,7 @@
         });
 
         it("re-forms it at once when nothing is in flight there any more", async () => {
-            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
             rig.requestDurationMs = 0;
             rig.fleet.makeUnresponsive(member.id);
             expect(await runUntilReplaced(6000)).to.be.at.most(1700);
@@ -153,7 +154,7 @@
         });
 
         it("re-forms it at once when a member's process has ended", async () => {
-            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
             rig.requestDurationMs = 60_000;
             rig.fleet.crash(member.id);
             expect(await runUntilReplaced(6000)).to.be.at.most(1700);
@@ -161,7 +162,7 @@
         });
 
         it("re-forms it at once when a member has restarted", async () => {
-            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
             rig.requestDurationMs = 60_000;
             rig.fleet.makeUnresponsive(member.id, 1e9);
             await rig.run(1000);
@@ -171,7 +172,7 @@
         });
 
         it("re-forms it after a bounded silence although requests stay in flight", async () => {
-            const { rig, member, runUntilReplaced } = await createRigWithSuspect();
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
             rig.requestDurationMs = 60_000;
             rig.fleet.makeUnresponsive(member.id);
             expect(await runUntilReplaced(6000)).to.be.at.most(REPAIR_TARGET_MS);
@@ -179,6 +180,20 @@
         });
     });
 
+    for (const leaver of ["head", "member"] as const) {
+        it(`breaks off no requests of a group whose ${leaver} drains, however long they take`, async () => {
+            const target = await createRigWithTarget();
+            const { rig, hasRejoined, runUntilReplaced } = target;
+            rig.requestDurationMs = 6000;
+            rig.fleet.drain(target[leaver].id);
+            await rig.run(5000);
+            expect([rig.lostEpochs, hasRejoined()]).to.deep.equal([[], false]);
+            expect(await runUntilReplaced(8000)).to.be.lessThan(8000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
+
     it("lets the requests of a group end when its head has drained and left", async () => {
         const rig = await createFormedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
