Let the requests of adopted groups end as the earlier controller did

What callers saw: after the controller's own SIGTERM, crash or restart, streams of groups that were closing, had a departed member or head, or were suspected to have failed were broken off by their upstream.

Cause: a new controller adopted every group as open or joining. It re-formed a closing group at once as a joining one with a failed member, and any incomplete or lost one before its first pass was over.

Change: a group with a closing head, or whose head is not registered, is adopted as closing; an open one that lacks a member is closed; one that was reported lost is waited for like one that the controller itself suspects. Since a process that has just started does not know its peers' loads, a controller takes groups for ones with requests in its first second. A group with a broken head is adopted as open and so found lost, instead of as joining. A group without its head no longer has the member of rank 1 in its place.

Cost: a formation that is taken over before the head has joined is repeated up to 1 s later. The broken head is not shown by a test.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -86,6 +86,8 @@
 const ABANDONED_AFTER_MS = 2000;
 /** A draining member leaves after this time, even if its group has requests in flight. */
 const MAX_DRAIN_MS = 10_000;
+/** A process that has just started may not have received the loads of its peers until then; they are sent every 0.4 s. */
+const LOAD_DISCOVERY_MS = 1000;
 /** Time between announcements of a group that is lost and still has requests; much shorter than gateways exclude it. */
 const LOSS_ANNOUNCEMENT_INTERVAL_MS = 3000;
 /** Minimum time between two checks of the members of one group. */
@@ -127,6 +129,8 @@
     private readonly health: UpstreamHealth;
     private readonly epochs: EpochSource;
     private term = 0;
+    /** When this gateway became the controller, monotonic. */
+    private actingSinceMs = -Infinity;
     private readonly stability: FleetStabilityMonitor;
     private readonly memberChecker: MemberChecker;
 
@@ -180,6 +184,7 @@
         if (lease.term !== this.term) {
             this.stepDown();
             this.term = lease.term;
+            this.actingSinceMs = this.nowMs();
             this.epochs.start(this.term);
             log.info("acting as the controller", { term: this.term });
         }
@@ -220,7 +225,6 @@
                 continue;
             }
             const members = [...group.members].sort(([left], [right]) => left - right).map(([, member]) => member);
-            const isOpen = head?.group?.phase === "open";
             const adopted: ManagedGroup = {
                 name: group.name,
                 service: view.service,
@@ -228,7 +232,8 @@
                 model,
                 epoch: group.epoch,
                 members,
-                phase: isOpen ? "open" : "joining",
+                isHeadMissing: head === undefined,
+                phase: adoptedPhase(head),
                 phaseSinceMs: this.nowMs(),
                 checkedAtMs: 0,
                 isChecking: false,
@@ -241,12 +246,21 @@
                 phase: head?.group?.phase,
             });
             this.groups.set(group.name, adopted);
-            if (members.length < model.memberCount) {
-                this.reform(view, adopted, "a member is not registered", new Set());
-            }
-            else if (this.options.isLost(group.epoch)) {
-                this.reform(view, adopted, "the group was reported lost before and is back", new Set());
-            }
+            this.examineAdopted(view, adopted);
+        }
+    }
+
+    /** Handles an adopted group that cannot stay as it is. Its requests may end first, as under the earlier controller. */
+    private examineAdopted(view: ServiceView, adopted: ManagedGroup): void {
+        const isIncomplete = adopted.members.length < adopted.model.memberCount;
+        if (adopted.phase === "open" && this.options.isLost(adopted.epoch)) {
+            this.suspectGroup(view, adopted, "the group was reported lost before and is back", new Set(), []);
+        }
+        else if (adopted.phase === "open" && isIncomplete && !this.headFailure(adopted)) {
+            this.startClosing(adopted, this.currentHead(adopted), "a member is not registered");
+        }
+        else if (adopted.phase === "joining" && isIncomplete) {
+            this.reform(view, adopted, "a member is not registered", new Set());
         }
     }
 
@@ -510,6 +524,9 @@
     /** Returns true if a join of the group's members would end requests whose callers still wait for them. */
     private isInUse(group: ManagedGroup): boolean {
         const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
+        if (this.nowMs() - this.actingSinceMs < LOAD_DISCOVERY_MS) {
+            return true;
+        }
         return inFlight > 0 && silentMs < ABANDONED_AFTER_MS + this.options.loadLagMs()
             && this.nowMs() - group.phaseSinceMs < MAX_DRAIN_MS;
     }
@@ -653,7 +670,8 @@
     private quarantineReplaced(group: ManagedGroup, members: readonly Upstream[]): void {
         const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
         const kept = idsOf(members);
-        const { epoch, members: [head] } = group;
+        const { epoch } = group;
+        const head = headOf(group);
         const hasHeadLeft = () => {
             const current = this.options.upstreams.get(head?.id ?? "");
             return current !== undefined
@@ -877,7 +895,8 @@
     }
 
     /** Returns the current registration of a group's head, or undefined if it is not registered. */
-    private currentHead({ members: [head] }: ManagedGroup): Upstream | undefined {
+    private currentHead(group: ManagedGroup): Upstream | undefined {
+        const head = headOf(group);
         return head && this.options.upstreams.get(head.id);
     }
 
@@ -890,6 +909,18 @@
     return `.${model.name}`;
 }
 
+function headOf({ members, isHeadMissing }: ManagedGroup): Upstream | undefined {
+    return isHeadMissing ? undefined : members[0];
+}
+
+/** Returns the phase of an adopted group. Without a head it accepts no requests, but may have some in flight. */
+function adoptedPhase(head: Upstream | undefined): ManagedGroup["phase"] {
+    if (!head || head.group?.phase === "closing") {
+        return "closing";
+    }
+    return head.group?.phase === "open" || head.group?.phase === "broken" ? "open" : "joining";
+}
+
 function isReadyIn(member: Upstream | undefined, managed: ManagedGroup): boolean {
     const group = member?.group;
     return group !== undefined && group.name === managed.name && group.epoch === managed.epoch
--- a/packages/gateway/src/fleet/ManagedGroup.ts
+++ b/packages/gateway/src/fleet/ManagedGroup.ts
@@ -11,6 +11,8 @@
     epoch: number;
     /** Members by rank, as registered when they were chosen. */
     members: readonly Upstream[];
+    /** True if the head was not registered when the group was adopted; `members` lacks it then. */
+    isHeadMissing?: boolean;
     /** A `lost` group gets no new requests; it is re-formed once those in flight have ended. */
     phase: "joining" | "opening" | "open" | "closing" | "lost" | "incomplete";
     /** Start of the phase, monotonic. */
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -180,6 +180,68 @@
         });
     });
 
+    describe("when another gateway becomes the controller", () => {
+        const takeovers: ReadonlyArray<
+            { title: string; cause: (target: Awaited<ReturnType<typeof createRigWithTarget>>) => Promise<void>; }
+        > = [
+            {
+                title: "a group that is closing",
+                cause: async ({ rig, member }) => {
+                    rig.fleet.drain(member.id);
+                    await rig.run(1000);
+                },
+            },
+            {
+                title: "a group whose member has left",
+                cause: async ({ rig, member }) => {
+                    rig.stopController();
+                    rig.fleet.leaveFleet(member.id);
+                },
+            },
+            {
+                title: "a group whose head has left",
+                cause: async ({ rig, head }) => {
+                    rig.stopController();
+                    rig.fleet.leaveFleet(head.id);
+                },
+            },
+            {
+                title: "a group that is suspected to have failed",
+                cause: async ({ rig, member }) => {
+                    rig.fleet.makeUnresponsive(member.id, 1e9);
+                    await rig.run(900);
+                    rig.fleet.makeResponsive(member.id);
+                },
+            },
+        ];
+        for (const { title, cause } of takeovers) {
+            it(`breaks off no requests of ${title}`, async () => {
+                const target = await createRigWithTarget();
+                const { rig, hasRejoined, runUntilReplaced } = target;
+                rig.requestDurationMs = 4000;
+                await cause(target);
+                rig.startController("second");
+                await rig.run(2000);
+                expect(hasRejoined()).to.equal(false);
+                expect(await runUntilReplaced(8000)).to.be.lessThan(8000);
+                expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+                expect(rig.fleet.violations).to.deep.equal([]);
+                rig.stopController();
+            });
+        }
+
+        it("re-forms a closing group whose requests get no events any more", async () => {
+            const { rig, epoch, member, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.drain(member.id);
+            await rig.run(1000);
+            rig.silentEpochs.add(epoch);
+            rig.startController("second");
+            expect(await runUntilReplaced(8000)).to.be.at.most(REPAIR_TARGET_MS);
+            rig.stopController();
+        });
+    });
+
     for (const leaver of ["head", "member"] as const) {
         it(`breaks off no requests of a group whose ${leaver} drains, however long they take`, async () => {
             const target = await createRigWithTarget();
