Repeat a close order until the group is closed

What callers saw: a group with a draining or departed member went on taking requests, and those in flight were broken off when the time for closing it was over.

Cause: the close order was sent once. It was dropped while another order to the head was in progress, for instance an open order whose response was late, and not repeated if it had no effect.

Evidence: two new tests failed on the code before: a head that was busy got no close order within 6 s, and one that ignored the order got it once.

Change: while a group is to be closed and its head's registration shows it open, the order is sent as soon as the head is not busy, and again 0.9 s after the last one.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -106,6 +106,8 @@
 const REPORT_INTERVAL_MS = 200;
 /** The open order is repeated if the head's registration does not show the open group after this time. */
 const OPEN_RETRY_AFTER_MS = 900;
+/** The close order is repeated if the head's registration still shows an open group after this time. */
+const CLOSE_RETRY_AFTER_MS = 900;
 /** A head that has been closed and has no requests of gateways any more is ready within this time. */
 const CLOSE_TIMEOUT_MS = 2000;
 /**
@@ -545,8 +547,16 @@
     private startClosing(group: ManagedGroup, head: Upstream | undefined, reason: string): void {
         this.options.log.info("closing group", { group: group.name, epoch: group.epoch, reason });
         this.setPhase(group, "closing");
-        if (head && !this.options.orders.isBusy(head)) {
-            void this.options.orders.send(head, { kind: "close", group: group.name, epoch: group.epoch });
+        this.orderClose(group, head);
+    }
+
+    /** Orders an open head to close its group, again if the head was busy or the order had no effect. */
+    private orderClose(group: ManagedGroup, head: Upstream | undefined): void {
+        const { orders } = this.options;
+        const isDue = this.nowMs() - (group.closeOrderedAtMs ?? -Infinity) > CLOSE_RETRY_AFTER_MS;
+        if (head?.group?.phase === "open" && isDue && !orders.isBusy(head)) {
+            group.closeOrderedAtMs = this.nowMs();
+            void orders.send(head, { kind: "close", group: group.name, epoch: group.epoch });
         }
     }
 
@@ -558,7 +568,9 @@
         if (isClosed || isAbandoned) {
             group.lostAtMs ??= group.phaseSinceMs;
             this.reform(view, group, "a member is draining", new Set());
+            return;
         }
+        this.orderClose(group, head);
     }
 
     private advanceIncomplete(view: ServiceView, group: ManagedGroup): void {
--- a/packages/gateway/src/fleet/ManagedGroup.ts
+++ b/packages/gateway/src/fleet/ManagedGroup.ts
@@ -19,6 +19,8 @@
     phaseSinceMs: number;
     /** When the group stopped serving, used to measure the repair time; undefined for a new or open group. */
     lostAtMs?: number;
+    /** When the last close order was sent, monotonic. */
+    closeOrderedAtMs?: number;
     /** Present while the phase is `lost`. */
     loss?: GroupLoss;
     /** When the last check of its members ended, monotonic. */
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -256,6 +256,36 @@
         });
     }
 
+    it("closes a group whose head was busy with another order when it had to be closed", async () => {
+        const { rig, head, members, member, runUntilReplaced } = await createRigWithTarget();
+        rig.requestDurationMs = 1500;
+        rig.fleet.responseDelaysMs.set(`${head.id} open`, 2000);
+        rig.fleet.crash(member.id);
+        expect(await runUntilReplaced(3000)).to.be.lessThan(3000);
+        const drained = members.find(item => item.group?.rank === 3)!;
+        rig.fleet.drain(drained.id);
+        await rig.run(6000);
+        const closes = rig.acceptedOrders.filter(({ upstream, kind }) => upstream === head.id && kind === "close");
+        expect(closes).to.have.lengthOf(1);
+        expect(rig.fleet.state(head.id).group?.epoch).to.be.greaterThan(closes[0]?.epoch ?? Infinity);
+        expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+        rig.stopController();
+    });
+
+    it("repeats a close order that had no effect, with a delay, until the group is closed", async () => {
+        const { rig, head, member } = await createRigWithTarget();
+        rig.fleet.ignoredOrders.add(`${head.id} close`);
+        rig.fleet.drain(member.id);
+        await rig.run(3000);
+        const ignored = rig.fleet.ignoredOrderCount;
+        expect(ignored).to.be.within(2, 4);
+        rig.fleet.ignoredOrders.clear();
+        await rig.run(4000);
+        expect(rig.countCompleteGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("lets the requests of a group end when its head has drained and left", async () => {
         const rig = await createFormedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -58,6 +58,11 @@
     lateOrders = 0;
     /** Upstreams whose next order gets no response and is executed late. */
     readonly lateOrderIds = new Set<string>();
+    /** Time until the response to an order that is executed at once, by upstream and kind of order. */
+    readonly responseDelaysMs = new Map<string, number>();
+    /** Orders, by upstream and kind, that are accepted without effect. */
+    readonly ignoredOrders = new Set<string>();
+    ignoredOrderCount = 0;
     orderAttempts = 0;
     /** False while the store is unavailable: registrations are not updated. */
     isPublishing = true;
@@ -220,14 +225,23 @@
             await this.clock.sleep(RESPONSE_TIMEOUT_MS);
             return { kind: "unknown", reason: "no answer" };
         }
-        return this.execute(vm, order, expectedOrderCount);
+        const outcome = this.execute(vm, order, expectedOrderCount);
+        const responseDelayMs = this.responseDelaysMs.get(`${upstream.id} ${order.kind}`);
+        if (responseDelayMs !== undefined) {
+            await this.clock.sleep(responseDelayMs);
+        }
+        return outcome;
     }
 
     private execute(vm: Vm, order: GroupOrder, expectedOrderCount: number): OrderOutcome {
         if (vm.orderCount !== expectedOrderCount) {
             return { kind: "conflict" };
         }
-        const outcome = this.handlers[order.kind](vm, order as never);
+        const isIgnored = this.ignoredOrders.has(`${vm.upstream.id} ${order.kind}`);
+        this.ignoredOrderCount += isIgnored ? 1 : 0;
+        const outcome: OrderOutcome = isIgnored
+            ? { kind: "accepted" }
+            : this.handlers[order.kind](vm, order as never);
         if (outcome.kind === "accepted") {
             vm.orderCount += 1;
         }
