Acquire no lease again after its release

What callers saw: after a SIGTERM of the controller's gateway, nobody gave orders until its process had exited, and groups were repaired that much later.

Cause: `release` wrote an empty lease, and the lease's own loop, which runs until the process exits, found it free and acquired it in its next poll. A release beside a renewal conflicted with it and was not repeated; one while the store was unavailable was lost.

Change: after `release` this process only releases the lease and never acquires it. Updates of the lease follow each other, and the loop repeats a release that was not written; until it is written, this gateway stays the controller.

Not measured with real processes.

--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -79,6 +79,10 @@
     private mustRenew = false;
     /** The store lacks this gateway's lease or has an older state of it. */
     private mustRestore = false;
+    /** This process shuts down: it releases the lease and never acquires it again. */
+    private hasResigned = false;
+    /** The last update of the lease, after which the next one starts. */
+    private update: Promise<void> = Promise.resolve();
 
     private constructor(private readonly options: ControllerLeaseOptions) {
         this.changedAtMs = options.clock.monotonicMs();
@@ -198,7 +202,7 @@
             this.lastPollAtMs = nowMs;
             this.observeTerm(this.options.highestUpstreamTerm());
             if (this.isStoreStateKnown) {
-                await this.renewOrAcquire(nowMs);
+                await this.startUpdate(() => this.renewOrAcquire(nowMs));
                 // A slow call to the store is not a pause of the process.
                 this.lastPollAtMs = clock.monotonicMs();
             }
@@ -206,8 +210,22 @@
         }
     }
 
-    /** Releases the lease if this gateway holds it, so that another gateway can acquire it at once. */
+    /**
+     * Releases the lease if this gateway holds it, so that another gateway can acquire it at once. This process does not
+     * acquire it again. While the store is unavailable, `run` repeats the release and this gateway stays the controller.
+     */
     async release(): Promise<void> {
+        this.hasResigned = true;
+        await this.startUpdate(() => this.writeRelease());
+    }
+
+    /** Starts an update when the last one has ended: two at the same revision would conflict. */
+    private startUpdate(update: () => Promise<void>): Promise<void> {
+        this.update = this.update.then(update);
+        return this.update;
+    }
+
+    private async writeRelease(): Promise<void> {
         if (this.lease && this.isOwn) {
             await this.write({ vm: "", incarnation: "", term: this.lease.term, renewals: this.lease.renewals + 1 });
         }
@@ -219,6 +237,10 @@
 
     private async renewOrAcquire(nowMs: number): Promise<void> {
         const { vm, incarnation } = this.options;
+        if (this.hasResigned) {
+            await this.writeRelease();
+            return;
+        }
         if (this.lease && this.isOwn && this.lease.term === this.highestTerm) {
             if (this.mustRenew || this.mustRestore || nowMs - this.renewedAtMs >= RENEWAL_INTERVAL_MS) {
                 await this.write({ ...this.lease, renewals: this.lease.renewals + 1 });
--- a/packages/gateway/tests/fleet/ControllerLease.test.ts
+++ b/packages/gateway/tests/fleet/ControllerLease.test.ts
@@ -147,6 +147,78 @@
         expect([first.lease.isController, second.lease.isController]).to.deep.equal([false, true]);
     });
 
+    /** Runs until the gateway is the controller. Returns the time that it took, or Infinity. */
+    async function runUntilController({ lease }: Candidate): Promise<number> {
+        for (let passedMs = 0; passedMs < 10_000; passedMs += 50) {
+            if (lease.isController) {
+                return passedMs;
+            }
+            await clock.advance(50);
+        }
+        return Infinity;
+    }
+
+    describe("when its holder shuts down", () => {
+        async function createPair(): Promise<[Candidate, Candidate]> {
+            const first = start("a");
+            await clock.advance(500);
+            const second = start("b", 1);
+            second.silenceMs.set("a", 100);
+            await clock.advance(1000);
+            return [first, second];
+        }
+
+        it("is not acquired again by the process that released it", async () => {
+            const [first, second] = await createPair();
+            await first.lease.release();
+            expect(first.lease.isController).to.equal(false);
+            expect(await runUntilController(second)).to.be.at.most(500);
+            await clock.advance(10_000);
+            expect([first.lease.isController, second.lease.isController]).to.deep.equal([false, true]);
+        });
+
+        it("is not acquired by a process that has released it, even if no other gateway does", async () => {
+            const first = start("a");
+            await clock.advance(1000);
+            await first.lease.release();
+            await clock.advance(20_000);
+            expect([first.lease.isController, first.lease.term]).to.deep.equal([false, 1]);
+        });
+
+        it("is not acquired by a process that shuts down without having held it", async () => {
+            const [first, second] = await createPair();
+            await second.lease.release();
+            first.stop.abort();
+            await first.lease.release();
+            await clock.advance(10_000);
+            expect([first.lease.isController, second.lease.isController]).to.deep.equal([false, false]);
+        });
+
+        it("is released as soon as the store is available again", async () => {
+            const [first, second] = await createPair();
+            store.faults.outage = true;
+            await first.lease.release();
+            await clock.advance(2000);
+            store.faults.outage = false;
+            expect(await runUntilController(second)).to.be.at.most(500);
+            expect(first.lease.isController).to.equal(false);
+        });
+
+        it("is released although a renewal is in progress", async () => {
+            const [first, second] = await createPair();
+            store.faults.delayMs = 150;
+            const { write: writesBefore } = store.calls;
+            while (store.calls.write === writesBefore) {
+                await clock.advance(10);
+            }
+            const released = first.lease.release();
+            expect(await runUntilController(second)).to.be.at.most(1500);
+            await released;
+            await clock.advance(3000);
+            expect([first.lease.isController, second.lease.isController]).to.deep.equal([false, true]);
+        });
+    });
+
     it("makes nobody the controller once a peer knows a higher term", async () => {
         const first = start("a");
         await clock.advance(500);
