Test at random that sound groups keep their requests

Adds a test with six seeds that silences members and whole groups for up to 1.7 s, drains members, lets members leave and hands the controller over, with requests of 0.5 to 5 s. It expects that no join ends requests of a sound group, that no member is in two groups, and that the open groups are complete afterwards.

--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -509,4 +509,40 @@
             rig.stopController();
         });
     }
+
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+        it(`breaks off no requests of sound groups beside silence, planned work and handovers (seed ${seed})`, async () => {
+            const random = SeededRandom.create(seed);
+            const rig = await createFormedRig();
+            let drainCount = 0;
+            for (let round = 0; round < 12; round++) {
+                rig.requestDurationMs = 500 + random.next() * 4500;
+                const ids = [...rig.directory.all()].map(upstream => upstream.id);
+                const id = ids[Math.floor(random.next() * ids.length)]!;
+                const epoch = rig.fleet.state(id).group?.epoch ?? 0;
+                const actions = [
+                    () => {
+                        rig.fleet.makeUnresponsive(id, 1e9);
+                        void rig.clock.sleep(300 + random.next() * 1200).then(() => rig.fleet.makeResponsive(id));
+                    },
+                    () => {
+                        rig.silentEpochs.add(epoch);
+                        void rig.clock.sleep(300 + random.next() * 1400).then(() => rig.silentEpochs.delete(epoch));
+                    },
+                    () => drainCount++ < 3 && rig.fleet.drain(id),
+                    () => drainCount++ < 3 && rig.fleet.leaveFleet(id),
+                    () => rig.startController(`round-${round}`),
+                ];
+                actions[Math.floor(random.next() * actions.length)]!();
+                await rig.run(500 + random.next() * 2500);
+            }
+            await rig.run(30_000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            expect(rig.fleet.violations).to.deep.equal([]);
+            const registered = rig.fleet.openHeads().filter(({ id }) => rig.directory.get(id));
+            expect(registered.filter(head => !rig.fleet.isComplete(head)).map(({ id }) => id)).to.deep.equal([]);
+            expect(registered.length).to.be.at.least(3);
+            rig.stopController();
+        });
+    }
 });
