Assume unknown loads only after the start of the process

A gateway that becomes the controller knows its peers' loads unless its process has just started. Until now every handover delayed the repair of suspected and closing groups by up to a second. The second now begins with the process. A test hides the loads for 0.8 s after the start; without the delay it fails, because the members of a group without its head join again while requests are in flight.

The test of a partitioned zone no longer failed without its safeguard since the rig's requests outlive the registration of their head. It now runs without requests, as it did before, and with requests of 10 s, and also rejects closing.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -131,8 +131,8 @@
     private readonly health: UpstreamHealth;
     private readonly epochs: EpochSource;
     private term = 0;
-    /** When this gateway became the controller, monotonic. */
-    private actingSinceMs = -Infinity;
+    /** When `run` was called, monotonic. */
+    private runningSinceMs = -Infinity;
     private readonly stability: FleetStabilityMonitor;
     private readonly memberChecker: MemberChecker;
 
@@ -163,6 +163,7 @@
     /** Runs reconcile passes until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, lease } = this.options;
+        this.runningSinceMs = this.nowMs();
         while (!signal.aborted) {
             if (lease.isController) {
                 this.reconcile();
@@ -186,7 +187,6 @@
         if (lease.term !== this.term) {
             this.stepDown();
             this.term = lease.term;
-            this.actingSinceMs = this.nowMs();
             this.epochs.start(this.term);
             log.info("acting as the controller", { term: this.term });
         }
@@ -526,7 +526,7 @@
     /** Returns true if a join of the group's members would end requests whose callers still wait for them. */
     private isInUse(group: ManagedGroup): boolean {
         const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
-        if (this.nowMs() - this.actingSinceMs < LOAD_DISCOVERY_MS) {
+        if (this.nowMs() - this.runningSinceMs < LOAD_DISCOVERY_MS) {
             return true;
         }
         return inFlight > 0 && silentMs < ABANDONED_AFTER_MS + this.options.loadLagMs()
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -230,6 +230,20 @@
             });
         }
 
+        it("breaks off no requests of which it has not heard yet because it has just started", async () => {
+            const { rig, head, hasRejoined } = await createRigWithTarget();
+            rig.requestDurationMs = 4000;
+            rig.stopController();
+            rig.fleet.leaveFleet(head.id);
+            rig.areLoadsKnown = false;
+            rig.startController("second");
+            await rig.run(800);
+            rig.areLoadsKnown = true;
+            await rig.run(1500);
+            expect([hasRejoined(), [...rig.fleet.brokenOffEpochs]]).to.deep.equal([false, []]);
+            rig.stopController();
+        });
+
         it("re-forms a closing group whose requests get no events any more", async () => {
             const { rig, epoch, member, runUntilReplaced } = await createRigWithTarget();
             rig.requestDurationMs = 60_000;
@@ -316,20 +330,24 @@
         rig.stopController();
     });
 
-    it("does not change the groups of a partitioned zone", async () => {
-        const rig = await createFormedRig();
-        const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
-        rig.unreachableZones.add("a");
-        const upstreams = [...rig.directory.all()];
-        upstreams.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
-        await rig.run(6000);
-        upstreams.forEach(upstream => rig.directory.set(rig.fleet.state(upstream.id)));
-        rig.unreachableZones.clear();
-        await rig.run(3000);
-        expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
-        expect(rig.lostEpochs).to.deep.equal([]);
-        rig.stopController();
-    });
+    for (const requestDurationMs of [0, 10_000]) {
+        it(`does not change the groups of a partitioned zone whose requests last for ${requestDurationMs} ms`, async () => {
+            const rig = await createFormedRig();
+            const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
+            rig.requestDurationMs = requestDurationMs;
+            rig.unreachableZones.add("a");
+            const upstreams = [...rig.directory.all()];
+            upstreams.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
+            await rig.run(6000);
+            upstreams.forEach(upstream => rig.directory.set(rig.fleet.state(upstream.id)));
+            rig.unreachableZones.clear();
+            await rig.run(3000);
+            expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
+            expect(rig.lostEpochs).to.deep.equal([]);
+            expect(rig.log.lines.filter(({ event }) => event === "closing group")).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
 
     it("replaces a member that slows its group down", async () => {
         const rig = await createFormedRig();
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -33,6 +33,8 @@
     readonly lostEpochs: number[] = [];
     isViewFresh = true;
     loadLagMs = 0;
+    /** False while the controller has not received the loads of other gateways. */
+    areLoadsKnown = true;
     /** Time for which requests stay in flight at a group that takes no new ones. */
     requestDurationMs = 2000;
     /** Groups whose requests get no events although all their members are sound. */
@@ -183,7 +185,7 @@
             const silentMs = nowMs - lastEventAtMs;
             loads.set(String(epoch), { inFlight: IN_FLIGHT_PER_GROUP, pendingPrefillTokens: 0, silentMs });
         }
-        this.loads.setPeerLoads("callers", [...loads]);
+        this.loads.setPeerLoads("callers", this.areLoadsKnown ? [...loads] : []);
         this.fleet.busyEpochs.forEach(epoch => !loads.has(String(epoch)) && this.fleet.endRequests(epoch));
         loads.forEach((_, epoch) => this.fleet.busyEpochs.add(Number(epoch)));
     }
