--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -15,6 +15,7 @@
 import { FleetStabilityMonitor } from "./FleetStabilityMonitor.js";
 import type { ManagedGroup } from "./ManagedGroup.js";
 import { MemberChecker } from "./MemberChecker.js";
+import type { MemberFailure } from "./MemberFailure.js";
 import type { MemberProber } from "./MemberProber.js";
 import type { ObservedGroup } from "./ObservedGroup.js";
 import { observeGroups } from "./observeGroups.js";
@@ -64,14 +65,31 @@
     observed: Map<string, ObservedGroup>;
 }
 
+/** A failure of a group that is certain, and the members that must not be part of it when it is re-formed. */
+interface GroupFailure {
+    reason: string;
+    excluded: ReadonlySet<string>;
+}
+
 /** Pause between two reconcile passes; short compared to the 200 ms of a warm join. */
 const RECONCILE_INTERVAL_MS = 40;
 /** Pause between two checks of the lease while another gateway is the controller; `ControllerLease` polls as often. */
 const LEASE_POLL_INTERVAL_MS = 100;
 /** Silence of a group, as seen by all gateways, after which its members are checked; longer than most engine passes. */
 const SILENCE_BEFORE_CHECK_MS = 220;
-/** Silence after which a group is re-formed even though all its members respond. */
+/** Silence after which a group counts as lost even though all its members respond. */
 const MAX_SILENCE_MS = 1500;
+/**
+ * Silence after which the requests of a group no longer count: callers abandon a stream that pauses for two seconds. A
+ * sound group may be silent for a second and go on.
+ */
+const ABANDONED_AFTER_MS = 2000;
+/** A draining member leaves after this time, even if its group has requests in flight. */
+const MAX_DRAIN_MS = 10_000;
+/** A process that has just started may not have received the loads of its peers until then; they are sent every 0.4 s. */
+const LOAD_DISCOVERY_MS = 1000;
+/** Time between announcements of a group that is lost and still has requests; much shorter than gateways exclude it. */
+const LOSS_ANNOUNCEMENT_INTERVAL_MS = 3000;
 /** Minimum time between two checks of the members of one group. */
 const CHECK_INTERVAL_MS = 400;
 /**
@@ -88,7 +106,9 @@
 const REPORT_INTERVAL_MS = 200;
 /** The open order is repeated if the head's registration does not show the open group after this time. */
 const OPEN_RETRY_AFTER_MS = 900;
-/** Time for the requests of a closing group to finish; most responses take about two seconds. */
+/** The close order is repeated if the head's registration still shows an open group after this time. */
+const CLOSE_RETRY_AFTER_MS = 900;
+/** A head that has been closed and has no requests of gateways any more is ready within this time. */
 const CLOSE_TIMEOUT_MS = 2000;
 /**
  * A draining member is replaced after this time at the latest: it leaves after ten seconds, even if its head has work.
@@ -111,6 +131,8 @@
     private readonly health: UpstreamHealth;
     private readonly epochs: EpochSource;
     private term = 0;
+    /** When `run` was called, monotonic. */
+    private runningSinceMs = -Infinity;
     private readonly stability: FleetStabilityMonitor;
     private readonly memberChecker: MemberChecker;
 
@@ -141,6 +163,7 @@
     /** Runs reconcile passes until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, lease } = this.options;
+        this.runningSinceMs = this.nowMs();
         while (!signal.aborted) {
             if (lease.isController) {
                 this.reconcile();
@@ -204,7 +227,6 @@
                 continue;
             }
             const members = [...group.members].sort(([left], [right]) => left - right).map(([, member]) => member);
-            const isOpen = head?.group?.phase === "open";
             const adopted: ManagedGroup = {
                 name: group.name,
                 service: view.service,
@@ -212,7 +234,8 @@
                 model,
                 epoch: group.epoch,
                 members,
-                phase: isOpen ? "open" : "joining",
+                isHeadMissing: head === undefined,
+                phase: adoptedPhase(head),
                 phaseSinceMs: this.nowMs(),
                 checkedAtMs: 0,
                 isChecking: false,
@@ -225,12 +248,21 @@
                 phase: head?.group?.phase,
             });
             this.groups.set(group.name, adopted);
-            if (members.length < model.memberCount) {
-                this.reform(view, adopted, "a member is not registered", new Set());
-            }
-            else if (this.options.isLost(group.epoch)) {
-                this.reform(view, adopted, "the group was reported lost before and is back", new Set());
-            }
+            this.examineAdopted(view, adopted);
+        }
+    }
+
+    /** Handles an adopted group that cannot stay as it is. Its requests may end first, as under the earlier controller. */
+    private examineAdopted(view: ServiceView, adopted: ManagedGroup): void {
+        const isIncomplete = adopted.members.length < adopted.model.memberCount;
+        if (adopted.phase === "open" && this.options.isLost(adopted.epoch)) {
+            this.suspectGroup(view, adopted, "the group was reported lost before and is back", new Set(), []);
+        }
+        else if (adopted.phase === "open" && isIncomplete && !this.headFailure(adopted)) {
+            this.startClosing(adopted, this.currentHead(adopted), "a member is not registered");
+        }
+        else if (adopted.phase === "joining" && isIncomplete) {
+            this.reform(view, adopted, "a member is not registered", new Set());
         }
     }
 
@@ -247,6 +279,7 @@
         opening: (view, group) => this.advanceOpening(view, group),
         open: (view, group) => this.advanceOpen(view, group),
         closing: (view, group) => this.advanceClosing(view, group),
+        lost: (view, group) => this.advanceLost(view, group),
         incomplete: (view, group) => this.advanceIncomplete(view, group),
     };
 
@@ -282,7 +315,8 @@
                     return;
                 }
                 if (failed.size > 0) {
-                    this.reform(this.freshView(view), group, "a member does not respond", failed);
+                    const excluded = new Set(failed.keys());
+                    this.reform(this.freshView(view), group, "a member does not respond", excluded);
                 }
                 else {
                     this.orderJoins(group, unjoined);
@@ -350,17 +384,17 @@
             this.startClosing(group, head, "the head is no longer registered");
             return;
         }
-        if (!head || head.startedAtMs !== group.members[0]?.startedAtMs) {
-            this.loseGroup(view, group, "the head is no longer registered", idsOf(group.members.slice(0, 1)));
+        const failure = this.headFailure(group);
+        if (failure) {
+            this.loseGroup(view, group, failure);
             return;
         }
-        const phase = head.group?.epoch === group.epoch ? head.group.phase : "another epoch";
-        if (phase === "closing") {
-            this.setPhase(group, "closing");
+        if (!head) {
+            this.suspectGroup(view, group, "the head is no longer registered", new Set(), []);
             return;
         }
-        if (phase !== "open") {
-            this.loseGroup(view, group, `the head says ${phase}`, new Set());
+        if (head.group?.phase === "closing") {
+            this.setPhase(group, "closing");
             return;
         }
         const draining = group.members.filter(member => this.options.upstreams.get(member.id)?.state === "draining");
@@ -375,17 +409,14 @@
     /** Checks members that may be unreachable because the group is silent or their registrations are missing. */
     private checkMembers(view: ServiceView, group: ManagedGroup): void {
         const load = this.options.loads.totalLoad(String(group.epoch));
-        const ageMs = this.nowMs() - group.phaseSinceMs;
-        const silenceMs = SILENCE_BEFORE_CHECK_MS + this.options.loadLagMs();
-        const isSilent = load.inFlight > 0 && load.silentMs > silenceMs && ageMs > silenceMs;
-        const changed = group.members.filter(member => {
-            const current = this.options.upstreams.get(member.id);
-            return current && (current.startedAtMs !== member.startedAtMs || current.group?.epoch !== group.epoch);
-        });
-        if (changed.length > 0 && ageMs > EPOCH_CHECK_MIN_AGE_MS) {
-            this.loseGroup(view, group, "a member has restarted or left", new Set());
+        const ageMs = this.openAgeMs(group);
+        const failure = this.memberFailure(group);
+        if (failure) {
+            this.loseGroup(view, group, failure);
             return;
         }
+        const silenceMs = SILENCE_BEFORE_CHECK_MS + this.options.loadLagMs();
+        const isSilent = load.inFlight > 0 && load.silentMs > silenceMs && ageMs > silenceMs;
         const unlisted = group.members.filter(member => !this.options.upstreams.get(member.id));
         const isDue = isSilent
             ? this.memberChecker.isCheckDue(group, CHECK_INTERVAL_MS)
@@ -414,12 +445,16 @@
                 // A member that leaves stays until the group's requests have ended, but may not respond any more.
                 this.startClosing(group, this.currentHead(group), "a member has left");
             }
+            else if (this.isCertain(failed)) {
+                const excluded = new Set([...failed.keys(), ...slow]);
+                this.loseGroup(fresh, group, { reason: "members do not answer", excluded });
+            }
             else if (failed.size > 0 || isSilentTooLong) {
                 const reason = failed.size > 0 ? "members do not answer" : "silent though all members answer";
-                this.loseGroup(fresh, group, reason, new Set([...failed, ...slow]));
+                this.suspectGroup(fresh, group, reason, slow, group.members.filter(({ id }) => failed.has(id)));
             }
             else if (slow.size > 0) {
-                this.loseGroup(fresh, group, "members are slow", slow);
+                this.suspectGroup(fresh, group, "members are slow", slow, []);
             }
         });
     }
@@ -429,7 +464,7 @@
      * them.
      */
     private replaceableSlowMembers(view: ServiceView, group: ManagedGroup): Set<string> {
-        const slow = group.members.filter(member => this.health.isSlow(member.id));
+        const slow = group.members.filter(({ id }) => this.health.isSlow(id) || group.loss?.slow.has(id));
         const spares = this.freeUpstreams(view).filter(upstream =>
             upstream.domain === group.domain && upstream.model === group.model.name
             && !this.health.isSlow(upstream.id)
@@ -449,6 +484,59 @@
         return unavailable < Math.max(1, Math.floor(ofModel.length * MAX_UNAVAILABLE_SHARE));
     }
 
+    /** Returns true if a failed check shows that the group cannot serve any more; a silent member may respond later. */
+    private isCertain(failed: ReadonlyMap<string, MemberFailure>): boolean {
+        // A member that leaves as announced refuses connections while its head still has work.
+        return [...failed].some(([id, { kind }]) =>
+            kind === "replaced" || (kind === "refused" && this.options.upstreams.get(id)?.state === "ready")
+        );
+    }
+
+    /** Returns how the registration of a group's head shows that the group cannot serve any more. */
+    private headFailure(group: ManagedGroup): GroupFailure | undefined {
+        const head = this.currentHead(group);
+        if (!head) {
+            return undefined;
+        }
+        if (head.startedAtMs !== group.members[0]?.startedAtMs) {
+            return { reason: "the head has restarted", excluded: new Set([head.id]) };
+        }
+        const phase = head.group?.epoch === group.epoch ? head.group.phase : "another epoch";
+        return phase === "open" || phase === "closing"
+            ? undefined
+            : { reason: `the head says ${phase}`, excluded: new Set() };
+    }
+
+    /** Returns how the registrations of a group's members show that the group cannot serve any more. */
+    private memberFailure(group: ManagedGroup): GroupFailure | undefined {
+        const hasChanged = group.members.some(member => {
+            const current = this.options.upstreams.get(member.id);
+            return current && (current.startedAtMs !== member.startedAtMs || current.group?.epoch !== group.epoch);
+        });
+        return hasChanged && this.openAgeMs(group) > EPOCH_CHECK_MIN_AGE_MS
+            ? { reason: "a member has restarted or left", excluded: new Set() }
+            : undefined;
+    }
+
+    /** Returns the time since the group has opened. */
+    private openAgeMs(group: ManagedGroup): number {
+        return this.nowMs() - (group.loss?.openSinceMs ?? group.phaseSinceMs);
+    }
+
+    /** Returns true if a join of the group's members would end requests whose callers still wait for them. */
+    private isInUse(group: ManagedGroup): boolean {
+        const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
+        if (this.nowMs() - this.runningSinceMs < LOAD_DISCOVERY_MS) {
+            return true;
+        }
+        return inFlight > 0 && silentMs < ABANDONED_AFTER_MS + this.options.loadLagMs()
+            && this.nowMs() - group.phaseSinceMs < MAX_DRAIN_MS;
+    }
+
+    private hasRequests(group: ManagedGroup): boolean {
+        return this.options.loads.totalLoad(String(group.epoch)).inFlight > 0;
+    }
+
     /** Returns true if the group's requests have received events until now. */
     private isServing(group: ManagedGroup): boolean {
         const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
@@ -459,20 +547,30 @@
     private startClosing(group: ManagedGroup, head: Upstream | undefined, reason: string): void {
         this.options.log.info("closing group", { group: group.name, epoch: group.epoch, reason });
         this.setPhase(group, "closing");
-        if (head && !this.options.orders.isBusy(head)) {
-            void this.options.orders.send(head, { kind: "close", group: group.name, epoch: group.epoch });
+        this.orderClose(group, head);
+    }
+
+    /** Orders an open head to close its group, again if the head was busy or the order had no effect. */
+    private orderClose(group: ManagedGroup, head: Upstream | undefined): void {
+        const { orders } = this.options;
+        const isDue = this.nowMs() - (group.closeOrderedAtMs ?? -Infinity) > CLOSE_RETRY_AFTER_MS;
+        if (head?.group?.phase === "open" && isDue && !orders.isBusy(head)) {
+            group.closeOrderedAtMs = this.nowMs();
+            void orders.send(head, { kind: "close", group: group.name, epoch: group.epoch });
         }
     }
 
     private advanceClosing(view: ServiceView, group: ManagedGroup): void {
         const head = this.currentHead(group);
-        const isClosed = head
-            ? head.group?.epoch !== group.epoch || head.group.phase === "ready"
-            : this.options.loads.totalLoad(String(group.epoch)).inFlight === 0;
-        if (isClosed || this.nowMs() - group.phaseSinceMs > CLOSE_TIMEOUT_MS) {
+        const isClosed = this.headFailure(group) !== undefined;
+        const isAbandoned = !this.isInUse(group)
+            && (!head || this.hasRequests(group) || this.nowMs() - group.phaseSinceMs > CLOSE_TIMEOUT_MS);
+        if (isClosed || isAbandoned) {
             group.lostAtMs ??= group.phaseSinceMs;
             this.reform(view, group, "a member is draining", new Set());
+            return;
         }
+        this.orderClose(group, head);
     }
 
     private advanceIncomplete(view: ServiceView, group: ManagedGroup): void {
@@ -484,11 +582,66 @@
         }
     }
 
-    private loseGroup(view: ServiceView, group: ManagedGroup, reason: string, excluded: ReadonlySet<string>): void {
+    /** Re-forms a group that certainly cannot serve any more. */
+    private loseGroup(view: ServiceView, group: ManagedGroup, { reason, excluded }: GroupFailure): void {
+        this.announceLoss(group, reason);
+        this.reform(view, group, reason, excluded);
+    }
+
+    /**
+     * Keeps new requests from a group that may have failed, and re-forms it once those in flight have ended elsewhere or
+     * there: the joins of its members end them, although the group may have been silent only for a moment.
+     */
+    private suspectGroup(
+        view: ServiceView,
+        group: ManagedGroup,
+        reason: string,
+        slow: ReadonlySet<string>,
+        silent: readonly Upstream[],
+    ): void {
+        this.announceLoss(group, reason);
+        group.loss = { reason, slow, silent, openSinceMs: group.phaseSinceMs, announcedAtMs: this.nowMs() };
+        this.setPhase(group, "lost");
+        this.advanceLost(view, group);
+    }
+
+    private announceLoss(group: ManagedGroup, reason: string): void {
         this.options.metrics.count("groupsLost", reason);
         group.lostAtMs ??= this.nowMs();
         this.options.announceLost(group.epoch, reason);
-        this.reform(view, group, reason, excluded);
+    }
+
+    private advanceLost(view: ServiceView, group: ManagedGroup): void {
+        const { loss } = group;
+        if (!loss) {
+            return;
+        }
+        const failure = this.headFailure(group) ?? this.memberFailure(group);
+        if (failure || !this.isInUse(group)) {
+            const slow = this.replaceableSlowMembers(view, group);
+            this.reform(view, group, loss.reason, new Set([...slow, ...failure?.excluded ?? []]));
+            return;
+        }
+        if (this.nowMs() - loss.announcedAtMs > LOSS_ANNOUNCEMENT_INTERVAL_MS) {
+            loss.announcedAtMs = this.nowMs();
+            this.options.announceLost(group.epoch, loss.reason);
+        }
+        if (loss.silent.length === 0 || !this.memberChecker.isCheckDue(group, CHECK_INTERVAL_MS)) {
+            return;
+        }
+        const epoch = this.openAgeMs(group) > EPOCH_CHECK_MIN_AGE_MS ? group.epoch : undefined;
+        void this.memberChecker.check(group, loss.silent, epoch).then(failed => {
+            if (!this.isCurrent(group, "lost")) {
+                return;
+            }
+            if (this.isCertain(failed)) {
+                const fresh = this.freshView(view);
+                const slow = this.replaceableSlowMembers(fresh, group);
+                this.reform(fresh, group, loss.reason, new Set([...failed.keys(), ...slow]));
+                return;
+            }
+            loss.silent = loss.silent.filter(({ id }) => failed.has(id));
+        });
     }
 
     /** Re-forms a group under the same name with a higher epoch. Returns false if its domain has too few usable VMs. */
@@ -529,7 +682,8 @@
     private quarantineReplaced(group: ManagedGroup, members: readonly Upstream[]): void {
         const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
         const kept = idsOf(members);
-        const { epoch, members: [head] } = group;
+        const { epoch } = group;
+        const head = headOf(group);
         const hasHeadLeft = () => {
             const current = this.options.upstreams.get(head?.id ?? "");
             return current !== undefined
@@ -753,7 +907,8 @@
     }
 
     /** Returns the current registration of a group's head, or undefined if it is not registered. */
-    private currentHead({ members: [head] }: ManagedGroup): Upstream | undefined {
+    private currentHead(group: ManagedGroup): Upstream | undefined {
+        const head = headOf(group);
         return head && this.options.upstreams.get(head.id);
     }
 
@@ -766,6 +921,18 @@
     return `.${model.name}`;
 }
 
+function headOf({ members, isHeadMissing }: ManagedGroup): Upstream | undefined {
+    return isHeadMissing ? undefined : members[0];
+}
+
+/** Returns the phase of an adopted group. Without a head it accepts no requests, but may have some in flight. */
+function adoptedPhase(head: Upstream | undefined): ManagedGroup["phase"] {
+    if (!head || head.group?.phase === "closing") {
+        return "closing";
+    }
+    return head.group?.phase === "open" || head.group?.phase === "broken" ? "open" : "joining";
+}
+
 function isReadyIn(member: Upstream | undefined, managed: ManagedGroup): boolean {
     const group = member?.group;
     return group !== undefined && group.name === managed.name && group.epoch === managed.epoch
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -17,6 +17,30 @@
     return rig;
 }
 
+/** Returns a formed fleet, and one of its large groups with functions that observe it. */
+async function createRigWithTarget() {
+    const rig = await createFormedRig();
+    const head = rig.fleet.openHeads().find(item => item.model === "large")!;
+    const epoch = head.group?.epoch ?? 0;
+    const members = [...rig.directory.all()].filter(item => item.group?.epoch === epoch);
+    const member = members.find(item => item.group?.rank === 2)!;
+    /** Runs until the group is open in another epoch. Returns the time that it took, or Infinity. */
+    const runUntilReplaced = async (limitMs: number): Promise<number> => {
+        for (let passedMs = 0; passedMs < limitMs; passedMs += 100) {
+            const isReplaced = rig.fleet.openHeads().some(({ group }) =>
+                group?.name === head.group?.name && group?.epoch !== epoch
+            );
+            if (isReplaced) {
+                return passedMs;
+            }
+            await rig.run(100);
+        }
+        return Infinity;
+    };
+    const hasRejoined = () => members.some(({ id }) => rig.fleet.state(id).group?.epoch !== epoch);
+    return { rig, head, epoch, members, member, hasRejoined, runUntilReplaced };
+}
+
 describe("FleetController", () => {
     it("forms one group of each model in each domain and prepares two spares with weights in memory", async () => {
         const rig = await createFormedRig();
@@ -79,6 +103,203 @@
         rig.stopController();
     });
 
+    describe("when a group is suspected to have failed", () => {
+        for (const silentMs of [700, 1200, 1700]) {
+            it(`breaks off no requests of a member that is silent for ${silentMs} ms and goes on`, async () => {
+                const { rig, epoch, member, hasRejoined, runUntilReplaced } = await createRigWithTarget();
+                rig.requestDurationMs = 4000;
+                rig.fleet.makeUnresponsive(member.id, 1e9);
+                await rig.run(silentMs);
+                rig.fleet.makeResponsive(member.id);
+                await rig.run(2000);
+                expect([new Set(rig.lostEpochs), hasRejoined()]).to.deep.equal([new Set([epoch]), false]);
+                expect(await runUntilReplaced(6000)).to.be.lessThan(6000);
+                expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+                expect(rig.fleet.violations).to.deep.equal([]);
+                rig.stopController();
+            });
+        }
+
+        it("breaks off no requests of a group without events whose members all respond", async () => {
+            const { rig, epoch, hasRejoined, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 4000;
+            rig.silentEpochs.add(epoch);
+            await rig.run(1800);
+            rig.silentEpochs.clear();
+            await rig.run(1500);
+            expect([new Set(rig.lostEpochs), hasRejoined()]).to.deep.equal([new Set([epoch]), false]);
+            expect(await runUntilReplaced(6000)).to.be.lessThan(6000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            rig.stopController();
+        });
+
+        it("breaks off no requests of a group with a slow member", async () => {
+            const { rig, epoch, member, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 4000;
+            rig.fleet.slowDown(member.id, 4);
+            await rig.run(2000);
+            expect(new Set(rig.lostEpochs)).to.deep.equal(new Set([epoch]));
+            expect(await runUntilReplaced(6000)).to.be.lessThan(6000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            expect(rig.fleet.isSlow(rig.fleet.openHeads().find(item => item.model === "large")!)).to.equal(false);
+            rig.stopController();
+        });
+
+        it("re-forms it at once when nothing is in flight there any more", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 0;
+            rig.fleet.makeUnresponsive(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(1700);
+            rig.stopController();
+        });
+
+        it("re-forms it at once when a member's process has ended", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.crash(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(1700);
+            rig.stopController();
+        });
+
+        it("re-forms it at once when a member has restarted", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.makeUnresponsive(member.id, 1e9);
+            await rig.run(1000);
+            rig.fleet.restart(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(1000);
+            rig.stopController();
+        });
+
+        it("re-forms it after a bounded silence although requests stay in flight", async () => {
+            const { rig, member, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.makeUnresponsive(member.id);
+            expect(await runUntilReplaced(6000)).to.be.at.most(REPAIR_TARGET_MS);
+            rig.stopController();
+        });
+    });
+
+    describe("when another gateway becomes the controller", () => {
+        const takeovers: ReadonlyArray<
+            { title: string; cause: (target: Awaited<ReturnType<typeof createRigWithTarget>>) => Promise<void>; }
+        > = [
+            {
+                title: "a group that is closing",
+                cause: async ({ rig, member }) => {
+                    rig.fleet.drain(member.id);
+                    await rig.run(1000);
+                },
+            },
+            {
+                title: "a group whose member has left",
+                cause: async ({ rig, member }) => {
+                    rig.stopController();
+                    rig.fleet.leaveFleet(member.id);
+                },
+            },
+            {
+                title: "a group whose head has left",
+                cause: async ({ rig, head }) => {
+                    rig.stopController();
+                    rig.fleet.leaveFleet(head.id);
+                },
+            },
+            {
+                title: "a group that is suspected to have failed",
+                cause: async ({ rig, member }) => {
+                    rig.fleet.makeUnresponsive(member.id, 1e9);
+                    await rig.run(900);
+                    rig.fleet.makeResponsive(member.id);
+                },
+            },
+        ];
+        for (const { title, cause } of takeovers) {
+            it(`breaks off no requests of ${title}`, async () => {
+                const target = await createRigWithTarget();
+                const { rig, hasRejoined, runUntilReplaced } = target;
+                rig.requestDurationMs = 4000;
+                await cause(target);
+                rig.startController("second");
+                await rig.run(2000);
+                expect(hasRejoined()).to.equal(false);
+                expect(await runUntilReplaced(8000)).to.be.lessThan(8000);
+                expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+                expect(rig.fleet.violations).to.deep.equal([]);
+                rig.stopController();
+            });
+        }
+
+        it("breaks off no requests of which it has not heard yet because it has just started", async () => {
+            const { rig, head, hasRejoined } = await createRigWithTarget();
+            rig.requestDurationMs = 4000;
+            rig.stopController();
+            rig.fleet.leaveFleet(head.id);
+            rig.areLoadsKnown = false;
+            rig.startController("second");
+            await rig.run(800);
+            rig.areLoadsKnown = true;
+            await rig.run(1500);
+            expect([hasRejoined(), [...rig.fleet.brokenOffEpochs]]).to.deep.equal([false, []]);
+            rig.stopController();
+        });
+
+        it("re-forms a closing group whose requests get no events any more", async () => {
+            const { rig, epoch, member, runUntilReplaced } = await createRigWithTarget();
+            rig.requestDurationMs = 60_000;
+            rig.fleet.drain(member.id);
+            await rig.run(1000);
+            rig.silentEpochs.add(epoch);
+            rig.startController("second");
+            expect(await runUntilReplaced(8000)).to.be.at.most(REPAIR_TARGET_MS);
+            rig.stopController();
+        });
+    });
+
+    for (const leaver of ["head", "member"] as const) {
+        it(`breaks off no requests of a group whose ${leaver} drains, however long they take`, async () => {
+            const target = await createRigWithTarget();
+            const { rig, hasRejoined, runUntilReplaced } = target;
+            rig.requestDurationMs = 6000;
+            rig.fleet.drain(target[leaver].id);
+            await rig.run(5000);
+            expect([rig.lostEpochs, hasRejoined()]).to.deep.equal([[], false]);
+            expect(await runUntilReplaced(8000)).to.be.lessThan(8000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
+
+    it("closes a group whose head was busy with another order when it had to be closed", async () => {
+        const { rig, head, members, member, runUntilReplaced } = await createRigWithTarget();
+        rig.requestDurationMs = 1500;
+        rig.fleet.responseDelaysMs.set(`${head.id} open`, 2000);
+        rig.fleet.crash(member.id);
+        expect(await runUntilReplaced(3000)).to.be.lessThan(3000);
+        const drained = members.find(item => item.group?.rank === 3)!;
+        rig.fleet.drain(drained.id);
+        await rig.run(6000);
+        const closes = rig.acceptedOrders.filter(({ upstream, kind }) => upstream === head.id && kind === "close");
+        expect(closes).to.have.lengthOf(1);
+        expect(rig.fleet.state(head.id).group?.epoch).to.be.greaterThan(closes[0]?.epoch ?? Infinity);
+        expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+        rig.stopController();
+    });
+
+    it("repeats a close order that had no effect, with a delay, until the group is closed", async () => {
+        const { rig, head, member } = await createRigWithTarget();
+        rig.fleet.ignoredOrders.add(`${head.id} close`);
+        rig.fleet.drain(member.id);
+        await rig.run(3000);
+        const ignored = rig.fleet.ignoredOrderCount;
+        expect(ignored).to.be.within(2, 4);
+        rig.fleet.ignoredOrders.clear();
+        await rig.run(4000);
+        expect(rig.countCompleteGroups()).to.deep.equal({ large: 2, small: 2 });
+        expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("lets the requests of a group end when its head has drained and left", async () => {
         const rig = await createFormedRig();
         const head = rig.fleet.openHeads().find(item => item.model === "large")!;
@@ -109,20 +330,24 @@
         rig.stopController();
     });
 
-    it("does not change the groups of a partitioned zone", async () => {
-        const rig = await createFormedRig();
-        const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
-        rig.unreachableZones.add("a");
-        const upstreams = [...rig.directory.all()];
-        upstreams.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
-        await rig.run(6000);
-        upstreams.forEach(upstream => rig.directory.set(rig.fleet.state(upstream.id)));
-        rig.unreachableZones.clear();
-        await rig.run(3000);
-        expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
-        expect(rig.lostEpochs).to.deep.equal([]);
-        rig.stopController();
-    });
+    for (const requestDurationMs of [0, 10_000]) {
+        it(`does not change the groups of a partitioned zone whose requests last for ${requestDurationMs} ms`, async () => {
+            const rig = await createFormedRig();
+            const before = rig.fleet.openHeads().map(item => item.group?.epoch).sort();
+            rig.requestDurationMs = requestDurationMs;
+            rig.unreachableZones.add("a");
+            const upstreams = [...rig.directory.all()];
+            upstreams.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
+            await rig.run(6000);
+            upstreams.forEach(upstream => rig.directory.set(rig.fleet.state(upstream.id)));
+            rig.unreachableZones.clear();
+            await rig.run(3000);
+            expect(rig.fleet.openHeads().map(item => item.group?.epoch).sort()).to.deep.equal(before);
+            expect(rig.lostEpochs).to.deep.equal([]);
+            expect(rig.log.lines.filter(({ event }) => event === "closing group")).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
 
     it("replaces a member that slows its group down", async () => {
         const rig = await createFormedRig();
@@ -188,6 +413,7 @@
         const rig = await createFormedRig();
         const before = rig.fleet.openHeads().map(item => item.group?.epoch ?? 0);
         const upstreams = [...rig.directory.all()];
+        rig.requestDurationMs = 0;
         upstreams.forEach(upstream => rig.directory.remove(upstream.id, "partitioned from the store"));
         await rig.run(6000);
         expect(rig.lostEpochs).to.include.members(before);
@@ -301,4 +527,40 @@
             rig.stopController();
         });
     }
+
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+        it(`breaks off no requests of sound groups beside silence, planned work and handovers (seed ${seed})`, async () => {
+            const random = SeededRandom.create(seed);
+            const rig = await createFormedRig();
+            let drainCount = 0;
+            for (let round = 0; round < 12; round++) {
+                rig.requestDurationMs = 500 + random.next() * 4500;
+                const ids = [...rig.directory.all()].map(upstream => upstream.id);
+                const id = ids[Math.floor(random.next() * ids.length)]!;
+                const epoch = rig.fleet.state(id).group?.epoch ?? 0;
+                const actions = [
+                    () => {
+                        rig.fleet.makeUnresponsive(id, 1e9);
+                        void rig.clock.sleep(300 + random.next() * 1200).then(() => rig.fleet.makeResponsive(id));
+                    },
+                    () => {
+                        rig.silentEpochs.add(epoch);
+                        void rig.clock.sleep(300 + random.next() * 1400).then(() => rig.silentEpochs.delete(epoch));
+                    },
+                    () => drainCount++ < 3 && rig.fleet.drain(id),
+                    () => drainCount++ < 3 && rig.fleet.leaveFleet(id),
+                    () => rig.startController(`round-${round}`),
+                ];
+                actions[Math.floor(random.next() * actions.length)]!();
+                await rig.run(500 + random.next() * 2500);
+            }
+            await rig.run(30_000);
+            expect([...rig.fleet.brokenOffEpochs]).to.deep.equal([]);
+            expect(rig.fleet.violations).to.deep.equal([]);
+            const registered = rig.fleet.openHeads().filter(({ id }) => rig.directory.get(id));
+            expect(registered.filter(head => !rig.fleet.isComplete(head)).map(({ id }) => id)).to.deep.equal([]);
+            expect(registered.length).to.be.at.least(3);
+            rig.stopController();
+        });
+    }
 });
