Quarantine members that an earlier controller replaced

What callers saw: nothing yet. A member could take a join of another group while the head of its former group was paused and still open: the controller that had replaced the member knew of its quarantine, its successor did not.

In seed 5, d1-07 had left its group, its silent head was still open, and 20 ms after the takeover the new controller loaded a model on it as a spare.

Change: a new controller quarantines, for the time after which a head gives its group up, upstreams with a staged model that belong to no group, in domains with serving groups, and members of an outdated epoch that it releases itself. Both are rare, as spares belong to standby groups.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -188,6 +188,7 @@
             this.stepDown();
             this.term = lease.term;
             this.epochs.start(this.term);
+            this.quarantineReplacedBefore();
             log.info("acting as the controller", { term: this.term });
         }
         this.stability.update();
@@ -694,6 +695,24 @@
         );
     }
 
+    /** Keeps an upstream from joining another group that an earlier controller may have replaced, with an unknown head. */
+    private quarantineUnknown(upstream: Upstream): void {
+        const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
+        this.health.quarantine(upstream, untilMs, () => false);
+    }
+
+    /**
+     * Quarantines upstreams that an earlier controller may just have replaced: those that have had a model and belong to
+     * no group, in domains with serving groups.
+     */
+    private quarantineReplacedBefore(): void {
+        const all = [...this.options.upstreams.all()];
+        const isServing = ({ group }: Upstream) => group !== undefined && !standbyGroups.isStandby(group.name);
+        const servingDomains = new Set(all.filter(isServing).map(({ domain }) => domain));
+        all.filter(({ group, stagedModels, domain }) => !group && stagedModels.length > 0 && servingDomains.has(domain))
+            .forEach(upstream => this.quarantineUnknown(upstream));
+    }
+
     /** Reserves the remaining members until the group can be re-formed or is dissolved. */
     private markIncomplete(group: ManagedGroup, staying: readonly Upstream[], reason: string): void {
         if (group.phase === "incomplete") {
@@ -806,6 +825,9 @@
             if (belongs || !this.health.isUsable(upstream)) {
                 continue;
             }
+            if (group.rank !== 0 && !this.health.hasQuarantine(upstream)) {
+                this.quarantineUnknown(upstream);
+            }
             this.options.log.info("upstream released", {
                 upstream: upstream.id,
                 group: group.name,
--- a/packages/gateway/src/fleet/UpstreamHealth.ts
+++ b/packages/gateway/src/fleet/UpstreamHealth.ts
@@ -56,6 +56,11 @@
         this.quarantines.set(instanceKeyOf(upstream), { untilMs, hasHeadLeft });
     }
 
+    /** Returns true if a quarantine of this instance was ever recorded, whether or not it has ended. */
+    hasQuarantine(upstream: Upstream): boolean {
+        return this.quarantines.has(instanceKeyOf(upstream));
+    }
+
     /** Returns true if the upstream must not join another group yet. */
     isQuarantined(upstream: Upstream): boolean {
         const quarantine = this.quarantines.get(instanceKeyOf(upstream));
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -563,4 +563,41 @@
             rig.stopController();
         });
     }
+
+    for (const seed of [5, 12, 15, 24]) {
+        it(`has no member in two groups when heads pause and the controller changes (seed ${seed})`, async () => {
+            const random = SeededRandom.create(seed);
+            const rig = await createFormedRig();
+            for (let round = 0; round < 8; round++) {
+                rig.requestDurationMs = 200 + random.next() * 2000;
+                const heads = rig.fleet.openHeads();
+                const head = heads[Math.floor(random.next() * heads.length)];
+                const others = [...rig.directory.all()].filter(({ id, group }) =>
+                    group && group.epoch === head?.group?.epoch && id !== head.id
+                );
+                const member = head && others[Math.floor(random.next() * others.length)];
+                if (!member) {
+                    await rig.run(2000);
+                    continue;
+                }
+                if (random.next() < 0.7) {
+                    rig.fleet.makeUnresponsive(head.id, 1e9);
+                }
+                if (random.next() < 0.4) {
+                    rig.fleet.slowDown(member.id, 4);
+                }
+                else {
+                    rig.fleet.makeUnresponsive(member.id, 1e9);
+                }
+                await rig.run(600 + random.next() * 3000);
+                rig.startController(`round-${round}`);
+                await rig.run(random.next() * 1000);
+                [head.id, member.id].forEach(id => rig.fleet.makeResponsive(id));
+                rig.fleet.slowDown(member.id, 1);
+                await rig.run(1000 + random.next() * 6000);
+            }
+            expect(rig.fleet.violations).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
 });
