Give a starting gateway the newest configuration that peers know

What callers saw: a gateway that started after the store came back from an older copy, and before the operator had written again, activated the copy's configuration: keys that had been revoked since were accepted there. Found by a test, not seen in production.

Cause: a starting gateway lists the store, or a hub's view of it, and both show the copy's configuration. The newer one was still active at its peers, but nothing passed it on.

Change: `ViewService.GetActiveConfiguration` returns a gateway's active configuration in its stored form. A gateway that starts asks up to four peers, its seed nodes, for at most 0.5 s before it first lists the configuration, and applies the responses together with the listing: only the newest becomes active. A peer without the method counts as not responding.

--- a/packages/gateway/src/ActiveConfiguration.ts
+++ b/packages/gateway/src/ActiveConfiguration.ts
@@ -5,6 +5,7 @@
 /** The active configuration. It is never replaced by an older version. */
 export class ActiveConfiguration {
     private configuration: ServingConfiguration | undefined;
+    private value: unknown;
     private routesByHost = new Map<string, Route[]>();
     private isStoreBehind = false;
     private readonly listeners = new Set<(configuration: ServingConfiguration) => void>();
@@ -21,19 +22,25 @@
         return this.configuration;
     }
 
+    /** The active configuration in its stored form, or undefined if none has become active yet. */
+    get storedValue(): unknown {
+        return this.value;
+    }
+
     /** Calls `listener` with every configuration that becomes active. */
     onChange(listener: (configuration: ServingConfiguration) => void): void {
         this.listeners.add(listener);
     }
 
-    /** Activates a configuration if it is newer than the active one. */
-    adopt(configuration: ServingConfiguration): void {
+    /** Activates a configuration, whose stored form is `value`, if it is newer than the active one. */
+    adopt(configuration: ServingConfiguration, value?: unknown): void {
         const before = this.configuration?.version;
         this.setStoreBehind(configuration.version < (before ?? 0), configuration.version);
         if (before !== undefined && configuration.version <= before) {
             return;
         }
         this.configuration = configuration;
+        this.value = value;
         this.routesByHost = indexByHost(configuration.routes);
         this.log.info("configuration activated", {
             version: configuration.version,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -89,9 +89,12 @@
     private readonly assistedStore: PeerAssistedStore;
     private readonly eras: StoreEras;
     private readonly watches: StoreWatch[];
+    private readonly configurationWatch: StoreWatch;
     private readonly upstreamWatch: StoreWatch;
     private readonly stop = createStopController();
     private readonly exchange: PeerExchange;
+    /** Configurations that were active at peers when this gateway started, in their stored form. */
+    private peerConfigurations: unknown[] = [];
     private hasTraffic = false;
     private isDraining = false;
 
@@ -255,7 +258,12 @@
             ...settings.peerListen,
             services: [
                 router => this.statePublisher.registerOn(router),
-                router => ViewServiceHandler.create(this.caches, () => this.eras.current).registerOn(router),
+                router =>
+                    ViewServiceHandler.create({
+                        caches: this.caches,
+                        newestEra: () => this.eras.current,
+                        activeConfiguration: () => this.configuration.storedValue,
+                    }).registerOn(router),
             ],
             interceptors: [],
         });
@@ -269,9 +277,9 @@
             zone: settings.zone,
         });
         this.eras.onRise(() => this.registration.writeAgain());
+        this.configurationWatch = this.watchConfiguration();
         this.upstreamWatch = this.watchUpstreams();
         this.watches = [
-            this.watchConfiguration(),
             this.upstreamWatch,
             this.watchEvacuations(),
             this.watchLease(),
@@ -309,6 +317,7 @@
     async start(): Promise<void> {
         const { signal } = this.stop;
         await this.server.listen();
+        void this.followConfiguration(signal);
         this.watches.forEach(watch => void watch.run(signal));
         void this.queue.run(signal);
         void this.idleTimeouts.run(signal);
@@ -392,21 +401,27 @@
         return watch;
     }
 
+    /** Starts from the newest configuration that a peer knows, since the store may have an older one, then watches. */
+    private async followConfiguration(signal: AbortSignal): Promise<void> {
+        this.peerConfigurations = await this.assistedStore.activeConfigurations();
+        await this.configurationWatch.run(signal);
+    }
+
+    private adoptConfiguration(value: unknown, logFields: Readonly<Record<string, unknown>>): void {
+        const decoded = this.ports.objects.configuration.decode(value);
+        if (decoded.kind === "decoded") {
+            this.configuration.adopt(decoded.value, value);
+        }
+        else {
+            this.ports.log.warn("invalid configuration object", { ...logFields, reason: decoded.reason });
+        }
+    }
+
     private watchConfiguration(): StoreWatch {
-        const { kind, name, decode } = this.ports.objects.configuration;
+        const { kind, name } = this.ports.objects.configuration;
         const apply = (object: StoredObject) => {
-            if (object.name !== name) {
-                return;
-            }
-            const decoded = decode(object.value);
-            if (decoded.kind === "decoded") {
-                this.configuration.adopt(decoded.value);
-            }
-            else {
-                this.ports.log.warn("invalid configuration object", {
-                    revision: object.revision,
-                    reason: decoded.reason,
-                });
+            if (object.name === name) {
+                this.adoptConfiguration(object.value, { revision: object.revision });
             }
         };
         return this.watch(
@@ -414,6 +429,8 @@
             () => this.urgentWatchWaitMs(),
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => {
+                // At once with the store's, so that a peer that is behind does not delay what the store has.
+                this.peerConfigurations.splice(0).forEach(value => this.adoptConfiguration(value, { source: "peer" }));
                 objects.forEach(apply);
                 if (!objects.some(object => object.name === name)) {
                     this.configuration.recordAbsence();
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -62,6 +62,10 @@
 const PEER_WATCH_MS = 6000;
 /** Number of peers that are tried before the store counts as unavailable: one may be partitioned from it as well. */
 const MAX_FALLBACK_PEERS = 2;
+/** Number of peers that are asked for their active configuration: some may have started after a restore as well. */
+const MAX_CONFIGURATION_PEERS = 4;
+/** Timeout of these calls. A gateway that starts waits for them, also for those to VMs that do not respond. */
+const CONFIGURATION_TIMEOUT_MS = 500;
 /** Longest wait of a watch at a fallback peer, which is not a hub: the store itself may be available again by then. */
 const FALLBACK_WATCH_MS = 1000;
 /** Interval of the probes that check whether the store is available again: calls to it are billed. */
@@ -174,7 +178,7 @@
             this.unavailableKinds.add(kind);
             void this.probe(kind, cursor, signal);
         }
-        for (const peer of this.fallbackPeers()) {
+        for (const peer of this.samplePeers(MAX_FALLBACK_PEERS)) {
             const peerOutcome = await this.watchAt(peer, kind, cursor, FALLBACK_WATCH_MS, signal);
             if (peerOutcome) {
                 this.recordFallback(kind, peer);
@@ -185,6 +189,22 @@
         return UNAVAILABLE;
     }
 
+    /**
+     * Returns the configurations, in their stored form, that are active at some peers. One of them is newer than the
+     * store's if the store was restored from an older copy.
+     */
+    async activeConfigurations(): Promise<unknown[]> {
+        const values = await Promise.all(
+            this.samplePeers(MAX_CONFIGURATION_PEERS).map(peer =>
+                this.callPeer(peer, AbortSignal.timeout(CONFIGURATION_TIMEOUT_MS), async (client, signal) => {
+                    const { valueJson } = await client.getActiveConfiguration({}, { signal });
+                    return valueJson === "" ? undefined : JSON.parse(valueJson) as unknown;
+                })
+            ),
+        );
+        return values.filter(value => value !== undefined);
+    }
+
     /** Checks at intervals whether the store is available again. */
     private async probe(kind: string, { revision, era }: Cursor, signal: AbortSignal): Promise<void> {
         while (this.unavailableKinds.has(kind) && !signal.aborted) {
@@ -211,7 +231,7 @@
 
     private async listAtPeers(kind: string): Promise<PeerListing | undefined> {
         let lastListing: PeerListing | undefined;
-        for (const peer of this.fallbackPeers()) {
+        for (const peer of this.samplePeers(MAX_FALLBACK_PEERS)) {
             const listing = await this.listAt(peer, kind);
             if (listing?.isCurrent && this.isOfNewestEra(listing)) {
                 this.recordFallback(kind, peer);
@@ -236,10 +256,10 @@
         }
     }
 
-    private fallbackPeers(): ViewSource[] {
+    private samplePeers(count: number): ViewSource[] {
         const peers = this.options.peers();
         const first = Math.floor(this.options.random.next() * peers.length);
-        return [...peers.slice(first), ...peers.slice(0, first)].slice(0, MAX_FALLBACK_PEERS);
+        return [...peers.slice(first), ...peers.slice(0, first)].slice(0, count);
     }
 
     private listAt(source: ViewSource, kind: string): Promise<PeerListing | undefined> {
--- a/packages/gateway/src/peers/ViewServiceHandler.ts
+++ b/packages/gateway/src/peers/ViewServiceHandler.ts
@@ -3,23 +3,30 @@
 import { ViewService } from "@fescuehaven/protocol";
 import type { WatchCache } from "../WatchCache.js";
 
+interface ViewServiceOptions {
+    /** One cache for each kind of object. */
+    caches: ReadonlyMap<string, WatchCache>;
+    /** Returns the newest era of the store that is known. */
+    newestEra: () => Era;
+    /** Returns the active configuration in its stored form; undefined if there is none. */
+    activeConfiguration: () => unknown;
+}
+
 /** Serves this gateway's view of the store to other gateways, so that few gateways read the store itself. */
 export class ViewServiceHandler {
-    private constructor(
-        private readonly caches: ReadonlyMap<string, WatchCache>,
-        private readonly newestEra: () => Era,
-    ) {}
+    private constructor(private readonly options: ViewServiceOptions) {}
 
-    /** Creates the handler with one cache for each kind of object, and the newest era of the store that is known. */
-    static create(caches: ReadonlyMap<string, WatchCache>, newestEra: () => Era = () => 0): ViewServiceHandler {
-        return new ViewServiceHandler(caches, newestEra);
+    /** Creates the handler. */
+    static create(options: ViewServiceOptions): ViewServiceHandler {
+        return new ViewServiceHandler(options);
     }
 
     /** Adds the handler to a server. */
     registerOn(router: ConnectRouter): void {
+        const { caches, newestEra, activeConfiguration } = this.options;
         router.service(ViewService, {
             listObjects: ({ kind }) => {
-                const view = this.caches.get(kind)?.list();
+                const view = caches.get(kind)?.list();
                 return {
                     isAvailable: view?.isCurrent ?? false,
                     objects: view?.objects.map(toMessage),
@@ -29,15 +36,16 @@
             },
             watchObjects: async (request, context: HandlerContext) => {
                 const { kind, after, waitMs } = request;
-                const outcome = await this.caches.get(kind)?.watch(after, waitMs, context.signal, request.era);
+                const outcome = await caches.get(kind)?.watch(after, waitMs, context.signal, request.era);
                 if (outcome?.kind !== "changed") {
                     const isAvailable = outcome?.kind === "compacted";
-                    const era = isAvailable ? outcome.era : this.newestEra();
+                    const era = isAvailable ? outcome.era : newestEra();
                     return { isAvailable, isCompacted: true, era };
                 }
                 const { changes, revision } = outcome;
                 return { isAvailable: true, changes: changes.map(toChange), revision, era: outcome.era };
             },
+            getActiveConfiguration: () => ({ valueJson: JSON.stringify(activeConfiguration()) ?? "" }),
         });
     }
 }
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -2,7 +2,6 @@
 import { SystemClock, SystemRandom } from "@fescuehaven/runtime";
 import { ManualClock, MemoryObjectStore, SeededRandom, untilTrue } from "@fescuehaven/testing";
 import { expect } from "chai";
-import { type AddressInfo, createServer } from "node:net";
 import { PeerAssistedStore } from "../../src/peers/PeerAssistedStore.js";
 import { PeerConnections } from "../../src/peers/PeerConnections.js";
 import type { PeerState } from "../../src/peers/PeerState.js";
@@ -10,17 +9,10 @@
 import { ViewServiceHandler } from "../../src/peers/ViewServiceHandler.js";
 import { StoreEras } from "../../src/StoreEras.js";
 import { WatchCache } from "../../src/WatchCache.js";
+import { freePort } from "../support/freePort.js";
 import { noMetrics } from "../support/noMetrics.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
-async function freePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 const state: PeerState = {
     term: 3,
     controllerDistance: 0,
@@ -32,6 +24,14 @@
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
 };
 
+function createViewService(cache: WatchCache): ViewServiceHandler {
+    return ViewServiceHandler.create({
+        caches: new Map([["things", cache]]),
+        newestEra: () => 0,
+        activeConfiguration: () => ({ version: 7 }),
+    });
+}
+
 describe("connections between gateways", () => {
     const clock = SystemClock.create();
     let server: PeerServer;
@@ -60,7 +60,7 @@
             port,
             services: [
                 router => publisher.registerOn(router),
-                router => ViewServiceHandler.create(new Map([["things", cache]])).registerOn(router),
+                router => createViewService(cache).registerOn(router),
             ],
             interceptors: [],
         });
@@ -238,6 +238,11 @@
             });
         });
 
+        it("returns the configurations that are active at the peers that respond", async () => {
+            fallbackPeers = [...hubs, { address: `127.0.0.1:${await freePort()}`, silent: silent.signal }];
+            expect(await store.activeConfigurations()).to.deep.equal([{ version: 7 }]);
+        });
+
         describe("while the store was restored from an older copy", () => {
             const things = { kind: "things", name: "a", value: { x: 2 } };
 
@@ -286,7 +291,7 @@
                     host: "127.0.0.1",
                     port: newerPort,
                     services: [
-                        router => ViewServiceHandler.create(new Map([["things", newer]])).registerOn(router),
+                        router => createViewService(newer).registerOn(router),
                     ],
                     interceptors: [],
                 });
--- a/packages/gateway/tests/restoredStore.test.ts
+++ b/packages/gateway/tests/restoredStore.test.ts
@@ -1,3 +1,5 @@
+import { SystemClock } from "@fescuehaven/runtime";
+import { untilTrue } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { exampleUpstream } from "./support/exampleUpstream.js";
 import { GatewayRig } from "./support/GatewayRig.js";
@@ -163,6 +165,25 @@
                 expect(rig.gateway.activeConfiguration.current?.version).to.equal(3);
             });
 
+            it("gives the newest configuration to a gateway that starts before the operator writes it again", async () => {
+                await rig.clock.advance(1000);
+                const copy = rig.store.copy();
+                await rig.configure(2);
+                await rig.clock.advance(1000);
+                await rig.restore(copy, awayMs);
+                await rig.clock.advance(2000);
+                const started = rig.addPeer("gateway-1");
+                const versions: number[] = [];
+                started.activeConfiguration.onChange(({ version }) => versions.push(version));
+                await started.start();
+                await untilTrue(SystemClock.create(), "an active configuration", 5000, () => versions.length > 0);
+                await rig.clock.advance(3000);
+                expect(versions).to.deep.equal([2]);
+                await rig.configure(3);
+                await rig.clock.advance(3000);
+                expect(versions).to.deep.equal([2, 3]);
+            });
+
             it("notices a change of the configuration whose revision existed before", async () => {
                 addPlain("app-1");
                 await rig.clock.advance(1000);
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -8,6 +8,7 @@
 import type { UpstreamRequest } from "../../src/ports/UpstreamRequest.js";
 import type { UpstreamResponse } from "../../src/ports/UpstreamResponse.js";
 import { exampleEngine } from "./exampleEngine.js";
+import { freePort } from "./freePort.js";
 import { noMetrics } from "./noMetrics.js";
 import { RecordedResponse } from "./RecordedResponse.js";
 import { SilentDecisionLog } from "./SilentDecisionLog.js";
@@ -34,46 +35,36 @@
     /** Ids of the upstreams to which requests were sent, in order. */
     readonly sentTo: string[] = [];
     readonly gateway: Gateway;
+    private readonly peerPort: number;
+    private readonly peers: Gateway[] = [];
     private readonly registrations = new Map<string, Registration>();
     private requests = 0;
 
-    private constructor() {
-        const { clock, store, log } = this;
-        this.fleet = SimulatedUpstreams.create(clock, exampleEngine, {
+    private constructor(peerPort: number) {
+        this.peerPort = peerPort;
+        this.fleet = SimulatedUpstreams.create(this.clock, exampleEngine, {
             set: upstream => this.register(upstream),
             remove: id => this.unregister(id),
         });
-        this.gateway = Gateway.create(settings, {
-            clock,
-            random: SeededRandom.create(1),
-            log,
-            metrics: noMetrics,
-            store,
-            client: this.createClient(),
-            control: this.fleet,
-            objects: {
-                configuration: {
-                    ...CONFIGURATION_KEY,
-                    decode: value => ({ kind: "decoded", value: toConfiguration(value) }),
-                },
-                upstreams: {
-                    kind: UPSTREAM_KIND,
-                    decode: (_, value) => ({ kind: "decoded", value: toUpstream(value) }),
-                },
-                evacuations: { kind: EVACUATION_KIND },
-            },
-        });
+        this.gateway = this.createGateway({ ...settings, peerListen: { host: "127.0.0.1", port: peerPort } });
     }
 
     /** Starts a gateway with a configuration and without upstreams. */
     static async start(): Promise<GatewayRig> {
-        const rig = new GatewayRig();
+        const rig = new GatewayRig(await freePort());
         await rig.configure(1);
         await rig.gateway.start();
         await rig.clock.advance(100);
         return rig;
     }
 
+    /** Creates a further gateway, which knows the first one as a seed; it has to be started. */
+    addPeer(vm: string): Gateway {
+        const peer = this.createGateway({ ...settings, vm, seedPeers: [`127.0.0.1:${this.peerPort}`] });
+        this.peers.push(peer);
+        return peer;
+    }
+
     /** Writes the operator's configuration. Its only prefixes are `/llm/`, `/app/` and the one of its version. */
     async configure(version: number): Promise<void> {
         await this.write(CONFIGURATION_KEY, { version });
@@ -135,9 +126,33 @@
         return response;
     }
 
-    /** Stops the gateway. */
+    /** Stops all gateways. */
     async close(): Promise<void> {
-        await this.gateway.close();
+        await Promise.all([this.gateway, ...this.peers].map(gateway => gateway.close()));
+    }
+
+    private createGateway(gatewaySettings: GatewaySettings): Gateway {
+        const { clock, log, store } = this;
+        return Gateway.create(gatewaySettings, {
+            clock,
+            random: SeededRandom.create(1),
+            log,
+            metrics: noMetrics,
+            store,
+            client: this.createClient(),
+            control: this.fleet,
+            objects: {
+                configuration: {
+                    ...CONFIGURATION_KEY,
+                    decode: value => ({ kind: "decoded", value: toConfiguration(value) }),
+                },
+                upstreams: {
+                    kind: UPSTREAM_KIND,
+                    decode: (_, value) => ({ kind: "decoded", value: toUpstream(value) }),
+                },
+                evacuations: { kind: EVACUATION_KIND },
+            },
+        });
     }
 
     private async writeRegistration(id: string): Promise<void> {
