Take a newer configuration from connected peers after a restore

What callers saw: a gateway that found no peer at its start, or none that knew the newest configuration, served with the older copy's, revoked keys included, until the operator wrote again; likewise one that had not received the newest before the store went away. Found by a test, not seen in production.

Cause: gateways exchanged configurations only at their start.

Change: gateways tell their peers the version of their active configuration. A gateway whose reachable peers have had a newer one for 3 s, longer than the store takes to deliver one to all, takes it from up to four of these peers.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -59,6 +59,8 @@
 /** Pause before other watches are renewed. */
 const DEFAULT_WATCH_PAUSE_MS = 50;
 const SWEEP_INTERVAL_MS = 200;
+/** A configuration that peers have is expected from the store for this time: longer than it takes to reach all gateways. */
+const PEER_CONFIGURATION_GRACE_MS = 3000;
 /**
  * Longest pause before a kind is listed again after a restore of the store: the calls of 79 gateways stay below 2,000 a
  * second. Hubs and the controller are first, because others read through hubs and wait for orders.
@@ -95,6 +97,8 @@
     private readonly exchange: PeerExchange;
     /** Configurations that were active at peers when this gateway started, in their stored form. */
     private peerConfigurations: unknown[] = [];
+    /** Since when a peer has had a newer configuration than this gateway; Infinity if none has. */
+    private configurationBehindSinceMs = Infinity;
     private hasTraffic = false;
     private isDraining = false;
 
@@ -244,6 +248,7 @@
             crashingPrompts,
             upstreams: this.upstreams,
             groups: this.groups,
+            configurationVersion: () => this.configuration.current?.version ?? 0,
             onTraffic: () => {
                 this.hasTraffic = true;
             },
@@ -359,6 +364,7 @@
             this.evacuatedZones.settle();
             this.connections.update();
             this.exchange.sweep();
+            this.checkPeerConfigurations();
         }
     }
 
@@ -407,6 +413,21 @@
         await this.configurationWatch.run(signal);
     }
 
+    /** Takes a newer configuration from peers that the store does not deliver: it was restored from an older copy. */
+    private checkPeerConfigurations(): void {
+        const nowMs = this.ports.clock.monotonicMs();
+        const ahead = this.connections.viewSources(peer => this.exchange.hasNewerConfiguration(peer));
+        this.configurationBehindSinceMs = ahead.length > 0
+            ? Math.min(this.configurationBehindSinceMs, nowMs)
+            : Infinity;
+        if (nowMs - this.configurationBehindSinceMs >= PEER_CONFIGURATION_GRACE_MS) {
+            this.configurationBehindSinceMs = nowMs;
+            void this.assistedStore.activeConfigurations(ahead).then(values =>
+                values.forEach(value => this.adoptConfiguration(value, { source: "peer" }))
+            );
+        }
+    }
+
     private adoptConfiguration(value: unknown, logFields: Readonly<Record<string, unknown>>): void {
         const decoded = this.ports.objects.configuration.decode(value);
         if (decoded.kind === "decoded") {
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -178,7 +178,7 @@
             this.unavailableKinds.add(kind);
             void this.probe(kind, cursor, signal);
         }
-        for (const peer of this.samplePeers(MAX_FALLBACK_PEERS)) {
+        for (const peer of this.fallbackPeers()) {
             const peerOutcome = await this.watchAt(peer, kind, cursor, FALLBACK_WATCH_MS, signal);
             if (peerOutcome) {
                 this.recordFallback(kind, peer);
@@ -190,12 +190,12 @@
     }
 
     /**
-     * Returns the configurations, in their stored form, that are active at some peers. One of them is newer than the
-     * store's if the store was restored from an older copy.
+     * Returns the configurations, in their stored form, that are active at some of the peers. One of them is newer than
+     * the store's if the store was restored from an older copy.
      */
-    async activeConfigurations(): Promise<unknown[]> {
+    async activeConfigurations(peers = this.options.peers()): Promise<unknown[]> {
         const values = await Promise.all(
-            this.samplePeers(MAX_CONFIGURATION_PEERS).map(peer =>
+            this.sample(peers, MAX_CONFIGURATION_PEERS).map(peer =>
                 this.callPeer(peer, AbortSignal.timeout(CONFIGURATION_TIMEOUT_MS), async (client, signal) => {
                     const { valueJson } = await client.getActiveConfiguration({}, { signal });
                     return valueJson === "" ? undefined : JSON.parse(valueJson) as unknown;
@@ -231,7 +231,7 @@
 
     private async listAtPeers(kind: string): Promise<PeerListing | undefined> {
         let lastListing: PeerListing | undefined;
-        for (const peer of this.samplePeers(MAX_FALLBACK_PEERS)) {
+        for (const peer of this.fallbackPeers()) {
             const listing = await this.listAt(peer, kind);
             if (listing?.isCurrent && this.isOfNewestEra(listing)) {
                 this.recordFallback(kind, peer);
@@ -256,8 +256,11 @@
         }
     }
 
-    private samplePeers(count: number): ViewSource[] {
-        const peers = this.options.peers();
+    private fallbackPeers(): ViewSource[] {
+        return this.sample(this.options.peers(), MAX_FALLBACK_PEERS);
+    }
+
+    private sample(peers: readonly ViewSource[], count: number): ViewSource[] {
         const first = Math.floor(this.options.random.next() * peers.length);
         return [...peers.slice(first), ...peers.slice(0, first)].slice(0, count);
     }
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -179,15 +179,14 @@
         return this.hubs.get(zone)?.[0];
     }
 
-    /** Returns the reachable peers, whose views of the store may be read. */
-    viewSources(): Array<{ address: string; silent: AbortSignal; }> {
+    /** Returns the reachable peers, or those of them that are wanted; their views of the store may be read. */
+    viewSources(
+        isWanted: (peer: string) => boolean = () => true,
+    ): Array<{ address: string; silent: AbortSignal; }> {
         const sinceMs = this.options.clock.monotonicMs() - REACHABLE_WITHIN_MS;
-        return [...this.connections.values()].filter(connection => connection.lastReceivedAtMs >= sinceMs).map((
-            { address, silent },
-        ) => ({
-            address,
-            silent: silent.signal,
-        }));
+        return [...this.connections]
+            .filter(([peer, { lastReceivedAtMs }]) => lastReceivedAtMs >= sinceMs && isWanted(peer))
+            .map(([, { address, silent }]) => ({ address, silent: silent.signal }));
     }
 
     /** Returns the active hub that this gateway follows, if it is reachable; `silent` aborts when it falls silent. */
@@ -297,6 +296,7 @@
         retries: update.retries.map(({ service, requests, retries }) => [service, { requests, retries }] as const),
         countedGateways: update.countedGateways,
         lostEpochs: update.lostEpochs,
+        configurationVersion: update.configurationVersion,
         crashEvidence: {
             suspects: update.crashSuspects.map(({ part, pool, crashes, begun, block }) => ({
                 part,
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -26,6 +26,8 @@
     crashingPrompts: CrashingPromptDetector;
     upstreams: UpstreamDirectory;
     groups: GroupDirectory;
+    /** Version of this gateway's active configuration; 0 if it has none. */
+    configurationVersion: () => number;
     /** Called when a peer has requests in flight. */
     onTraffic: () => void;
     /** Sends the state to all peers without waiting for the next interval. */
@@ -92,6 +94,7 @@
             retries,
             countedGateways,
             crashEvidence: this.options.crashingPrompts.state(),
+            configurationVersion: this.options.configurationVersion(),
             ...groups,
         };
     }
@@ -172,6 +175,11 @@
         this.peerStates.delete(peer);
     }
 
+    /** Returns true if the peer's last state named a newer configuration than this gateway's. */
+    hasNewerConfiguration(peer: string): boolean {
+        return (this.peerStates.get(peer)?.configurationVersion ?? 0) > this.options.configurationVersion();
+    }
+
     /** Returns true unless the peer's load arrives through a hub: that of its zone, or the active hub of this zone. */
     private usesLoadOf(peer: string): boolean {
         const { connections, zone } = this.options;
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -20,4 +20,6 @@
     lostEpochs: readonly number[];
     /** Prompts under which upstreams have crashed, from all gateways of which the sender has learned. */
     crashEvidence: CrashEvidence;
+    /** Version of the sender's active configuration; 0 if it has none. */
+    configurationVersion: number;
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -114,6 +114,7 @@
         retries: state.retries.map(([service, counts]) => ({ service, ...counts })),
         countedGateways: state.countedGateways,
         lostEpochs: [...state.lostEpochs],
+        configurationVersion: state.configurationVersion,
         crashSuspects: state.crashEvidence.suspects.map(({ part, pool, crashes, begun, block }) => ({
             part,
             pool,
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -103,6 +103,7 @@
                     failureRates: FailureRateTracker.create(clock),
                     isEvacuated: () => false,
                 }),
+                configurationVersion: () => 1,
                 onTraffic: () => undefined,
                 flush: () => {
                     gateway.flushes += 1;
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -31,6 +31,7 @@
                 loads: [],
                 retries: [],
                 countedGateways: 1,
+                configurationVersion: 1,
                 lostEpochs: [],
                 crashEvidence: { suspects: [] },
             };
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -19,6 +19,7 @@
     loads: [["65537", { inFlight: 4, pendingPrefillTokens: 1200, silentMs: 15 }]],
     retries: [["llm", { requests: 40, retries: 2 }]],
     countedGateways: 4,
+    configurationVersion: 7,
     lostEpochs: [65536],
     crashEvidence: { suspects: [] },
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
--- a/packages/gateway/tests/restoredStore.test.ts
+++ b/packages/gateway/tests/restoredStore.test.ts
@@ -184,6 +184,21 @@
                 expect(versions).to.deep.equal([2, 3]);
             });
 
+            it("gives the newest configuration to a gateway that learns of its peers after it started", async () => {
+                await rig.clock.advance(1000);
+                const copy = rig.store.copy();
+                await rig.configure(2);
+                await rig.clock.advance(1000);
+                await rig.restore(copy, awayMs);
+                await rig.clock.advance(2000);
+                const started = rig.addPeer("gateway-1", []);
+                await started.start();
+                await untilTrue(SystemClock.create(), "the newest configuration", 5000, async () => {
+                    await rig.clock.advance(100);
+                    return started.activeConfiguration.current?.version === 2;
+                });
+            });
+
             it("notices a change of the configuration whose revision existed before", async () => {
                 addPlain("app-1");
                 await rig.clock.advance(1000);
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -58,9 +58,9 @@
         return rig;
     }
 
-    /** Creates a further gateway, which knows the first one as a seed; it has to be started. */
-    addPeer(vm: string): Gateway {
-        const peer = this.createGateway({ ...settings, vm, seedPeers: [`127.0.0.1:${this.peerPort}`] });
+    /** Creates a further gateway, which knows the first one as a seed by default; it has to be started. */
+    addPeer(vm: string, seedPeers = [`127.0.0.1:${this.peerPort}`]): Gateway {
+        const peer = this.createGateway({ ...settings, vm, seedPeers });
         this.peers.push(peer);
         return peer;
     }
