Do not count an acquisition of the lease in an era the gateway did not know

What callers saw: nothing yet; found by a model of the lease. After the store came back from an older copy, two gateways could hold the lease in the same term, and one upstream accepted orders of both.

Cause: a write expects only a revision, and revisions are assigned again after a restore. A gateway that had not learned of the restore acquired the lease by a revision that by then belonged to another gateway's acquisition, in the term that this one had just taken.

Change: the lease object contains the era of the revision that its writer expected. A gateway that finds its own acquisition in a store of another era, and did not hold it before, does not act by it; it acquires the lease again, in a term above, after the time in which the holder of a newer term would write. Lease objects without the field count as of era 0.

Measured: "does not count if its revision was assigned again and names another's lease of the same term" failed (the gateway was the controller at once, in term 2 as the other one) and passes; 75 tests of ControllerLease, restoredStore and FleetController pass.

--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -35,11 +35,13 @@
     term: z.int().nonnegative(),
     /** Incremented by every renewal, so that each renewal changes the object. */
     renewals: z.int().nonnegative(),
+    /** Era of the revision that the write expected. */
+    era: z.int().nonnegative().default(0),
     blockedPrompts: z.array(crashSuspectSchema).default([]),
 });
 
 /** The fields that decide who holds the lease. */
-type LeaseClaim = Omit<z.infer<typeof leaseSchema>, "blockedPrompts">;
+type LeaseClaim = Omit<z.infer<typeof leaseSchema>, "era" | "blockedPrompts">;
 
 const LEASE_KEY = { kind: "fescue_controllers", name: "fleet" } as const;
 const POLL_INTERVAL_MS = 100;
@@ -139,6 +141,10 @@
                 revision: object.revision,
             });
         }
+        if (this.isCommittedUnaware(parsed.data)) {
+            // The acquisition replaced a lease that this gateway had not read and that may be of the same term.
+            this.observeTerm(parsed.data.term + 1);
+        }
         this.isStoreStateKnown = true;
         this.lease = parsed.data;
         this.mustRestore = false;
@@ -174,6 +180,12 @@
         return isHolder && (term < this.highestTerm || incarnation === this.options.incarnation);
     }
 
+    /** Returns true for an acquisition by this gateway that was committed in another era than it knew of. */
+    private isCommittedUnaware({ incarnation, term, era }: z.infer<typeof leaseSchema>): boolean {
+        const isHeld = this.isOwn && this.lease?.term === term;
+        return incarnation === this.options.incarnation && era !== this.era && !isHeld;
+    }
+
     /** Applies a term that a peer knows. A higher term ends the term of this gateway. */
     observeTerm(term: number): void {
         if (term > this.highestTerm) {
@@ -265,7 +277,7 @@
 
     private async write(claim: LeaseClaim): Promise<void> {
         const { store, clock, log, blockedPrompts } = this.options;
-        const lease = { ...claim, blockedPrompts: blockedPrompts() };
+        const lease = { ...claim, era: this.era, blockedPrompts: blockedPrompts() };
         const outcome = await store.write(LEASE_KEY, lease, this.revision, "claim", this.era);
         if (outcome.kind === "committed") {
             this.observe({ ...LEASE_KEY, revision: outcome.revision, value: lease }, outcome.era);
--- a/packages/gateway/tests/fleet/ControllerLease.test.ts
+++ b/packages/gateway/tests/fleet/ControllerLease.test.ts
@@ -1,3 +1,4 @@
+import type { ObjectStore } from "@fescuehaven/platform";
 import { ManualClock, MemoryObjectStore } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { ControllerLease } from "../../src/fleet/ControllerLease.js";
@@ -29,7 +30,13 @@
 
     afterEach(() => candidates.forEach(candidate => candidate.stop.abort()));
 
-    function start(vm: string, rank = 0, incarnation = `${vm}-1`): Candidate {
+    function start(
+        vm: string,
+        rank = 0,
+        incarnation = `${vm}-1`,
+        ownStore: ObjectStore = store,
+        watch: typeof watchStore = watchStore,
+    ): Candidate {
         const candidate: Candidate = {
             lease: undefined as unknown as ControllerLease,
             stop: new AbortController(),
@@ -42,7 +49,7 @@
         candidate.lease = ControllerLease.create({
             clock,
             log: SilentDecisionLog.create(),
-            store,
+            store: ownStore,
             vm,
             incarnation,
             peerSilenceMs: peer => candidate.silenceMs.get(peer) ?? Infinity,
@@ -55,7 +62,7 @@
             },
             highestUpstreamTerm: () => candidate.highestUpstreamTerm,
         });
-        void watchStore(candidate);
+        void watch(candidate);
         void candidate.lease.run(candidate.stop.signal);
         candidates.push(candidate);
         return candidate;
@@ -229,6 +236,28 @@
             expect([storedLease()?.vm, storedLease()?.term, controllers()]).to.deep.equal(["b", 2, ["2"]]);
         });
 
+        it("does not count if its revision was assigned again and names another's lease of the same term", async () => {
+            const key = { kind: ControllerLease.kind, name: "fleet" };
+            store.restore(store.copy());
+            await store.write(key, { vm: "b", incarnation: "b-1", term: 2, renewals: 0, era: 1 }, 0);
+            const unaware: ObjectStore = {
+                read: store.read.bind(store),
+                list: store.list.bind(store),
+                write: (writtenKey, value, expected) => store.write(writtenKey, value, expected),
+                remove: (removedKey, expected) => store.remove(removedKey, expected),
+                watch: store.watch.bind(store),
+            };
+            const late = start("c", 0, "c-1", unaware, async ({ lease }) => {
+                lease.observe({ ...key, revision: 1, value: { vm: "", incarnation: "", term: 1, renewals: 9 } });
+                lease.recordListing();
+            });
+            await clock.advance(100);
+            expect([storedLease()?.vm, storedLease()?.term, late.lease.isController]).to.deep.equal(["c", 2, false]);
+            await clock.advance(3000);
+            expect([storedLease()?.vm, late.lease.isController]).to.deep.equal(["c", true]);
+            expect(storedLease()?.term).to.be.above(2);
+        });
+
         it("is acquired in a term above all that an upstream has seen", async () => {
             const copy = store.copy();
             const first = start("a");
