Model the controller lease while the store is restored from an older copy

`lease.pml` has two gateways, one lease, one restore that assigns revisions again, and one upstream that accepts an order only if it names the number of orders accepted so far. It asserts that in one term an upstream accepts the orders of one gateway only, that accepted terms never go back, and that a gateway which knows of the restore replaces only a lease that it has read.

--- a/spec/check.mjs
+++ b/spec/check.mjs
@@ -16,6 +16,9 @@
 const AT_MOST_ONCE = "executions<=1";
 const WITHIN_EVIDENCE_WINDOW = "observed[i]==epoch";
 const REMOVAL_IS_FINAL = "knownRemoval";
+const ONE_GATEWAY_PER_TERM = "acceptedFrom==g";
+const TERMS_NEVER_GO_BACK = "orderTerm[g]>=acceptedTerm";
+const REPLACES_WHAT_IT_READ = "term==readTerm[g]";
 
 /** Models with their bounds. `switches` maps each switch to a part of the assertion that must fail when it is set. */
 const MODELS = [
@@ -71,6 +74,19 @@
             CHECK_AGE_BEFORE_ONLY: AT_MOST_ONCE,
         },
     },
+    {
+        file: "lease.pml",
+        bounds: [[]],
+        switches: {
+            NO_ERA_CHECK: REPLACES_WHAT_IT_READ,
+            ACCEPT_OTHER_ERA: ONE_GATEWAY_PER_TERM,
+            NO_UPSTREAM_TERM: TERMS_NEVER_GO_BACK,
+            NO_ORDER_COUNT: TERMS_NEVER_GO_BACK,
+            NO_PEER_TERMS: ONE_GATEWAY_PER_TERM,
+            NO_CONDITIONAL_UPDATE: REPLACES_WHAT_IT_READ,
+            ASSUME_COMMITTED: ONE_GATEWAY_PER_TERM,
+        },
+    },
 ];
 
 /** Returns all runs, intact models first, since they take longest. */
