Read the era of the platform in HttpObjectStore

The client of `packages/platform` dropped the era, so that routers and controllers could not learn that the platform came back from an older copy. It now reads the header `store-era` of every response, states the era in all outcomes, assumes the last known one if the header is missing or unreadable, and does not send an update or a watch whose revision is of an era that has ended. `standin-platform` states its era, and comes back from a copy by `POST /test/copy` and `POST /test/restore`.

--- a/packages/platform/tests/adapters/HttpObjectStore.test.ts
+++ b/packages/platform/tests/adapters/HttpObjectStore.test.ts
@@ -75,6 +75,49 @@
         expect(seen).to.equal("42");
     });
 
+    describe("that was restored from an older copy", () => {
+        function respondInEra(era: string, status: number, body: unknown): void {
+            handler = (_request, response) =>
+                response.writeHead(status, { "store-era": era }).end(JSON.stringify(body));
+        }
+
+        it("states the era in all outcomes", async () => {
+            respondInEra("3", 404, {});
+            expect(await store.read(key, "read")).to.deep.equal({ kind: "absent", era: 3 });
+            respondInEra("3", 200, { revision: 7 });
+            expect(await store.write(key, 1, 0, "claim")).to.deep.equal({ kind: "committed", revision: 7, era: 3 });
+            respondInEra("3", 200, { objects: [], revision: 7 });
+            expect(await store.list(["route"], "read")).to.deep.include({ kind: "listed", era: 3 });
+            respondInEra("4", 200, { changes: [], revision: 2 });
+            const signal = new AbortController().signal;
+            expect(await store.watch(["route"], 1, 0, signal)).to.deep.include({ kind: "changed", era: 4 });
+            expect(await store.watch(["route"], 1, 0, signal, 3)).to.deep.equal({ kind: "compacted", era: 4 });
+        });
+
+        it("assumes the last known era of a response without a readable one", async () => {
+            respondInEra("3", 404, {});
+            await store.read(key, "read");
+            respondInEra("x", 404, {});
+            expect(await store.read(key, "read")).to.deep.equal({ kind: "absent", era: 3 });
+            handler = respondWith(404, {});
+            expect(await store.read(key, "read")).to.deep.equal({ kind: "absent", era: 3 });
+        });
+
+        it("does not send a conditional update whose revision is of an older era", async () => {
+            respondInEra("3", 404, {});
+            await store.read(key, "read");
+            let calls = 0;
+            handler = (request, response) => {
+                calls += 1;
+                respondWith(200, { revision: 7 })(request, response);
+            };
+            expect((await store.write(key, 1, 5, "journal", 2)).kind).to.equal("unavailable");
+            expect((await store.remove(key, 5, "journal", 2)).kind).to.equal("unavailable");
+            expect(calls).to.equal(0);
+            expect((await store.write(key, 1, 5, "journal", 3)).kind).to.equal("committed");
+        });
+    });
+
     it("replaces a silent connection with a new one", async () => {
         const sockets = new Set<unknown>();
         handler = request => {
--- a/packages/testing/src/standins/StandinPlatform.ts
+++ b/packages/testing/src/standins/StandinPlatform.ts
@@ -29,6 +29,7 @@
 export class StandinPlatform {
     private readonly server: FastifyInstance = createStandinServer();
     private readonly store: MemoryObjectStore;
+    private copy: ReturnType<MemoryObjectStore["copy"]> | undefined;
     private readonly vms: LaggingVmList;
     private readonly writes: RateLimit;
     private readonly reads: RateLimit;
@@ -65,7 +66,10 @@
 
     private addRoutes(): void {
         this.server.addHook("onRequest", async (request, reply) => this.blockOrRefuse(request, reply));
-        this.server.addHook("onSend", async request => this.withholdFromBlocked(request));
+        this.server.addHook("onSend", async (request, reply) => {
+            await this.withholdFromBlocked(request);
+            reply.header("store-era", this.store.era);
+        });
         this.server.get<ObjectRequest>(
             "/v1/objects/:kind/:name",
             async (request, reply) => sendRead(reply, await this.store.read(request.params)),
@@ -89,6 +93,17 @@
             return reply.type("application/json").send(body);
         });
         this.server.post("/test/faults", async (request, reply) => this.setFaults(request, reply));
+        this.server.post("/test/copy", async () => {
+            this.copy = this.store.copy();
+            return { ok: true };
+        });
+        this.server.post("/test/restore", async (_request, reply) => {
+            if (!this.copy) {
+                return reply.code(409).send({ ok: false });
+            }
+            this.store.restore(this.copy);
+            return { ok: true };
+        });
         this.server.get("/test/counters", async () => ({
             ...this.counters,
             byMethod: this.store.calls,
--- a/packages/testing/tests/standins/StandinPlatform.test.ts
+++ b/packages/testing/tests/standins/StandinPlatform.test.ts
@@ -43,6 +43,21 @@
 
     afterEach(async () => platform.close());
 
+    it("comes back from a copy in the next era", async () => {
+        await start({});
+        expect((await fetch(`${url}/test/restore`, { method: "POST" })).status).to.equal(409);
+        await put("x", 0, 1);
+        expect((await fetch(`${url}/test/copy`, { method: "POST" })).status).to.equal(200);
+        await put("x", 1, 2);
+        expect((await fetch(`${url}/test/restore`, { method: "POST" })).status).to.equal(200);
+        const read = await fetch(`${url}/v1/objects/thing/x`);
+        expect([read.headers.get("store-era"), await read.json()]).to.deep.equal([
+            "1",
+            { kind: "thing", name: "x", revision: 1, value: 1 },
+        ]);
+        expect((await put("x", 2, 3)).status).to.equal(409);
+    });
+
     it("updates conditionally, and returns later changes to watches", async () => {
         await start({});
         expect(await put("x", 0, { n: 1 })).to.deep.equal({ status: 200, body: { revision: 1 } });
