Do not claim a key whose record the store may have lost

What callers saw: a keyed call ran twice if the store came back from an older copy between the record's acknowledgement and the repeat, and the repeat reached a router that did not know the shard's content. Found by a test, not in production.

Cause: an absent record was taken as proof that the call had not run.

A key without a record is not claimed if its call was issued before that time plus `clockErrorMs`; the caller gets `record-lost` with `ran` unknown. The rule ends by itself with the retention. Updates carry the era of their revision; one that was committed in another era all the same makes its claims unknown.

--- a/packages/coordination/src/journal/Journal.ts
+++ b/packages/coordination/src/journal/Journal.ts
@@ -8,6 +8,7 @@
 import type { JournalClaim } from "./JournalClaim.js";
 import type { JournalClaimOutcome } from "./JournalClaimOutcome.js";
 import { JournalCleaner } from "./JournalCleaner.js";
+import { JournalEras } from "./JournalEras.js";
 import type { JournalFinishOutcome } from "./JournalFinishOutcome.js";
 import { JournalMessages } from "./JournalMessages.js";
 import type { JournalOperation } from "./JournalOperation.js";
@@ -51,6 +52,7 @@
         private readonly writers: ShardWriters,
         private readonly owners: ShardOwners,
         private readonly cleaner: JournalCleaner,
+        private readonly eras: JournalEras,
     ) {}
 
     /** Creates a journal. It makes no calls before one of its methods is called. */
@@ -58,7 +60,8 @@
         const partition = JournalPartition.create(options.settings);
         const owners = ShardOwners.create({ ...options, timeoutMs: options.settings.ownerTimeoutMs });
         const cleaner = JournalCleaner.create({ ...options, partition, owners });
-        return new Journal(options, partition, ShardWriters.create(options), owners, cleaner);
+        const eras = JournalEras.create(options);
+        return new Journal(options, partition, ShardWriters.create({ ...options, eras }), owners, cleaner, eras);
     }
 
     /**
@@ -111,18 +114,18 @@
             : this.writers.submit<"release">(shard, { kind: "release", keyHash, claimant });
     }
 
-    /** Removes shards whose retention is over until `signal` aborts. */
-    run(signal: AbortSignal): Promise<void> {
-        return this.cleaner.run(signal);
+    /** Removes shards whose retention is over, and learns of restores of the store, until `signal` aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        await Promise.all([this.cleaner.run(signal), this.eras.run(signal)]);
     }
 
     /** Registers the service through which this process writes shards for other routers. */
     registerOn(router: ConnectRouter): void {
         router.service(JournalService, {
-            claimKey: async ({ shard, keyHash, claimant, requestDigest }) =>
-                JournalMessages.encodeClaim(
-                    await this.writeForPeer<"claim">(shard, { kind: "claim", keyHash, claimant, requestDigest }),
-                ),
+            claimKey: async ({ shard, keyHash, claimant, requestDigest, issuedAtMs }) => {
+                const operation = { kind: "claim", keyHash, claimant, requestDigest, issuedAtMs } as const;
+                return JournalMessages.encodeClaim(await this.writeForPeer<"claim">(shard, operation));
+            },
             finishKey: ({ shard, keyHash, claimant, status, body, contentType }) => {
                 const response = { status, body, contentType };
                 return this.writeForPeer<"finish">(shard, { kind: "finish", keyHash, claimant, response });
@@ -135,7 +138,8 @@
     private async claimWithFallback(claim: JournalClaim): Promise<JournalClaimOutcome> {
         const { shard, keyHash } = this.partition.locate(claim);
         const { claimant, requestDigest } = claim;
-        const message = { shard, keyHash, claimant, requestDigest };
+        const content = { keyHash, claimant, requestDigest, issuedAtMs: claim.issuedAt.getTime() };
+        const message = { shard, ...content };
         const callOutcome = await this.owners.call(shard, (owner, signal) => owner.claimKey(message, { signal }));
         const ownerOutcome = callOutcome.kind === "answered"
             ? JournalMessages.decodeClaim(callOutcome.response)
@@ -146,7 +150,7 @@
         ) {
             return ownerOutcome;
         }
-        const outcome = await this.writers.submit<"claim">(shard, { kind: "claim", keyHash, claimant, requestDigest });
+        const outcome = await this.writers.submit<"claim">(shard, { kind: "claim", ...content });
         const mayTakeEffect = ownerOutcome.kind === "silent" || ownerOutcome.kind === "unknown";
         return outcome.kind === "unavailable" && mayTakeEffect ? { kind: "unknown" } : outcome;
     }
--- a/packages/coordination/src/journal/JournalClaimOutcome.ts
+++ b/packages/coordination/src/journal/JournalClaimOutcome.ts
@@ -10,6 +10,8 @@
     | { kind: "finished-without-response"; }
     /** The key was used for a call with different content. */
     | { kind: "mismatched-request"; }
+    /** No record of the key exists, but the store has lost records of calls that were issued at that time. */
+    | { kind: "possibly-lost"; }
     /** The claim was not recorded. */
     | { kind: "unavailable"; retryAfterMs: number; }
     /** The claim may have been recorded, or may still be recorded later. */
--- a/packages/coordination/src/journal/JournalMessages.ts
+++ b/packages/coordination/src/journal/JournalMessages.ts
@@ -25,6 +25,7 @@
     }),
     "finished-without-response": () => ({ kind: "finished", answerHeld: false }),
     "mismatched-request": () => ({ kind: "mismatch" }),
+    "possibly-lost": () => ({ kind: "lost" }),
     unavailable: ({ retryAfterMs }) => ({ kind: "unavailable", retryAfterMs: Math.ceil(retryAfterMs) }),
     unknown: () => ({ kind: "unknown" }),
 };
@@ -37,6 +38,7 @@
             ? { kind: "finished", response: { status, body, contentType } }
             : { kind: "finished-without-response" },
     mismatch: () => ({ kind: "mismatched-request" }),
+    lost: () => ({ kind: "possibly-lost" }),
     unavailable: ({ retryAfterMs }) => ({ kind: "unavailable", retryAfterMs }),
 };
 
--- a/packages/coordination/src/journal/ShardWriter.ts
+++ b/packages/coordination/src/journal/ShardWriter.ts
@@ -1,10 +1,11 @@
-import type { ObjectStore, Revision } from "@fescuehaven/platform";
+import type { Era, ObjectStore, Revision } from "@fescuehaven/platform";
 import { type JournalShard, journalShardSchema } from "@fescuehaven/resources";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { Logger, Metrics } from "@fescuehaven/telemetry";
 import { Backoff } from "../util/Backoff.js";
 import { applyOperation } from "./applyOperation.js";
 import { fitShard } from "./fitShard.js";
+import type { JournalEras } from "./JournalEras.js";
 import type { JournalOperation } from "./JournalOperation.js";
 import type { JournalSettings } from "./JournalSettings.js";
 import type { OperationOf } from "./OperationOf.js";
@@ -19,7 +20,12 @@
 const FULL_RETRY_AFTER_MS = 1000;
 
 /** Outcomes that must not be derived from a cached state of the shard. */
-const PROVISIONAL_KINDS: ReadonlySet<string> = new Set(["held-by-other", "mismatched-request", "unavailable"]);
+const PROVISIONAL_KINDS: ReadonlySet<string> = new Set([
+    "held-by-other",
+    "mismatched-request",
+    "possibly-lost",
+    "unavailable",
+]);
 
 type AnyOutcome = OperationOutcome[JournalOperation["kind"]];
 
@@ -27,6 +33,7 @@
     /** Name of the shard. */
     shard: string;
     store: ObjectStore;
+    eras: JournalEras;
     settings: JournalSettings;
     clock: Clock;
     random: Random;
@@ -44,6 +51,10 @@
 
 interface Snapshot {
     revision: Revision;
+    /** Era of the revision. */
+    era: Era;
+    /** Records of calls that were issued before this time, in Unix milliseconds, may be missing. */
+    lostBeforeMs: number;
     shard: JournalShard;
     /** True if the shard was read or written earlier: another writer may have changed it since. */
     cached: boolean;
@@ -132,8 +143,15 @@
             await this.handleUnavailable(batch, outcome.retryAfterMs);
             return undefined;
         }
+        const { era = 0 } = outcome;
+        const completeSinceMs = await this.options.eras.completeSinceMs(era);
+        if (completeSinceMs === undefined) {
+            await this.handleUnavailable(batch, 0);
+            return undefined;
+        }
+        const context = { era, lostBeforeMs: completeSinceMs + this.options.settings.clockErrorMs, cached: false };
         if (outcome.kind === "absent") {
-            return { revision: 0, shard: { records: {} }, cached: false };
+            return { ...context, revision: 0, shard: { records: {} } };
         }
         const parsed = journalShardSchema.safeParse(outcome.object.value);
         if (!parsed.success) {
@@ -141,14 +159,15 @@
             batch.forEach(item => this.giveUp(item, FULL_RETRY_AFTER_MS));
             return undefined;
         }
-        return { revision: outcome.object.revision, shard: parsed.data, cached: false };
+        return { ...context, revision: outcome.object.revision, shard: parsed.data };
     }
 
     private async commit(batch: WaitingOperation[], snapshot: Snapshot): Promise<void> {
         const shard = { records: { ...snapshot.shard.records } };
         const { maxAnswerBytes, maxShardBytes } = this.options.settings;
+        const { revision, era, lostBeforeMs } = snapshot;
         const applied = batch.map(item =>
-            applyOperation<JournalOperation["kind"]>(shard.records, item.operation, maxAnswerBytes)
+            applyOperation<JournalOperation["kind"]>(shard.records, item.operation, { maxAnswerBytes, lostBeforeMs })
         );
         const resolveAll = () => batch.forEach((item, index) => item.resolve(applied[index]!.outcome));
         if (snapshot.cached && applied.some(result => PROVISIONAL_KINDS.has(result.outcome.kind))) {
@@ -168,7 +187,7 @@
             this.waiting.unshift(...batch.filter(item => !claims.includes(item)));
             return;
         }
-        await this.write(batch, { revision: snapshot.revision, shard }, resolveAll);
+        await this.write(batch, { revision, era, lostBeforeMs, shard }, resolveAll);
     }
 
     private async write(
@@ -178,11 +197,15 @@
     ): Promise<void> {
         const { store, shard, metrics } = this.options;
         this.lastKnown = undefined;
-        const outcome = await store.write({ kind: SHARD_KIND, name: shard }, next.shard, next.revision, "journal");
+        const key = { kind: SHARD_KIND, name: shard };
+        const outcome = await store.write(key, next.shard, next.revision, "journal", next.era);
         metrics.increment("journal.updates", 1, { outcome: outcome.kind });
         switch (outcome.kind) {
             case "committed":
-                this.lastKnown = { revision: outcome.revision, shard: next.shard };
+                if ((outcome.era ?? 0) !== next.era) {
+                    return this.handleOtherEra(batch);
+                }
+                this.lastKnown = { ...next, revision: outcome.revision };
                 this.backoff.reset();
                 resolveAll();
                 return;
@@ -199,6 +222,17 @@
         }
     }
 
+    /**
+     * Handles an update that was committed in a newer era than that of its revision. It was made from records that the
+     * store may have lost, and may have replaced others, so no claim in it permits sending a call.
+     */
+    private handleOtherEra(batch: readonly WaitingOperation[]): Promise<void> {
+        this.options.logger.error(`Shard ${this.options.shard} was written by a revision of an earlier era.`);
+        const claims = batch.filter(item => item.operation.kind === "claim");
+        claims.forEach(item => item.resolve({ kind: "unknown" }));
+        return this.retry(batch.filter(item => !claims.includes(item)));
+    }
+
     /**
      * Handles an unavailable platform. Refuses claims at once unless they may have taken effect; the other operations
      * wait until their deadline.
--- a/packages/coordination/src/journal/ShardWriters.ts
+++ b/packages/coordination/src/journal/ShardWriters.ts
@@ -1,6 +1,7 @@
 import type { ObjectStore } from "@fescuehaven/platform";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { Logger, Metrics } from "@fescuehaven/telemetry";
+import type { JournalEras } from "./JournalEras.js";
 import type { JournalOperation } from "./JournalOperation.js";
 import type { JournalSettings } from "./JournalSettings.js";
 import type { OperationOf } from "./OperationOf.js";
@@ -12,6 +13,7 @@
 
 interface ShardWritersOptions {
     store: ObjectStore;
+    eras: JournalEras;
     settings: JournalSettings;
     clock: Clock;
     random: Random;
--- a/packages/coordination/src/journal/applyOperation.ts
+++ b/packages/coordination/src/journal/applyOperation.ts
@@ -15,28 +15,34 @@
     changed: boolean;
 }
 
+interface Limits {
+    /** Responses with a longer body are not stored. */
+    maxAnswerBytes: number;
+    /** Records of calls that were issued before this time, in Unix milliseconds, may have been lost. */
+    lostBeforeMs: number;
+}
+
 type Handlers = {
-    [K in JournalOperation["kind"]]: (
-        records: Records,
-        operation: OperationOf<K>,
-        maxAnswerBytes: number,
-    ) => Applied<K>;
+    [K in JournalOperation["kind"]]: (records: Records, operation: OperationOf<K>, limits: Limits) => Applied<K>;
 };
 
 /** Outcome if the attempt has no claimed record to finish or release. */
 const NOT_HELD = { kind: "unavailable", retryAfterMs: 0 } as const;
 
 const handlers: Handlers = {
-    claim: (records, operation) => {
+    claim: (records, operation, { lostBeforeMs }) => {
         const record = records[operation.keyHash];
         if (record) {
             return { outcome: claimOutcome(record, operation), changed: false };
         }
+        if (operation.issuedAtMs < lostBeforeMs) {
+            return { outcome: { kind: "possibly-lost" }, changed: false };
+        }
         const { claimant, requestDigest } = operation;
         records[operation.keyHash] = { claimant, state: "claimed", requestDigest };
         return { outcome: { kind: "claimed" }, changed: true };
     },
-    finish: (records, operation, maxAnswerBytes) => {
+    finish: (records, operation, { maxAnswerBytes }) => {
         const record = records[operation.keyHash];
         if (record?.claimant !== operation.claimant) {
             return { outcome: NOT_HELD, changed: false };
@@ -69,9 +75,9 @@
 export function applyOperation<K extends JournalOperation["kind"]>(
     records: Records,
     operation: OperationOf<K>,
-    maxAnswerBytes: number,
+    limits: Limits,
 ): Applied<K> {
-    return handlers[operation.kind](records, operation, maxAnswerBytes);
+    return handlers[operation.kind](records, operation, limits);
 }
 
 function claimOutcome(
--- a/packages/coordination/tests/journal/Journal.test.ts
+++ b/packages/coordination/tests/journal/Journal.test.ts
@@ -284,3 +284,88 @@
         await Promise.all(cleaning);
     });
 });
+
+describe("Journal in a store that was restored from an older copy", () => {
+    let routers: JournalRouters;
+
+    beforeEach(() => {
+        routers = JournalRouters.create({ routerCount: 3 });
+        // Every router writes shards itself, so that others do not know their content.
+        routers.names.forEach(from => routers.names.forEach(to => routers.network.setLink(from, to, "refused")));
+    });
+
+    /** Claims a key at a router, and records its response. */
+    async function run(index: number, overrides: Partial<JournalClaim> = {}): Promise<void> {
+        const claim = claimOf(`runner-${index}`, overrides);
+        expect(await routers.until(routers.journals[index]!.claim(claim, never))).to.deep.equal({ kind: "claimed" });
+        expect(await routers.until(routers.journals[index]!.finish(claim, response))).to.deep.equal({
+            kind: "recorded",
+        });
+    }
+
+    /** Returns the kinds of the outcomes of a repeat at each router. */
+    async function repeat(overrides: Partial<JournalClaim> = {}): Promise<string[]> {
+        const kinds: string[] = [];
+        for (const [index, journal] of routers.journals.entries()) {
+            const claim = claimOf(`repeat-${index}`, overrides);
+            kinds.push((await routers.until(journal.claim(claim, never))).kind);
+        }
+        return kinds;
+    }
+
+    it("does not claim a key whose record may have been lost", async () => {
+        const copy = routers.store.copy();
+        await run(0);
+        routers.store.restore(copy);
+        // The first router still knows the record.
+        expect(await repeat()).to.deep.equal(["finished", "possibly-lost", "possibly-lost"]);
+        expect(recordsOf(routers)).to.have.length(0);
+    });
+
+    it("serves a repeat whose record the copy has", async () => {
+        await run(0);
+        const copy = routers.store.copy();
+        await run(1, { idempotencyKey: "key-2" });
+        routers.store.restore(copy);
+        expect(await repeat()).to.deep.equal(["finished", "finished", "finished"]);
+    });
+
+    it("claims keys of calls issued since, at a router that learns of the restore later as well", async () => {
+        const { clockErrorMs } = routers.settings;
+        const copy = routers.store.copy();
+        await run(0);
+        routers.store.restore(copy);
+        await routers.until(routers.journals[1]!.claim(claimOf("b"), never));
+        await routers.clock.advance(clockErrorMs + 1000);
+        const issuedAt = routers.clock.now();
+        await run(1, { idempotencyKey: "key-2", issuedAt });
+        await routers.clock.advance(10_000);
+        await run(2, { idempotencyKey: "key-3", issuedAt });
+        expect(await repeat()).to.deep.equal(["finished", "possibly-lost", "possibly-lost"]);
+    });
+
+    it("learns of the restore within seconds while no calls arrive", async () => {
+        const stop = new AbortController();
+        void routers.journals[2]!.run(stop.signal);
+        routers.store.restore(routers.store.copy());
+        const restoredAtMs = routers.clock.now().getTime();
+        await routers.clock.advance(10_000);
+        stop.abort();
+        const value = routers.store.peek("journal-era", "current")?.value as { era: number; sinceMs: number; };
+        expect(value.era).to.equal(1);
+        expect(value.sinceMs - restoredAtMs).to.be.within(0, 4000);
+    });
+
+    it("reports a claim as unknown that was committed by a revision of an earlier era", async () => {
+        const { store } = routers;
+        const write = store.write.bind(store);
+        const copy = store.copy();
+        await run(0);
+        store.restore(copy);
+        const key = { kind: "journal-shard", name: `${Date.parse("2026-01-01T00:00:00Z")}-0` };
+        await write(key, { records: {} }, 0);
+        await write(key, { records: {} }, 1);
+        store.write = (writtenKey, value, expected) => write(writtenKey, value, expected);
+        expect(await repeat({ idempotencyKey: "key-2" })).to.not.include("claimed");
+    });
+});
--- a/packages/router/src/refusalTable.ts
+++ b/packages/router/src/refusalTable.ts
@@ -25,6 +25,10 @@
     "key-in-use": { status: 409, message: "Another call holds this key: it is in progress or its outcome is unknown." },
     "key-mismatch": { status: 409, message: "This key was used with another content. This call was not sent." },
     "answer-no-longer-held": { status: 409, message: "A call with this key ran. Its answer is no longer held." },
+    "record-lost": {
+        status: 409,
+        message: "Records of keys from that time were lost. This call was not sent; an earlier one may have run.",
+    },
     "journal-unavailable": {
         status: 503,
         message: "The record of keys cannot be reached. This call was not sent; an earlier one may have run.",
--- a/packages/router/src/services/KeyedCalls.ts
+++ b/packages/router/src/services/KeyedCalls.ts
@@ -158,6 +158,8 @@
                 return { kind: "refused", refusal: createRefusal("answer-no-longer-held", "yes") };
             case "mismatched-request":
                 return { kind: "refused", refusal: createRefusal("key-mismatch", "unknown") };
+            case "possibly-lost":
+                return { kind: "refused", refusal: createRefusal("record-lost", "unknown") };
             case "held-by-other": {
                 const details = { retryAfterMs: HELD_RETRY_AFTER_MS };
                 return { kind: "refused", refusal: createRefusal("key-in-use", "unknown", details) };
--- a/packages/router/tests/keyedCalls.test.ts
+++ b/packages/router/tests/keyedCalls.test.ts
@@ -90,6 +90,12 @@
         expect(errorOf(await book())).to.include({ type: "answer-no-longer-held", ran: "yes" });
     });
 
+    it("sends nothing, and states an unknown outcome, when the key's record may have been lost", async () => {
+        fixture.journal.isIncomplete = true;
+        expect(errorOf(await book())).to.include({ type: "record-lost", ran: "unknown" });
+        expect(fixture.service.executions).to.have.length(0);
+    });
+
     it("refuses different content under a used key", async () => {
         await book("k1", {}, '{"hull":1}');
         expect(errorOf(await book("k1", {}, '{"hull":2}'))).to.include({ type: "key-mismatch" });
--- a/packages/router/tests/support/MemoryKeyJournal.ts
+++ b/packages/router/tests/support/MemoryKeyJournal.ts
@@ -22,6 +22,8 @@
     isSilent = false;
     /** Number of next claims that are recorded, but whose response is lost. */
     loseNextClaims = 0;
+    /** Records may have been lost. */
+    isIncomplete = false;
     /** Responses of finished keys are not kept. */
     dropResponses = false;
 
@@ -39,6 +41,9 @@
         if (record) {
             return describe(record, claim);
         }
+        if (this.isIncomplete) {
+            return { kind: "possibly-lost" };
+        }
         this.records.set(idOf(claim), { claimant: claim.claimant, digest: claim.requestDigest, state: "claimed" });
         if (this.isSilent) {
             await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
--- a/spec/check.mjs
+++ b/spec/check.mjs
@@ -72,6 +72,7 @@
             NO_AGE_CHECK: AT_MOST_ONCE,
             NO_CLOCK_ALLOWANCE: AT_MOST_ONCE,
             CHECK_AGE_BEFORE_ONLY: AT_MOST_ONCE,
+            NO_LOSS_CHECK: AT_MOST_ONCE,
         },
     },
     {
--- a/spec/journal.pml
+++ b/spec/journal.pml
@@ -10,6 +10,10 @@
  * attempts state the same issue time, 0. An absent object has no revision: an update that expects "absent"
  * is committed whenever the object is absent, also after its removal.
  *
+ * The platform is restored from an older copy at most once. Writes that were in flight are lost then, but a shard's owner
+ * goes on with the claims that it was handed. Since all calls were issued before the restore, no key is claimed after it
+ * whose record is absent.
+ *
  * Switches that remove a safeguard:
  *   NO_CONDITIONAL_UPDATE  a claim is committed whatever the record's state is
  *   NO_CLAIMANT_ID         when an attempt reads the record back, any claim counts as its own
@@ -21,6 +25,7 @@
  *   NO_AGE_CHECK           calls older than the retention are accepted
  *   NO_CLOCK_ALLOWANCE     the age limit is the retention itself
  *   CHECK_AGE_BEFORE_ONLY  the age is checked before the claim, but not again after it is committed
+ *   NO_LOSS_CHECK          a key without a record is claimed although the platform may have lost its record
  */
 #define ATTEMPTS 3
 #define RETENTION 4
@@ -65,6 +70,12 @@
 byte executions;
 byte now;
 
+/* The copy from which the platform is restored. */
+bit copied;
+bit restored;
+byte copyRecord;
+byte copyClaimant = NOBODY;
+
 byte reading;
 
 /* Reads a clock that may be off by CLOCK_ERROR in either direction. */
@@ -84,6 +95,12 @@
 #define STILL_YOUNG YOUNG
 #endif
 
+#ifdef NO_LOSS_CHECK
+#define MAY_CLAIM (record == ABSENT)
+#else
+#define MAY_CLAIM (record == ABSENT && !restored)
+#endif
+
 #ifdef NO_CLAIMANT_ID
 #define OWN (record == HELD)
 #else
@@ -110,7 +127,8 @@
             :: YOUNG && record != HELD ->
 #else
             :: YOUNG && record == FINISHED -> phase[a] = RAN
-            :: YOUNG && record == ABSENT ->
+            :: YOUNG && record == ABSENT && !MAY_CLAIM -> phase[a] = UNKNOWN
+            :: YOUNG && MAY_CLAIM ->
 #endif
                 phase[a] = CLAIMING;
                 claimInFlight[a] = 1;
@@ -133,7 +151,7 @@
 #ifdef REPEAT_FINISHED
             :: record == FINISHED -> record = HELD; claimant = a
 #endif
-            :: record == ABSENT -> record = HELD; claimant = a
+            :: MAY_CLAIM -> record = HELD; claimant = a
             :: else
 #endif
             fi;
@@ -142,7 +160,7 @@
        }
 
     /* CommitClaim by the shard's owner, which retries after a conflict. */
-    :: d_step { handedOver[a] && record == ABSENT -> record = HELD; claimant = a; handedOver[a] = 0 }
+    :: d_step { handedOver[a] && MAY_CLAIM -> record = HELD; claimant = a; handedOver[a] = 0 }
 
     /* The handed-over claim never arrives at the owner. */
     :: d_step { handedOver[a] -> handedOver[a] = 0 }
@@ -156,7 +174,8 @@
             :: OWN && !STILL_YOUNG -> tellDidNotRun(a); releaseInFlight[a] = 1
             :: !OWN && record == FINISHED -> phase[a] = RAN
             :: !OWN && record == HELD -> phase[a] = UNKNOWN
-            :: record == ABSENT
+            :: record == ABSENT && !MAY_CLAIM -> phase[a] = UNKNOWN
+            :: MAY_CLAIM
             fi;
             clearScratch()
         }
@@ -248,6 +267,28 @@
     end: do
     :: d_step { now < MAX_TIME -> now++ }
 
+    /* TakeCopy. */
+    :: d_step { !copied -> copied = 1; copyRecord = record; copyClaimant = claimant }
+
+    /* Restore. */
+    :: d_step {
+        copied && !restored ->
+        restored = 1;
+        record = copyRecord;
+        claimant = copyClaimant;
+        copyRecord = ABSENT;
+        copyClaimant = NOBODY;
+        claimInFlight[0] = 0;
+        claimInFlight[1] = 0;
+        claimInFlight[2] = 0;
+        releaseInFlight[0] = 0;
+        releaseInFlight[1] = 0;
+        releaseInFlight[2] = 0;
+        finishInFlight[0] = 0;
+        finishInFlight[1] = 0;
+        finishInFlight[2] = 0
+       }
+
 #ifdef RELEASE_BY_OTHERS
     :: d_step { record == HELD -> record = ABSENT; claimant = NOBODY }
 #endif
