Forward an upstream's error response if no other attempt succeeds

The response was dropped when the retry was taken, and the retry found no other upstream.

The last error response is kept with the progress of the request and forwarded if no other attempt succeeds: where no upstream is left, where the retry breaks, and at the deadline. Streams that have not begun are treated likewise.

The three new tests failed before ('outcome-unknown' in place of 500).

--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -53,6 +53,8 @@
     /** Attempts that the upstream rejected. */
     rejections: number;
     retries: RequestRetries;
+    /** The last error response of an upstream. It is forwarded if no other attempt succeeds. */
+    failureAnswer?: AttemptResult & { kind: "failure-answer"; };
 }
 
 /** Costs that are added to an upstream's requests in flight when upstreams are compared. */
@@ -274,6 +276,7 @@
             progress.rejections += result.hasArrived ? 1 : 0;
         }
         else {
+            progress.failureAnswer = result.kind === "failure-answer" ? result : progress.failureAnswer;
             progress.mayHaveRun = true;
             progress.countedAttempts += 1;
         }
@@ -289,12 +292,7 @@
             metrics.count("retries", result.kind);
             return false;
         }
-        if (result.kind === "failure-answer") {
-            metrics.count("requests", "failure answer");
-            call.callerResponse.sendComplete(result.head, result.body);
-            return true;
-        }
-        this.fail(call, progress, result.reason);
+        this.fail(call, progress, result.kind === "failure-answer" ? "the upstream failed" : result.reason);
         return true;
     }
 
@@ -318,6 +316,12 @@
 
     private fail(call: ForwardedCall, progress: PlainProgress, reason: string, retryAfterMs = RETRY_AFTER_MS): void {
         const { log, metrics } = this.options;
+        const { failureAnswer } = progress;
+        if (failureAnswer) {
+            metrics.count("requests", "failure answer");
+            call.callerResponse.sendComplete(failureAnswer.head, failureAnswer.body);
+            return;
+        }
         log.info("request failed", {
             request: call.request.id,
             reason,
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -73,6 +73,8 @@
     /** Groups that broke the stream off or were given up. */
     brokenEpochs: Set<number>;
     retries: RequestRetries;
+    /** The last error response of an upstream. It is forwarded if no other attempt succeeds. */
+    failureAnswer?: AttemptResult & { kind: "failure-answer"; };
 }
 
 /** Why a request is not sent once more. */
@@ -479,6 +481,7 @@
             }
         }
         else {
+            progress.failureAnswer = result.kind === "failure-answer" ? result : progress.failureAnswer;
             progress.mayHaveRun = true;
             progress.countedAttempts += isResend ? 0 : 1;
             if (!isResend && result.kind === "broken" && result.isStaleConnection) {
@@ -493,11 +496,6 @@
             this.options.metrics.count("retries", result.kind);
             return false;
         }
-        if (result.kind === "failure-answer" && !call.callerResponse.hasStarted) {
-            call.callerResponse.sendComplete(result.head, result.body);
-            this.options.metrics.count("requests", "failure answer");
-            return true;
-        }
         const reason = result.kind === "failure-answer" ? "the upstream failed" : result.reason;
         this.fail(call, progress, reason, denial);
         return true;
@@ -554,6 +552,12 @@
     }
 
     private fail(call: ForwardedCall, progress: StreamProgress, reason: string, retryDenial?: RetryDenial): void {
+        const { failureAnswer } = progress;
+        if (failureAnswer && !call.callerResponse.hasStarted) {
+            this.options.metrics.count("requests", "failure answer");
+            call.callerResponse.sendComplete(failureAnswer.head, failureAnswer.body);
+            return;
+        }
         this.options.metrics.count("requests", "failed");
         this.options.log.info("request failed", {
             request: call.request.id,
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -352,6 +352,13 @@
             expect(rig.client.sent.length).to.equal(2);
         });
 
+        it("forwards a group's error response if another group breaks the stream off before its first event", async () => {
+            rig.client.script(() => responses.complete(500, "failed"), () => responses.truncated());
+            const response = rig.send();
+            await rig.clock.advance(100);
+            expect([response.status, response.refusal?.kind]).to.deep.equal([500, undefined]);
+        });
+
         it("tries another group when one reports that it has not run the request", async () => {
             rig.client.script(() => NOT_RUN, () => responses.stream(1, 2));
             const response = rig.send();
@@ -625,6 +632,13 @@
                 attempts: 2,
                 status: 500,
             },
+            {
+                title: "forwards the error response if the second attempt breaks",
+                kind: "repeatable",
+                scripts: [responses.complete(500, "no"), responses.truncated()],
+                attempts: 2,
+                status: 500,
+            },
             {
                 title: "does not deliver a success response without a signature",
                 kind: "once",
@@ -651,6 +665,15 @@
             });
         }
 
+        it("forwards an error response if no other upstream is left for a repeatable request", async () => {
+            configure("repeatable");
+            rig.directory.remove("p2", "left");
+            rig.client.script(() => responses.complete(500, "no"));
+            const response = rig.send({ model: undefined });
+            await rig.clock.advance(1200);
+            expect([response.status, response.refusal?.kind]).to.deep.equal([500, undefined]);
+        });
+
         it("sends a repeatable request to a second upstream when the first is silent", async () => {
             configure("repeatable");
             rig.client.script(
