Refuse a forwarded call at once at a router whose share of the limit is 0

Callers waited until their deadline: a call that was forwarded to a router of another zone stayed in that router's queue although its share of the upstreams' limits, as fallen as they were, was 0. Such a router gets no slot there and completes nothing, so that the limit does not rise for it either.

A forwarded call now waits only where the router's share of an open endpoint or group allows calls, and is refused as not run otherwise, so that the other router tries elsewhere or refuses. Generations had the same cause as service calls.

Both new tests failed before (no response within 2.5 s of simulated time; the calls' time limits are 10 s and 60 s).

--- a/packages/router/src/generation/GenerationDispatcher.ts
+++ b/packages/router/src/generation/GenerationDispatcher.ts
@@ -144,11 +144,10 @@
 
     private shouldGiveUp(progress: GenerationProgress): boolean {
         const { call } = progress;
-        const isServedHere = this.options.selector.hasOpen(call.modelVersion);
         if (call.origin === "peer") {
-            return !isServedHere || call.onlyIfFree === true;
+            return !this.options.selector.hasShare(call.modelVersion) || call.onlyIfFree === true;
         }
-        if (isServedHere) {
+        if (this.options.selector.hasOpen(call.modelVersion)) {
             return false;
         }
         const waitedMs = this.options.clock.monotonicMs() - progress.waitingSinceMs;
--- a/packages/router/src/routing/EndpointSelector.ts
+++ b/packages/router/src/routing/EndpointSelector.ts
@@ -35,6 +35,11 @@
         return this.listOpen(service).length > 0;
     }
 
+    /** Returns true when this router's share of an open endpoint's limit allows calls, whether or not a slot is free. */
+    hasShare(service: string): boolean {
+        return this.listOpen(service).some(endpoint => this.options.limits.allowed(toUpstream(service, endpoint)) > 0);
+    }
+
     /** Acquires a slot; uses endpoints in `excluded` only when there are no others. Undefined when none is free. */
     tryAcquire(service: string, excluded: ReadonlySet<string>): EndpointSlot | undefined {
         const open = this.listOpen(service);
--- a/packages/router/src/routing/GroupSelector.ts
+++ b/packages/router/src/routing/GroupSelector.ts
@@ -44,6 +44,13 @@
         return this.options.access.listOpen(modelVersion).length > 0;
     }
 
+    /** Returns true when this router's share of an open group's limit allows requests, whether or not a slot is free. */
+    hasShare(modelVersion: string): boolean {
+        return this.options.access.listOpen(modelVersion).some(({ upstream }) =>
+            this.options.limits.allowed(upstream) > 0
+        );
+    }
+
     /** Records a response of `tokenCount` tokens that took `durationMs`, so that slow groups get fewer requests. */
     recordResponse(group: string, modelVersion: string, tokenCount: number, durationMs: number): void {
         const names = this.options.access.listOpen(modelVersion).map(open => open.upstream.name);
--- a/packages/router/src/services/ServiceDispatcher.ts
+++ b/packages/router/src/services/ServiceDispatcher.ts
@@ -139,11 +139,10 @@
     }
 
     private shouldGiveUp({ call, waitingSinceMs }: Progress): boolean {
-        const isServedHere = this.options.endpoints.hasOpen(call.service);
         if (call.origin === "peer") {
-            return !isServedHere || call.onlyIfFree === true;
+            return !this.options.endpoints.hasShare(call.service) || call.onlyIfFree === true;
         }
-        return !isServedHere && (
+        return !this.options.endpoints.hasOpen(call.service) && (
             this.options.clock.monotonicMs() - waitingSinceMs >= WAIT_LIMIT_MS
             && !this.options.peers.hasEligible(poolOf(call), this.options.endpoints.otherZones(call.service))
         );
--- a/packages/router/tests/zones.test.ts
+++ b/packages/router/tests/zones.test.ts
@@ -226,6 +226,45 @@
         expect(b.service.executions).to.have.length(1);
     });
 
+    describe("forwarded to a router whose share of a limit is 0", () => {
+        let withoutShare: RouterFixture;
+
+        beforeEach(() => {
+            const settings = { plannedRouters: 2 };
+            withoutShare = RouterFixture.create({ clock, zone: "zone-b", name: "router-b1", settings });
+            network.add("router-b1", withoutShare);
+            takeOutOfService("availability-zone", "zone-a");
+        });
+
+        afterEach(() => withoutShare.stop());
+
+        it("refuses a service call at once as not run", async () => {
+            for (const fixture of [a, withoutShare]) {
+                fixture.configuration.put("service", "dispatch", {
+                    endpoints: [{
+                        name: "end-b",
+                        zone: "zone-b",
+                        url: "http://b.invalid",
+                        maxConcurrentRequests: 1,
+                        coldConcurrentRequests: 1,
+                    }],
+                });
+            }
+            const pending = a.callService("quote");
+            await clock.advance(2500);
+            expect(errorOf(await pending)).to.include({ type: "no-upstream", ran: "no" });
+            expect(withoutShare.service.executions).to.have.length(0);
+        });
+
+        it("refuses a generation at once as not run", async () => {
+            withoutShare.addGroup("gb", { url: engineB.url, zone: "zone-b", warm: 1, cold: 1 });
+            const pending = a.chat();
+            await clock.advance(2500);
+            expect(errorOf(await pending)).to.include({ type: "no-upstream", ran: "no" });
+            expect(engineB.calls).to.have.length(0);
+        });
+    });
+
     it("forwards a call to the router of its own zone that has a free slot", async () => {
         const settings = { plannedRouters: 2 };
         const peer: Peer = { ...peerA, name: "router-a2" };
