Do not end a starting gateway at SIGHUP

A gateway that got SIGHUP within its first 0.3 s exited with it, and its callers lost the process until it was restarted: the handler was installed after the gateway had started and listened.

--- a/scripts/startCached.cjs
+++ b/scripts/startCached.cjs
@@ -3,6 +3,9 @@
 const Module = require("node:module");
 const vm = require("node:vm");
 
+// SIGHUP would end the process. The settings are read later, so there is nothing to reload yet.
+process.on("SIGHUP", () => undefined);
+
 const bundle = __filename.replace(/\.cjs$/, ".bundle.cjs");
 const cacheFile = `${bundle}.cache`;
 const writesCache = process.env.FESCUE_WRITE_CODE_CACHE !== undefined;
