Remove what the safeguards name again, and wait for a call without a connection in the shutdown test

With the text brought up to date, the removal of "a router waits for its calls in progress" no longer failed its test, because the delay for load balancers and the open connection of the call kept the router from closing anyway. The test has a second call now, which has no connection, and asks that the router is not drained after that delay.

Test support: the settings of a gateway and the restore of a store without a change were written twice.

--- a/packages/gateway/tests/restoredStore.test.ts
+++ b/packages/gateway/tests/restoredStore.test.ts
@@ -33,6 +33,24 @@
 
     for (const awayMs of [100, 3000]) {
         describe(`after ${awayMs} ms`, () => {
+            /** Restores the store from a copy that lacks a change. */
+            async function restoreWithout(change: () => unknown): Promise<void> {
+                await rig.clock.advance(1000);
+                const copy = rig.store.copy();
+                await change();
+                await rig.clock.advance(1000);
+                await rig.restore(copy, awayMs);
+            }
+
+            async function expectAllSentTo(upstream: string): Promise<void> {
+                for (let sent = 0; sent < 8; sent++) {
+                    await rig.clock.advance(400);
+                    rig.send("app");
+                }
+                await rig.clock.advance(4000);
+                expect([new Set(rig.sentTo), rig.sentTo.length]).to.deep.equal([new Set([upstream]), 8]);
+            }
+
             it("does not end a stream of a group that opened after the copy, beside a new configuration", async () => {
                 addEngines();
                 await rig.clock.advance(500);
@@ -92,42 +110,22 @@
             it("sends nothing to an upstream that began to drain after the copy", async () => {
                 addPlain("app-1");
                 addPlain("app-2");
-                await rig.clock.advance(1000);
-                const copy = rig.store.copy();
-                rig.register(exampleUpstream("app-1", { service: "app", domain: "", state: "draining" }));
-                await rig.clock.advance(1000);
-                await rig.restore(copy, awayMs);
-                for (let sent = 0; sent < 8; sent++) {
-                    await rig.clock.advance(400);
-                    rig.send("app");
-                }
-                await rig.clock.advance(4000);
-                expect([new Set(rig.sentTo), rig.sentTo.length]).to.deep.equal([new Set(["app-2"]), 8]);
+                await restoreWithout(() =>
+                    rig.register(exampleUpstream("app-1", { service: "app", domain: "", state: "draining" }))
+                );
+                await expectAllSentTo("app-2");
             });
 
             it("sends nothing to an upstream whose registration was removed after the copy", async () => {
                 addPlain("app-1");
                 addPlain("app-2");
-                await rig.clock.advance(1000);
-                const copy = rig.store.copy();
-                rig.unregister("app-1");
-                await rig.clock.advance(1000);
-                await rig.restore(copy, awayMs);
-                for (let sent = 0; sent < 8; sent++) {
-                    await rig.clock.advance(400);
-                    rig.send("app");
-                }
-                await rig.clock.advance(4000);
-                expect([new Set(rig.sentTo), rig.sentTo.length]).to.deep.equal([new Set(["app-2"]), 8]);
+                await restoreWithout(() => rig.unregister("app-1"));
+                await expectAllSentTo("app-2");
             });
 
             it("sends nothing to a zone that was evacuated after the copy", async () => {
                 addPlain("app-1", "b");
-                await rig.clock.advance(1000);
-                const copy = rig.store.copy();
-                await rig.evacuate("b", true);
-                await rig.clock.advance(1000);
-                await rig.restore(copy, awayMs);
+                await restoreWithout(() => rig.evacuate("b", true));
                 await rig.clock.advance(REGISTERED_AGAIN_MS);
                 rig.send("app");
                 await rig.evacuate("b", true);
@@ -138,11 +136,7 @@
             it("does not evacuate a zone again whose evacuation was lifted after the copy", async () => {
                 addPlain("app-1", "b");
                 await rig.evacuate("b", true);
-                await rig.clock.advance(1000);
-                const copy = rig.store.copy();
-                await rig.evacuate("b", false);
-                await rig.clock.advance(1000);
-                await rig.restore(copy, awayMs);
+                await restoreWithout(() => rig.evacuate("b", false));
                 await rig.clock.advance(REGISTERED_AGAIN_MS);
                 const response = rig.send("app");
                 await rig.evacuate("b", false);
@@ -152,11 +146,7 @@
 
             it("keeps the newest configuration until the operator writes it again", async () => {
                 addPlain("app-1");
-                await rig.clock.advance(1000);
-                const copy = rig.store.copy();
-                await rig.configure(2);
-                await rig.clock.advance(1000);
-                await rig.restore(copy, awayMs);
+                await restoreWithout(() => rig.configure(2));
                 await rig.clock.advance(2000);
                 const [older, newer] = [rig.send("v1"), rig.send("v2")];
                 await rig.configure(3);
@@ -166,11 +156,7 @@
             });
 
             it("gives the newest configuration to a gateway that starts before the operator writes it again", async () => {
-                await rig.clock.advance(1000);
-                const copy = rig.store.copy();
-                await rig.configure(2);
-                await rig.clock.advance(1000);
-                await rig.restore(copy, awayMs);
+                await restoreWithout(() => rig.configure(2));
                 await rig.clock.advance(2000);
                 const started = rig.addPeer("gateway-1");
                 const versions: number[] = [];
@@ -185,11 +171,7 @@
             });
 
             it("gives the newest configuration to a gateway that learns of its peers after it started", async () => {
-                await rig.clock.advance(1000);
-                const copy = rig.store.copy();
-                await rig.configure(2);
-                await rig.clock.advance(1000);
-                await rig.restore(copy, awayMs);
+                await restoreWithout(() => rig.configure(2));
                 await rig.clock.advance(2000);
                 const started = rig.addPeer("gateway-1", []);
                 await started.start();
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -8,6 +8,7 @@
 import type { UpstreamRequest } from "../../src/ports/UpstreamRequest.js";
 import type { UpstreamResponse } from "../../src/ports/UpstreamResponse.js";
 import { exampleEngine } from "./exampleEngine.js";
+import { exampleGatewaySettings } from "./exampleGatewaySettings.js";
 import { freePort } from "./freePort.js";
 import { noMetrics } from "./noMetrics.js";
 import { RecordedResponse } from "./RecordedResponse.js";
@@ -46,7 +47,10 @@
             set: upstream => this.register(upstream),
             remove: id => this.unregister(id),
         });
-        this.gateway = this.createGateway({ ...settings, peerListen: { host: "127.0.0.1", port: peerPort } });
+        this.gateway = this.createGateway({
+            ...exampleGatewaySettings,
+            peerListen: { host: "127.0.0.1", port: peerPort },
+        });
     }
 
     /** Starts a gateway with a configuration and without upstreams. */
@@ -60,7 +64,7 @@
 
     /** Creates a further gateway, which knows the first one as a seed by default; it has to be started. */
     addPeer(vm: string, seedPeers = [`127.0.0.1:${this.peerPort}`]): Gateway {
-        const peer = this.createGateway({ ...settings, vm, seedPeers });
+        const peer = this.createGateway({ ...exampleGatewaySettings, vm, seedPeers });
         this.peers.push(peer);
         return peer;
     }
@@ -202,25 +206,6 @@
     }
 }
 
-const settings: GatewaySettings = {
-    vm: "gateway-0",
-    host: "127.0.0.1",
-    zone: "a",
-    callerListen: "",
-    readinessListen: "",
-    peerListen: { host: "127.0.0.1", port: 0 },
-    seedPeers: [],
-    metricsPort: 0,
-    storeAddress: "",
-    storeWritesPerSecond: 400,
-    storeReadsPerSecond: 2000,
-    shutdownGraceMs: 8000,
-    groupStallMs: 4000,
-    heartbeatIntervalMs: 1200,
-    retryBudget: { ratio: 0.2, slack: 130, windowMs: 10_000 },
-    loadCeiling: { windowMs: 5000, overage: 1.1 },
-};
-
 function toConfiguration(value: unknown): ServingConfiguration {
     const { version } = value as { version: number; };
     const route = (prefix: string, kind: Route["kind"], service: string): Route => ({
--- a/packages/gateway/tests/support/measureRestore.ts
+++ b/packages/gateway/tests/support/measureRestore.ts
@@ -3,10 +3,10 @@
 import { performance } from "node:perf_hooks";
 import { Gateway } from "../../src/Gateway.js";
 import type { GatewayPorts } from "../../src/GatewayPorts.js";
-import type { GatewaySettings } from "../../src/GatewaySettings.js";
 import type { ServingConfiguration } from "../../src/model/ServingConfiguration.js";
 import type { Upstream } from "../../src/model/Upstream.js";
 import { exampleEngine } from "./exampleEngine.js";
+import { exampleGatewaySettings } from "./exampleGatewaySettings.js";
 import { exampleUpstream } from "./exampleUpstream.js";
 import { freePort } from "./freePort.js";
 import { noMetrics } from "./noMetrics.js";
@@ -109,7 +109,7 @@
     const gateways: Gateway[] = [];
     for (let index = 0; index < gatewayCount; index++) {
         const log = SilentDecisionLog.create();
-        const settings = { ...SETTINGS, vm: `gateway-${index}`, zone: ZONES[index % ZONES.length]! };
+        const settings = { ...exampleGatewaySettings, vm: `gateway-${index}`, zone: ZONES[index % ZONES.length]! };
         const peerListen = { host: "127.0.0.1", port: await freePort() };
         const gateway = Gateway.create({ ...settings, peerListen }, {
             ...ports,
@@ -154,19 +154,3 @@
         storeCalls,
     };
 }
-
-const SETTINGS: Omit<GatewaySettings, "vm" | "zone" | "peerListen"> = {
-    host: "127.0.0.1",
-    callerListen: "",
-    readinessListen: "",
-    seedPeers: [],
-    metricsPort: 0,
-    storeAddress: "",
-    storeWritesPerSecond: 400,
-    storeReadsPerSecond: 2000,
-    shutdownGraceMs: 8000,
-    groupStallMs: 4000,
-    heartbeatIntervalMs: 1200,
-    retryBudget: { ratio: 0.2, slack: 130, windowMs: 10_000 },
-    loadCeiling: { windowMs: 5000, overage: 1.1 },
-};
--- a/packages/router/tests/callers.test.ts
+++ b/packages/router/tests/callers.test.ts
@@ -47,9 +47,11 @@
     });
 
     it("completes calls in progress on shutdown, and refuses new ones at once", async () => {
-        engine.scripts.push({ hold: true });
+        engine.scripts.push({ hold: true }, { hold: true });
         const before = post({ max_tokens: 5 });
-        await waitFor("the call", () => engine.running === 1);
+        // Has no connection, so that only the router itself can wait for its end.
+        const injectedBefore = fixture.chat();
+        await waitFor("the calls", () => engine.running === 2);
         let isDrained = false;
         const drained = fixture.router.drain().then(() => {
             isDrained = true;
@@ -59,14 +61,15 @@
         expect(ready.statusCode).to.equal(503);
         expect(errorOf(refused)).to.include({ type: "draining", ran: "no" });
         expect(refused.headers["retry-after"]).to.equal("1");
+        await fixture.clock.advance(READINESS_LAG_MS);
         expect(isDrained).to.equal(false);
         engine.release();
         const response = await before;
         expect(response.status).to.equal(200);
         expect(await response.text()).to.contain("assistant");
-        await fixture.clock.advance(READINESS_LAG_MS);
+        expect((await injectedBefore).statusCode).to.equal(200);
         await drained;
-        expect(engine.calls).to.have.length(1);
+        expect(engine.calls).to.have.length(2);
     });
 
     it("applies back-pressure to an engine whose caller is slow, and aborts the call of a stalled caller", async () => {
