Open no connections to peers after they were closed

Seen in that process: 30 timers, and connections to peers that were dialed again and again.

Closed connections are not opened any more now. The gateway's own process is not concerned, as it exits. The fleet that measures a restore is the first test that closes gateways on the system's clock.

The new test failed before (gateway-0 was followed again).

--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -59,6 +59,7 @@
     private hubs: ReadonlyMap<string, readonly string[]> = new Map();
     /** Computed again when a gateway was added or removed. */
     private cachedPosition: { position: GatewayPosition | undefined; } | undefined;
+    private isClosed = false;
 
     private constructor(private readonly options: PeerConnectionsOptions) {
         this.topology = Topology.create(options.vm, options.zone);
@@ -85,6 +86,9 @@
 
     /** Starts and stops following peers according to the topology, and aborts streams that are silent for too long. */
     update(): void {
+        if (this.isClosed) {
+            return;
+        }
         const nowMs = this.options.clock.monotonicMs();
         for (const connection of this.connections.values()) {
             if (nowMs - connection.lastReceivedAtMs > REACHABLE_WITHIN_MS) {
@@ -127,8 +131,9 @@
         }
     }
 
-    /** Stops all connections. */
+    /** Stops all connections; no new ones are opened. */
     close(): void {
+        this.isClosed = true;
         this.connections.forEach(connection => connection.stop.abort());
         this.connections.clear();
     }
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -100,6 +100,24 @@
         connections.close();
     });
 
+    it("are not opened again after they were closed", () => {
+        const connections = PeerConnections.create({
+            clock: ManualClock.create(),
+            random: SeededRandom.create(1),
+            log: SilentDecisionLog.create(),
+            vm: "gateway-1",
+            zone: "a",
+            onState: () => undefined,
+            onDisconnected: () => undefined,
+        });
+        connections.add("gateway-0", `127.0.0.1:${port}`, "a");
+        connections.add("gateway-1", "127.0.0.1:1", "a");
+        expect(connections.followedPeers()).to.deep.equal(["gateway-0"]);
+        connections.close();
+        connections.update();
+        expect(connections.followedPeers()).to.deep.equal([]);
+    });
+
     describe("reading the store through peers", () => {
         let platformStore: MemoryObjectStore;
         let silent: AbortController;
