Log the limits that upstreams announce

The platform adapter now reads `Server-Limit`, and a gateway logs each change of an upstream's limit and each value that is no decimal number. Requests are sent as before.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,6 +11,7 @@
 import { StandbyPool } from "./fleet/StandbyPool.js";
 import { WeightLoadLimiter } from "./fleet/WeightLoadLimiter.js";
 import { IdleTimeoutMonitor } from "./forwarding/IdleTimeoutMonitor.js";
+import { LimitRecordingClient } from "./forwarding/LimitRecordingClient.js";
 import { PlainDispatcher } from "./forwarding/PlainDispatcher.js";
 import { RequestForwarder } from "./forwarding/RequestForwarder.js";
 import { StreamDispatcher } from "./forwarding/StreamDispatcher.js";
@@ -24,6 +25,7 @@
 import { PeerStatePublisher } from "./peers/PeerStatePublisher.js";
 import { ViewServiceHandler } from "./peers/ViewServiceHandler.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
+import { AnnouncedLimits } from "./placement/AnnouncedLimits.js";
 import { AvoidedUpstreams } from "./placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "./placement/ColdStartLimiter.js";
 import { CrashingPromptDetector } from "./placement/CrashingPromptDetector.js";
@@ -162,7 +164,7 @@
         const dispatcherOptions = {
             ...sharedOptions,
             idleTimeouts: this.idleTimeouts,
-            client,
+            client: LimitRecordingClient.create(client, AnnouncedLimits.create({ clock, log })),
             zone: settings.zone,
             viewAgeMs,
         };
--- a/packages/gateway/src/ports/UpstreamResponse.ts
+++ b/packages/gateway/src/ports/UpstreamResponse.ts
@@ -1,3 +1,4 @@
+import type { LimitAnnouncement } from "./LimitAnnouncement.js";
 import type { NotRunReason } from "./NotRunReason.js";
 import type { ResponseHead } from "./ResponseHead.js";
 
@@ -8,11 +9,18 @@
         head: ResponseHead;
         /** True if the response carries the upstream's signature. */
         isSigned: boolean;
+        /** Absent if the upstream announces no limit. */
+        limit?: LimitAnnouncement;
         /** Throws if the response ends before it is complete. */
         body: AsyncIterable<Buffer>;
     }
     /** The upstream did not run the request and never will. */
-    | { kind: "not-run"; reason: NotRunReason; }
+    | {
+        kind: "not-run";
+        reason: NotRunReason;
+        /** Absent if the upstream announces no limit or has not responded. */
+        limit?: LimitAnnouncement;
+    }
     /** The request may have run. */
     | {
         kind: "unknown";
