--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -1,12 +1,14 @@
 import { ManualClock, SeededRandom } from "@fescuehaven/testing";
 import { ActiveConfiguration } from "../../src/ActiveConfiguration.js";
 import { IdleTimeoutMonitor } from "../../src/forwarding/IdleTimeoutMonitor.js";
+import { LimitRecordingClient } from "../../src/forwarding/LimitRecordingClient.js";
 import { PlainDispatcher } from "../../src/forwarding/PlainDispatcher.js";
 import { RequestForwarder } from "../../src/forwarding/RequestForwarder.js";
 import { StreamDispatcher } from "../../src/forwarding/StreamDispatcher.js";
 import type { IncomingRequest } from "../../src/model/IncomingRequest.js";
 import type { Route } from "../../src/model/Route.js";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
+import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
 import { AvoidedUpstreams } from "../../src/placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
 import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
@@ -86,7 +88,7 @@
             retryBudget,
             crashingPrompts: this.crashingPrompts,
             idleTimeouts,
-            client,
+            client: LimitRecordingClient.create(client, AnnouncedLimits.create({ clock, log })),
             zone: "a",
             viewAgeMs: () => 0,
         };
