Keep all gateways' requests to an upstream within the limit that it announces

Callers: none failed, but upstreams that had asked for relief (`Server-Limit`) got up to seven times the requests that they take, at any strength and of any kind. Cause: gateways forwarded the header and never read it.

Each gateway records what responses announce and reports it to its peers, with the ages of request and response: a limit is lowered at once, and raised or withdrawn only by the response to a request that was sent after the known announcement had arrived. Requests take tokens from a bucket that holds this gateway's share; bursts and rates of all gateways add up to the limit and a shared burst, so that nothing has to be agreed on and zones that are cut off keep their shares. What has no token goes to another upstream, waits if a token comes in time, or is refused at once.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -26,6 +26,7 @@
 import { ViewServiceHandler } from "./peers/ViewServiceHandler.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
 import { AnnouncedLimits } from "./placement/AnnouncedLimits.js";
+import { AnnouncedRateLimiter } from "./placement/AnnouncedRateLimiter.js";
 import { AvoidedUpstreams } from "./placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "./placement/ColdStartLimiter.js";
 import { CrashingPromptDetector } from "./placement/CrashingPromptDetector.js";
@@ -33,6 +34,7 @@
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
 import { RetryBudget } from "./placement/RetryBudget.js";
+import { UpstreamLimiter } from "./placement/UpstreamLimiter.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
 import { Registration } from "./Registration.js";
 import { StoreEras } from "./StoreEras.js";
@@ -97,6 +99,7 @@
     private readonly upstreamWatch: StoreWatch;
     private readonly stop = createStopController();
     private readonly exchange: PeerExchange;
+    private readonly announcedLimits: AnnouncedLimits;
     /** Configurations that were active at peers when this gateway started, in their stored form. */
     private peerConfigurations: unknown[] = [];
     /** Since when a peer has had a newer configuration than this gateway; Infinity if none has. */
@@ -137,17 +140,23 @@
             onDisconnected: peer => this.exchange.removePeer(peer),
         });
         const gatewayCount = () => this.connections.gatewayCount;
-        const coldStartLimiter = ColdStartLimiter.create({ clock, position: () => this.connections.position });
-        const retryBudget = RetryBudget.create({
+        const position = () => this.connections.position;
+        this.announcedLimits = AnnouncedLimits.create({
             clock,
-            ...settings.retryBudget,
-            gatewayCount: () => this.connections.position?.count,
+            random,
+            log,
+            isRegistered: (id, startedAtMs) => this.upstreams.get(id)?.startedAtMs === startedAtMs,
         });
-        const crashingPrompts = CrashingPromptDetector.create({
+        const upstreamLimiter = UpstreamLimiter.create({
+            coldStart: ColdStartLimiter.create({ clock, position }),
+            announced: AnnouncedRateLimiter.create({ clock, limits: this.announcedLimits, position }),
+        });
+        const retryBudget = RetryBudget.create({
             clock,
-            log,
-            position: () => this.connections.position,
+            ...settings.retryBudget,
+            gatewayCount: () => position()?.count,
         });
+        const crashingPrompts = CrashingPromptDetector.create({ clock, log, position });
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const sharedOptions = {
             clock,
@@ -155,7 +164,7 @@
             metrics,
             queue: this.queue,
             loads: this.loads,
-            coldStartLimiter,
+            upstreamLimiter,
             failureRates,
             avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
@@ -164,7 +173,7 @@
         const dispatcherOptions = {
             ...sharedOptions,
             idleTimeouts: this.idleTimeouts,
-            client: LimitRecordingClient.create(client, AnnouncedLimits.create({ clock, log })),
+            client: LimitRecordingClient.create({ clock, client, limits: this.announcedLimits }),
             zone: settings.zone,
             viewAgeMs,
         };
@@ -248,6 +257,7 @@
             loads: this.loads,
             retryBudget,
             crashingPrompts,
+            announcedLimits: this.announcedLimits,
             upstreams: this.upstreams,
             groups: this.groups,
             configurationVersion: () => this.configuration.current?.version ?? 0,
@@ -366,6 +376,7 @@
             this.evacuatedZones.settle();
             this.connections.update();
             this.exchange.sweep();
+            this.announcedLimits.sweep();
             this.checkPeerConfigurations();
         }
     }
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -3,12 +3,12 @@
 import type { AdmissionOutcome } from "../placement/AdmissionOutcome.js";
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
-import type { ColdStartLimiter } from "../placement/ColdStartLimiter.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
+import type { UpstreamLimiter } from "../placement/UpstreamLimiter.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
 import type { UpstreamClient } from "../ports/UpstreamClient.js";
@@ -25,7 +25,7 @@
     queue: AdmissionQueue;
     upstreams: UpstreamDirectory;
     loads: LoadTracker;
-    coldStartLimiter: ColdStartLimiter;
+    upstreamLimiter: UpstreamLimiter;
     failureRates: FailureRateTracker;
     avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
@@ -126,7 +126,7 @@
             expectedWaitMs: () =>
                 Math.min(
                     ...this.candidates(call, progress).map(upstream =>
-                        this.options.coldStartLimiter.waitMs(upstream, call.service.coldRequestsPerSecond)
+                        this.options.upstreamLimiter.waitMs(upstream, call.service)
                     ),
                 ),
         }, AbortSignal.any([call.callerResponse.disconnected, call.deadline]));
@@ -145,10 +145,10 @@
 
     /** Returns the candidates to which a request may be sent now. */
     private acceptingCandidates(call: ForwardedCall, progress: PlainProgress): Upstream[] {
-        const { loads, coldStartLimiter } = this.options;
+        const { loads, upstreamLimiter } = this.options;
         return this.candidates(call, progress).filter(upstream =>
             loads.ownLoad(upstream.id).inFlight < upstream.slots
-            && coldStartLimiter.canSend(upstream, call.service.coldRequestsPerSecond)
+            && upstreamLimiter.canSend(upstream, call.service)
         );
     }
 
@@ -166,7 +166,7 @@
     }
 
     private tryAcquireSlot(call: ForwardedCall, progress: PlainProgress): PlainSlot | undefined {
-        const { loads, coldStartLimiter, avoidedUpstreams } = this.options;
+        const { loads, upstreamLimiter, avoidedUpstreams } = this.options;
         let best: Upstream | undefined;
         let bestCost = Infinity;
         for (const upstream of this.acceptingCandidates(call, progress)) {
@@ -183,7 +183,7 @@
         if (!best) {
             return undefined;
         }
-        coldStartLimiter.record(best);
+        upstreamLimiter.record(best);
         avoidedUpstreams.recordAttempt(best);
         return { upstream: best, trackedRequest: loads.trackRequest(best.id, 0, () => undefined) };
     }
@@ -213,7 +213,7 @@
             configuration: call.configurationVersion,
             upstream: upstream.id,
             viewAgeMs: Math.round(this.options.viewAgeMs()),
-            ...this.options.coldStartLimiter.logFields(upstream, call.service.coldRequestsPerSecond),
+            ...this.options.upstreamLimiter.logFields(upstream, call.service),
         });
         try {
             const remainingMs = call.deadlineMs - clock.monotonicMs();
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -5,7 +5,6 @@
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
-import type { ColdStartLimiter } from "../placement/ColdStartLimiter.js";
 import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
@@ -14,6 +13,7 @@
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
+import type { UpstreamLimiter } from "../placement/UpstreamLimiter.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
 import type { UpstreamClient } from "../ports/UpstreamClient.js";
@@ -30,7 +30,7 @@
     queue: AdmissionQueue;
     groups: GroupDirectory;
     loads: LoadTracker;
-    coldStartLimiter: ColdStartLimiter;
+    upstreamLimiter: UpstreamLimiter;
     failureRates: FailureRateTracker;
     avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
@@ -153,7 +153,7 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): Promise<AdmissionOutcome<GroupSlot>> {
-        const { clock, queue, groups, coldStartLimiter, avoidedUpstreams } = this.options;
+        const { clock, queue, groups, upstreamLimiter, avoidedUpstreams } = this.options;
         const nowMs = clock.monotonicMs();
         const { request, route, service } = call;
         return queue.acquire<GroupSlot>({
@@ -175,26 +175,26 @@
                 }
                 const heads = groups.openHeads(service.name, engine, request.model);
                 const usableHeads = avoidedUpstreams.usable(heads);
-                const coldWaitsMs = heads
+                const waitsMs = heads
                     .filter(head =>
                         !avoidedUpstreams.isUnreachable(head)
                         || (usableHeads.has(head) && this.mayTry(head, progress))
                     )
-                    .map(head => coldStartLimiter.waitMs(head, service.coldRequestsPerSecond));
+                    .map(head => upstreamLimiter.waitMs(head, service));
                 const mayOpen = progress.hasEvents || groups.isForming(service.name, request.model);
-                return Math.min(...coldWaitsMs, mayOpen ? EXPECTED_FORMATION_MS : Infinity);
+                return Math.min(...waitsMs, mayOpen ? EXPECTED_FORMATION_MS : Infinity);
             },
         }, AbortSignal.any([call.callerResponse.disconnected, call.deadline]));
     }
 
     private candidates(call: ForwardedCall, engine: EngineProfile, progress: StreamProgress): GroupCandidate[] {
-        const { groups, coldStartLimiter, avoidedUpstreams } = this.options;
+        const { groups, upstreamLimiter, avoidedUpstreams } = this.options;
         const { request, service } = call;
         const open = groups.candidates(service.name, engine, request.model);
         const usableHeads = avoidedUpstreams.usable(open.map(({ head }) => head));
         const candidates = open.filter(({ head }) =>
             usableHeads.has(head) && this.mayTry(head, progress)
-            && coldStartLimiter.canSend(head, service.coldRequestsPerSecond)
+            && upstreamLimiter.canSend(head, service)
         );
         const resendCandidates = candidates.filter(({ head }) => head.id === progress.resendTo);
         return resendCandidates.length > 0 || !hasAttemptsLeft(call, progress) ? resendCandidates : candidates;
@@ -253,7 +253,7 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): GroupSlot | undefined {
-        const { loads, coldStartLimiter, avoidedUpstreams, random, gatewayCount } = this.options;
+        const { loads, upstreamLimiter, avoidedUpstreams, random, gatewayCount } = this.options;
         const { request } = call;
         if (this.isBlocked(call)) {
             return undefined;
@@ -268,7 +268,7 @@
             return undefined;
         }
         const { head, epoch } = choice.candidate;
-        coldStartLimiter.record(head);
+        upstreamLimiter.record(head);
         avoidedUpstreams.recordAttempt(head);
         const groupLost = new AbortController();
         const trackedRequest = loads.trackRequest(
@@ -592,7 +592,7 @@
             waitedMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
             viewAgeMs: Math.round(this.options.viewAgeMs()),
             resumeAfter: progress.lastEventId,
-            ...this.options.coldStartLimiter.logFields(candidate.head, call.service.coldRequestsPerSecond),
+            ...this.options.upstreamLimiter.logFields(candidate.head, call.service),
         });
     }
 
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -302,6 +302,14 @@
         countedGateways: update.countedGateways,
         lostEpochs: update.lostEpochs,
         configurationVersion: update.configurationVersion,
+        announcedLimits: update.announcedLimits.map(report => ({
+            upstream: report.upstream,
+            startedAtMs: report.startedAtMs,
+            requestsPerSecond: report.requestsPerSecond,
+            id: report.id,
+            ageMs: report.ageMs,
+            requestAgeMs: report.requestAgeMs,
+        })),
         crashEvidence: {
             suspects: update.crashSuspects.map(({ part, pool, crashes, begun, block }) => ({
                 part,
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { ControllerLease } from "../fleet/ControllerLease.js";
 import type { FleetController } from "../fleet/FleetController.js";
-import type { CrashEvidence } from "../placement/CrashEvidence.js";
+import type { AnnouncedLimits } from "../placement/AnnouncedLimits.js";
 import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
@@ -25,6 +25,7 @@
     loads: LoadTracker;
     retryBudget: RetryBudget;
     crashingPrompts: CrashingPromptDetector;
+    announcedLimits: AnnouncedLimits;
     upstreams: UpstreamDirectory;
     groups: GroupDirectory;
     /** Version of this gateway's active configuration; 0 if it has none. */
@@ -45,6 +46,12 @@
     countedGateways: number;
 }
 
+/** What gateways learn from responses and report to all their peers alike. */
+interface LearnedSnapshot {
+    atMs: number;
+    state: Pick<PeerState, "crashEvidence" | "announcedLimits">;
+}
+
 /** Interval between updates while the state changes: short compared with the duration of a request. */
 const UPDATE_INTERVAL_MS = 100;
 /** The same from an active hub to its zone: each update costs one message for every gateway of the zone. */
@@ -67,7 +74,7 @@
     /** Epochs of groups that this controller found lost, with the time on the monotonic clock. */
     private readonly lostEpochs = new Map<number, number>();
     private readonly snapshots = new Map<Audience, LoadSnapshot>();
-    private evidenceSnapshot: { atMs: number; evidence: CrashEvidence; } | undefined;
+    private learnedSnapshot: LearnedSnapshot | undefined;
 
     private constructor(private readonly options: PeerExchangeOptions) {}
 
@@ -95,20 +102,21 @@
             loads,
             retries,
             countedGateways,
-            crashEvidence: this.crashEvidence(),
+            ...this.learnedState(),
             configurationVersion: this.options.configurationVersion(),
             ...groups,
         };
     }
 
-    /** Returns the evidence of crashing prompts, computed once for all peers. */
-    private crashEvidence(): CrashEvidence {
-        const { clock, crashingPrompts } = this.options;
+    /** Returns what was learned from responses, computed once for all peers. */
+    private learnedState(): LearnedSnapshot["state"] {
+        const { clock, crashingPrompts, announcedLimits } = this.options;
         const nowMs = clock.monotonicMs();
-        if (!this.evidenceSnapshot || nowMs - this.evidenceSnapshot.atMs >= SNAPSHOT_TTL_MS) {
-            this.evidenceSnapshot = { atMs: nowMs, evidence: crashingPrompts.state() };
+        if (!this.learnedSnapshot || nowMs - this.learnedSnapshot.atMs >= SNAPSHOT_TTL_MS) {
+            const state = { crashEvidence: crashingPrompts.state(), announcedLimits: announcedLimits.reports() };
+            this.learnedSnapshot = { atMs: nowMs, state };
         }
-        return this.evidenceSnapshot.evidence;
+        return this.learnedSnapshot.state;
     }
 
     /** Returns load and retries for a peer. The active hub leaves out what a peer of its zone has reported itself. */
@@ -157,6 +165,7 @@
         this.options.lease.observeTerm(state.term);
         this.peerStates.set(peer, state);
         this.options.crashingPrompts.merge(state.crashEvidence);
+        this.options.announcedLimits.merge(state.announcedLimits);
         if (this.usesLoadOf(peer)) {
             this.options.loads.setPeerLoads(peer, state.loads);
             this.options.retryBudget.setPeerCounts(peer, state.retries, state.countedGateways);
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -1,4 +1,5 @@
 import type { CrashEvidence } from "../placement/CrashEvidence.js";
+import type { LimitReport } from "../placement/LimitReport.js";
 import type { RetryCounts } from "../placement/RetryCounts.js";
 import type { TargetLoad } from "../placement/TargetLoad.js";
 import type { OpenGroup } from "./OpenGroup.js";
@@ -20,6 +21,8 @@
     lostEpochs: readonly number[];
     /** Prompts under which upstreams have crashed, from all gateways of which the sender has learned. */
     crashEvidence: CrashEvidence;
+    /** Limits that upstreams have announced, from all gateways of which the sender has learned. */
+    announcedLimits: readonly LimitReport[];
     /** Version of the sender's active configuration; 0 if it has none. */
     configurationVersion: number;
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -95,9 +95,11 @@
     }
 }
 
-/** Omits ages of evidence, which change all the time; heartbeats update them. */
+/** Fields that change all the time; heartbeats update them. */
+const ageFields: ReadonlySet<string> = new Set(["ageMs", "requestAgeMs"]);
+
 function withoutAges(key: string, value: unknown): unknown {
-    return key === "ageMs" ? undefined : value;
+    return ageFields.has(key) ? undefined : value;
 }
 
 function toUpdate(state: PeerState): GatewayUpdate {
@@ -122,5 +124,10 @@
             begun: begun && { id: begun.id, ageMs: Math.round(begun.ageMs) },
             block: block && { ageMs: Math.round(block.ageMs), trials: block.trials },
         })),
+        announcedLimits: state.announcedLimits.map(report => ({
+            ...report,
+            ageMs: Math.round(report.ageMs),
+            requestAgeMs: Math.round(report.requestAgeMs),
+        })),
     });
 }
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -4,12 +4,14 @@
 import type { FleetController } from "../../src/fleet/FleetController.js";
 import { PeerConnections } from "../../src/peers/PeerConnections.js";
 import { PeerExchange } from "../../src/peers/PeerExchange.js";
+import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
 import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
+import { exampleUpstream } from "../support/exampleUpstream.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
 /** No gateway listens there: the test passes the states from one to another. */
@@ -22,6 +24,7 @@
     loads: LoadTracker;
     retries: RetryBudget;
     crashingPrompts: CrashingPromptDetector;
+    announcedLimits: AnnouncedLimits;
     exchange: PeerExchange;
     flushes: number;
 }
@@ -64,9 +67,11 @@
             log,
             position: () => connections.position,
         });
+        const announcedLimits = AnnouncedLimits.create({ clock, random, log, isRegistered: () => true });
         const gateway: TestGateway = {
             vm,
             crashingPrompts,
+            announcedLimits,
             connections,
             loads,
             retries,
@@ -95,6 +100,7 @@
                 loads,
                 retryBudget: retries,
                 crashingPrompts,
+                announcedLimits,
                 upstreams,
                 groups: GroupDirectory.create({
                     clock,
@@ -190,6 +196,22 @@
         });
     }
 
+    for (const [title, vms] of fleets) {
+        it(`brings the limit that an upstream announces to one gateway to all of ${title}`, async () => {
+            start(vms);
+            const upstream = exampleUpstream("u1");
+            const [first] = gateways.values();
+            first!.announcedLimits.recordResponse(upstream, { kind: "limited", requestsPerSecond: 2 }, 0);
+            for (let pass = 0; pass < 6; pass++) {
+                await exchangeStates();
+            }
+            const known = [...gateways.values()].map(({ announcedLimits }) =>
+                announcedLimits.requestsPerSecond(upstream)
+            );
+            expect(known).to.deep.equal(vms.map(() => 2));
+        });
+    }
+
     it("keeps the retries of zones that are partitioned from each other within the budget of all", async () => {
         start(fleets[1]![1]);
         for (let pass = 0; pass < 5; pass++) {
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -34,6 +34,7 @@
                 configurationVersion: 1,
                 lostEpochs: [],
                 crashEvidence: { suspects: [] },
+                announcedLimits: [],
             };
         };
         publisher = PeerStatePublisher.create({
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -9,6 +9,7 @@
 import type { Route } from "../../src/model/Route.js";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
+import { AnnouncedRateLimiter } from "../../src/placement/AnnouncedRateLimiter.js";
 import { AvoidedUpstreams } from "../../src/placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
 import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
@@ -16,6 +17,7 @@
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
+import { UpstreamLimiter } from "../../src/placement/UpstreamLimiter.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
 import { noMetrics } from "./noMetrics.js";
@@ -73,22 +75,32 @@
         const idleTimeouts = IdleTimeoutMonitor.create(clock);
         const gatewayCount = () => gateways.length;
         const retryBudget = RetryBudget.create({ clock, ratio: 0, slack: retrySlack, windowMs: 10_000, gatewayCount });
+        const position = () => ({
+            index: [...gateways].sort().indexOf(gateways[0]!),
+            count: gateways.length,
+        });
+        const limits = AnnouncedLimits.create({
+            clock,
+            random,
+            log,
+            isRegistered: id => this.directory.get(id) !== undefined,
+        });
         const shared = {
             clock,
             log,
             metrics: noMetrics,
             queue,
             loads,
-            coldStartLimiter: ColdStartLimiter.create({
-                clock,
-                position: () => ({ index: [...gateways].sort().indexOf(gateways[0]!), count: gateways.length }),
+            upstreamLimiter: UpstreamLimiter.create({
+                coldStart: ColdStartLimiter.create({ clock, position }),
+                announced: AnnouncedRateLimiter.create({ clock, limits, position }),
             }),
             failureRates,
             avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
             crashingPrompts: this.crashingPrompts,
             idleTimeouts,
-            client: LimitRecordingClient.create(client, AnnouncedLimits.create({ clock, log })),
+            client: LimitRecordingClient.create({ clock, client, limits }),
             zone: "a",
             viewAgeMs: () => 0,
         };
