Rename the detector of crashing prompts to CrashDetector

It is to find whole requests under which upstreams crash, too. Files and types are renamed (Suspect, SuspectTable, CrashAdmission); the code is the same.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -29,7 +29,7 @@
 import { AnnouncedRateLimiter } from "./placement/AnnouncedRateLimiter.js";
 import { AvoidedUpstreams } from "./placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "./placement/ColdStartLimiter.js";
-import { CrashingPromptDetector } from "./placement/CrashingPromptDetector.js";
+import { CrashDetector } from "./placement/CrashDetector.js";
 import { FailureRateTracker } from "./placement/FailureRateTracker.js";
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
@@ -156,7 +156,7 @@
             ...settings.retryBudget,
             gatewayCount: () => position()?.count,
         });
-        const crashingPrompts = CrashingPromptDetector.create({ clock, log, position });
+        const crashingPrompts = CrashDetector.create({ clock, log, position });
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const sharedOptions = {
             clock,
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -3,7 +3,7 @@
 import type { ClientAccount } from "../model/ClientAccount.js";
 import type { IncomingRequest } from "../model/IncomingRequest.js";
 import type { Route } from "../model/Route.js";
-import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
+import type { CrashDetector } from "../placement/CrashDetector.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { CallerResponse } from "../ports/CallerResponse.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -19,7 +19,7 @@
     metrics: GatewayMetrics;
     configuration: ActiveConfiguration;
     retryBudget: RetryBudget;
-    crashingPrompts: CrashingPromptDetector;
+    crashingPrompts: CrashDetector;
     streams: StreamDispatcher;
     plain: PlainDispatcher;
 }
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -5,7 +5,7 @@
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
-import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
+import type { CrashDetector } from "../placement/CrashDetector.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
@@ -34,7 +34,7 @@
     failureRates: FailureRateTracker;
     avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
-    crashingPrompts: CrashingPromptDetector;
+    crashingPrompts: CrashDetector;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
     zone: string;
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -2,7 +2,7 @@
 import type { ControllerLease } from "../fleet/ControllerLease.js";
 import type { FleetController } from "../fleet/FleetController.js";
 import type { AnnouncedLimits } from "../placement/AnnouncedLimits.js";
-import type { CrashingPromptDetector } from "../placement/CrashingPromptDetector.js";
+import type { CrashDetector } from "../placement/CrashDetector.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
@@ -24,7 +24,7 @@
     controller: FleetController;
     loads: LoadTracker;
     retryBudget: RetryBudget;
-    crashingPrompts: CrashingPromptDetector;
+    crashingPrompts: CrashDetector;
     announcedLimits: AnnouncedLimits;
     upstreams: UpstreamDirectory;
     groups: GroupDirectory;
--- a/packages/gateway/src/placement/PromptAdmission.ts
+++ b/packages/gateway/src/placement/CrashAdmission.ts
@@ -1,5 +1,5 @@
 /** Whether a request may be sent to an upstream, judged by its prompt. */
-export type PromptAdmission =
+export type CrashAdmission =
     | { kind: "allowed"; }
     /** The prompt has a blocked part. The request is sent to find out whether upstreams still crash under it. */
     | { kind: "trial"; }
--- a/packages/gateway/src/placement/CrashingPromptDetector.ts
+++ b/packages/gateway/src/placement/CrashDetector.ts
@@ -4,21 +4,21 @@
 import { AttemptHistories } from "./AttemptHistories.js";
 import type { AttemptHistory } from "./AttemptHistory.js";
 import { BegunResponses } from "./BegunResponses.js";
+import type { CrashAdmission } from "./CrashAdmission.js";
 import type { CrashEvidence } from "./CrashEvidence.js";
 import type { CrashSuspect } from "./CrashSuspect.js";
 import type { GatewayPosition } from "./GatewayPosition.js";
-import type { PromptAdmission } from "./PromptAdmission.js";
-import type { PromptSuspect } from "./PromptSuspect.js";
-import { PromptSuspectTable } from "./PromptSuspectTable.js";
+import type { Suspect } from "./Suspect.js";
+import { SuspectTable } from "./SuspectTable.js";
 
-interface CrashingPromptDetectorOptions {
+interface CrashDetectorOptions {
     clock: Clock;
     log: DecisionLog;
     /** Position of this gateway among the registered ones; undefined while it is not known. */
     position: () => GatewayPosition | undefined;
 }
 
-type Block = NonNullable<PromptSuspect["block"]>;
+type Block = NonNullable<Suspect["block"]>;
 
 /** Evidence below which a part is never blocked, and below which its requests are retried as usual. */
 const MIN_EVIDENCE_TO_BLOCK = 3;
@@ -68,8 +68,8 @@
  * and more often than the share of crashing attempts explains. Gateways share their evidence, because each of them
  * handles only some of the requests.
  */
-export class CrashingPromptDetector {
-    private readonly suspects = PromptSuspectTable.create();
+export class CrashDetector {
+    private readonly suspects = SuspectTable.create();
     private readonly begunResponses = BegunResponses.create();
     private readonly histories: AttemptHistories;
     private checkedAtMs = -Infinity;
@@ -78,20 +78,20 @@
     /** True if there is evidence that has not been checked yet. */
     private isOutdated = false;
 
-    private constructor(private readonly options: CrashingPromptDetectorOptions) {
+    private constructor(private readonly options: CrashDetectorOptions) {
         this.histories = AttemptHistories.create(options.clock, ATTEMPT_HISTORY_MS);
     }
 
     /** Creates a detector without evidence. */
-    static create(options: CrashingPromptDetectorOptions): CrashingPromptDetector {
-        return new CrashingPromptDetector(options);
+    static create(options: CrashDetectorOptions): CrashDetector {
+        return new CrashDetector(options);
     }
 
     /**
      * Decides whether a request may be sent to an upstream. One request with a blocked part is allowed now and then as a
      * trial, by one gateway of the fleet.
      */
-    admit(parts: readonly string[]): PromptAdmission {
+    admit(parts: readonly string[]): CrashAdmission {
         const suspect = this.findBlocking(parts);
         if (!suspect) {
             return { kind: "allowed" };
@@ -148,7 +148,7 @@
         const reported = this.suspects.all()
             .filter(suspect => suspect.isReported(nowMs))
             .sort((left, right) => right.compareTo(left) || (left.part < right.part ? -1 : 1));
-        const isSuspect = (suspect: PromptSuspect) => suspect.block !== undefined || suspect.evidence > 0;
+        const isSuspect = (suspect: Suspect) => suspect.block !== undefined || suspect.evidence > 0;
         const suspects = reported.filter(isSuspect).slice(0, MAX_REPORTED_SUSPECTS);
         const cleared = reported.filter(suspect => !isSuspect(suspect)).slice(-MAX_REPORTED_CLEARED_PARTS);
         return { suspects: [...suspects, ...cleared].map(suspect => this.toReport(suspect, nowMs)) };
@@ -191,7 +191,7 @@
      * same crashes, either may be the cause, so a request is refused only if it has both. A part all of whose crashes
      * are explained by another one is not a cause.
      */
-    private findBlocking(parts: readonly string[]): PromptSuspect & { block: Block; } | undefined {
+    private findBlocking(parts: readonly string[]): Suspect & { block: Block; } | undefined {
         if (this.suspects.isEmpty) {
             return undefined;
         }
@@ -279,7 +279,7 @@
     }
 
     /** Returns true if chance or the state of the upstreams hardly explain the crashes under a suspect. */
-    private isCause(suspect: PromptSuspect): boolean {
+    private isCause(suspect: Suspect): boolean {
         const probability = this.soundProbability(suspect);
         return this.begunResponses.get(suspect.part)
             ? probability < KNOWN_PART_BLOCK_PROBABILITY
@@ -288,14 +288,14 @@
     }
 
     /** Returns the probability with which a part that is not the cause would collect as much evidence. */
-    private soundProbability(suspect: PromptSuspect): number {
+    private soundProbability(suspect: Suspect): number {
         const { begun, crashed } = this.othersSinceFirstCrash(suspect);
         const crashShare = (crashed + PRIOR_CRASHES) / (begun + crashed + PRIOR_ATTEMPTS);
         return crashShare ** suspect.evidence;
     }
 
     /** Returns this gateway's attempts without the suspect, from shortly before the suspect's first crash. */
-    private othersSinceFirstCrash(suspect: PromptSuspect): ReturnType<AttemptHistory["countsSince"]> {
+    private othersSinceFirstCrash(suspect: Suspect): ReturnType<AttemptHistory["countsSince"]> {
         const sinceMs = suspect.firstCrashMs - CRASH_SHARE_LEAD_MS;
         const { begun, crashed } = this.histories.of(suspect.pool).countsSince(sinceMs);
         return { begun, crashed: Math.max(0, crashed - suspect.ownCrashCount) };
@@ -313,7 +313,7 @@
         return turn * (isIsolated ? ISOLATED_TRIAL_TURN_MS : TRIAL_TURN_MS);
     }
 
-    private toReport({ part, pool, crashes, block }: PromptSuspect, nowMs: number): CrashSuspect {
+    private toReport({ part, pool, crashes, block }: Suspect, nowMs: number): CrashSuspect {
         const begun = this.begunResponses.get(part);
         return {
             part,
--- a/packages/gateway/src/placement/PromptSuspect.ts
+++ b/packages/gateway/src/placement/Suspect.ts
@@ -22,7 +22,7 @@
 const SHORT_REPORT_MS = 15_000;
 
 /** A part of prompts that may crash upstreams, with the crashes under it since the last response that has begun. */
-export class PromptSuspect {
+export class Suspect {
     /** Present while requests with this part are blocked. */
     block?: Block;
     private readonly crashesByUpstream = new Map<number, Crash>();
@@ -35,8 +35,8 @@
     private constructor(readonly part: string, private lastPool: string) {}
 
     /** Creates a suspect without crashes. */
-    static create(part: string, pool: string): PromptSuspect {
-        return new PromptSuspect(part, pool);
+    static create(part: string, pool: string): Suspect {
+        return new Suspect(part, pool);
     }
 
     /** The upstreams to which its requests are sent. */
@@ -114,13 +114,13 @@
     }
 
     /** Returns true if all its known crashes were crashes of `other` too. */
-    isExplainedBy(other: PromptSuspect): boolean {
+    isExplainedBy(other: Suspect): boolean {
         return this.crashesByUpstream.size > 0
             && [...this.crashesByUpstream.keys()].every(upstream => other.crashesByUpstream.has(upstream));
     }
 
     /** Compares suspects by importance: blocked ones, then those with more evidence, then those with later crashes. */
-    compareTo(other: PromptSuspect): number {
+    compareTo(other: Suspect): number {
         return Number(this.block !== undefined) - Number(other.block !== undefined)
             || this.evidenceCount - other.evidenceCount
             || compare(this.lastCrashAtMs, other.lastCrashAtMs);
--- a/packages/gateway/src/placement/PromptSuspectTable.ts
+++ b/packages/gateway/src/placement/SuspectTable.ts
@@ -1,18 +1,18 @@
-import { PromptSuspect } from "./PromptSuspect.js";
+import { Suspect } from "./Suspect.js";
 
-type BlockedSuspect = PromptSuspect & { block: NonNullable<PromptSuspect["block"]>; };
+type BlockedSuspect = Suspect & { block: NonNullable<Suspect["block"]>; };
 
 const MAX_SUSPECTS = 256;
 
 /** The suspects by prompt part. Of too many, the least important one is dropped. */
-export class PromptSuspectTable {
-    private readonly suspects = new Map<string, PromptSuspect>();
+export class SuspectTable {
+    private readonly suspects = new Map<string, Suspect>();
 
     private constructor() {}
 
     /** Creates an empty table. */
-    static create(): PromptSuspectTable {
-        return new PromptSuspectTable();
+    static create(): SuspectTable {
+        return new SuspectTable();
     }
 
     /** True if there is no suspect. */
@@ -21,12 +21,12 @@
     }
 
     /** Returns the suspect, or undefined if the part is none. */
-    get(part: string): PromptSuspect | undefined {
+    get(part: string): Suspect | undefined {
         return this.suspects.get(part);
     }
 
     /** Returns the suspect; adds one without crashes if the part is none. */
-    getOrAdd(part: string, pool: string): PromptSuspect {
+    getOrAdd(part: string, pool: string): Suspect {
         const known = this.suspects.get(part);
         if (known) {
             return known;
@@ -35,13 +35,13 @@
             const least = this.all().reduce((first, next) => next.compareTo(first) < 0 ? next : first);
             this.suspects.delete(least.part);
         }
-        const suspect = PromptSuspect.create(part, pool);
+        const suspect = Suspect.create(part, pool);
         this.suspects.set(part, suspect);
         return suspect;
     }
 
     /** Returns all suspects in the order in which they were added. */
-    all(): PromptSuspect[] {
+    all(): Suspect[] {
         return [...this.suspects.values()];
     }
 
@@ -56,6 +56,6 @@
     }
 }
 
-function isBlocked(suspect: PromptSuspect): suspect is BlockedSuspect {
+function isBlocked(suspect: Suspect): suspect is BlockedSuspect {
     return suspect.block !== undefined;
 }
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -5,7 +5,7 @@
 import { PeerConnections } from "../../src/peers/PeerConnections.js";
 import { PeerExchange } from "../../src/peers/PeerExchange.js";
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
-import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
+import { CrashDetector } from "../../src/placement/CrashDetector.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
@@ -23,7 +23,7 @@
     connections: PeerConnections;
     loads: LoadTracker;
     retries: RetryBudget;
-    crashingPrompts: CrashingPromptDetector;
+    crashingPrompts: CrashDetector;
     announcedLimits: AnnouncedLimits;
     exchange: PeerExchange;
     flushes: number;
@@ -62,7 +62,7 @@
             windowMs: 10_000,
             gatewayCount: () => connections.position?.count,
         });
-        const crashingPrompts = CrashingPromptDetector.create({
+        const crashingPrompts = CrashDetector.create({
             clock,
             log,
             position: () => connections.position,
--- a/packages/gateway/tests/placement/CrashingPromptDetector.test.ts
+++ b/packages/gateway/tests/placement/CrashDetector.test.ts
@@ -3,12 +3,12 @@
 import fc from "fast-check";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
-import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
+import { CrashDetector } from "../../src/placement/CrashDetector.js";
 import { exampleParts } from "../support/exampleParts.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 import { SimulatedCrashes } from "../support/SimulatedCrashes.js";
 
-type CrashEvidence = ReturnType<CrashingPromptDetector["state"]>;
+type CrashEvidence = ReturnType<CrashDetector["state"]>;
 
 /** Requests or retries with a crashing part that may reach upstreams later than `stableWindowMs` after the fifth crash. */
 const MAX_LATE_SENDS = 3;
@@ -61,7 +61,7 @@
     expect(fleet.blockedSound(sinceMs)).to.deep.equal([]);
 }
 
-describe("CrashingPromptDetector", () => {
+describe("CrashDetector", () => {
     const detectorOptions = () => ({
         clock: ManualClock.create(),
         log: SilentDecisionLog.create(),
@@ -70,7 +70,7 @@
 
     describe("with one gateway", () => {
         it("allows prompts of which nothing is known, and those without shared parts", () => {
-            const detector = CrashingPromptDetector.create(detectorOptions());
+            const detector = CrashDetector.create(detectorOptions());
             expect(detector.admit(["a", "b"])).to.deep.equal({ kind: "allowed" });
             expect(detector.admit([])).to.deep.equal({ kind: "allowed" });
             detector.recordCrash([], "u1");
@@ -79,7 +79,7 @@
 
         it("blocks a part under which five upstreams crashed, and says when to come back", () => {
             const options = detectorOptions();
-            const detector = CrashingPromptDetector.create(options);
+            const detector = CrashDetector.create(options);
             detector.recordBegun(["first", "other"]);
             for (let crash = 0; crash < 5; crash++) {
                 detector.recordCrash(["first", BAD, `own-${crash}`], `u${crash}`);
@@ -95,7 +95,7 @@
 
         it("counts one start of an upstream once, however many requests were cut there", () => {
             const options = detectorOptions();
-            const detector = CrashingPromptDetector.create(options);
+            const detector = CrashDetector.create(options);
             for (let request = 0; request < 40; request++) {
                 detector.recordCrash(["first", "shared"], `u${request % 2}`);
                 options.clock.pause(50);
@@ -105,7 +105,7 @@
 
         it("does not block a part that began in between", () => {
             const options = detectorOptions();
-            const detector = CrashingPromptDetector.create(options);
+            const detector = CrashDetector.create(options);
             for (let crash = 0; crash < 20; crash++) {
                 detector.recordCrash(["first", "rare"], `u${crash}`);
                 options.clock.pause(300);
@@ -117,7 +117,7 @@
 
         it("admits a blocked part again once a response to it has begun", () => {
             const options = detectorOptions();
-            const detector = CrashingPromptDetector.create(options);
+            const detector = CrashDetector.create(options);
             for (let crash = 0; crash < 8; crash++) {
                 detector.recordCrash([BAD], `u${crash}`);
                 options.clock.pause(1000);
@@ -452,7 +452,7 @@
 
         it("do not grow with a million requests that have parts of their own", () => {
             const options = quietOptions();
-            const detector = CrashingPromptDetector.create(options);
+            const detector = CrashDetector.create(options);
             const beforeBytes = usedBytes();
             let blocked = 0;
             for (let request = 0; request < 1_000_000; request++) {
@@ -470,8 +470,8 @@
 
         it("stay small when each crash comes with parts of its own, and a crashing part is found among them", () => {
             const options = quietOptions();
-            const detector = CrashingPromptDetector.create(options);
-            const peer = CrashingPromptDetector.create(options);
+            const detector = CrashDetector.create(options);
+            const peer = CrashDetector.create(options);
             const beforeBytes = usedBytes();
             let blockedSince: number | undefined;
             let largestBytes = 0;
@@ -520,7 +520,7 @@
         } {
             const clock = ManualClock.create();
             const create = (index: number) =>
-                CrashingPromptDetector.create({
+                CrashDetector.create({
                     clock,
                     log: SilentDecisionLog.create(),
                     position: () => ({ index, count: 4 }),
@@ -536,8 +536,7 @@
                 }
                 clock.pause(pauseMs);
             }
-            const report = (detector: CrashingPromptDetector) =>
-                JSON.parse(JSON.stringify(detector.state())) as CrashEvidence;
+            const report = (detector: CrashDetector) => JSON.parse(JSON.stringify(detector.state())) as CrashEvidence;
             return {
                 states: [report(detectors[0]), report(detectors[1]), report(detectors[2])],
                 merged: (...states) => {
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -12,7 +12,7 @@
 import { AnnouncedRateLimiter } from "../../src/placement/AnnouncedRateLimiter.js";
 import { AvoidedUpstreams } from "../../src/placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
-import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
+import { CrashDetector } from "../../src/placement/CrashDetector.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
@@ -56,7 +56,7 @@
     readonly loads = LoadTracker.create(this.clock);
     readonly evacuated = new Set<string>();
     readonly configuration = ActiveConfiguration.create(this.log);
-    readonly crashingPrompts = CrashingPromptDetector.create({
+    readonly crashingPrompts = CrashDetector.create({
         clock: this.clock,
         log: this.log,
         position: () => ({ index: 0, count: 1 }),
--- a/packages/gateway/tests/support/SimulatedCrashes.ts
+++ b/packages/gateway/tests/support/SimulatedCrashes.ts
@@ -1,9 +1,9 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import { ManualClock, SeededRandom } from "@fescuehaven/testing";
-import { CrashingPromptDetector } from "../../src/placement/CrashingPromptDetector.js";
+import { CrashDetector } from "../../src/placement/CrashDetector.js";
 import type { DecisionLog } from "../../src/ports/DecisionLog.js";
 
-type CrashEvidence = ReturnType<CrashingPromptDetector["state"]>;
+type CrashEvidence = ReturnType<CrashDetector["state"]>;
 
 interface SimulatedCrashesOptions {
     gateways: number;
@@ -19,7 +19,7 @@
 interface Gateway {
     index: number;
     zone: number;
-    detector: CrashingPromptDetector;
+    detector: CrashDetector;
     startedAtMs: number;
     /** Incremented by a restart, so that what belongs to an earlier process has no effect. */
     incarnation: number;
@@ -263,9 +263,9 @@
         return Math.floor(this.random.next() * this.gateways.length);
     }
 
-    private createDetector({ index, startedAtMs }: { index: number; startedAtMs: number; }): CrashingPromptDetector {
+    private createDetector({ index, startedAtMs }: { index: number; startedAtMs: number; }): CrashDetector {
         const count = this.options.gateways;
-        return CrashingPromptDetector.create({
+        return CrashDetector.create({
             clock: offsetClock(this.clock, 1000 + index * 37_000),
             log: discardingLog,
             position: () => this.nowMs - startedAtMs < POSITION_DELAY_MS ? undefined : { index, count },
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -435,7 +435,7 @@
     {
         promise: "gateway: crashing prompts",
         name: "a part under which upstreams crash repeatedly is blocked",
-        file: `${GATEWAY}/src/placement/CrashingPromptDetector.ts`,
+        file: `${GATEWAY}/src/placement/CrashDetector.ts`,
         find: "if (isConfirmed && this.isCause(suspect)) {",
         replace: "if (isConfirmed && !suspect) {",
         test: `${GATEWAY}/tests/forwarding/crashingPrompts.test.ts`,
@@ -444,10 +444,10 @@
     {
         promise: "gateway: crashing prompts",
         name: "a response that has begun clears the parts of its prompt",
-        file: `${GATEWAY}/src/placement/CrashingPromptDetector.ts`,
+        file: `${GATEWAY}/src/placement/CrashDetector.ts`,
         find: "parts.forEach(part => this.setBegun(part, { id, atMs }));",
         replace: "void [id, atMs];",
-        test: `${GATEWAY}/tests/placement/CrashingPromptDetector.test.ts`,
+        test: `${GATEWAY}/tests/placement/CrashDetector.test.ts`,
         grep: "admits a blocked part again once a response to it has begun",
     },
     {
