Log which cut requests ask for the same

An attempt that broke is now logged with a hash of the request's account, method, host, target and body. Requests are sent as before.

--- a/packages/gateway/src/forwarding/ForwardedCall.ts
+++ b/packages/gateway/src/forwarding/ForwardedCall.ts
@@ -10,6 +10,8 @@
     route: Route;
     service: Service;
     account?: string;
+    /** Equal for requests that ask for the same, whatever their ids. */
+    fingerprint: string;
     /** 0 is the most urgent. */
     priority: number;
     /** When the shorter of the caller's and the route's timeout expires, on the monotonic clock. */
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -107,6 +107,7 @@
                 upstream: upstream.id,
                 outcome: result.kind,
                 reason: "reason" in result ? result.reason : undefined,
+                fingerprint: result.kind === "broken" ? call.fingerprint : undefined,
                 durationMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
             });
             if (this.handleResult(call, progress, result)) {
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -8,6 +8,7 @@
 import type { CallerResponse } from "../ports/CallerResponse.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
+import { fingerprintOf } from "./fingerprintOf.js";
 import type { ForwardedCall } from "./ForwardedCall.js";
 import type { PlainDispatcher } from "./PlainDispatcher.js";
 import type { StreamDispatcher } from "./StreamDispatcher.js";
@@ -140,6 +141,7 @@
             callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
             return undefined;
         }
+        const accountName = needsKey ? account?.name : undefined;
         const allowedMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
         const deadlineMs = request.receivedAtMs + allowedMs;
         const deadline = new AbortController();
@@ -149,7 +151,8 @@
             callerResponse,
             route,
             service,
-            account: needsKey ? account?.name : undefined,
+            account: accountName,
+            fingerprint: fingerprintOf(request, accountName),
             priority: priorityOf(route, account),
             deadlineMs,
             deadline: AbortSignal.any([deadline.signal, this.shutdownEnd.signal]),
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -610,6 +610,7 @@
             reason: "reason" in result ? result.reason : undefined,
             isStaleConnection: result.kind === "broken" && result.isStaleConnection ? true : undefined,
             hasEvents: result.kind === "broken" ? slot.hasEvents : undefined,
+            fingerprint: result.kind === "broken" && !slot.hasEvents ? call.fingerprint : undefined,
             promptParts: result.kind === "broken" && !slot.hasEvents
                 ? call.request.sharedPromptParts.join(",")
                 : undefined,
