--- a/packages/gateway/tests/support/ScriptedUpstreamClient.ts
+++ b/packages/gateway/tests/support/ScriptedUpstreamClient.ts
@@ -7,7 +7,11 @@
 type Script = (call: UpstreamRequest, signal: AbortSignal) => Promise<UpstreamResponse> | UpstreamResponse;
 
 /** Behaviour of all upstreams for all attempts. */
-type Behaviour = (upstream: Upstream, signal: AbortSignal) => Promise<UpstreamResponse> | UpstreamResponse;
+type Behaviour = (
+    upstream: Upstream,
+    signal: AbortSignal,
+    call: UpstreamRequest,
+) => Promise<UpstreamResponse> | UpstreamResponse;
 
 /** Runs one script for each attempt, in order. */
 export class ScriptedUpstreamClient implements UpstreamClient {
@@ -35,7 +39,7 @@
         this.sent.push({ upstream: upstream.id, call });
         const script = this.scripts.shift();
         if (!script && this.behaviour) {
-            return this.behaviour(upstream, signal);
+            return this.behaviour(upstream, signal, call);
         }
         if (!script) {
             throw new Error(`no script left for an attempt at ${upstream.id}`);
