Keep whole requests that crash upstreams from being sent again

Callers of plain services: refused or cut again and again, as one request that came back under other ids crashed all three upstreams each time they were back. Cause: only shared parts of stream prompts were related to crashes; a plain request, or a stream whose prompt shares no part, was judged by each attempt alone.

The detector now exists twice with different criteria (CrashGuard): for parts of prompts as before, and for a hash of account, method, host, path and body. A request is blocked at all gateways 1 s after the first of three crashes of different upstreams without a response in between; crashes at the same time count, as a request that is refused in error is one of many. It is not sent to another upstream after the second. A request to which a response has come before needs the evidence of a known prompt part, so that collateral damage of frequent requests is not blocked. Blocked requests are refused as not run, waiting ones too; trials, exchange between gateways and the record in the lease are those of prompt parts. A lost kept connection counts for requests, since a crash looks the same there.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -29,7 +29,7 @@
 import { AnnouncedRateLimiter } from "./placement/AnnouncedRateLimiter.js";
 import { AvoidedUpstreams } from "./placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "./placement/ColdStartLimiter.js";
-import { CrashDetector } from "./placement/CrashDetector.js";
+import { CrashGuard } from "./placement/CrashGuard.js";
 import { FailureRateTracker } from "./placement/FailureRateTracker.js";
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
@@ -156,7 +156,7 @@
             ...settings.retryBudget,
             gatewayCount: () => position()?.count,
         });
-        const crashingPrompts = CrashDetector.create({ clock, log, position });
+        const crashGuard = CrashGuard.create({ clock, log, position });
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const sharedOptions = {
             clock,
@@ -168,7 +168,7 @@
             failureRates,
             avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
-            crashingPrompts,
+            crashGuard,
         };
         const dispatcherOptions = {
             ...sharedOptions,
@@ -184,7 +184,7 @@
             metrics,
             configuration: this.configuration,
             retryBudget,
-            crashingPrompts,
+            crashGuard,
             streams: StreamDispatcher.create({
                 ...dispatcherOptions,
                 groups: this.groups,
@@ -213,8 +213,8 @@
                 this.connections.connectedPeers().length > 0 && !this.exchange.isControllerReachable,
             isConnectedToMostPeers: () =>
                 this.connections.connectedPeers().length * 2 >= this.connections.followedPeers().length,
-            blockedPrompts: () => crashingPrompts.blocked(),
-            onBlockedPrompts: suspects => crashingPrompts.merge({ suspects }),
+            blockedSuspects: () => crashGuard.blocked(),
+            onBlockedSuspects: blocked => crashGuard.merge(blocked),
             highestUpstreamTerm: () => EpochSource.highestTerm(this.upstreams),
         });
         const orders = OrderSender.create({ clock, log, metrics, control });
@@ -256,7 +256,7 @@
             controller: this.controller,
             loads: this.loads,
             retryBudget,
-            crashingPrompts,
+            crashGuard,
             announcedLimits: this.announcedLimits,
             upstreams: this.upstreams,
             groups: this.groups,
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -1,7 +1,8 @@
 import type { Era, ObjectStore, Revision, StoredObject } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
 import { z } from "zod";
-import { type CrashSuspect, crashSuspectSchema } from "../placement/CrashSuspect.js";
+import type { CrashReport } from "../placement/CrashReport.js";
+import { crashSuspectSchema } from "../placement/CrashSuspect.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 
 interface ControllerLeaseOptions {
@@ -20,10 +21,10 @@
     isHolderUnreachableByPeers: () => boolean;
     /** Returns true while most registered peers are connected. */
     isConnectedToMostPeers: () => boolean;
-    /** Returns the blocked parts of prompts, which the lease object keeps while all gateways restart. */
-    blockedPrompts: () => CrashSuspect[];
-    /** Called with the blocked parts of prompts that a lease object from the store has. */
-    onBlockedPrompts: (blocked: CrashSuspect[]) => void;
+    /** Returns what is blocked because upstreams crash under it; the lease object keeps it while all gateways restart. */
+    blockedSuspects: () => CrashReport;
+    /** Called with what a lease object from the store has as blocked. */
+    onBlockedSuspects: (blocked: CrashReport) => void;
     /** Returns the highest term in which a registered upstream has joined its group. */
     highestUpstreamTerm: () => number;
 }
@@ -38,10 +39,11 @@
     /** Era of the revision that the write expected. */
     era: z.int().nonnegative().default(0),
     blockedPrompts: z.array(crashSuspectSchema).default([]),
+    blockedRequests: z.array(crashSuspectSchema).default([]),
 });
 
 /** The fields that decide who holds the lease. */
-type LeaseClaim = Omit<z.infer<typeof leaseSchema>, "era" | "blockedPrompts">;
+type LeaseClaim = Omit<z.infer<typeof leaseSchema>, "era" | "blockedPrompts" | "blockedRequests">;
 
 const LEASE_KEY = { kind: "fescue_controllers", name: "fleet" } as const;
 const POLL_INTERVAL_MS = 100;
@@ -154,7 +156,8 @@
         this.mustRestore = false;
         this.highestTerm = Math.max(this.highestTerm, parsed.data.term);
         this.changedAtMs = this.options.clock.monotonicMs();
-        this.options.onBlockedPrompts(parsed.data.blockedPrompts);
+        const { blockedPrompts, blockedRequests } = parsed.data;
+        this.options.onBlockedSuspects({ promptParts: blockedPrompts, requests: blockedRequests });
     }
 
     /** Records that the store was listed. If no lease object of the era was observed by then, none exists. */
@@ -298,8 +301,9 @@
     }
 
     private async write(claim: LeaseClaim): Promise<void> {
-        const { store, clock, log, blockedPrompts } = this.options;
-        const lease = { ...claim, era: this.era, blockedPrompts: blockedPrompts() };
+        const { store, clock, log, blockedSuspects } = this.options;
+        const { promptParts, requests } = blockedSuspects();
+        const lease = { ...claim, era: this.era, blockedPrompts: promptParts, blockedRequests: requests };
         const outcome = await store.write(LEASE_KEY, lease, this.revision, "claim", this.era);
         if (outcome.kind === "committed") {
             this.observe({ ...LEASE_KEY, revision: outcome.revision, value: lease }, outcome.era);
--- a/packages/gateway/src/forwarding/ForwardedCall.ts
+++ b/packages/gateway/src/forwarding/ForwardedCall.ts
@@ -1,6 +1,7 @@
 import type { IncomingRequest } from "../model/IncomingRequest.js";
 import type { Route } from "../model/Route.js";
 import type { Service } from "../model/Service.js";
+import type { CrashSubjects } from "../placement/CrashSubjects.js";
 import type { CallerResponse } from "../ports/CallerResponse.js";
 
 /** A caller's request with its route, service and deadline. */
@@ -10,8 +11,7 @@
     route: Route;
     service: Service;
     account?: string;
-    /** Equal for requests that ask for the same, whatever their ids. */
-    fingerprint: string;
+    crashSubjects: CrashSubjects;
     /** 0 is the most urgent. */
     priority: number;
     /** When the shorter of the caller's and the route's timeout expires, on the monotonic clock. */
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -3,6 +3,7 @@
 import type { AdmissionOutcome } from "../placement/AdmissionOutcome.js";
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
+import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import { RequestRetries } from "../placement/RequestRetries.js";
@@ -29,6 +30,7 @@
     failureRates: FailureRateTracker;
     avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
+    crashGuard: CrashGuard;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
     zone: string;
@@ -107,7 +109,7 @@
                 upstream: upstream.id,
                 outcome: result.kind,
                 reason: "reason" in result ? result.reason : undefined,
-                fingerprint: result.kind === "broken" ? call.fingerprint : undefined,
+                fingerprint: result.kind === "broken" ? call.crashSubjects.fingerprint : undefined,
                 durationMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
             });
             if (this.handleResult(call, progress, result)) {
@@ -125,7 +127,7 @@
             usefulUntilMs: nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION,
             tryAcquireSlot: () => this.tryAcquireSlot(call, progress),
             expectedWaitMs: () =>
-                Math.min(
+                this.isBlocked(call) ? Infinity : Math.min(
                     ...this.candidates(call, progress).map(upstream =>
                         this.options.upstreamLimiter.waitMs(upstream, call.service)
                     ),
@@ -133,6 +135,11 @@
         }, AbortSignal.any([call.callerResponse.disconnected, call.deadline]));
     }
 
+    /** Returns true if the request was blocked meanwhile. */
+    private isBlocked(call: ForwardedCall): boolean {
+        return !call.isTrial && this.options.crashGuard.isBlocked(call.crashSubjects);
+    }
+
     private candidates(call: ForwardedCall, progress: PlainProgress): Upstream[] {
         const { upstreams, avoidedUpstreams, isEvacuated } = this.options;
         const ready = [...upstreams.all()].filter(upstream =>
@@ -168,6 +175,9 @@
 
     private tryAcquireSlot(call: ForwardedCall, progress: PlainProgress): PlainSlot | undefined {
         const { loads, upstreamLimiter, avoidedUpstreams } = this.options;
+        if (this.isBlocked(call)) {
+            return undefined;
+        }
         let best: Upstream | undefined;
         let bestCost = Infinity;
         for (const upstream of this.acceptingCandidates(call, progress)) {
@@ -241,12 +251,17 @@
                 if (call.deadline.aborted || (isRepeatable && call.callerResponse.disconnected.aborted)) {
                     return { kind: "stopped" };
                 }
+                if (!idleTimeout.signal.aborted) {
+                    const subject = `${upstream.id}/${upstream.startedAtMs}`;
+                    this.options.crashGuard.recordCrash(call.crashSubjects, subject, call.service.name);
+                }
                 const reason = response.kind === "unknown" ? response.reason : "the answer ended early";
                 return {
                     kind: "broken",
                     reason: idleTimeout.signal.aborted ? "no answer in time" : reason,
                 };
             }
+            this.options.crashGuard.recordBegun(call.crashSubjects, call.service.name);
             const { status } = response.head;
             failureRates.record(upstream.id, status >= 500);
             if (status >= 200 && status < 300 && !response.isSigned) {
@@ -287,7 +302,8 @@
         }
         const mayRepeat = result.kind === "not-run"
             ? progress.rejections < MAX_REJECTIONS
-            : call.route.kind === "repeatable" && progress.countedAttempts < call.route.maxAttempts;
+            : call.route.kind === "repeatable" && progress.countedAttempts < call.route.maxAttempts
+                && (result.kind !== "broken" || this.options.crashGuard.mayRetry(call.crashSubjects));
         const hasArrived = result.kind !== "not-run" || result.hasArrived;
         if (mayRepeat && (progress.retries.useReserved() || progress.retries.tryTake(hasArrived))) {
             metrics.count("retries", result.kind);
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -3,7 +3,7 @@
 import type { ClientAccount } from "../model/ClientAccount.js";
 import type { IncomingRequest } from "../model/IncomingRequest.js";
 import type { Route } from "../model/Route.js";
-import type { CrashDetector } from "../placement/CrashDetector.js";
+import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { CallerResponse } from "../ports/CallerResponse.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -20,7 +20,7 @@
     metrics: GatewayMetrics;
     configuration: ActiveConfiguration;
     retryBudget: RetryBudget;
-    crashingPrompts: CrashDetector;
+    crashGuard: CrashGuard;
     streams: StreamDispatcher;
     plain: PlainDispatcher;
 }
@@ -98,7 +98,7 @@
         callerResponse: CallerResponse,
         ended: AbortSignal,
     ): ForwardedCall | undefined {
-        const { configuration, clock, log, metrics, retryBudget, crashingPrompts } = this.options;
+        const { configuration, clock, log, metrics, retryBudget, crashGuard } = this.options;
         const current = configuration.current;
         if (!current) {
             const reason = "no configuration is known yet";
@@ -132,16 +132,19 @@
             return undefined;
         }
         retryBudget.recordRequest(service.name);
-        const admission = crashingPrompts.admit(service.engine ? request.sharedPromptParts : []);
+        const accountName = needsKey ? account?.name : undefined;
+        const crashSubjects = {
+            fingerprint: fingerprintOf(request, accountName),
+            promptParts: service.engine ? request.sharedPromptParts : [],
+        };
+        const admission = crashGuard.admit(crashSubjects);
         if (admission.kind === "blocked") {
-            const { part, retryAfterMs } = admission;
-            const reason = "upstreams crash under such prompts";
+            const { part, reason, retryAfterMs } = admission;
             metrics.count("refusals", reason);
             log.info("request refused", { request: request.id, reason, part, retryAfterMs: Math.round(retryAfterMs) });
             callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
             return undefined;
         }
-        const accountName = needsKey ? account?.name : undefined;
         const allowedMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
         const deadlineMs = request.receivedAtMs + allowedMs;
         const deadline = new AbortController();
@@ -152,7 +155,7 @@
             route,
             service,
             account: accountName,
-            fingerprint: fingerprintOf(request, accountName),
+            crashSubjects,
             priority: priorityOf(route, account),
             deadlineMs,
             deadline: AbortSignal.any([deadline.signal, this.shutdownEnd.signal]),
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -5,7 +5,7 @@
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
-import type { CrashDetector } from "../placement/CrashDetector.js";
+import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
@@ -34,7 +34,7 @@
     failureRates: FailureRateTracker;
     avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
-    crashingPrompts: CrashDetector;
+    crashGuard: CrashGuard;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
     zone: string;
@@ -82,7 +82,7 @@
     | "not resumable"
     | "too many rejections"
     | "no attempts left"
-    | "upstreams may crash under the prompt"
+    | "upstreams may crash under the request"
     | "retry budget exhausted";
 
 /**
@@ -221,9 +221,9 @@
         );
     }
 
-    /** Returns true if the prompt has a part that was blocked meanwhile. */
+    /** Returns true if the request, or a part of its prompt, was blocked meanwhile. */
     private isBlocked(call: ForwardedCall): boolean {
-        return !call.isTrial && this.options.crashingPrompts.isBlocked(call.request.sharedPromptParts);
+        return !call.isTrial && this.options.crashGuard.isBlocked(call.crashSubjects);
     }
 
     private requestProfile({ request, route }: ForwardedCall): Parameters<typeof chooseGroup>[2] {
@@ -361,7 +361,7 @@
                     continue;
                 }
                 if (!slot.hasEvents) {
-                    this.options.crashingPrompts.recordBegun(call.request.sharedPromptParts, poolOf(call));
+                    this.options.crashGuard.recordBegun(call.crashSubjects, poolOf(call));
                 }
                 slot.trackedRequest.recordEvent();
                 if (!call.callerResponse.hasStarted) {
@@ -447,10 +447,10 @@
             this.options.failureRates.record(slot.candidate.head.id, true);
         }
         const cause = abandonment.aborted ? String(abandonment.reason) : reason;
-        if (!progress.hasEvents && !abandonment.aborted && !isStaleConnection) {
+        if (!progress.hasEvents && !abandonment.aborted) {
             const { id, startedAtMs } = slot.candidate.head;
-            const { sharedPromptParts } = call.request;
-            this.options.crashingPrompts.recordCrash(sharedPromptParts, `${id}/${startedAtMs}`, poolOf(call));
+            const upstream = `${id}/${startedAtMs}`;
+            this.options.crashGuard.recordCrash(call.crashSubjects, upstream, poolOf(call), isStaleConnection);
         }
         return { kind: "broken", reason: cause, isStaleConnection };
     }
@@ -519,8 +519,8 @@
         if (!hasAttemptsLeft(call, progress) && progress.resendTo === undefined) {
             return "no attempts left";
         }
-        if (result.kind === "broken" && !this.options.crashingPrompts.mayRetry(call.request.sharedPromptParts)) {
-            return "upstreams may crash under the prompt";
+        if (result.kind === "broken" && !this.options.crashGuard.mayRetry(call.crashSubjects)) {
+            return "upstreams may crash under the request";
         }
         const hasArrived = result.kind !== "not-run" || result.hasArrived;
         return progress.retries.tryTake(hasArrived) ? undefined : "retry budget exhausted";
@@ -610,7 +610,7 @@
             reason: "reason" in result ? result.reason : undefined,
             isStaleConnection: result.kind === "broken" && result.isStaleConnection ? true : undefined,
             hasEvents: result.kind === "broken" ? slot.hasEvents : undefined,
-            fingerprint: result.kind === "broken" && !slot.hasEvents ? call.fingerprint : undefined,
+            fingerprint: result.kind === "broken" && !slot.hasEvents ? call.crashSubjects.fingerprint : undefined,
             promptParts: result.kind === "broken" && !slot.hasEvents
                 ? call.request.sharedPromptParts.join(",")
                 : undefined,
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -1,8 +1,9 @@
 import { createClient } from "@connectrpc/connect";
 import { createGrpcTransport } from "@connectrpc/connect-node";
 import { Backoff } from "@fescuehaven/coordination";
-import { GatewayService, type GatewayUpdate } from "@fescuehaven/protocol";
+import { type CrashSuspect as CrashSuspectMessage, GatewayService, type GatewayUpdate } from "@fescuehaven/protocol";
 import type { Clock, Random } from "@fescuehaven/runtime";
+import type { CrashSuspect } from "../placement/CrashSuspect.js";
 import type { GatewayPosition } from "../placement/GatewayPosition.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { PeerState } from "./PeerState.js";
@@ -311,13 +312,18 @@
             requestAgeMs: report.requestAgeMs,
         })),
         crashEvidence: {
-            suspects: update.crashSuspects.map(({ part, pool, crashes, begun, block }) => ({
-                part,
-                pool,
-                crashes: crashes.map(({ upstream, ageMs }) => ({ upstream, ageMs })),
-                begun: begun && { id: begun.id, ageMs: begun.ageMs },
-                block: block && { ageMs: block.ageMs, trials: block.trials },
-            })),
+            promptParts: update.crashSuspects.map(toCrashSuspect),
+            requests: update.crashingRequests.map(toCrashSuspect),
         },
     };
 }
+
+function toCrashSuspect({ part, pool, crashes, begun, block }: CrashSuspectMessage): CrashSuspect {
+    return {
+        part,
+        pool,
+        crashes: crashes.map(({ upstream, ageMs }) => ({ upstream, ageMs })),
+        begun: begun && { id: begun.id, ageMs: begun.ageMs },
+        block: block && { ageMs: block.ageMs, trials: block.trials },
+    };
+}
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -2,7 +2,7 @@
 import type { ControllerLease } from "../fleet/ControllerLease.js";
 import type { FleetController } from "../fleet/FleetController.js";
 import type { AnnouncedLimits } from "../placement/AnnouncedLimits.js";
-import type { CrashDetector } from "../placement/CrashDetector.js";
+import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
@@ -24,7 +24,7 @@
     controller: FleetController;
     loads: LoadTracker;
     retryBudget: RetryBudget;
-    crashingPrompts: CrashDetector;
+    crashGuard: CrashGuard;
     announcedLimits: AnnouncedLimits;
     upstreams: UpstreamDirectory;
     groups: GroupDirectory;
@@ -110,10 +110,10 @@
 
     /** Returns what was learned from responses, computed once for all peers. */
     private learnedState(): LearnedSnapshot["state"] {
-        const { clock, crashingPrompts, announcedLimits } = this.options;
+        const { clock, crashGuard, announcedLimits } = this.options;
         const nowMs = clock.monotonicMs();
         if (!this.learnedSnapshot || nowMs - this.learnedSnapshot.atMs >= SNAPSHOT_TTL_MS) {
-            const state = { crashEvidence: crashingPrompts.state(), announcedLimits: announcedLimits.reports() };
+            const state = { crashEvidence: crashGuard.report(), announcedLimits: announcedLimits.reports() };
             this.learnedSnapshot = { atMs: nowMs, state };
         }
         return this.learnedSnapshot.state;
@@ -164,7 +164,7 @@
     apply(peer: string, state: PeerState): void {
         this.options.lease.observeTerm(state.term);
         this.peerStates.set(peer, state);
-        this.options.crashingPrompts.merge(state.crashEvidence);
+        this.options.crashGuard.merge(state.crashEvidence);
         this.options.announcedLimits.merge(state.announcedLimits);
         if (this.usesLoadOf(peer)) {
             this.options.loads.setPeerLoads(peer, state.loads);
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -1,4 +1,4 @@
-import type { CrashEvidence } from "../placement/CrashEvidence.js";
+import type { CrashReport } from "../placement/CrashReport.js";
 import type { LimitReport } from "../placement/LimitReport.js";
 import type { RetryCounts } from "../placement/RetryCounts.js";
 import type { TargetLoad } from "../placement/TargetLoad.js";
@@ -19,8 +19,8 @@
     countedGateways: number;
     /** Epochs of groups that the controller found lost. */
     lostEpochs: readonly number[];
-    /** Prompts under which upstreams have crashed, from all gateways of which the sender has learned. */
-    crashEvidence: CrashEvidence;
+    /** Prompts and requests under which upstreams have crashed, from all gateways of which the sender has learned. */
+    crashEvidence: CrashReport;
     /** Limits that upstreams have announced, from all gateways of which the sender has learned. */
     announcedLimits: readonly LimitReport[];
     /** Version of the sender's active configuration; 0 if it has none. */
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -1,7 +1,13 @@
-import { create } from "@bufbuild/protobuf";
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import type { ConnectRouter, HandlerContext } from "@connectrpc/connect";
-import { GatewayService, type GatewayUpdate, GatewayUpdateSchema } from "@fescuehaven/protocol";
+import {
+    type CrashSuspectSchema,
+    GatewayService,
+    type GatewayUpdate,
+    GatewayUpdateSchema,
+} from "@fescuehaven/protocol";
 import type { Clock } from "@fescuehaven/runtime";
+import type { CrashSuspect } from "../placement/CrashSuspect.js";
 import { WakeSignal } from "../util/WakeSignal.js";
 import type { PeerState } from "./PeerState.js";
 
@@ -117,13 +123,8 @@
         countedGateways: state.countedGateways,
         lostEpochs: [...state.lostEpochs],
         configurationVersion: state.configurationVersion,
-        crashSuspects: state.crashEvidence.suspects.map(({ part, pool, crashes, begun, block }) => ({
-            part,
-            pool,
-            crashes: crashes.map(({ upstream, ageMs }) => ({ upstream, ageMs: Math.round(ageMs) })),
-            begun: begun && { id: begun.id, ageMs: Math.round(begun.ageMs) },
-            block: block && { ageMs: Math.round(block.ageMs), trials: block.trials },
-        })),
+        crashSuspects: state.crashEvidence.promptParts.map(toCrashMessage),
+        crashingRequests: state.crashEvidence.requests.map(toCrashMessage),
         announcedLimits: state.announcedLimits.map(report => ({
             ...report,
             ageMs: Math.round(report.ageMs),
@@ -131,3 +132,15 @@
         })),
     });
 }
+
+function toCrashMessage(
+    { part, pool, crashes, begun, block }: CrashSuspect,
+): MessageInitShape<typeof CrashSuspectSchema> {
+    return {
+        part,
+        pool,
+        crashes: crashes.map(({ upstream, ageMs }) => ({ upstream, ageMs: Math.round(ageMs) })),
+        begun: begun && { id: begun.id, ageMs: Math.round(begun.ageMs) },
+        block: block && { ageMs: Math.round(block.ageMs), trials: block.trials },
+    };
+}
--- a/packages/gateway/src/placement/CrashDetector.ts
+++ b/packages/gateway/src/placement/CrashDetector.ts
@@ -9,6 +9,7 @@
 import type { CrashSuspect } from "./CrashSuspect.js";
 import type { GatewayPosition } from "./GatewayPosition.js";
 import type { Suspect } from "./Suspect.js";
+import type { SuspectCriteria } from "./suspectCriteria.js";
 import { SuspectTable } from "./SuspectTable.js";
 
 interface CrashDetectorOptions {
@@ -16,6 +17,7 @@
     log: DecisionLog;
     /** Position of this gateway among the registered ones; undefined while it is not known. */
     position: () => GatewayPosition | undefined;
+    criteria: SuspectCriteria;
 }
 
 type Block = NonNullable<Suspect["block"]>;
@@ -23,12 +25,8 @@
 /** Evidence below which a part is never blocked, and below which its requests are retried as usual. */
 const MIN_EVIDENCE_TO_BLOCK = 3;
 const MIN_EVIDENCE_TO_DENY_RETRY = 2;
-/** A part is blocked if a sound one would collect as much evidence with a lower probability than this. */
-const BLOCK_PROBABILITY = 5e-4;
-/** The same for a part with which responses have begun before: it is more probably sound. */
+/** The probability below which a part is blocked with which responses have begun before: it is more probably sound. */
 const KNOWN_PART_BLOCK_PROBABILITY = 1e-8;
-/** The same for not sending a request once more after a crash. */
-const DENY_RETRY_PROBABILITY = 0.1;
 /**
  * Number of other responses that must have begun since the first crash before a part is blocked with which responses
  * have begun earlier: without any, the upstreams are the more probable cause.
@@ -101,10 +99,14 @@
         const untilTrialMs = nextTrialAtMs(block) - nowMs;
         if (untilTrialMs + this.trialTurnMs(part, block) <= 0) {
             suspect.block = { sinceMs: nowMs, trials: block.trials + 1 };
-            this.options.log.info("trial of a blocked prompt part", { part, trials: suspect.block.trials });
+            this.options.log.info(`trial of a blocked ${this.options.criteria.name}`, {
+                part,
+                trials: suspect.block.trials,
+            });
             return { kind: "trial" };
         }
-        return { kind: "blocked", part, retryAfterMs: Math.max(TRIAL_TURN_MS, untilTrialMs) };
+        const { refusalReason } = this.options.criteria;
+        return { kind: "blocked", part, reason: refusalReason, retryAfterMs: Math.max(TRIAL_TURN_MS, untilTrialMs) };
     }
 
     /** Returns true if requests with these parts are blocked. */
@@ -114,14 +116,16 @@
 
     /** Returns true if a request may be sent to another upstream after one has crashed under it. */
     mayRetry(parts: readonly string[]): boolean {
+        const { evidenceOf, denyRetryProbability, mayBeExplained } = this.options.criteria;
         const blocked = this.suspects.blocked();
         return !parts.some(part => {
             const suspect = this.suspects.get(part);
-            return suspect && suspect.evidence >= MIN_EVIDENCE_TO_DENY_RETRY
-                && this.soundProbability(suspect) < DENY_RETRY_PROBABILITY
-                && !blocked.some(other =>
-                    other !== suspect && suspect.isExplainedBy(other) && !parts.includes(other.part)
-                );
+            return suspect && evidenceOf(suspect) >= MIN_EVIDENCE_TO_DENY_RETRY
+                && this.soundProbability(suspect) < denyRetryProbability
+                && !(mayBeExplained
+                    && blocked.some(other =>
+                        other !== suspect && suspect.isExplainedBy(other) && !parts.includes(other.part)
+                    ));
         });
     }
 
@@ -199,10 +203,10 @@
         const blocked = this.suspects.blocked();
         return blocked.find(suspect =>
             parts.includes(suspect.part)
-            && blocked.every(other =>
+            && (!this.options.criteria.mayBeExplained || blocked.every(other =>
                 other === suspect || !suspect.isExplainedBy(other)
                 || (other.isExplainedBy(suspect) && parts.includes(other.part))
-            )
+            ))
         );
     }
 
@@ -221,7 +225,10 @@
         }
         suspect.reportFrom(reported.atMs);
         if (suspect.block && (hadCrashes || reported.atMs > suspect.block.sinceMs)) {
-            this.options.log.info("prompt part is no longer blocked", { part, trials: suspect.block.trials });
+            this.options.log.info(`${this.options.criteria.name} is no longer blocked`, {
+                part,
+                trials: suspect.block.trials,
+            });
             suspect.block = undefined;
         }
     }
@@ -240,7 +247,11 @@
     private adoptBlock(part: string, pool: string, block: Block): void {
         const suspect = this.suspects.getOrAdd(part, pool);
         if (!suspect.block) {
-            this.options.log.warn("prompt part blocked", { part, crashes: suspect.crashes.size, isReported: true });
+            this.options.log.warn(`${this.options.criteria.name} blocked`, {
+                part,
+                crashes: suspect.crashes.size,
+                isReported: true,
+            });
         }
         if (!suspect.block || block.trials > suspect.block.trials) {
             suspect.block = block;
@@ -263,11 +274,11 @@
                 this.suspects.delete(suspect.part);
                 continue;
             }
-            const { evidence } = suspect;
+            const evidence = this.options.criteria.evidenceOf(suspect);
             const isConfirmed = evidence >= MIN_EVIDENCE_TO_BLOCK && nowMs - suspect.firstCrashMs >= CONFIRMATION_MS;
             if (isConfirmed && this.isCause(suspect)) {
                 suspect.block = { sinceMs: nowMs, trials: 0 };
-                this.options.log.warn("prompt part blocked", {
+                this.options.log.warn(`${this.options.criteria.name} blocked`, {
                     part: suspect.part,
                     pool: suspect.pool,
                     crashes: suspect.crashes.size,
@@ -284,14 +295,14 @@
         return this.begunResponses.get(suspect.part)
             ? probability < KNOWN_PART_BLOCK_PROBABILITY
                 && this.othersSinceFirstCrash(suspect).begun >= MIN_BEGUN_ATTEMPTS
-            : probability < BLOCK_PROBABILITY;
+            : probability < this.options.criteria.blockProbability;
     }
 
     /** Returns the probability with which a part that is not the cause would collect as much evidence. */
     private soundProbability(suspect: Suspect): number {
         const { begun, crashed } = this.othersSinceFirstCrash(suspect);
         const crashShare = (crashed + PRIOR_CRASHES) / (begun + crashed + PRIOR_ATTEMPTS);
-        return crashShare ** suspect.evidence;
+        return crashShare ** this.options.criteria.evidenceOf(suspect);
     }
 
     /** Returns this gateway's attempts without the suspect, from shortly before the suspect's first crash. */
--- a/packages/gateway/tests/fleet/ControllerLease.test.ts
+++ b/packages/gateway/tests/fleet/ControllerLease.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock, MemoryObjectStore } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { ControllerLease } from "../../src/fleet/ControllerLease.js";
-import type { CrashSuspect } from "../../src/placement/CrashSuspect.js";
+import type { CrashReport } from "../../src/placement/CrashReport.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
 /** A gateway that competes for the lease. */
@@ -13,7 +13,7 @@
     silenceMs: Map<string, number>;
     isHolderUnreachableByPeers: boolean;
     isConnectedToMostPeers: boolean;
-    blockedPrompts: CrashSuspect[];
+    blocked: CrashReport;
     highestUpstreamTerm: number;
 }
 
@@ -43,7 +43,7 @@
             silenceMs: new Map(),
             isHolderUnreachableByPeers: false,
             isConnectedToMostPeers: true,
-            blockedPrompts: [],
+            blocked: { promptParts: [], requests: [] },
             highestUpstreamTerm: 0,
         };
         candidate.lease = ControllerLease.create({
@@ -56,9 +56,9 @@
             candidateRank: () => rank,
             isHolderUnreachableByPeers: () => candidate.isHolderUnreachableByPeers,
             isConnectedToMostPeers: () => candidate.isConnectedToMostPeers,
-            blockedPrompts: () => candidate.blockedPrompts,
-            onBlockedPrompts: blocked => {
-                candidate.blockedPrompts = blocked;
+            blockedSuspects: () => candidate.blocked,
+            onBlockedSuspects: blocked => {
+                candidate.blocked = blocked;
             },
             highestUpstreamTerm: () => candidate.highestUpstreamTerm,
         });
@@ -90,17 +90,21 @@
         expect(controllers()).to.deep.equal(["1"]);
     });
 
-    it("keeps blocked prompt parts while all gateways restart", async () => {
-        const blocked = [{ part: "bad", pool: "llm/large", crashes: [], block: { ageMs: 0, trials: 0 } }];
+    it("keeps blocked prompt parts and requests while all gateways restart", async () => {
+        const block = { ageMs: 0, trials: 0 };
+        const blocked = {
+            promptParts: [{ part: "bad", pool: "llm/large", crashes: [], block }],
+            requests: [{ part: "fingerprint", pool: "app", crashes: [], block }],
+        };
         const first = start("a");
-        first.blockedPrompts = blocked;
+        first.blocked = blocked;
         await clock.advance(3000);
         first.stop.abort();
         const [restarted, other] = [start("a", 0, "a-2"), start("b", 1)];
         await clock.advance(3000);
         expect(restarted.lease.isController).to.equal(true);
-        expect(restarted.blockedPrompts).to.deep.equal(blocked);
-        expect(other.blockedPrompts).to.deep.equal(blocked);
+        expect(restarted.blocked).to.deep.equal(blocked);
+        expect(other.blocked).to.deep.equal(blocked);
     });
 
     it("stays with its holder while the holder is reachable", async () => {
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -5,7 +5,8 @@
 import { PeerConnections } from "../../src/peers/PeerConnections.js";
 import { PeerExchange } from "../../src/peers/PeerExchange.js";
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
-import { CrashDetector } from "../../src/placement/CrashDetector.js";
+import { CrashGuard } from "../../src/placement/CrashGuard.js";
+import type { CrashSubjects } from "../../src/placement/CrashSubjects.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
@@ -23,12 +24,17 @@
     connections: PeerConnections;
     loads: LoadTracker;
     retries: RetryBudget;
-    crashingPrompts: CrashDetector;
+    crashGuard: CrashGuard;
     announcedLimits: AnnouncedLimits;
     exchange: PeerExchange;
     flushes: number;
 }
 
+/** Returns what a request has whose prompt consists of the parts. */
+function subjectsOf(...promptParts: readonly string[]): CrashSubjects {
+    return { fingerprint: promptParts.join("/"), promptParts };
+}
+
 describe("PeerExchange", () => {
     let clock: ManualClock;
     let gateways: Map<string, TestGateway>;
@@ -62,7 +68,7 @@
             windowMs: 10_000,
             gatewayCount: () => connections.position?.count,
         });
-        const crashingPrompts = CrashDetector.create({
+        const crashGuard = CrashGuard.create({
             clock,
             log,
             position: () => connections.position,
@@ -70,7 +76,7 @@
         const announcedLimits = AnnouncedLimits.create({ clock, random, log, isRegistered: () => true });
         const gateway: TestGateway = {
             vm,
-            crashingPrompts,
+            crashGuard,
             announcedLimits,
             connections,
             loads,
@@ -92,14 +98,14 @@
                     candidateRank: () => 0,
                     isHolderUnreachableByPeers: () => false,
                     isConnectedToMostPeers: () => true,
-                    blockedPrompts: () => [],
-                    onBlockedPrompts: () => undefined,
+                    blockedSuspects: () => ({ promptParts: [], requests: [] }),
+                    onBlockedSuspects: () => undefined,
                     highestUpstreamTerm: () => 0,
                 }),
                 controller: { recentlyOpened: () => [] } as unknown as FleetController,
                 loads,
                 retryBudget: retries,
-                crashingPrompts,
+                crashGuard,
                 announcedLimits,
                 upstreams,
                 groups: GroupDirectory.create({
@@ -135,14 +141,14 @@
 
     it("computes the evidence of crashing prompts once for all its peers", async () => {
         start(["a1", "a2", "a3"]);
-        const { crashingPrompts, exchange } = gateways.get("a1")!;
-        crashingPrompts.recordCrash(["part"], "upstream/1");
+        const { crashGuard, exchange } = gateways.get("a1")!;
+        crashGuard.recordCrash(subjectsOf("part"), "upstream/1", "llm");
         const { crashEvidence } = exchange.stateFor("a2");
-        expect(crashEvidence.suspects.map(({ part }) => part)).to.deep.equal(["part"]);
+        expect(crashEvidence.promptParts.map(({ part }) => part)).to.deep.equal(["part"]);
         expect(exchange.stateFor("a3").crashEvidence).to.equal(crashEvidence);
         await clock.advance(100);
-        crashingPrompts.recordCrash(["other part"], "upstream/2");
-        expect(exchange.stateFor("a2").crashEvidence.suspects.map(({ part }) => part)).to.have.members([
+        crashGuard.recordCrash(subjectsOf("other part"), "upstream/2", "llm");
+        expect(exchange.stateFor("a2").crashEvidence.promptParts.map(({ part }) => part)).to.have.members([
             "part",
             "other part",
         ]);
@@ -175,28 +181,39 @@
         it(`adds up the crashes that each gateway of ${title} has seen under a prompt part`, async () => {
             start(vms);
             await exchangeStates();
-            const detectors = vms.map(vm => gateways.get(vm)!.crashingPrompts);
-            detectors.slice(0, 5).forEach((detector, index) =>
-                detector.recordCrash(["bad", `own-${index}`], `u${index}`)
+            const guards = vms.map(vm => gateways.get(vm)!.crashGuard);
+            guards.slice(0, 5).forEach((guard, index) =>
+                guard.recordCrash(subjectsOf("bad", `own-${index}`), `u${index}`, "llm")
             );
             for (let pass = 0; pass < 6; pass++) {
                 await exchangeStates();
             }
-            detectors.slice(0, 5).forEach((detector, index) =>
-                detector.recordCrash(["bad", `own-${index}`], `v${index}`)
+            guards.slice(0, 5).forEach((guard, index) =>
+                guard.recordCrash(subjectsOf("bad", `own-${index}`), `v${index}`, "llm")
             );
             for (let pass = 0; pass < 12; pass++) {
                 await exchangeStates();
-                detectors.forEach(detector => detector.recordBegun(["sound"]));
+                guards.forEach(guard => guard.recordBegun(subjectsOf("sound"), "llm"));
             }
-            expect(detectors.map(detector => detector.isBlocked(["sound", "bad"]))).to.deep.equal(vms.map(() => true));
-            expect(detectors.map(detector => detector.isBlocked(["sound", "own-0"]))).to.deep.equal(
+            expect(guards.map(guard => guard.isBlocked(subjectsOf("sound", "bad")))).to.deep.equal(vms.map(() => true));
+            expect(guards.map(guard => guard.isBlocked(subjectsOf("sound", "own-0")))).to.deep.equal(
                 vms.map(() => false),
             );
         });
     }
 
     for (const [title, vms] of fleets) {
+        it(`adds up the crashes that each gateway of ${title} has seen under one request`, async () => {
+            start(vms);
+            const subjects = { fingerprint: "crashing", promptParts: [] };
+            const guards = vms.map(vm => gateways.get(vm)!.crashGuard);
+            guards.slice(0, 3).forEach((guard, index) => guard.recordCrash(subjects, `u${index}`, "app"));
+            for (let pass = 0; pass < 12; pass++) {
+                await exchangeStates();
+            }
+            expect(guards.map(guard => guard.isBlocked(subjects))).to.deep.equal(vms.map(() => true));
+        });
+
         it(`brings the limit that an upstream announces to one gateway to all of ${title}`, async () => {
             start(vms);
             const upstream = exampleUpstream("u1");
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -33,7 +33,7 @@
                 countedGateways: 1,
                 configurationVersion: 1,
                 lostEpochs: [],
-                crashEvidence: { suspects: [] },
+                crashEvidence: { promptParts: [], requests: [] },
                 announcedLimits: [],
             };
         };
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -25,7 +25,16 @@
         { upstream: "u1", startedAtMs: 1000, requestsPerSecond: 2.5, id: 7, ageMs: 20, requestAgeMs: 45 },
         { upstream: "u2", startedAtMs: 2000, requestsPerSecond: undefined, id: 8, ageMs: 30, requestAgeMs: 60 },
     ],
-    crashEvidence: { suspects: [] },
+    crashEvidence: {
+        promptParts: [{
+            part: "p1",
+            pool: "llm/large",
+            crashes: [{ upstream: 5, ageMs: 70 }],
+            begun: { id: 3, ageMs: 900 },
+            block: { ageMs: 60, trials: 1 },
+        }],
+        requests: [{ part: "r1", pool: "app", crashes: [], begun: undefined, block: undefined }],
+    },
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
 };
 
--- a/packages/gateway/tests/placement/CrashDetector.test.ts
+++ b/packages/gateway/tests/placement/CrashDetector.test.ts
@@ -4,6 +4,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { CrashDetector } from "../../src/placement/CrashDetector.js";
+import { suspectCriteria } from "../../src/placement/suspectCriteria.js";
 import { exampleParts } from "../support/exampleParts.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 import { SimulatedCrashes } from "../support/SimulatedCrashes.js";
@@ -66,6 +67,7 @@
         clock: ManualClock.create(),
         log: SilentDecisionLog.create(),
         position: () => ({ index: 0, count: 1 }),
+        criteria: suspectCriteria.promptPart,
     });
 
     describe("with one gateway", () => {
@@ -439,6 +441,7 @@
             clock: ManualClock.create(),
             log: { info: () => undefined, warn: () => undefined },
             position: () => ({ index: 0, count: 6 }),
+            criteria: suspectCriteria.promptPart,
         });
 
         /** Returns the bytes in use after a garbage collection. */
@@ -524,6 +527,7 @@
                     clock,
                     log: SilentDecisionLog.create(),
                     position: () => ({ index, count: 4 }),
+                    criteria: suspectCriteria.promptPart,
                 });
             const detectors = [create(0), create(1), create(2)] as const;
             for (const { gateway, observation: { kind, parts, upstream, pauseMs } } of history) {
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -111,8 +111,8 @@
             candidateRank: () => 0,
             isHolderUnreachableByPeers: () => false,
             isConnectedToMostPeers: () => true,
-            blockedPrompts: () => [],
-            onBlockedPrompts: () => undefined,
+            blockedSuspects: () => ({ promptParts: [], requests: [] }),
+            onBlockedSuspects: () => undefined,
             highestUpstreamTerm: () => EpochSource.highestTerm(this.directory),
         });
         const controller = FleetController.create({
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -12,7 +12,7 @@
 import { AnnouncedRateLimiter } from "../../src/placement/AnnouncedRateLimiter.js";
 import { AvoidedUpstreams } from "../../src/placement/AvoidedUpstreams.js";
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
-import { CrashDetector } from "../../src/placement/CrashDetector.js";
+import { CrashGuard } from "../../src/placement/CrashGuard.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
@@ -56,7 +56,7 @@
     readonly loads = LoadTracker.create(this.clock);
     readonly evacuated = new Set<string>();
     readonly configuration = ActiveConfiguration.create(this.log);
-    readonly crashingPrompts = CrashDetector.create({
+    readonly crashGuard = CrashGuard.create({
         clock: this.clock,
         log: this.log,
         position: () => ({ index: 0, count: 1 }),
@@ -98,7 +98,7 @@
             failureRates,
             avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
-            crashingPrompts: this.crashingPrompts,
+            crashGuard: this.crashGuard,
             idleTimeouts,
             client: LimitRecordingClient.create({ clock, client, limits }),
             zone: "a",
@@ -111,7 +111,7 @@
             metrics: noMetrics,
             configuration: this.configuration,
             retryBudget,
-            crashingPrompts: this.crashingPrompts,
+            crashGuard: this.crashGuard,
             streams: StreamDispatcher.create({
                 ...shared,
                 groups: this.groups,
--- a/packages/gateway/tests/support/SimulatedCrashes.ts
+++ b/packages/gateway/tests/support/SimulatedCrashes.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import { ManualClock, SeededRandom } from "@fescuehaven/testing";
 import { CrashDetector } from "../../src/placement/CrashDetector.js";
+import { suspectCriteria } from "../../src/placement/suspectCriteria.js";
 import type { DecisionLog } from "../../src/ports/DecisionLog.js";
 
 type CrashEvidence = ReturnType<CrashDetector["state"]>;
@@ -12,6 +13,8 @@
     groups?: number;
     /** Time between two states that a gateway sends to its peers. */
     exchangeIntervalMs?: number;
+    /** What the detectors look at; a request has its fingerprint as its only part. */
+    subject?: keyof typeof suspectCriteria;
     /** True if callers send a request that failed or was refused once more. */
     callersRepeat?: boolean;
 }
@@ -268,6 +271,7 @@
         return CrashDetector.create({
             clock: offsetClock(this.clock, 1000 + index * 37_000),
             log: discardingLog,
+            criteria: suspectCriteria[this.options.subject ?? "promptPart"],
             position: () => this.nowMs - startedAtMs < POSITION_DELAY_MS ? undefined : { index, count },
         });
     }
