--- a/packages/gateway/tests/support/SimulatedCrashes.ts
+++ b/packages/gateway/tests/support/SimulatedCrashes.ts
@@ -229,7 +229,7 @@
 
     /** Returns the time of the fifth crash under a request with the part; infinite if there are fewer. */
     fifthCrashMs(part: string): number {
-        return this.crashTimesMs.get(part)?.[4] ?? Infinity;
+        return this.crashMs(part, 5);
     }
 
     /** Returns the time from which sound requests have to be served: after the fifth crash, or the last of fewer. */
@@ -239,10 +239,10 @@
 
     /**
      * Returns the requests and retries with the part that gateways in touch sent to upstreams later than
-     * `stableWindowMs` after the fifth crash.
+     * `stableWindowMs` after the crash with this number, the fifth by default.
      */
-    lateSends(part: string): Decision[] {
-        const sinceMs = this.fifthCrashMs(part) + this.stableWindowMs;
+    lateSends(part: string, crash = 5): Decision[] {
+        const sinceMs = this.crashMs(part, crash) + this.stableWindowMs;
         return this.decisions.filter(({ atMs, parts, blockedPart, isInTouch }) =>
             atMs > sinceMs && isInTouch && blockedPart === undefined && parts.includes(part)
         );
@@ -262,6 +262,10 @@
         );
     }
 
+    private crashMs(part: string, crash: number): number {
+        return this.crashTimesMs.get(part)?.[crash - 1] ?? Infinity;
+    }
+
     private randomGateway(): number {
         return Math.floor(this.random.next() * this.gateways.length);
     }
