Keep a limit when a rejection announces none

Found by reading the fix again: a rejection as overloaded without `Server-Limit` withdrew the limit, so that an upstream which answers with it and rejects without it would get unlimited requests in between. Only a response withdraws a limit now. Test: 1 request a second announced by every other response.

--- a/packages/gateway/src/forwarding/LimitRecordingClient.ts
+++ b/packages/gateway/src/forwarding/LimitRecordingClient.ts
@@ -25,7 +25,9 @@
         const { clock, client, limits } = this.options;
         const sentAtMs = clock.monotonicMs();
         const response = await client.send(upstream, request, signal);
-        if (response.kind === "answered" || (response.kind === "not-run" && response.reason === "overloaded")) {
+        const isRejected = response.kind === "not-run" && response.reason === "overloaded";
+        // A rejection that names no limit does not withdraw one.
+        if (response.kind === "answered" || (isRejected && response.limit)) {
             limits.recordResponse(upstream, response.limit, sentAtMs);
         }
         return response;
--- a/packages/gateway/tests/forwarding/announcedLimits.test.ts
+++ b/packages/gateway/tests/forwarding/announcedLimits.test.ts
@@ -69,6 +69,26 @@
             return mostWithin((sentAtMs.get(id) ?? []).filter(atMs => atMs >= sinceMs), WINDOW_MS);
         }
 
+        it("keeps its limit when it rejects a request without one", async () => {
+            rig.directory.set(upstream("limited", 1));
+            rig.directory.set(upstream("free", 2));
+            let responsesOfLimited = 0;
+            rig.client.serve(({ id }) => {
+                if (id === "free") {
+                    return response();
+                }
+                sentAtMs.set(id, [...sentAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
+                responsesOfLimited += 1;
+                const answered = response();
+                return responsesOfLimited % 2 === 0 || answered.kind !== "answered"
+                    ? { kind: "not-run", reason: "overloaded" }
+                    : { ...answered, limit: { kind: "limited", requestsPerSecond: 1 } };
+            });
+            const sinceMs = rig.clock.monotonicMs() + STABLE_WINDOW_MS;
+            await sendFor(20_000);
+            expect(mostSentTo("limited", sinceMs)).to.be.at.most(1.5 * WINDOW_MS / 1000 + 5);
+        });
+
         for (const limit of [0, 0.2, 1.1, 2, 5]) {
             it(`does not get more than ${limit} a second allows`, async () => {
                 rig.directory.set(upstream("limited", 1));
