--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -372,6 +372,9 @@
         const { clock } = this.ports;
         while (!signal.aborted) {
             await clock.sleep(SWEEP_INTERVAL_MS, signal);
+            if (signal.aborted) {
+                return;
+            }
             this.upstreams.expireMissing();
             this.evacuatedZones.settle();
             this.connections.update();
