Walk a gateway's requests once for the load of a target

totalLoad walked them twice, for the load and for whether any is read, on the path of each choice of a group.

--- a/packages/gateway/src/placement/LoadTracker.ts
+++ b/packages/gateway/src/placement/LoadTracker.ts
@@ -114,9 +114,15 @@
      * Returns the load that this process's requests put on a target. A target of whose requests none is read is not silent.
      */
     ownLoad(target: string): TargetLoad {
+        const load = this.measureOwnLoad(target);
+        return load.silentMs < Infinity ? load : { ...load, silentMs: 0 };
+    }
+
+    /** Returns the load of this process's requests, with an infinite silence if none of them is read. */
+    private measureOwnLoad(target: string): TargetLoad {
         const load = this.own.get(target);
         if (!load) {
-            return { inFlight: 0, pendingPrefillTokens: 0, silentMs: 0 };
+            return { inFlight: 0, pendingPrefillTokens: 0, silentMs: Infinity };
         }
         let pendingPrefillTokens = 0;
         let readSinceMs = Infinity;
@@ -124,8 +130,10 @@
             pendingPrefillTokens += request.pendingPrefillTokens;
             readSinceMs = Math.min(readSinceMs, request.readSinceMs);
         }
-        const silentMs = this.clock.monotonicMs() - Math.max(load.lastEventAtMs, readSinceMs);
-        return { inFlight: load.requests.size, pendingPrefillTokens, silentMs: Math.max(0, silentMs) };
+        const silentMs = readSinceMs === Infinity
+            ? Infinity
+            : this.clock.monotonicMs() - Math.max(load.lastEventAtMs, readSinceMs);
+        return { inFlight: load.requests.size, pendingPrefillTokens, silentMs };
     }
 
     /** Returns the targets with requests of this process or of the peers that `isIncluded` selects, and their loads. */
@@ -172,9 +180,7 @@
      * Returns the load that all processes put on a target. The silence is the shortest among those with requests there.
      */
     totalLoad(target: string, isIncluded: (peer: string) => boolean = () => true): TargetLoad {
-        const own = this.ownLoad(target);
-        const isRead = [...this.own.get(target)?.requests ?? []].some(({ readSinceMs }) => readSinceMs < Infinity);
-        const total = { ...own, silentMs: isRead ? own.silentMs : Infinity };
+        const total = this.measureOwnLoad(target);
         const nowMs = this.clock.monotonicMs();
         for (const [peer, loads] of this.peers) {
             const peerLoad = loads.get(target);
