Use one constant for how long evidence is reported

SHORT_REPORT_MS and RELAYED_BEGINNING_MS had to stay equal: a part is relayed as sound for as long as a suspect without evidence is reported. Values unchanged; the tests of crashing requests and prompts pass.

--- a/packages/gateway/src/placement/CrashDetector.ts
+++ b/packages/gateway/src/placement/CrashDetector.ts
@@ -8,7 +8,7 @@
 import type { CrashEvidence } from "./CrashEvidence.js";
 import type { CrashSuspect } from "./CrashSuspect.js";
 import type { GatewayPosition } from "./GatewayPosition.js";
-import type { Suspect } from "./Suspect.js";
+import { Suspect } from "./Suspect.js";
 import type { SuspectCriteria } from "./suspectCriteria.js";
 import { SuspectTable } from "./SuspectTable.js";
 
@@ -42,8 +42,6 @@
 const PRIOR_CRASHES = 1;
 /** Evidence is kept for this long after the last crash. */
 const EVIDENCE_TTL_MS = 600_000;
-/** A part is relayed as sound if a response with it has begun within this time. */
-const RELAYED_BEGINNING_MS = 15_000;
 /** Interval between checks whether suspects have become certain. */
 const CHECK_INTERVAL_MS = 50;
 /** Pause until the first trial of a blocked part; each trial multiplies it by the factor, up to the longest. */
@@ -169,7 +167,7 @@
         this.mergedAtMs = nowMs;
         for (const { part, pool, crashes, begun, block } of suspects) {
             if (begun) {
-                if (begun.ageMs < RELAYED_BEGINNING_MS) {
+                if (begun.ageMs < Suspect.reportedForMs) {
                     // Relayed, as the gateways that follow this one may know of crashes.
                     this.suspects.getOrAdd(part, pool);
                 }
--- a/packages/gateway/src/placement/Suspect.ts
+++ b/packages/gateway/src/placement/Suspect.ts
@@ -18,11 +18,11 @@
 /** Number of crashes within the common-cause window that count as evidence. */
 const MAX_EVIDENCE_PER_WINDOW = 2;
 const MAX_CRASHES_PER_SUSPECT = 8;
-/** Evidence of a single crash, or that a suspect is none, is sent to other gateways for this long. */
-const SHORT_REPORT_MS = 15_000;
 
 /** A part of prompts that may crash upstreams, with the crashes under it since the last response that has begun. */
 export class Suspect {
+    /** Evidence of a single crash, or that a suspect is none, is sent to other gateways for this long. */
+    static readonly reportedForMs = 15_000;
     /** Present while requests with this part are blocked. */
     block?: Block;
     private readonly crashesByUpstream = new Map<number, Crash>();
@@ -100,7 +100,7 @@
 
     /** Reports the suspect for some time from `atMs` on, even without evidence. */
     reportFrom(atMs: number): void {
-        this.reportUntilMs = Math.max(this.reportUntilMs, atMs + SHORT_REPORT_MS);
+        this.reportUntilMs = Math.max(this.reportUntilMs, atMs + Suspect.reportedForMs);
     }
 
     /** Returns true if other gateways are to learn of the suspect. */
