--- a/packages/gateway/src/forwarding/ForwardedCall.ts
+++ b/packages/gateway/src/forwarding/ForwardedCall.ts
@@ -19,6 +19,6 @@
     /** Aborts at the deadline, or earlier when the gateway's shutdown ends. */
     deadline: AbortSignal;
     configurationVersion: number;
-    /** The prompt has a blocked part; the request is sent to find out whether upstreams still crash under it. */
+    /** The request is blocked; it is sent to find out whether upstreams still crash under it. */
     isTrial: boolean;
 }
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -252,8 +252,8 @@
                     return { kind: "stopped" };
                 }
                 if (!idleTimeout.signal.aborted) {
-                    const subject = `${upstream.id}/${upstream.startedAtMs}`;
-                    this.options.crashGuard.recordCrash(call.crashSubjects, subject, call.service.name);
+                    const instance = `${upstream.id}/${upstream.startedAtMs}`;
+                    this.options.crashGuard.recordCrash(call.crashSubjects, instance, call.service.name);
                 }
                 const reason = response.kind === "unknown" ? response.reason : "the answer ended early";
                 return {
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -449,8 +449,8 @@
         const cause = abandonment.aborted ? String(abandonment.reason) : reason;
         if (!progress.hasEvents && !abandonment.aborted) {
             const { id, startedAtMs } = slot.candidate.head;
-            const upstream = `${id}/${startedAtMs}`;
-            this.options.crashGuard.recordCrash(call.crashSubjects, upstream, poolOf(call), isStaleConnection);
+            const instance = `${id}/${startedAtMs}`;
+            this.options.crashGuard.recordCrash(call.crashSubjects, instance, poolOf(call), isStaleConnection);
         }
         return { kind: "broken", reason: cause, isStaleConnection };
     }
--- a/packages/gateway/src/placement/CrashDetector.ts
+++ b/packages/gateway/src/placement/CrashDetector.ts
@@ -59,9 +59,10 @@
 const MAX_REPORTED_CLEARED_PARTS = 64;
 
 /**
- * Finds parts of prompts that crash every upstream that begins to respond to them, and blocks requests with such a part.
- * A response that has begun clears all parts of its prompt. A part is blocked if upstreams crash under it repeatedly
- * and more often than the share of crashing attempts explains. Gateways share their evidence, because each of them
+ * Finds parts of requests that crash every upstream that begins to respond to them, and blocks requests with such a part:
+ * parts of prompts, or the fingerprint of a whole request, according to the criteria. A response that has begun clears
+ * all parts of its request. A part of a prompt is blocked if upstreams crash under it repeatedly and more often than the
+ * share of crashing attempts explains. Gateways share their evidence, because each of them
  * handles only some of the requests.
  */
 export class CrashDetector {
--- a/packages/gateway/src/placement/CrashSuspect.ts
+++ b/packages/gateway/src/placement/CrashSuspect.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 
-/** Evidence that a part of prompts crashes upstreams. Times are given as ages, because clocks of gateways differ. */
+/** Evidence that a part of prompts, or a whole request, crashes upstreams. Times are given as ages, because clocks of gateways differ. */
 export const crashSuspectSchema = z.object({
     part: z.string(),
     /** Service and model to whose upstreams the prompts were sent. */
--- a/packages/gateway/src/placement/Suspect.ts
+++ b/packages/gateway/src/placement/Suspect.ts
@@ -19,7 +19,7 @@
 const MAX_EVIDENCE_PER_WINDOW = 2;
 const MAX_CRASHES_PER_SUSPECT = 8;
 
-/** A part of prompts that may crash upstreams, with the crashes under it since the last response that has begun. */
+/** A part of requests that may crash upstreams, with the crashes under it since the last response that has begun. */
 export class Suspect {
     /** Evidence of a single crash, or that a suspect is none, is sent to other gateways for this long. */
     static readonly reportedForMs = 15_000;
--- a/packages/gateway/src/placement/suspectCriteria.ts
+++ b/packages/gateway/src/placement/suspectCriteria.ts
@@ -26,8 +26,8 @@
         denyRetryProbability: 0.1,
         mayBeExplained: true,
     },
-    // A sound request is sent only a few times, and a request that is refused in error is one of many: crashes of several
-    // upstreams suffice, also of some that have ended at the same time.
+    // Only repeats of one request share a fingerprint. A sound request rarely meets several crashes, and refusing it in
+    // error costs that request only, so the number of crashes suffices, even if they happened at the same time.
     request: {
         name: "request",
         refusalReason: "upstreams crash under this request",
--- a/packages/gateway/tests/placement/crashingRequests.test.ts
+++ b/packages/gateway/tests/placement/crashingRequests.test.ts
@@ -78,6 +78,19 @@
         });
     }
 
+    for (const gateways of [6, 79]) {
+        for (const seed of [1, 2, 3, 4]) {
+            it(`are not suspected by ${gateways} gateways where all upstreams end at once, seed ${seed}`, () => {
+                const fleet = createFleet({ gateways, seed });
+                fleet.addTraffic(30, { fromMs: 0, untilMs: END_MS }, () => ["frequent"]);
+                fleet.every(15_000, START_MS, END_MS, () => fleet.crashHeads(() => true));
+                fleet.run(END_MS);
+                expect(fleet.endedUpstreams).to.be.at.least(15);
+                expect(fleet.blockedSound()).to.deep.equal([]);
+            });
+        }
+    }
+
     it("are served again within a minute after they have stopped crashing upstreams", () => {
         const fleet = createFleet({ gateways: 6, seed: 6 });
         addCrashing(fleet, "bad");
