Hold back requests that crash upstreams though they were served before

Found by reading the criteria again: a request to which a response had come was blocked only with the evidence of a known prompt part, eight crashes beside hardly any other, which a pool of three upstreams never gives.

Such a request is blocked when a sound one would collect its crashes with a probability below 5e-4 and they span more time than upstreams take to come back, in which a sound frequent request gets responses. The next trial is the second one, as attempts have reached upstreams meanwhile.

--- a/packages/gateway/src/placement/CrashDetector.ts
+++ b/packages/gateway/src/placement/CrashDetector.ts
@@ -25,8 +25,6 @@
 /** Evidence below which a part is never blocked, and below which its requests are retried as usual. */
 const MIN_EVIDENCE_TO_BLOCK = 3;
 const MIN_EVIDENCE_TO_DENY_RETRY = 2;
-/** The probability below which a part is blocked with which responses have begun before: it is more probably sound. */
-const KNOWN_PART_BLOCK_PROBABILITY = 1e-8;
 /**
  * Number of other responses that must have begun since the first crash before a part is blocked with which responses
  * have begun earlier: without any, the upstreams are the more probable cause.
@@ -276,7 +274,8 @@
             const evidence = this.options.criteria.evidenceOf(suspect);
             const isConfirmed = evidence >= MIN_EVIDENCE_TO_BLOCK && nowMs - suspect.firstCrashMs >= CONFIRMATION_MS;
             if (isConfirmed && this.isCause(suspect)) {
-                suspect.block = { sinceMs: nowMs, trials: 0 };
+                const isKnown = this.begunResponses.get(suspect.part) !== undefined;
+                suspect.block = { sinceMs: nowMs, trials: isKnown ? this.options.criteria.knownBlockTrials : 0 };
                 this.options.log.warn(`${this.options.criteria.name} blocked`, {
                     part: suspect.part,
                     pool: suspect.pool,
@@ -291,10 +290,11 @@
     /** Returns true if chance or the state of the upstreams hardly explain the crashes under a suspect. */
     private isCause(suspect: Suspect): boolean {
         const probability = this.soundProbability(suspect);
+        const { blockProbability, knownBlockProbability, minKnownSpanMs } = this.options.criteria;
         return this.begunResponses.get(suspect.part)
-            ? probability < KNOWN_PART_BLOCK_PROBABILITY
+            ? probability < knownBlockProbability && suspect.spanMs >= minKnownSpanMs
                 && this.othersSinceFirstCrash(suspect).begun >= MIN_BEGUN_ATTEMPTS
-            : probability < this.options.criteria.blockProbability;
+            : probability < blockProbability;
     }
 
     /** Returns the probability with which a part that is not the cause would collect as much evidence. */
--- a/packages/gateway/src/placement/Suspect.ts
+++ b/packages/gateway/src/placement/Suspect.ts
@@ -59,6 +59,11 @@
         return this.firstCrashAtMs;
     }
 
+    /** Time between the first and the last crash. */
+    get spanMs(): number {
+        return this.crashesByUpstream.size === 0 ? 0 : this.lastCrashAtMs - this.firstCrashAtMs;
+    }
+
     /** Number of crashes that this gateway has seen itself. */
     get ownCrashCount(): number {
         return [...this.crashesByUpstream.values()].filter(({ isOwn }) => isOwn).length;
--- a/packages/gateway/src/placement/suspectCriteria.ts
+++ b/packages/gateway/src/placement/suspectCriteria.ts
@@ -10,6 +10,12 @@
     evidenceOf: (suspect: Suspect) => number;
     /** A suspect is blocked if a sound one would collect as much evidence with a lower probability than this. */
     blockProbability: number;
+    /** The same for a suspect to which responses have begun before its crashes: it is more probably sound. */
+    knownBlockProbability: number;
+    /** Time between the first and the last crash of such a suspect before it is blocked. */
+    minKnownSpanMs: number;
+    /** Trials that count as sent when such a suspect is blocked, as its last crashes were as good as trials. */
+    knownBlockTrials: number;
     /** The same for not sending a request once more after a crash. */
     denyRetryProbability: number;
     /** True if a request has several suspects, so that another one may be the cause of the same crashes. */
@@ -23,6 +29,9 @@
         refusalReason: "upstreams crash under such prompts",
         evidenceOf: suspect => suspect.evidence,
         blockProbability: 5e-4,
+        knownBlockProbability: 1e-8,
+        minKnownSpanMs: 0,
+        knownBlockTrials: 0,
         denyRetryProbability: 0.1,
         mayBeExplained: true,
     },
@@ -33,6 +42,10 @@
         refusalReason: "upstreams crash under this request",
         evidenceOf: suspect => suspect.crashes.size,
         blockProbability: 1,
+        knownBlockProbability: 5e-4,
+        // Longer than an upstream takes to come back: a sound request that is frequent gets responses in between.
+        minKnownSpanMs: 2500,
+        knownBlockTrials: 1,
         denyRetryProbability: 1,
         mayBeExplained: false,
     },
--- a/packages/gateway/tests/placement/crashingRequests.test.ts
+++ b/packages/gateway/tests/placement/crashingRequests.test.ts
@@ -47,6 +47,17 @@
             });
         }
 
+        for (const seed of [7, 8, 9, 10, 11, 12, 13, 14]) {
+            it(`are held back by ${gateways} gateways though they were served before, seed ${seed}`, () => {
+                const fleet = createFleet({ gateways, seed });
+                fleet.addTraffic(1.2, { fromMs: 0, untilMs: END_MS }, () => ["bad"]);
+                fleet.at(20_000, () => fleet.crashingParts.add("bad"));
+                fleet.run(END_MS);
+                expectHeldBack(fleet, "bad");
+                expect(fleet.blockedSound(fleet.soundServedFromMs("bad"))).to.deep.equal([]);
+            });
+        }
+
         it(`are held back by ${gateways} gateways if there are four at once`, () => {
             const fleet = createFleet({ gateways, seed: 4, groups: 6 });
             const crashing = ["bad-0", "bad-1", "bad-2", "bad-3"];
