--- a/packages/testing/tests/standins/StandinEngine.test.ts
+++ b/packages/testing/tests/standins/StandinEngine.test.ts
@@ -129,7 +129,7 @@
         await formGroup(3);
         expect(await sendOrder(0, 4)).to.equal(202);
         expect(await getReport(0)).to.include({ phase: "ready", epoch: 4 });
-        expect(await sendOrder(0, 5, 2)).to.equal(202);
+        expect(await sendOrder(0, 5, 200)).to.equal(202);
         expect(await getReport(0)).to.include({ phase: "loading", epoch: 5 });
     });
 
