Act on what upstreams announce: leaving, waits, and rejections sent twice

What callers saw: nothing read Server-Leaving or Retry-After of upstreams, so requests went on to upstreams that were shutting down or had asked for a pause. A begun stream whose group answered 421 was sent there again at once, without end.

Change: one module decodes a response's announcements (parseAnnouncements), one client records them. An instance that says it is leaving is draining for this gateway at once and for all others through the peers' exchange, whatever its registration says; statements in reports and responses to orders count too. A wait is kept per gateway; a wait of over 10 s is tried with one request. A 421 is avoided with a growing pause, and a begun stream is given up after 6 rejections. Refusals state the time until an upstream accepts requests also where it exceeds 2 s.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -10,8 +10,8 @@
 import { OrderSender } from "./fleet/OrderSender.js";
 import { StandbyPool } from "./fleet/StandbyPool.js";
 import { WeightLoadLimiter } from "./fleet/WeightLoadLimiter.js";
+import { AnnouncementRecordingClient } from "./forwarding/AnnouncementRecordingClient.js";
 import { IdleTimeoutMonitor } from "./forwarding/IdleTimeoutMonitor.js";
-import { LimitRecordingClient } from "./forwarding/LimitRecordingClient.js";
 import { PlainDispatcher } from "./forwarding/PlainDispatcher.js";
 import { RequestForwarder } from "./forwarding/RequestForwarder.js";
 import { StreamDispatcher } from "./forwarding/StreamDispatcher.js";
@@ -33,6 +33,7 @@
 import { FailureRateTracker } from "./placement/FailureRateTracker.js";
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
+import { RequestedWaits } from "./placement/RequestedWaits.js";
 import { RetryBudget } from "./placement/RetryBudget.js";
 import { UpstreamLimiter } from "./placement/UpstreamLimiter.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
@@ -147,9 +148,11 @@
             log,
             isRegistered: (id, startedAtMs) => this.upstreams.get(id)?.startedAtMs === startedAtMs,
         });
+        const waits = RequestedWaits.create({ clock, log });
         const upstreamLimiter = UpstreamLimiter.create({
             coldStart: ColdStartLimiter.create({ clock, position }),
             announced: AnnouncedRateLimiter.create({ clock, limits: this.announcedLimits, position }),
+            waits,
         });
         const retryBudget = RetryBudget.create({
             clock,
@@ -173,7 +176,14 @@
         const dispatcherOptions = {
             ...sharedOptions,
             idleTimeouts: this.idleTimeouts,
-            client: LimitRecordingClient.create({ clock, client, limits: this.announcedLimits }),
+            client: AnnouncementRecordingClient.create({
+                clock,
+                log,
+                client,
+                limits: this.announcedLimits,
+                waits,
+                upstreams: this.upstreams,
+            }),
             zone: settings.zone,
             viewAgeMs,
         };
@@ -217,7 +227,14 @@
             onBlockedSuspects: blocked => crashGuard.merge(blocked),
             highestUpstreamTerm: () => EpochSource.highestTerm(this.upstreams),
         });
-        const orders = OrderSender.create({ clock, log, metrics, control });
+        const orders = OrderSender.create({
+            clock,
+            log,
+            metrics,
+            control,
+            onLeaving: ({ id, startedAtMs }) =>
+                this.upstreams.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
+        });
         const hasTraffic = () => this.hasTraffic;
         const weightLoadLimiter = WeightLoadLimiter.create({
             clock,
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -1,6 +1,8 @@
 import type { Clock } from "@fescuehaven/runtime";
 import type { Upstream } from "./model/Upstream.js";
 import type { OpenGroup } from "./peers/OpenGroup.js";
+import { LeavingInstances } from "./placement/LeavingInstances.js";
+import type { LeavingReport } from "./placement/LeavingReport.js";
 import type { DecisionLog } from "./ports/DecisionLog.js";
 
 interface UpstreamDirectoryOptions {
@@ -27,7 +29,10 @@
 /** Availability of an upstream that takes no requests; most of these are group members other than the head. */
 const NO_REQUESTS = "nothing";
 
-/** The registered upstreams, as last received from the store or a peer. */
+/**
+ * The registered upstreams, as last received from the store or a peer. An instance that has said in a response that it
+ * is shutting down is draining, whatever its registration says.
+ */
 export class UpstreamDirectory {
     private readonly upstreams = new Map<string, Upstream>();
     private readonly missingSinceMs = new Map<string, number>();
@@ -39,7 +44,14 @@
     /** Computed again when the directory has changed. */
     private cachedHighestEpoch: { version: number; epoch: number; } | undefined;
 
-    private constructor(private readonly options: UpstreamDirectoryOptions) {}
+    private readonly leaving: LeavingInstances;
+
+    private constructor(private readonly options: UpstreamDirectoryOptions) {
+        this.leaving = LeavingInstances.create({
+            clock: options.clock,
+            isRegistered: (id, startedAtMs) => this.upstreams.get(id)?.startedAtMs === startedAtMs,
+        });
+    }
 
     /** Creates an empty directory. */
     static create(options: UpstreamDirectoryOptions): UpstreamDirectory {
@@ -78,8 +90,29 @@
         return this.upstreams.values();
     }
 
+    /** Instances that have said that they are shutting down, for other gateways. */
+    leavingReports(): LeavingReport[] {
+        return this.leaving.reports();
+    }
+
+    /** Records that an instance is shutting down. Returns false if that is known, or another instance is registered. */
+    recordLeaving({ upstream, startedAtMs, ageMs }: LeavingReport, source: "response" | "order" | "peer"): boolean {
+        if (!this.leaving.record(upstream, startedAtMs, ageMs)) {
+            return false;
+        }
+        this.options.log.info("upstream is leaving", { upstream, bornMs: startedAtMs, source });
+        const registered = this.upstreams.get(upstream);
+        if (registered?.startedAtMs === startedAtMs && registered.state === "ready") {
+            this.set(registered);
+        }
+        return true;
+    }
+
     /** Adds an upstream or replaces its registration. */
-    set(upstream: Upstream): void {
+    set(registration: Upstream): void {
+        const upstream: Upstream = this.leaving.has(registration.id, registration.startedAtMs)
+            ? { ...registration, state: "draining" }
+            : registration;
         const before = this.upstreams.get(upstream.id);
         this.missingSinceMs.delete(upstream.id);
         this.withheld.delete(upstream.id);
@@ -179,6 +212,7 @@
                 this.set(upstream);
             }
         }
+        this.leaving.sweep();
         this.removals.forEach(({ atMs }, id) => nowMs - atMs > REMOVAL_RETENTION_MS && this.removals.delete(id));
     }
 
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -12,6 +12,8 @@
     log: DecisionLog;
     metrics: GatewayMetrics;
     control: UpstreamControl;
+    /** Called when an upstream has said that it is shutting down. */
+    onLeaving: (upstream: Upstream) => void;
 }
 
 /**
@@ -70,6 +72,9 @@
         const report = await this.options.control.fetchReport(upstream, timeoutMs);
         if (report.kind === "reported" && report.startedAtMs === upstream.startedAtMs) {
             this.reportedCounts.set(instanceKeyOf(upstream), report.orderCount);
+            if (report.isLeaving) {
+                this.options.onLeaving(upstream);
+            }
         }
         return report;
     }
@@ -90,6 +95,9 @@
                 status: "status" in outcome ? outcome.status : undefined,
                 tries,
             });
+            if (outcome.isLeaving) {
+                this.options.onLeaving(upstream);
+            }
             if (outcome.kind === "accepted") {
                 this.orderCounts.set(instanceKey, expectedCount + 1);
                 return "completed";
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -108,6 +108,8 @@
 const EVENT_PAUSE_LIMIT_MS = 750;
 /** Number of rejections after which a request is refused: the view is wrong about several groups, or all are full. */
 const MAX_REJECTIONS = 3;
+/** The same for a stream that has begun, whose response would be cut off. */
+const MAX_REJECTIONS_OF_BEGUN = 6;
 /** Time within which a group that is being formed is expected to open: warm joins take about a second. */
 const EXPECTED_FORMATION_MS = 800;
 /** Fraction of the remaining time that a request may spend waiting; the rest is for the response itself. */
@@ -334,12 +336,7 @@
             if (response.kind === "not-run") {
                 failureRates.record(head.id, true);
                 const { reason } = response;
-                if (reason === "not-connected" || reason === "overloaded") {
-                    avoidedUpstreams.record(head, reason);
-                }
-                else {
-                    avoidedUpstreams.recordReached(head);
-                }
+                avoidedUpstreams.record(head, reason);
                 return { kind: "not-run", reason, hasArrived: reason !== "not-connected" };
             }
             if (response.kind === "unknown") {
@@ -421,7 +418,7 @@
         const isResend = progress.resendTo === candidate.head.id;
         const attemptsAfterThis = progress.countedAttempts + (isResend ? 0 : 1);
         const mayRetry = call.route.isResumable && attemptsAfterThis < call.route.maxAttempts
-            && (progress.hasEvents || progress.rejections < MAX_REJECTIONS) && !this.isBlocked(call);
+            && !isRejectedTooOften(progress) && !this.isBlocked(call);
         if (!mayRetry) {
             return false;
         }
@@ -513,7 +510,7 @@
         if (!call.route.isResumable && result.kind !== "not-run") {
             return "not resumable";
         }
-        if (progress.rejections >= MAX_REJECTIONS && !progress.hasEvents) {
+        if (isRejectedTooOften(progress)) {
             return "too many rejections";
         }
         if (!hasAttemptsLeft(call, progress) && progress.resendTo === undefined) {
@@ -624,6 +621,10 @@
     return progress.countedAttempts < call.route.maxAttempts;
 }
 
+function isRejectedTooOften({ rejections, hasEvents }: StreamProgress): boolean {
+    return rejections >= (hasEvents ? MAX_REJECTIONS_OF_BEGUN : MAX_REJECTIONS);
+}
+
 /** Returns the name of the upstreams among which a call's one is chosen. */
 function poolOf({ service, request }: ForwardedCall): string {
     return `${service.name}/${request.model ?? ""}`;
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -311,6 +311,11 @@
             ageMs: report.ageMs,
             requestAgeMs: report.requestAgeMs,
         })),
+        leavingUpstreams: update.leavingUpstreams.map(({ upstream, startedAtMs, ageMs }) => ({
+            upstream,
+            startedAtMs,
+            ageMs,
+        })),
         crashEvidence: {
             promptParts: update.crashSuspects.map(toCrashSuspect),
             requests: update.crashingRequests.map(toCrashSuspect),
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -49,7 +49,7 @@
 /** What gateways learn from responses and report to all their peers alike. */
 interface LearnedSnapshot {
     atMs: number;
-    state: Pick<PeerState, "crashEvidence" | "announcedLimits">;
+    state: Pick<PeerState, "crashEvidence" | "announcedLimits" | "leavingUpstreams">;
 }
 
 /** Interval between updates while the state changes: short compared with the duration of a request. */
@@ -110,10 +110,14 @@
 
     /** Returns what was learned from responses, computed once for all peers. */
     private learnedState(): LearnedSnapshot["state"] {
-        const { clock, crashGuard, announcedLimits } = this.options;
+        const { clock, crashGuard, announcedLimits, upstreams } = this.options;
         const nowMs = clock.monotonicMs();
         if (!this.learnedSnapshot || nowMs - this.learnedSnapshot.atMs >= SNAPSHOT_TTL_MS) {
-            const state = { crashEvidence: crashGuard.report(), announcedLimits: announcedLimits.reports() };
+            const state = {
+                crashEvidence: crashGuard.report(),
+                announcedLimits: announcedLimits.reports(),
+                leavingUpstreams: upstreams.leavingReports(),
+            };
             this.learnedSnapshot = { atMs: nowMs, state };
         }
         return this.learnedSnapshot.state;
@@ -166,6 +170,12 @@
         this.peerStates.set(peer, state);
         this.options.crashGuard.merge(state.crashEvidence);
         this.options.announcedLimits.merge(state.announcedLimits);
+        const isLeavingNew = state.leavingUpstreams
+            .map(report => this.options.upstreams.recordLeaving(report, "peer")).includes(true);
+        if (isLeavingNew && this.options.connections.isHub) {
+            this.learnedSnapshot = undefined;
+            this.options.flush();
+        }
         if (this.usesLoadOf(peer)) {
             this.options.loads.setPeerLoads(peer, state.loads);
             this.options.retryBudget.setPeerCounts(peer, state.retries, state.countedGateways);
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -1,4 +1,5 @@
 import type { CrashReport } from "../placement/CrashReport.js";
+import type { LeavingReport } from "../placement/LeavingReport.js";
 import type { LimitReport } from "../placement/LimitReport.js";
 import type { RetryCounts } from "../placement/RetryCounts.js";
 import type { TargetLoad } from "../placement/TargetLoad.js";
@@ -23,6 +24,8 @@
     crashEvidence: CrashReport;
     /** Limits that upstreams have announced, from all gateways of which the sender has learned. */
     announcedLimits: readonly LimitReport[];
+    /** Instances of upstreams that are shutting down, from all gateways of which the sender has learned. */
+    leavingUpstreams: readonly LeavingReport[];
     /** Version of the sender's active configuration; 0 if it has none. */
     configurationVersion: number;
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -130,6 +130,7 @@
             ageMs: Math.round(report.ageMs),
             requestAgeMs: Math.round(report.requestAgeMs),
         })),
+        leavingUpstreams: state.leavingUpstreams.map(report => ({ ...report, ageMs: Math.round(report.ageMs) })),
     });
 }
 
--- a/packages/gateway/src/placement/AdmissionQueue.ts
+++ b/packages/gateway/src/placement/AdmissionQueue.ts
@@ -27,7 +27,7 @@
 const ADMISSION_RATE_WINDOW_MS = 2000;
 /** Shortest retry-after delay: a caller that returns sooner would find the same state again. */
 const MIN_RETRY_AFTER_MS = 300;
-/** Longest retry-after delay: callers retry within a third of their time, or not at all. */
+/** Longest retry-after delay because of other requests: callers retry within a third of their time, or not at all. */
 const MAX_RETRY_AFTER_MS = 2000;
 /** Largest random addition, as a fraction of the delay, so that callers refused together don't return together. */
 const RETRY_AFTER_JITTER = 0.5;
@@ -149,7 +149,9 @@
         if (nowMs + waitMs <= request.usefulUntilMs) {
             return undefined;
         }
-        const delayMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+        // A caller that returns before an upstream accepts requests at all would be refused again.
+        const acceptedInMs = expectedWaitMs === Infinity ? 0 : expectedWaitMs;
+        const delayMs = Math.max(MIN_RETRY_AFTER_MS, acceptedInMs, Math.min(MAX_RETRY_AFTER_MS, waitMs));
         const jitterMs = delayMs * RETRY_AFTER_JITTER * this.options.random.next();
         const reason = expectedWaitMs === Infinity ? "nothing serves the request now" : "no place in time";
         return { kind: "refused", retryAfterMs: delayMs + jitterMs, reason };
--- a/packages/gateway/src/placement/AvoidedUpstreams.ts
+++ b/packages/gateway/src/placement/AvoidedUpstreams.ts
@@ -2,18 +2,24 @@
 import type { Upstream } from "../model/Upstream.js";
 import type { NotRunReason } from "../ports/NotRunReason.js";
 
-type AvoidanceReason = Extract<NotRunReason, "overloaded" | "not-connected">;
-
 interface Avoidance {
     /** Instance that is avoided. */
     startedAtMs: number;
-    reason: AvoidanceReason;
+    reason: NotRunReason;
     /** When the upstream was last tried, on the monotonic clock. */
     triedAtMs: number;
+    /** Number of times in a row that it was tried with this result. */
+    tries: number;
 }
 
 /** Time for which an upstream is avoided. Loads may take as long as an overloaded one is avoided to reach all gateways. */
-const avoidanceMs: Readonly<Record<AvoidanceReason, number>> = { overloaded: 300, "not-connected": 2000 };
+const avoidanceMs: Readonly<Record<NotRunReason, number>> = {
+    overloaded: 300,
+    "other-instance": 300,
+    "not-connected": 2000,
+};
+/** An upstream that does not accept its requests is avoided for twice as long after each, up to this multiple. */
+const MAX_BACKOFF_FACTOR = 8;
 /** Interval of attempts at an unreachable upstream while no other can be reached: the gateway's own link may be down. */
 const LAST_RESORT_INTERVAL_MS = 500;
 /** An upstream is forgotten if no request has tried it for this long. */
@@ -21,8 +27,8 @@
 
 /**
  * Remembers upstreams that rejected a request or accepted no connection. Near the fleet's capacity, other gateways'
- * requests become known late, so a group that rejects requests still looks free; an upstream that has crashed remains
- * registered for a few seconds. Each gateway decides for itself, because others may reach the upstream.
+ * requests become known late, so a group that rejects requests still looks free; an upstream that has crashed, or is no
+ * longer the head of its group, remains registered as before for a few seconds. Each gateway decides for itself, because others may reach the upstream.
  */
 export class AvoidedUpstreams {
     private readonly avoidances = new Map<string, Avoidance>();
@@ -39,15 +45,17 @@
         return this.avoidances.size;
     }
 
-    /** Records that the upstream has just rejected a request because it is full, or has accepted no connection. */
-    record({ id, startedAtMs }: Upstream, reason: AvoidanceReason): void {
+    /** Records that the upstream has just rejected a request or accepted no connection. */
+    record({ id, startedAtMs }: Upstream, reason: NotRunReason): void {
         const nowMs = this.clock.monotonicMs();
         if (!this.avoidances.has(id)) {
             this.avoidances.forEach(({ triedAtMs }, other) =>
                 nowMs - triedAtMs > RETENTION_MS && this.avoidances.delete(other)
             );
         }
-        this.avoidances.set(id, { startedAtMs, reason, triedAtMs: nowMs });
+        const known = this.avoidances.get(id);
+        const isRepeated = known?.startedAtMs === startedAtMs && known.reason === reason;
+        this.avoidances.set(id, { startedAtMs, reason, triedAtMs: nowMs, tries: isRepeated ? known.tries + 1 : 1 });
     }
 
     /** Records that a request is sent to the upstream, so that an unreachable one is tried by one request at a time. */
@@ -57,9 +65,10 @@
         }
     }
 
-    /** Records that the upstream has responded. */
+    /** Records that the upstream has responded. One that was full may be full again. */
     recordReached(upstream: Upstream): void {
-        if (this.isUnreachable(upstream)) {
+        const reason = this.avoidanceOf(upstream)?.reason;
+        if (reason !== undefined && reason !== "overloaded") {
             this.avoidances.delete(upstream.id);
         }
     }
@@ -79,8 +88,7 @@
             if (!avoidance) {
                 return true;
             }
-            const { reason, triedAtMs } = avoidance;
-            return nowMs - triedAtMs >= (isAnyReachable ? avoidanceMs[reason] : LAST_RESORT_INTERVAL_MS);
+            return nowMs - avoidance.triedAtMs >= (isAnyReachable ? durationMs(avoidance) : LAST_RESORT_INTERVAL_MS);
         }));
     }
 
@@ -90,3 +98,8 @@
         return avoidance?.startedAtMs === startedAtMs ? avoidance : undefined;
     }
 }
+
+function durationMs({ reason, tries }: Avoidance): number {
+    const factor = reason === "other-instance" ? Math.min(2 ** (tries - 1), MAX_BACKOFF_FACTOR) : 1;
+    return avoidanceMs[reason] * factor;
+}
--- a/packages/gateway/src/ports/NotRunReason.ts
+++ b/packages/gateway/src/ports/NotRunReason.ts
@@ -1,2 +1,2 @@
 /** Reason why an upstream did not run a request. */
-export type NotRunReason = "overloaded" | "not-connected" | "other-instance" | "aborted";
+export type NotRunReason = "overloaded" | "not-connected" | "other-instance";
--- a/packages/gateway/src/ports/UpstreamReport.ts
+++ b/packages/gateway/src/ports/UpstreamReport.ts
@@ -12,6 +12,8 @@
         stagedModels: readonly string[];
         /** Factor on the usual durations; above 1 the upstream is slow. */
         slowdown: number;
+        /** True if the response says that the upstream is shutting down. */
+        isLeaving?: boolean;
     }
     /** Another upstream responded at this address. */
     | { kind: "other-instance"; }
--- a/packages/gateway/src/ports/UpstreamResponse.ts
+++ b/packages/gateway/src/ports/UpstreamResponse.ts
@@ -1,4 +1,4 @@
-import type { LimitAnnouncement } from "./LimitAnnouncement.js";
+import type { Announcements } from "./Announcements.js";
 import type { NotRunReason } from "./NotRunReason.js";
 import type { ResponseHead } from "./ResponseHead.js";
 
@@ -9,8 +9,7 @@
         head: ResponseHead;
         /** True if the response carries the upstream's signature. */
         isSigned: boolean;
-        /** Absent if the upstream announces no limit. */
-        limit?: LimitAnnouncement;
+        announcements?: Announcements;
         /** Throws if the response ends before it is complete. */
         body: AsyncIterable<Buffer>;
     }
@@ -18,8 +17,7 @@
     | {
         kind: "not-run";
         reason: NotRunReason;
-        /** Absent if the upstream announces no limit or has not responded. */
-        limit?: LimitAnnouncement;
+        announcements?: Announcements;
     }
     /** The request may have run. */
     | {
--- a/packages/gateway/tests/forwarding/announcedLimits.test.ts
+++ b/packages/gateway/tests/forwarding/announcedLimits.test.ts
@@ -52,7 +52,7 @@
                     ? undefined
                     : { kind: "unreadable" as const, text: value };
                 const answered = response();
-                return answered.kind === "answered" && limit ? { ...answered, limit } : answered;
+                return answered.kind === "answered" && limit ? { ...answered, announcements: { limit } } : answered;
             });
         }
 
@@ -82,7 +82,7 @@
                 const answered = response();
                 return responsesOfLimited % 2 === 0 || answered.kind !== "answered"
                     ? { kind: "not-run", reason: "overloaded" }
-                    : { ...answered, limit: { kind: "limited", requestsPerSecond: 1 } };
+                    : { ...answered, announcements: { limit: { kind: "limited", requestsPerSecond: 1 } } };
             });
             const sinceMs = rig.clock.monotonicMs() + STABLE_WINDOW_MS;
             await sendFor(20_000);
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -28,6 +28,7 @@
     announcedLimits: AnnouncedLimits;
     exchange: PeerExchange;
     flushes: number;
+    upstreams: UpstreamDirectory;
 }
 
 /** Returns what a request has whose prompt consists of the parts. */
@@ -76,6 +77,7 @@
         const announcedLimits = AnnouncedLimits.create({ clock, random, log, isRegistered: () => true });
         const gateway: TestGateway = {
             vm,
+            upstreams,
             crashGuard,
             announcedLimits,
             connections,
@@ -229,6 +231,24 @@
         });
     }
 
+    it("tells 80 gateways within half a second that an upstream is leaving", async () => {
+        const vms = ["a", "b", "c", "d"].flatMap(zone => Array.from({ length: 20 }, (_, index) => `${zone}${index}`));
+        start(vms);
+        for (const { upstreams } of gateways.values()) {
+            upstreams.set(exampleUpstream("u1"));
+        }
+        const last = gateways.get("d19")!;
+        last.upstreams.recordLeaving({ upstream: "u1", startedAtMs: 1000, ageMs: 0 }, "response");
+        // A leaf reports to its hub at the next interval; hubs pass on at once what is new to them.
+        await exchangeStates();
+        await exchangeStates();
+        await exchangeStates();
+        expect(clock.monotonicMs()).to.be.at.most(500);
+        const states = [...gateways.values()].map(({ upstreams }) => upstreams.get("u1")?.state);
+        expect(states).to.deep.equal(vms.map(() => "draining"));
+        expect(gateways.get("a0")!.flushes).to.equal(1);
+    });
+
     it("keeps the retries of zones that are partitioned from each other within the budget of all", async () => {
         start(fleets[1]![1]);
         for (let pass = 0; pass < 5; pass++) {
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -35,6 +35,7 @@
                 lostEpochs: [],
                 crashEvidence: { promptParts: [], requests: [] },
                 announcedLimits: [],
+                leavingUpstreams: [],
             };
         };
         publisher = PeerStatePublisher.create({
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -21,6 +21,7 @@
     countedGateways: 4,
     configurationVersion: 7,
     lostEpochs: [65536],
+    leavingUpstreams: [{ upstream: "u2", startedAtMs: 1000, ageMs: 50 }],
     announcedLimits: [
         { upstream: "u1", startedAtMs: 1000, requestsPerSecond: 2.5, id: 7, ageMs: 20, requestAgeMs: 45 },
         { upstream: "u2", startedAtMs: 2000, requestsPerSecond: undefined, id: 8, ageMs: 30, requestAgeMs: 60 },
--- a/packages/gateway/tests/placement/AvoidedUpstreams.test.ts
+++ b/packages/gateway/tests/placement/AvoidedUpstreams.test.ts
@@ -27,6 +27,20 @@
         expect([usableIds(), usableIds([first])]).to.deep.equal([["u1", "u2"], ["u1"]]);
     });
 
+    it("avoids an upstream for longer each time that another instance responds, until it serves a request", async () => {
+        for (const pauseMs of [300, 600, 1200, 2400, 2400]) {
+            avoided.record(first, "other-instance");
+            await clock.advance(pauseMs - 1);
+            expect(usableIds()).to.deep.equal(["u2"]);
+            await clock.advance(1);
+            expect(usableIds()).to.deep.equal(["u1", "u2"]);
+        }
+        avoided.recordReached(first);
+        avoided.record(first, "other-instance");
+        await clock.advance(300);
+        expect(usableIds()).to.deep.equal(["u1", "u2"]);
+    });
+
     it("lets one request at a time try an unreachable upstream after the avoidance time", async () => {
         avoided.record(first, "not-connected");
         await clock.advance(1999);
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -99,7 +99,14 @@
                 return outcome;
             },
         };
-        const orders = OrderSender.create({ clock, log, metrics: noMetrics, control });
+        const orders = OrderSender.create({
+            clock,
+            log,
+            metrics: noMetrics,
+            control,
+            onLeaving: ({ id, startedAtMs }) =>
+                this.directory.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
+        });
         const weightLoadLimiter = WeightLoadLimiter.create({ clock, windowMs: 5000, hasTraffic: () => hasTraffic });
         const lease = ControllerLease.create({
             clock,
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -1,7 +1,7 @@
 import { ManualClock, SeededRandom } from "@fescuehaven/testing";
 import { ActiveConfiguration } from "../../src/ActiveConfiguration.js";
+import { AnnouncementRecordingClient } from "../../src/forwarding/AnnouncementRecordingClient.js";
 import { IdleTimeoutMonitor } from "../../src/forwarding/IdleTimeoutMonitor.js";
-import { LimitRecordingClient } from "../../src/forwarding/LimitRecordingClient.js";
 import { PlainDispatcher } from "../../src/forwarding/PlainDispatcher.js";
 import { RequestForwarder } from "../../src/forwarding/RequestForwarder.js";
 import { StreamDispatcher } from "../../src/forwarding/StreamDispatcher.js";
@@ -16,6 +16,7 @@
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
+import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
 import { UpstreamLimiter } from "../../src/placement/UpstreamLimiter.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
@@ -85,6 +86,7 @@
             log,
             isRegistered: id => this.directory.get(id) !== undefined,
         });
+        const waits = RequestedWaits.create({ clock, log });
         const shared = {
             clock,
             log,
@@ -94,13 +96,21 @@
             upstreamLimiter: UpstreamLimiter.create({
                 coldStart: ColdStartLimiter.create({ clock, position }),
                 announced: AnnouncedRateLimiter.create({ clock, limits, position }),
+                waits,
             }),
             failureRates,
             avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
             crashGuard: this.crashGuard,
             idleTimeouts,
-            client: LimitRecordingClient.create({ clock, client, limits }),
+            client: AnnouncementRecordingClient.create({
+                clock,
+                log,
+                client,
+                limits,
+                waits,
+                upstreams: this.directory,
+            }),
             zone: "a",
             viewAgeMs: () => 0,
         };
--- a/packages/gateway/tests/support/SimulatedLimits.ts
+++ b/packages/gateway/tests/support/SimulatedLimits.ts
@@ -3,6 +3,7 @@
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
 import { AnnouncedRateLimiter } from "../../src/placement/AnnouncedRateLimiter.js";
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
+import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
 import { UpstreamLimiter } from "../../src/placement/UpstreamLimiter.js";
 import type { LimitAnnouncement } from "../../src/ports/LimitAnnouncement.js";
 import { exampleUpstream } from "./exampleUpstream.js";
@@ -124,6 +125,7 @@
         const limiter = UpstreamLimiter.create({
             coldStart: ColdStartLimiter.create({ clock, position }),
             announced: AnnouncedRateLimiter.create({ clock, limits, position }),
+            waits: RequestedWaits.create({ clock, log: SilentDecisionLog.create() }),
         });
         return { limits, limiter, isCutOff: false };
     }
