Let only the controller read the store, and others through it

Cause: the active hub of every zone watched all kinds, upstreams up to six times a second, and the controller watched them again after each change, up to 40 times a second. Change: active hubs, and the gateways of small fleets, read the view of the gateway that says in its state that it is the controller of the highest term; its calls are aborted as soon as it is not. The controller gathers changes after six watches within a second. Ruled out: a second reader in each zone, as a source that is silent is left after 0.65 s.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -24,6 +24,7 @@
 import { PeerExchange } from "./peers/PeerExchange.js";
 import { PeerStatePublisher } from "./peers/PeerStatePublisher.js";
 import { ViewServiceHandler } from "./peers/ViewServiceHandler.js";
+import { ViewSourceSelector } from "./peers/ViewSourceSelector.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
 import { AnnouncedLimits } from "./placement/AnnouncedLimits.js";
 import { AnnouncedRateLimiter } from "./placement/AnnouncedRateLimiter.js";
@@ -41,6 +42,7 @@
 import { StoreEras } from "./StoreEras.js";
 import { StoreWatch } from "./StoreWatch.js";
 import { UpstreamDirectory } from "./UpstreamDirectory.js";
+import { SlidingWindowCounter } from "./util/SlidingWindowCounter.js";
 import { WatchCache } from "./WatchCache.js";
 
 /** Time for upstreams to register again after a store outage: two of their usual heartbeats. */
@@ -50,8 +52,8 @@
  * watch, it is shorter than the time in which a change must be active after a connection was lost.
  */
 const URGENT_WATCH_WAIT_MS = 2200;
-/** The same at a hub; shorter because the hub's followers notice a lost connection only after the hub itself. */
-const HUB_WATCH_WAIT_MS = 1500;
+/** The same at a gateway whose view others read; shorter because they notice a lost connection only after it. */
+const READER_WATCH_WAIT_MS = 1500;
 /** Maximum wait of a watch for the gateways' own objects; peers notice most of these changes by themselves. */
 const GATEWAY_WATCH_WAIT_MS = 8000;
 /**
@@ -60,6 +62,10 @@
  */
 const UPSTREAM_WATCH_PAUSE_MS = 400;
 const CONTROLLER_WATCH_PAUSE_MS = 15;
+/** While upstreams change all the time, the controller gathers changes after this many watches within a second. */
+const MAX_QUICK_WATCHES_PER_S = 6;
+const BUSY_CONTROLLER_WATCH_PAUSE_MS = 120;
+const WATCH_RATE_WINDOW_MS = 1000;
 const HUB_WATCH_PAUSE_MS = 150;
 /** Pause before other watches are renewed. */
 const DEFAULT_WATCH_PAUSE_MS = 50;
@@ -93,6 +99,7 @@
     private readonly registration: Registration;
     private readonly forwarder: RequestForwarder;
     private readonly caches = new Map<string, WatchCache>();
+    private readonly viewSource: ViewSourceSelector;
     private readonly assistedStore: PeerAssistedStore;
     private readonly eras: StoreEras;
     private readonly watches: StoreWatch[];
@@ -100,6 +107,7 @@
     private readonly upstreamWatch: StoreWatch;
     private readonly stop = createStopController();
     private readonly exchange: PeerExchange;
+    private readonly upstreamWatchCalls: SlidingWindowCounter;
     private readonly announcedLimits: AnnouncedLimits;
     /** Configurations that were active at peers when this gateway started, in their stored form. */
     private peerConfigurations: unknown[] = [];
@@ -203,14 +211,20 @@
             }),
             plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated }),
         });
-        // The controller reads the store directly, because its reconcile passes wait for the members' registrations.
-        const hub = () => this.lease.isController ? undefined : this.connections.reachableHub();
+        this.viewSource = ViewSourceSelector.create({
+            vm: settings.vm,
+            zone: settings.zone,
+            connections: this.connections,
+            isController: () => this.lease.isController,
+            controllerPeer: () => this.exchange.controllerPeer(),
+        });
+        const source = () => this.viewSource.current();
         const seeds = settings.seedPeers.map(address => ({ address, silent: this.stop.signal }));
         const peers = () => {
             const sources = this.connections.viewSources();
             return sources.length > 0 ? sources : seeds;
         };
-        this.assistedStore = PeerAssistedStore.create({ clock, random, log, eras: this.eras, store, hub, peers });
+        this.assistedStore = PeerAssistedStore.create({ clock, random, log, eras: this.eras, store, source, peers });
         this.lease = ControllerLease.create({
             clock,
             log,
@@ -311,6 +325,7 @@
             zone: settings.zone,
         });
         this.eras.onRise(() => this.registration.writeAgain());
+        this.upstreamWatchCalls = SlidingWindowCounter.create(clock, WATCH_RATE_WINDOW_MS);
         this.configurationWatch = this.watchConfiguration();
         this.upstreamWatch = this.watchUpstreams();
         this.watches = [
@@ -395,6 +410,7 @@
             this.upstreams.expireMissing();
             this.evacuatedZones.settle();
             this.connections.update();
+            this.viewSource.update();
             this.exchange.sweep();
             this.announcedLimits.sweep();
             this.checkPeerConfigurations();
@@ -520,12 +536,15 @@
     }
 
     private urgentWatchWaitMs(): number {
-        return this.connections.isActiveHub ? HUB_WATCH_WAIT_MS : URGENT_WATCH_WAIT_MS;
+        return this.connections.isActiveHub || this.lease.isController ? READER_WATCH_WAIT_MS : URGENT_WATCH_WAIT_MS;
     }
 
     private upstreamWatchPauseMs(): number {
+        this.upstreamWatchCalls.record();
         if (this.lease.isController) {
-            return CONTROLLER_WATCH_PAUSE_MS;
+            return this.upstreamWatchCalls.count < MAX_QUICK_WATCHES_PER_S
+                ? CONTROLLER_WATCH_PAUSE_MS
+                : BUSY_CONTROLLER_WATCH_PAUSE_MS;
         }
         // The hub's followers receive changes only after the hub does.
         return this.connections.isHub ? HUB_WATCH_PAUSE_MS : UPSTREAM_WATCH_PAUSE_MS;
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -17,13 +17,7 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { StoreEras } from "../StoreEras.js";
-
-/** A gateway whose view of the store can be read. */
-interface ViewSource {
-    address: string;
-    /** Aborts when this process receives nothing more from the gateway. */
-    silent: AbortSignal;
-}
+import type { ViewSource } from "./ViewSource.js";
 
 interface PeerAssistedStoreOptions {
     clock: Clock;
@@ -32,8 +26,8 @@
     eras: StoreEras;
     /** The platform's store. */
     store: ObjectStore;
-    /** Hub whose view is used; undefined if there is none or it is not reachable. */
-    hub: () => ViewSource | undefined;
+    /** Gateway whose view is read instead of the store; undefined if there is none or it is not reachable. */
+    source: () => ViewSource | undefined;
     /** Gateways whose views may be used while the store is unavailable. */
     peers: () => ViewSource[];
 }
@@ -58,7 +52,7 @@
 const LIST_TIMEOUT_MS = 1000;
 /** Additional time beyond a watch's own wait after which the call to a peer is aborted. */
 const WATCH_GRACE_MS = 300;
-/** Longest wait of a watch at a hub. A peer that falls silent is detected sooner, by its missing updates. */
+/** Longest wait of a watch at the source. A peer that falls silent is detected sooner, by its missing updates. */
 const PEER_WATCH_MS = 6000;
 /** Number of peers that are tried before the store counts as unavailable: one may be partitioned from it as well. */
 const MAX_FALLBACK_PEERS = 2;
@@ -66,7 +60,7 @@
 const MAX_CONFIGURATION_PEERS = 4;
 /** Timeout of these calls. A gateway that starts waits for them, also for those to VMs that do not respond. */
 const CONFIGURATION_TIMEOUT_MS = 500;
-/** Longest wait of a watch at a fallback peer, which is not a hub: the store itself may be available again by then. */
+/** Longest wait of a watch at a fallback peer, which is not the source: the store itself may be available again by then. */
 const FALLBACK_WATCH_MS = 1000;
 /** Interval of the probes that check whether the store is available again: calls to it are billed. */
 const PROBE_INTERVAL_MS = 700;
@@ -76,7 +70,7 @@
 const UNAVAILABLE = { kind: "unavailable", retryAfterMs: 100 } as const;
 
 /**
- * The platform's store, read through a hub while one is reachable, and through any peer that reaches the store while it
+ * The platform's store, read through another gateway while that is reachable, and through any peer that reaches the store while it
  * is unavailable to this gateway. A gateway without any view of a kind starts from a peer's last known state. Writes
  * always go to the store.
  */
@@ -131,10 +125,10 @@
     /** Lists the objects of one kind. */
     async list(kinds: readonly string[], callClass: CallClass): Promise<ListOutcome> {
         const [kind = ""] = kinds;
-        const hub = this.options.hub();
-        const hubListing = hub && await this.listAt(hub, kind);
-        if (hubListing?.isCurrent && this.isOfNewestEra(hubListing)) {
-            return this.listedOutcome(kind, hubListing, true);
+        const source = this.options.source();
+        const listing = source && await this.listAt(source, kind);
+        if (listing?.isCurrent && this.isOfNewestEra(listing)) {
+            return this.listedOutcome(kind, listing, true);
         }
         const storeListing = await this.options.store.list(kinds, callClass);
         if (storeListing.kind === "listed") {
@@ -157,11 +151,11 @@
             return { kind: "compacted", era: this.options.eras.current };
         }
         const cursor = { revision: after, era };
-        const hub = this.options.hub();
-        const hubOutcome = hub && await this.watchAt(hub, kind, cursor, PEER_WATCH_MS, signal);
-        if (hubOutcome) {
+        const source = this.options.source();
+        const outcome = source && await this.watchAt(source, kind, cursor, PEER_WATCH_MS, signal);
+        if (outcome) {
             this.fallbackKinds.delete(kind);
-            return hubOutcome;
+            return outcome;
         }
         if (!this.unavailableKinds.has(kind)) {
             const storeOutcome = await this.options.store.watch(kinds, after, waitMs, signal, era);
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -8,6 +8,7 @@
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { PeerState } from "./PeerState.js";
 import { Topology } from "./Topology.js";
+import type { ViewSource } from "./ViewSource.js";
 
 interface PeerConnectionsOptions {
     clock: Clock;
@@ -188,17 +189,16 @@
     /** Returns the reachable peers, or those of them that are wanted; their views of the store may be read. */
     viewSources(
         isWanted: (peer: string) => boolean = () => true,
-    ): Array<{ address: string; silent: AbortSignal; }> {
+    ): ViewSource[] {
         const sinceMs = this.options.clock.monotonicMs() - REACHABLE_WITHIN_MS;
         return [...this.connections]
             .filter(([peer, { lastReceivedAtMs }]) => lastReceivedAtMs >= sinceMs && isWanted(peer))
             .map(([, { address, silent }]) => ({ address, silent: silent.signal }));
     }
 
-    /** Returns the active hub that this gateway follows, if it is reachable; `silent` aborts when it falls silent. */
-    reachableHub(): { address: string; silent: AbortSignal; } | undefined {
-        const hub = this.hasHubs ? this.activeHubOf(this.options.zone) : undefined;
-        const connection = hub === undefined || hub === this.options.vm ? undefined : this.connections.get(hub);
+    /** Returns a followed peer if it is reachable; `silent` aborts when it falls silent. */
+    reachablePeer(peer: string): ViewSource | undefined {
+        const connection = this.connections.get(peer);
         const isReachable = connection
             && this.options.clock.monotonicMs() - connection.lastReceivedAtMs <= REACHABLE_WITHIN_MS;
         return isReachable ? { address: connection.address, silent: connection.silent.signal } : undefined;
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -223,6 +223,14 @@
             : connections.activeHubOf(zone) === peer;
     }
 
+    /** Returns the connected peer that says that it is the controller of the highest known term. */
+    controllerPeer(): string | undefined {
+        return this.options.connections.connectedPeers().find(peer => {
+            const state = this.peerStates.get(peer);
+            return state?.controllerDistance === 0 && state.term >= this.options.lease.term;
+        });
+    }
+
     /** Returns the interval between updates to a peer while the state changes. */
     updateIntervalMs(observer: string): number {
         const { connections, zone } = this.options;
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -266,6 +266,22 @@
         expect(acquired).to.be.within(60, 100);
     });
 
+    it("takes a peer for the controller only if it says so in a state of the highest term", async () => {
+        start(["a1", "a2", "b1"]);
+        const { connections, exchange } = gateways.get("a1")!;
+        connections.connectedPeers = () => connections.followedPeers();
+        const state = gateways.get("a2")!.exchange.stateFor("a1");
+        exchange.apply("a2", { ...state, term: 3, controllerDistance: 0 });
+        exchange.apply("b1", { ...state, term: 3, controllerDistance: 1 });
+        expect(exchange.controllerPeer()).to.equal("a2");
+        exchange.apply("b1", { ...state, term: 4, controllerDistance: 9 });
+        expect(exchange.controllerPeer()).to.equal(undefined);
+        exchange.apply("b1", { ...state, term: 4, controllerDistance: 0 });
+        expect(exchange.controllerPeer()).to.equal("b1");
+        exchange.apply("b1", { ...state, term: 4, controllerDistance: 1 });
+        expect(exchange.controllerPeer()).to.equal(undefined);
+    });
+
     it("updates inactive hubs and a hub's zone less often than the active hub", () => {
         start(fleets[1]![1]);
         const intervalsMs = (vm: string, observers: string[]) =>
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -160,7 +160,7 @@
                 log,
                 eras,
                 store: platformStore,
-                hub: () => hubs[0],
+                source: () => hubs[0],
                 peers: () => fallbackPeers,
             });
         });
@@ -261,7 +261,7 @@
                     log,
                     eras: StoreEras.create({ clock, log, metrics: noMetrics }),
                     store: platformStore,
-                    hub: () => undefined,
+                    source: () => undefined,
                     peers: () => fallbackPeers,
                 });
                 const listed = await fresh.list(["things"], "read");
