Take a gateway out of service that is partitioned from all upstreams

What callers saw: gateways that reach no upstream while others do kept taking new connections, held requests on hanging connections and refused the rest with delays of seconds; as the controller, such a gateway would have dissolved groups. Change: PartitionDetector suspects a partition when three upstreams accept no connection, or all targets of requests are silent for 0.7 s, while peers report events; three probes confirm it, one every 0.3 s finds its end. Meanwhile the gateway is not ready, refuses requests at once with a short delay as not run and closes its callers' connections; as the controller it draws no conclusions about members and releases the lease. Where no gateway receives events, none leaves the balancer. Weighed, not built: relaying whole requests through a peer, which is what helps if most of a zone is cut off.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -10,15 +10,16 @@
 import { OrderSender } from "./fleet/OrderSender.js";
 import { StandbyPool } from "./fleet/StandbyPool.js";
 import { WeightLoadLimiter } from "./fleet/WeightLoadLimiter.js";
-import { AnnouncementRecordingClient } from "./forwarding/AnnouncementRecordingClient.js";
 import { IdleTimeoutMonitor } from "./forwarding/IdleTimeoutMonitor.js";
 import { PlainDispatcher } from "./forwarding/PlainDispatcher.js";
 import { RequestForwarder } from "./forwarding/RequestForwarder.js";
+import { ResponseRecordingClient } from "./forwarding/ResponseRecordingClient.js";
 import { StreamDispatcher } from "./forwarding/StreamDispatcher.js";
 import type { GatewayPorts } from "./GatewayPorts.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { IncomingRequest } from "./model/IncomingRequest.js";
 import type { Upstream } from "./model/Upstream.js";
+import { PartitionDetector } from "./PartitionDetector.js";
 import { PeerAssistedStore } from "./peers/PeerAssistedStore.js";
 import { PeerConnections } from "./peers/PeerConnections.js";
 import { PeerExchange } from "./peers/PeerExchange.js";
@@ -80,6 +81,10 @@
 const RELIST_DELAY_MS = 400;
 /** Loads that a hub relays to the controller are older by this time: two pauses between the hub's updates. */
 const HUB_LOAD_LAG_MS = 200;
+/** Reachable upstreams respond within milliseconds, and a lost packet is sent again after about 200 ms. */
+const PARTITION_PROBE_TIMEOUT_MS = 250;
+/** A peer reaches upstreams if it has received an event within this time; loads arrive up to 400 ms late. */
+const PEER_EVENTS_WITHIN_MS = 1000;
 const REGISTRATION_KIND = "fescue_gateways";
 
 /** A gateway: accepts requests, forwards them to upstreams, and takes part in the control of the fleet. */
@@ -107,6 +112,7 @@
     private readonly upstreamWatch: StoreWatch;
     private readonly stop = createStopController();
     private readonly exchange: PeerExchange;
+    private readonly partitions: PartitionDetector;
     private readonly upstreamWatchCalls: SlidingWindowCounter;
     private readonly announcedLimits: AnnouncedLimits;
     /** Configurations that were active at peers when this gateway started, in their stored form. */
@@ -156,6 +162,16 @@
             log,
             isRegistered: (id, startedAtMs) => this.upstreams.get(id)?.startedAtMs === startedAtMs,
         });
+        this.partitions = PartitionDetector.create({
+            clock,
+            random,
+            log,
+            upstreams: this.upstreams,
+            probe: async upstream =>
+                (await control.fetchReport(upstream, PARTITION_PROBE_TIMEOUT_MS)).kind !== "unreachable",
+            doPeersReceiveEvents: () => this.loads.doPeersReceiveEvents(PEER_EVENTS_WITHIN_MS),
+            ownSilence: () => this.loads.ownSilence(),
+        });
         const waits = RequestedWaits.create({ clock, log });
         const upstreamLimiter = UpstreamLimiter.create({
             coldStart: ColdStartLimiter.create({ clock, position }),
@@ -184,13 +200,14 @@
         const dispatcherOptions = {
             ...sharedOptions,
             idleTimeouts: this.idleTimeouts,
-            client: AnnouncementRecordingClient.create({
+            client: ResponseRecordingClient.create({
                 clock,
                 log,
                 client,
                 limits: this.announcedLimits,
                 waits,
                 upstreams: this.upstreams,
+                reachability: this.partitions,
             }),
             zone: settings.zone,
             viewAgeMs,
@@ -210,6 +227,7 @@
                 gatewayCount,
             }),
             plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated }),
+            isPartitioned: () => this.isPartitioned,
         });
         this.viewSource = ViewSourceSelector.create({
             vm: settings.vm,
@@ -233,6 +251,7 @@
             incarnation: random.uniqueId(),
             peerSilenceMs: vm => this.exchange.silenceMs(vm),
             candidateRank: () => this.connections.candidateRank(),
+            isUnfit: () => this.isPartitioned,
             isHolderUnreachableByPeers: () =>
                 this.connections.connectedPeers().length > 0 && !this.exchange.isControllerReachable,
             isConnectedToMostPeers: () =>
@@ -248,6 +267,7 @@
             control,
             onLeaving: ({ id, startedAtMs }) =>
                 this.upstreams.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
+            reachability: this.partitions,
         });
         const hasTraffic = () => this.hasTraffic;
         const weightLoadLimiter = WeightLoadLimiter.create({
@@ -269,7 +289,8 @@
             standbyPool: StandbyPool.create({ clock, log, orders, weightLoadLimiter, hasTraffic }),
             groupStallMs: settings.groupStallMs,
             isZoneReachable: (zone, sinceMs) =>
-                zone === settings.zone || this.connections.isZoneReachable(zone, sinceMs),
+                !this.partitions.isSuspected
+                && (zone === settings.zone || this.connections.isZoneReachable(zone, sinceMs)),
             loadLagMs: () => this.connections.hasHubs ? HUB_LOAD_LAG_MS : 0,
             announceLost: (epoch, reason) => this.exchange.announceLost(epoch, reason),
             isLost: epoch => this.groups.isLost(epoch),
@@ -347,9 +368,15 @@
         return this.configuration;
     }
 
-    /** True from when the gateway can serve requests until it shuts down. */
+    /** True while the gateway can serve requests and does not shut down. */
     get isReady(): boolean {
-        return !this.isDraining && this.configuration.current !== undefined && this.upstreamWatch.ageMs < Infinity;
+        return !this.isDraining && !this.isPartitioned && this.configuration.current !== undefined
+            && this.upstreamWatch.ageMs < Infinity;
+    }
+
+    /** True while this gateway reaches no upstream and other gateways do. */
+    get isPartitioned(): boolean {
+        return this.partitions.isPartitioned;
     }
 
     /** True once a shutdown has started. */
@@ -374,6 +401,7 @@
         void this.lease.run(signal);
         void this.controller.run(signal);
         void this.registration.run(signal);
+        void this.partitions.run(signal);
         void this.sweep(signal);
     }
 
--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -17,6 +17,8 @@
     peerSilenceMs: (vm: string) => number;
     /** Returns the rank of this VM among the connected gateways. Rank 0 takes over first; higher ranks wait longer. */
     candidateRank: () => number;
+    /** Returns true while this gateway could not give orders: then it releases the lease and does not acquire it. */
+    isUnfit: () => boolean;
     /** Returns true if peers are connected and none of them receives anything from the holder either. */
     isHolderUnreachableByPeers: () => boolean;
     /** Returns true while most registered peers are connected. */
@@ -252,7 +254,7 @@
 
     private async renewOrAcquire(nowMs: number): Promise<void> {
         const { vm, incarnation } = this.options;
-        if (this.hasResigned) {
+        if (this.hasResigned || this.options.isUnfit()) {
             await this.writeRelease();
             return;
         }
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -3,6 +3,7 @@
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
 import type { GroupOrder } from "../ports/GroupOrder.js";
+import type { ReachabilityRecorder } from "../ports/ReachabilityRecorder.js";
 import type { UpstreamControl } from "../ports/UpstreamControl.js";
 import type { UpstreamReport } from "../ports/UpstreamReport.js";
 import { instanceKeyOf } from "./instanceKeyOf.js";
@@ -14,6 +15,7 @@
     control: UpstreamControl;
     /** Called when an upstream has said that it is shutting down. */
     onLeaving: (upstream: Upstream) => void;
+    reachability: ReachabilityRecorder;
 }
 
 /**
@@ -70,6 +72,7 @@
     /** Requests a report from the upstream, and records its order count. */
     async fetchReport(upstream: Upstream, timeoutMs = REPORT_TIMEOUT_MS): Promise<UpstreamReport> {
         const report = await this.options.control.fetchReport(upstream, timeoutMs);
+        this.recordReachability(upstream, report.kind !== "unreachable");
         if (report.kind === "reported" && report.startedAtMs === upstream.startedAtMs) {
             this.reportedCounts.set(instanceKeyOf(upstream), report.orderCount);
             if (report.isLeaving) {
@@ -79,12 +82,22 @@
         return report;
     }
 
+    private recordReachability(upstream: Upstream, hasResponded: boolean): void {
+        if (hasResponded) {
+            this.options.reachability.recordResponse();
+        }
+        else {
+            this.options.reachability.recordUnreachable(upstream);
+        }
+    }
+
     private async resolve(upstream: Upstream, instanceKey: string, order: GroupOrder): Promise<OrderResult> {
         const { control, log, metrics } = this.options;
         let hadNoResponse = false;
         for (let tries = 1; tries <= MAX_ATTEMPTS; tries++) {
             const expectedCount = this.orderCounts.get(instanceKey) ?? this.reportedCounts.get(instanceKey) ?? 0;
             const outcome = await control.order(upstream, order, expectedCount);
+            this.recordReachability(upstream, outcome.kind !== "unknown");
             metrics.count("orders", `${order.kind} ${outcome.kind}`);
             log.info("order sent", {
                 upstream: upstream.id,
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -23,13 +23,15 @@
     crashGuard: CrashGuard;
     streams: StreamDispatcher;
     plain: PlainDispatcher;
+    /** Returns true while this gateway reaches no upstream and others do. */
+    isPartitioned: () => boolean;
 }
 
 /** Retry-after delay while no configuration is known: a gateway takes about this long to start. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
 
-/** Retry-after delay while the gateway shuts down: the other gateways accept requests at once. */
-const DRAINING_RETRY_AFTER_MS = 200;
+/** Retry-after delay of what only this gateway refuses: the other gateways accept requests at once. */
+const OTHER_GATEWAYS_RETRY_AFTER_MS = 200;
 /**
  * Longest time that a request is assumed to need, even if its route's timeout is longer: the duration of the longest
  * streams at a busy group.
@@ -128,7 +130,14 @@
             const reason = "the gateway shuts down";
             metrics.count("refusals", reason);
             log.info("request refused", { request: request.id, reason, endsInMs: Math.round(this.endsAtMs - nowMs) });
-            callerResponse.refuse({ kind: "not-run", retryAfterMs: DRAINING_RETRY_AFTER_MS, reason });
+            callerResponse.refuse({ kind: "not-run", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS, reason });
+            return undefined;
+        }
+        if (this.options.isPartitioned()) {
+            const reason = "this gateway reaches no upstream";
+            metrics.count("refusals", reason);
+            log.info("request refused", { request: request.id, reason });
+            callerResponse.refuse({ kind: "not-run", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS, reason });
             return undefined;
         }
         retryBudget.recordRequest(service.name);
--- a/packages/gateway/src/forwarding/AnnouncementRecordingClient.ts
+++ b/packages/gateway/src/forwarding/ResponseRecordingClient.ts
@@ -3,39 +3,47 @@
 import type { AnnouncedLimits } from "../placement/AnnouncedLimits.js";
 import type { RequestedWaits } from "../placement/RequestedWaits.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
+import type { ReachabilityRecorder } from "../ports/ReachabilityRecorder.js";
 import type { UpstreamClient } from "../ports/UpstreamClient.js";
 import type { UpstreamRequest } from "../ports/UpstreamRequest.js";
 import type { UpstreamResponse } from "../ports/UpstreamResponse.js";
 import type { UpstreamDirectory } from "../UpstreamDirectory.js";
 
-interface AnnouncementRecordingClientOptions {
+interface ResponseRecordingClientOptions {
     clock: Clock;
     log: DecisionLog;
     client: UpstreamClient;
     limits: AnnouncedLimits;
     waits: RequestedWaits;
     upstreams: UpstreamDirectory;
+    reachability: ReachabilityRecorder;
 }
 
 /** Number of instances whose unreadable announcements were logged and are not logged again. */
 const MAX_LOGGED_INSTANCES = 1000;
 
-/** Records what upstreams announce in their responses. */
-export class AnnouncementRecordingClient implements UpstreamClient {
+/** Records which upstreams respond, and what they announce in their responses. */
+export class ResponseRecordingClient implements UpstreamClient {
     private readonly loggedInstances = new Set<string>();
 
-    private constructor(private readonly options: AnnouncementRecordingClientOptions) {}
+    private constructor(private readonly options: ResponseRecordingClientOptions) {}
 
     /** Creates a client that sends its requests through another one. */
-    static create(options: AnnouncementRecordingClientOptions): AnnouncementRecordingClient {
-        return new AnnouncementRecordingClient(options);
+    static create(options: ResponseRecordingClientOptions): ResponseRecordingClient {
+        return new ResponseRecordingClient(options);
     }
 
-    /** Sends one request and records what its response announces. Never rejects. */
+    /** Sends one request and records what its response tells of the upstream. Never rejects. */
     async send(upstream: Upstream, request: UpstreamRequest, signal: AbortSignal): Promise<UpstreamResponse> {
-        const { clock, client } = this.options;
+        const { clock, client, reachability } = this.options;
         const sentAtMs = clock.monotonicMs();
         const response = await client.send(upstream, request, signal);
+        if (response.kind === "not-run" && response.reason === "not-connected") {
+            reachability.recordUnreachable(upstream);
+        }
+        else if (response.kind !== "unknown") {
+            reachability.recordResponse();
+        }
         if (response.kind === "answered" || (response.kind === "not-run" && response.reason === "overloaded")) {
             this.record(upstream, response, sentAtMs);
         }
--- /dev/null
+++ b/packages/gateway/tests/PartitionDetector.test.ts
@@ -0,0 +1,132 @@
+import { ManualClock, SeededRandom } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { PartitionDetector } from "../src/PartitionDetector.js";
+import { UpstreamDirectory } from "../src/UpstreamDirectory.js";
+import { exampleUpstream } from "./support/exampleUpstream.js";
+import { SilentDecisionLog } from "./support/SilentDecisionLog.js";
+
+/** A gateway must be found partitioned in well under the time in which the balancer takes it out: two checks. */
+const DETECTION_MS = 1500;
+/** A gateway must be back this soon after the partition. */
+const RETURN_MS = 1000;
+const PROBE_TIMEOUT_MS = 250;
+
+describe("PartitionDetector", () => {
+    const upstreams = Array.from({ length: 12 }, (_, index) => exampleUpstream(`u${index}`));
+    let clock: ManualClock;
+    let detector: PartitionDetector;
+    let stop: AbortController;
+    let isCut: boolean;
+    let doPeersReceiveEvents: boolean;
+    let own: { targets: number; silentMs: number; };
+    let probes: number;
+
+    beforeEach(async () => {
+        clock = ManualClock.create();
+        const log = SilentDecisionLog.create();
+        const directory = UpstreamDirectory.create({ clock, log, returnGraceMs: 2000 });
+        upstreams.forEach(upstream => directory.set(upstream));
+        stop = new AbortController();
+        isCut = false;
+        doPeersReceiveEvents = true;
+        own = { targets: 0, silentMs: 0 };
+        probes = 0;
+        detector = PartitionDetector.create({
+            clock,
+            random: SeededRandom.create(1),
+            log,
+            upstreams: directory,
+            probe: async () => {
+                probes += 1;
+                const isReached = !isCut;
+                await clock.sleep(isReached ? 2 : PROBE_TIMEOUT_MS);
+                return isReached;
+            },
+            doPeersReceiveEvents: () => doPeersReceiveEvents,
+            ownSilence: () => own,
+        });
+        void detector.run(stop.signal);
+        await clock.advance(5000);
+    });
+
+    afterEach(() => stop.abort());
+
+    /** Lets requests fail as if nothing accepted a connection. */
+    function failConnections(count: number): void {
+        upstreams.slice(0, count).forEach(upstream => detector.recordUnreachable(upstream));
+    }
+
+    it("finds a gateway partitioned whose connections are not accepted", async () => {
+        isCut = true;
+        failConnections(4);
+        await clock.advance(DETECTION_MS);
+        expect(detector.isPartitioned).to.equal(true);
+    });
+
+    it("finds a gateway partitioned whose connections hang", async () => {
+        isCut = true;
+        own = { targets: 4, silentMs: 800 };
+        await clock.advance(DETECTION_MS);
+        expect(detector.isPartitioned).to.equal(true);
+    });
+
+    it("notices within a second that the partition has ended, without any request", async () => {
+        isCut = true;
+        failConnections(4);
+        await clock.advance(10_000);
+        expect(detector.isPartitioned).to.equal(true);
+        isCut = false;
+        await clock.advance(RETURN_MS);
+        expect(detector.isPartitioned).to.equal(false);
+    });
+
+    it("does not take a few crashed upstreams for a partition", async () => {
+        for (let second = 0; second < 10; second++) {
+            failConnections(8);
+            detector.recordResponse();
+            await clock.advance(1000);
+            expect(detector.isPartitioned).to.equal(false);
+        }
+        failConnections(8);
+        await clock.advance(3000);
+        expect([detector.isPartitioned, probes]).to.deep.equal([false, 3]);
+    });
+
+    it("does not take upstreams for partitioned that no gateway reaches", async () => {
+        isCut = true;
+        doPeersReceiveEvents = false;
+        failConnections(12);
+        own = { targets: 4, silentMs: 5000 };
+        await clock.advance(10_000);
+        expect([detector.isPartitioned, probes]).to.deep.equal([false, 0]);
+    });
+
+    it("ends when no other gateway reaches the upstreams any more", async () => {
+        isCut = true;
+        failConnections(4);
+        await clock.advance(DETECTION_MS);
+        doPeersReceiveEvents = false;
+        await clock.advance(RETURN_MS);
+        expect(detector.isPartitioned).to.equal(false);
+    });
+
+    it("probes rarely while requests are silent for a second and go on", async () => {
+        for (let second = 0; second < 30; second++) {
+            own = { targets: 4, silentMs: 0 };
+            await clock.advance(400);
+            own = { targets: 4, silentMs: 900 };
+            await clock.advance(600);
+            expect(detector.isPartitioned).to.equal(false);
+        }
+        expect(probes).to.be.at.most(30_000 / 1500 * 3);
+    });
+
+    it("is suspected until the probes tell, so that nothing is concluded meanwhile", async () => {
+        isCut = true;
+        await clock.advance(400);
+        failConnections(4);
+        expect([detector.isSuspected, detector.isPartitioned]).to.deep.equal([true, false]);
+        await clock.advance(PROBE_TIMEOUT_MS + 150);
+        expect([detector.isSuspected, detector.isPartitioned]).to.deep.equal([true, true]);
+    });
+});
--- a/packages/gateway/tests/fleet/ControllerLease.test.ts
+++ b/packages/gateway/tests/fleet/ControllerLease.test.ts
@@ -11,6 +11,7 @@
     stop: AbortController;
     /** Silence of each peer; Infinity for a peer that is not listed. */
     silenceMs: Map<string, number>;
+    isUnfit: boolean;
     isHolderUnreachableByPeers: boolean;
     isConnectedToMostPeers: boolean;
     blocked: CrashReport;
@@ -41,6 +42,7 @@
             lease: undefined as unknown as ControllerLease,
             stop: new AbortController(),
             silenceMs: new Map(),
+            isUnfit: false,
             isHolderUnreachableByPeers: false,
             isConnectedToMostPeers: true,
             blocked: { promptParts: [], requests: [] },
@@ -54,6 +56,7 @@
             incarnation,
             peerSilenceMs: peer => candidate.silenceMs.get(peer) ?? Infinity,
             candidateRank: () => rank,
+            isUnfit: () => candidate.isUnfit,
             isHolderUnreachableByPeers: () => candidate.isHolderUnreachableByPeers,
             isConnectedToMostPeers: () => candidate.isConnectedToMostPeers,
             blockedSuspects: () => candidate.blocked,
@@ -116,6 +119,21 @@
         expect([first.lease.isController, second.lease.isController]).to.deep.equal([true, false]);
     });
 
+    it("passes to another gateway while the holder is unfit to give orders, and is not acquired by an unfit one", async () => {
+        const [first, second, third] = [start("a", 0), start("b", 1), start("c", 2)];
+        await clock.advance(1000);
+        expect(controllers()).to.deep.equal(["1"]);
+        first.isUnfit = true;
+        second.isUnfit = true;
+        [first, second, third].forEach(({ silenceMs }) => ["a", "b", "c"].forEach(vm => silenceMs.set(vm, 100)));
+        await clock.advance(1500);
+        const fit = [first, second, third].map(({ lease }) => lease.isController);
+        expect(fit).to.deep.equal([false, false, true]);
+        first.isUnfit = false;
+        await clock.advance(5000);
+        expect(third.lease.isController).to.equal(true);
+    });
+
     it("is acquired by another gateway soon after no gateway can reach the holder", async () => {
         const first = start("a");
         await clock.advance(500);
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -98,6 +98,7 @@
                     incarnation: vm,
                     peerSilenceMs: () => 0,
                     candidateRank: () => 0,
+                    isUnfit: () => false,
                     isHolderUnreachableByPeers: () => false,
                     isConnectedToMostPeers: () => true,
                     blockedSuspects: () => ({ promptParts: [], requests: [] }),
--- a/packages/gateway/tests/placement/limits.test.ts
+++ b/packages/gateway/tests/placement/limits.test.ts
@@ -135,6 +135,22 @@
 });
 
 describe("LoadTracker", () => {
+    it("tells whether peers receive events where this process receives none", async () => {
+        const clock = ManualClock.create();
+        const loads = LoadTracker.create(clock);
+        loads.trackRequest("1", 0, () => undefined);
+        loads.trackRequest("2", 0, () => undefined);
+        await clock.advance(600);
+        expect(loads.ownSilence()).to.deep.equal({ targets: 2, silentMs: 600 });
+        expect(loads.doPeersReceiveEvents(1000)).to.equal(false);
+        loads.setPeerLoads("b", [["1", { inFlight: 1, pendingPrefillTokens: 0, silentMs: 900 }]]);
+        expect(loads.doPeersReceiveEvents(1000)).to.equal(true);
+        await clock.advance(200);
+        expect(loads.doPeersReceiveEvents(1000)).to.equal(false);
+        loads.setPeerLoads("b", [["1", { inFlight: 0, pendingPrefillTokens: 0, silentMs: 0 }]]);
+        expect(loads.doPeersReceiveEvents(1000)).to.equal(false);
+    });
+
     const load = (inFlight: number, pendingPrefillTokens: number) => ({ inFlight, pendingPrefillTokens, silentMs: 30 });
 
     it("subtracts a peer's own load from the loads reported to it", async () => {
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -14,6 +14,7 @@
 import { exampleEngine } from "./exampleEngine.js";
 import { exampleUpstream } from "./exampleUpstream.js";
 import { noMetrics } from "./noMetrics.js";
+import { noReachability } from "./noReachability.js";
 import { SilentDecisionLog } from "./SilentDecisionLog.js";
 import { SimulatedUpstreams } from "./SimulatedUpstreams.js";
 
@@ -106,6 +107,7 @@
             control,
             onLeaving: ({ id, startedAtMs }) =>
                 this.directory.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
+            reachability: noReachability,
         });
         const weightLoadLimiter = WeightLoadLimiter.create({ clock, windowMs: 5000, hasTraffic: () => hasTraffic });
         const lease = ControllerLease.create({
@@ -116,6 +118,7 @@
             incarnation,
             peerSilenceMs: () => Infinity,
             candidateRank: () => 0,
+            isUnfit: () => false,
             isHolderUnreachableByPeers: () => false,
             isConnectedToMostPeers: () => true,
             blockedSuspects: () => ({ promptParts: [], requests: [] }),
