Suspect a partition only until upstreams have disproved it

Found while reading the change: while a gateway's own requests stayed silent, the controller counted as suspected for 0.8 s of every 1.5 s, between two rounds of probes, and repaired nothing meanwhile; and the record of watch calls grew without a bound where its size was never asked for. Change: a suspicion counts only if no round of probes was made within 1.5 s; only the controller records its calls. Result: new test, suspected for at most 120 ms of 1.5 s.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -568,9 +568,9 @@
     }
 
     private upstreamWatchPauseMs(): number {
-        this.upstreamWatchCalls.record();
         if (this.lease.isController) {
-            return this.upstreamWatchCalls.count < MAX_QUICK_WATCHES_PER_S
+            this.upstreamWatchCalls.record();
+            return this.upstreamWatchCalls.count <= MAX_QUICK_WATCHES_PER_S
                 ? CONTROLLER_WATCH_PAUSE_MS
                 : BUSY_CONTROLLER_WATCH_PAUSE_MS;
         }
--- a/packages/gateway/src/PartitionDetector.ts
+++ b/packages/gateway/src/PartitionDetector.ts
@@ -61,9 +61,9 @@
         return this.hasPartition;
     }
 
-    /** True during a partition, and while it is being found out whether there is one. */
+    /** True during a partition, and while it is being found out whether there is one; for a few moments at a time. */
     get isSuspected(): boolean {
-        return this.hasPartition || this.isProbing || (this.isSuspicious && this.options.doPeersReceiveEvents());
+        return this.hasPartition || this.isProbing || this.mustConfirm;
     }
 
     /** Records that an upstream has responded. */
@@ -98,6 +98,13 @@
         return targets >= MIN_SILENT_TARGETS && Math.min(silentMs, sinceResponseMs) >= SILENCE_MS;
     }
 
+    /** True if a partition is suspected that upstreams have not just disproved. */
+    private get mustConfirm(): boolean {
+        const { clock, doPeersReceiveEvents } = this.options;
+        return clock.monotonicMs() - this.lastProbeAtMs >= RECHECK_AFTER_MS && this.isSuspicious
+            && doPeersReceiveEvents();
+    }
+
     private async check(): Promise<void> {
         const { clock, random, upstreams, doPeersReceiveEvents } = this.options;
         const nowMs = clock.monotonicMs();
@@ -107,9 +114,10 @@
             this.lastProbeAtMs = nowMs;
             return;
         }
-        const intervalMs = this.hasPartition ? RECOVERY_PROBE_INTERVAL_MS : RECHECK_AFTER_MS;
-        const mustProbe = this.hasPartition || (this.isSuspicious && doPeersReceiveEvents());
-        if (!mustProbe || nowMs - this.lastProbeAtMs < intervalMs) {
+        const mustProbe = this.hasPartition
+            ? nowMs - this.lastProbeAtMs >= RECOVERY_PROBE_INTERVAL_MS
+            : this.mustConfirm;
+        if (!mustProbe) {
             return;
         }
         const ready = [...upstreams.all()].filter(({ state }) => state === "ready");
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -70,9 +70,9 @@
 const UNAVAILABLE = { kind: "unavailable", retryAfterMs: 100 } as const;
 
 /**
- * The platform's store, read through another gateway while that is reachable, and through any peer that reaches the store while it
- * is unavailable to this gateway. A gateway without any view of a kind starts from a peer's last known state. Writes
- * always go to the store.
+ * The platform's store, read through another gateway while that is reachable, and through any peer that reaches the
+ * store while it is unavailable to this gateway. A gateway without any view of a kind starts from a peer's last known
+ * state. Writes always go to the store.
  */
 export class PeerAssistedStore implements ObjectStore {
     private readonly clients = new Map<string, Client<typeof ViewService>>();
--- a/packages/gateway/tests/PartitionDetector.test.ts
+++ b/packages/gateway/tests/PartitionDetector.test.ts
@@ -121,6 +121,16 @@
         expect(probes).to.be.at.most(30_000 / 1500 * 3);
     });
 
+    it("is suspected only briefly while requests stay silent but upstreams respond", async () => {
+        own = { targets: 4, silentMs: 5000 };
+        let suspectedMs = 0;
+        for (let atMs = 0; atMs < 15_000; atMs += 10) {
+            suspectedMs += detector.isSuspected ? 10 : 0;
+            await clock.advance(10);
+        }
+        expect(suspectedMs).to.be.at.most(15_000 / 1500 * 120);
+    });
+
     it("is suspected until the probes tell, so that nothing is concluded meanwhile", async () => {
         isCut = true;
         await clock.advance(400);
