--- a/packages/gateway/tests/forwarding/streamEnds.test.ts
+++ b/packages/gateway/tests/forwarding/streamEnds.test.ts
@@ -78,4 +78,21 @@
         await rig.clock.advance(100);
         expect([response.status, response.text, response.ending]).to.deep.equal([200, "", "complete"]);
     });
+
+    const errorText = "HTTP/1.1 500 Oops\r\n\r\nid: 9\ndata: error\n\n";
+    const errors: ReadonlyArray<[string, () => UpstreamResponse]> = [
+        ["an error response", () => responses.complete(500, errorText)],
+        ["a 404", () => responses.complete(404, errorText)],
+        ["an error response without a signature", () => responses.complete(503, errorText, false)],
+        ["a success without a signature", () => responses.complete(200, errorText, false)],
+        ["an error response that breaks off", () => ({ ...responses.truncated(), head: { status: 502, headers: [] } })],
+    ];
+    for (const [title, respond] of errors) {
+        it(`shows its caller nothing of ${title} of the next group, and does not look complete`, async () => {
+            rig.client.script(() => endingAfter(`${firstEvent}id: 2\nda`), respond);
+            const response = rig.send();
+            await rig.clock.advance(8000);
+            expect([response.status, response.text, response.ending]).to.deep.equal([200, firstEvent, "incomplete"]);
+        });
+    }
 });
