Wait for members whose registrations have lapsed before groups are re-formed

Cause: a controller that had just started took the upstreams that the store listed for all there are. It adopted groups with the registered members only, gave up those without a head or with too few members, and ordered members that registered again to leave the group that they belonged to. The weights were then loaded again, for 12 and 16 s. The class is a partial view taken for the whole.

Change: an adopted group awaits missing members while members of groups still register, and takes them back in its epoch. A group that gets events has all its members, so it stays open for as long as a member that leaves would stay.

Four of the five new tests failed before.

--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -41,6 +41,7 @@
     private readonly withheld = new Map<string, WithheldUpstream>();
     private readonly listeners = new Set<() => void>();
     private changeCount = 0;
+    private memberAddedAtMs = -Infinity;
     /** Computed again when the directory has changed. */
     private cachedHighestEpoch: { version: number; epoch: number; } | undefined;
 
@@ -58,6 +59,11 @@
         return new UpstreamDirectory(options);
     }
 
+    /** When an upstream was last added that belonged to a group already, on the monotonic clock. */
+    get lastMemberAddedAtMs(): number {
+        return this.memberAddedAtMs;
+    }
+
     /** Incremented by every change. */
     get version(): number {
         return this.changeCount;
@@ -118,6 +124,9 @@
         this.withheld.delete(upstream.id);
         this.removals.delete(upstream.id);
         this.upstreams.set(upstream.id, upstream);
+        if (!before && upstream.group) {
+            this.memberAddedAtMs = this.options.clock.monotonicMs();
+        }
         this.logChange(before, upstream);
         this.notifyListeners();
     }
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -114,12 +114,22 @@
  * A draining member is replaced after this time at the latest: it leaves after ten seconds, even if its head has work.
  */
 const DRAIN_TIMEOUT_MS = 6000;
+/**
+ * An adopted group that serves is closed after this time if a member is still not registered: a member that leaves does so
+ * within ten seconds, and the requests in flight need some of them.
+ */
+const UNLISTED_TIMEOUT_MS = 5000;
 /** Share of a model's groups that may be unavailable at the same time because of draining members. */
 const MAX_UNAVAILABLE_SHARE = 0.3;
 /** Time for which a newly opened group is announced; by then the head's registration has reached all gateways. */
 const OPEN_ANNOUNCEMENT_MS = 3000;
 /** A group with too few members is dissolved after this time; members that restart are back earlier. */
 const INCOMPLETE_TIMEOUT_MS = 1500;
+/**
+ * An adopted group waits this long for members without a registration, counted from the last member that registered:
+ * registrations that have lapsed while the store was unavailable are back within two seconds.
+ */
+const MEMBER_RETURN_GRACE_MS = 3000;
 /** Added to the stall time of a head that cannot be reached, because its members leave at slightly different times. */
 const STALL_MARGIN_MS = 600;
 /** Factor on the number of concurrent weight loads that run at full speed; allows more while there is no traffic. */
@@ -218,6 +228,9 @@
         for (const group of view.observed.values()) {
             const head = group.members.get(0);
             const known = this.groups.get(group.name);
+            if (known?.epoch === group.epoch) {
+                this.addReturnedMembers(known, group);
+            }
             if (standbyGroups.isStandby(group.name) || (known && known.epoch >= group.epoch)) {
                 continue;
             }
@@ -227,7 +240,7 @@
             if (!anyMember || !model) {
                 continue;
             }
-            const members = [...group.members].sort(([left], [right]) => left - right).map(([, member]) => member);
+            const members = membersByRank(group);
             const adopted: ManagedGroup = {
                 name: group.name,
                 service: view.service,
@@ -236,6 +249,7 @@
                 epoch: group.epoch,
                 members,
                 isHeadMissing: head === undefined,
+                isAwaitingMembers: members.length < model.memberCount,
                 phase: adoptedPhase(head),
                 phaseSinceMs: this.nowMs(),
                 checkedAtMs: 0,
@@ -253,17 +267,54 @@
         }
     }
 
-    /** Handles an adopted group that cannot stay as it is. Its requests may end first, as under the earlier controller. */
+    /** Handles an adopted group that was reported lost. Its requests may end first, as under the earlier controller. */
     private examineAdopted(view: ServiceView, adopted: ManagedGroup): void {
-        const isIncomplete = adopted.members.length < adopted.model.memberCount;
         if (adopted.phase === "open" && this.options.isLost(adopted.epoch)) {
             this.suspectGroup(view, adopted, "the group was reported lost before and is back", new Set(), []);
         }
-        else if (adopted.phase === "open" && isIncomplete && !this.headFailure(adopted)) {
-            this.startClosing(adopted, this.currentHead(adopted), "a member is not registered");
+    }
+
+    /** Adds members of a group's own epoch that have registered since it was adopted. */
+    private addReturnedMembers(group: ManagedGroup, observed: ObservedGroup): void {
+        const mayReturn = group.isAwaitingMembers || group.phase === "incomplete";
+        if (!mayReturn || observed.members.size <= group.members.length) {
+            return;
         }
-        else if (adopted.phase === "joining" && isIncomplete) {
-            this.reform(view, adopted, "a member is not registered", new Set());
+        const wasHeadMissing = group.isHeadMissing;
+        group.members = membersByRank(observed);
+        group.isHeadMissing = !observed.members.has(0);
+        group.isAwaitingMembers = group.members.length < group.model.memberCount;
+        this.options.log.info("group members registered again", {
+            group: group.name,
+            epoch: group.epoch,
+            members: group.members.length,
+            of: group.model.memberCount,
+        });
+        if (group.phase === "closing" && wasHeadMissing && !group.isHeadMissing) {
+            this.setPhase(group, adoptedPhase(observed.members.get(0)));
+        }
+    }
+
+    /**
+     * Handles an adopted group with members that are not registered, which may be sound: events show that all its members
+     * work, and silence that one does not. A member that leaves works until it has left.
+     */
+    private advanceAwaiting(view: ServiceView, group: ManagedGroup): void {
+        const isReturnDue = this.nowMs() - this.options.upstreams.lastMemberAddedAtMs < MEMBER_RETURN_GRACE_MS;
+        const isWhole = this.isServing(group) && this.nowMs() - group.phaseSinceMs < UNLISTED_TIMEOUT_MS;
+        if (group.phase === "open" && (isReturnDue || isWhole) && !this.headFailure(group)) {
+            this.checkMembers(view, group);
+            return;
+        }
+        if (isReturnDue) {
+            return;
+        }
+        group.isAwaitingMembers = false;
+        if (group.phase === "open" && !this.headFailure(group)) {
+            this.startClosing(group, this.currentHead(group), "a member is not registered");
+        }
+        else if (group.phase === "joining") {
+            this.reform(view, group, "a member is not registered", new Set());
         }
     }
 
@@ -272,6 +323,10 @@
     }
 
     private advance(view: ServiceView, group: ManagedGroup): void {
+        if (group.isAwaitingMembers && group.phase !== "lost") {
+            this.advanceAwaiting(view, group);
+            return;
+        }
         this.phaseHandlers[group.phase](view, group);
     }
 
@@ -725,7 +780,7 @@
             staying: staying.length,
             of: model.memberCount,
         });
-        const incomplete: ManagedGroup = { ...group, members: staying };
+        const incomplete: ManagedGroup = { ...group, members: staying, isAwaitingMembers: false };
         this.groups.set(name, incomplete);
         this.setPhase(incomplete, "incomplete");
     }
@@ -943,6 +998,10 @@
     return `.${model.name}`;
 }
 
+function membersByRank({ members }: ObservedGroup): Upstream[] {
+    return [...members].sort(([left], [right]) => left - right).map(([, member]) => member);
+}
+
 function headOf({ members, isHeadMissing }: ManagedGroup): Upstream | undefined {
     return isHeadMissing ? undefined : members[0];
 }
--- a/packages/gateway/src/fleet/ManagedGroup.ts
+++ b/packages/gateway/src/fleet/ManagedGroup.ts
@@ -13,6 +13,8 @@
     members: readonly Upstream[];
     /** True if the head was not registered when the group was adopted; `members` lacks it then. */
     isHeadMissing?: boolean;
+    /** True if members were not registered when the group was adopted, and may register again. */
+    isAwaitingMembers?: boolean;
     /** A `lost` group gets no new requests; it is re-formed once those in flight have ended. */
     phase: "joining" | "opening" | "open" | "closing" | "lost" | "incomplete";
     /** Start of the phase, monotonic. */
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -1,5 +1,6 @@
 import { MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
+import type { Upstream } from "../../src/model/Upstream.js";
 import { FleetRig } from "../support/FleetRig.js";
 
 /**
@@ -103,6 +104,67 @@
         rig.stopController();
     });
 
+    describe("when all gateways restart and registrations have lapsed", () => {
+        /** Time in which upstreams register again after the store is back. */
+        const REGISTRATION_MS = 2000;
+
+        function openGroupsOf(rig: FleetRig): string[] {
+            return rig.fleet.openHeads().map(({ group }) => `${group?.name}@${group?.epoch}`).sort();
+        }
+
+        function ordersOf(rig: FleetRig, incarnation: string): string[] {
+            return rig.acceptedOrders.filter(order => order.incarnation === incarnation && order.kind !== "stage")
+                .map(({ kind, upstream }) => `${kind} ${upstream}`);
+        }
+
+        /** Ends the only controller and removes the registrations that `hasLapsed` selects. */
+        async function restartWithout(hasLapsed: (upstream: Upstream, index: number) => boolean) {
+            const rig = await createFormedRig();
+            const openGroups = openGroupsOf(rig);
+            const lapsed = [...rig.directory.all()].filter(hasLapsed);
+            rig.stopController();
+            lapsed.forEach(({ id }) => rig.directory.remove(id, "lapsed"));
+            rig.startController("second");
+            return { rig, openGroups, lapsed };
+        }
+
+        const lapses: Record<string, (upstream: Upstream, index: number) => boolean> = {
+            "two of three upstreams": (_, index) => index % 3 !== 0,
+            "all heads": ({ group }) => group?.rank === 0,
+            "all members but the heads": ({ group }) => group?.rank !== 0,
+        };
+        for (const [name, hasLapsed] of Object.entries(lapses)) {
+            it(`keeps the groups of ${name} that register again within two seconds`, async () => {
+                const { rig, openGroups, lapsed } = await restartWithout(hasLapsed);
+                for (const [index, { id }] of lapsed.entries()) {
+                    rig.directory.set(rig.fleet.state(id));
+                    await rig.run(index % 2 === 0 ? REGISTRATION_MS / lapsed.length * 2 : 0);
+                }
+                await rig.run(6000);
+                expect([openGroupsOf(rig), ordersOf(rig, "second")]).to.deep.equal([openGroups, []]);
+                rig.stopController();
+            });
+        }
+
+        it("keeps a group that gets events although members stay partitioned from the store", async () => {
+            const { rig, openGroups, lapsed } = await restartWithout(({ group }) => (group?.rank ?? 0) % 2 === 1);
+            await rig.run(4000);
+            lapsed.forEach(({ id }) => rig.directory.set(rig.fleet.state(id)));
+            await rig.run(3000);
+            expect(openGroupsOf(rig)).to.deep.equal(openGroups);
+            rig.stopController();
+        });
+
+        it("re-forms a group whose missing member is really gone, soon after its requests get no events", async () => {
+            const { rig, lapsed } = await restartWithout(({ group, domain }) => group?.rank === 1 && domain === "d0");
+            lapsed.forEach(({ id }) => rig.fleet.makeUnresponsive(id, 0));
+            await rig.run(6000);
+            expect(rig.countCompleteGroups()).to.deep.equal({ large: 2, small: 2 });
+            expect(rig.fleet.violations).to.deep.equal([]);
+            rig.stopController();
+        });
+    });
+
     describe("when a group is suspected to have failed", () => {
         for (const silentMs of [700, 1200, 1700]) {
             it(`breaks off no requests of a member that is silent for ${silentMs} ms and goes on`, async () => {
