Conclude nothing about single upstreams while none responds

Cause: a controller that reached no upstream at all took the silence of each for its loss. Groups whose upstreams lived on were suspected, given up and dissolved. The detector of partitions counted only what other gateways still reached, and one fact stood for all services: a response of any service ended the partition from every other.

Change: the detector knows the path to each service by itself, and probes whoever else reaches the upstreams. While no upstream of a service responds, the controller leaves that service's groups as they are, and silence from before the return does not count. A gateway still leaves the balancer only if other gateways receive events.

Three new tests of the controller failed before.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -169,8 +169,7 @@
             upstreams: this.upstreams,
             probe: async upstream =>
                 (await control.fetchReport(upstream, PARTITION_PROBE_TIMEOUT_MS)).kind !== "unreachable",
-            doPeersReceiveEvents: () => this.loads.doPeersReceiveEvents(PEER_EVENTS_WITHIN_MS),
-            ownSilence: () => this.loads.ownSilence(),
+            ownSilence: service => this.loads.ownSilence(service),
         });
         const waits = RequestedWaits.create({ clock, log });
         const upstreamLimiter = UpstreamLimiter.create({
@@ -289,8 +288,8 @@
             standbyPool: StandbyPool.create({ clock, log, orders, weightLoadLimiter, hasTraffic }),
             groupStallMs: settings.groupStallMs,
             isZoneReachable: (zone, sinceMs) =>
-                !this.partitions.isSuspected
-                && (zone === settings.zone || this.connections.isZoneReachable(zone, sinceMs)),
+                zone === settings.zone || this.connections.isZoneReachable(zone, sinceMs),
+            isServiceReachable: service => !this.partitions.isSuspectedFor(service),
             loadLagMs: () => this.connections.hasHubs ? HUB_LOAD_LAG_MS : 0,
             announceLost: (epoch, reason) => this.exchange.announceLost(epoch, reason),
             isLost: epoch => this.groups.isLost(epoch),
@@ -376,7 +375,7 @@
 
     /** True while this gateway reaches no upstream and other gateways do. */
     get isPartitioned(): boolean {
-        return this.partitions.isPartitioned;
+        return this.partitions.isPartitionedFromAll && this.loads.doPeersReceiveEvents(PEER_EVENTS_WITHIN_MS);
     }
 
     /** True once a shutdown has started. */
--- a/packages/gateway/src/PartitionDetector.ts
+++ b/packages/gateway/src/PartitionDetector.ts
@@ -12,10 +12,21 @@
     upstreams: UpstreamDirectory;
     /** Returns true if the upstream responds to a request for a report. */
     probe: (upstream: Upstream) => Promise<boolean>;
-    /** Returns true if other gateways receive events from upstreams. */
-    doPeersReceiveEvents: () => boolean;
-    /** Number of targets with requests in flight of this gateway, and the shortest time without an event from any. */
-    ownSilence: () => { targets: number; silentMs: number; };
+    /**
+     * Number of targets of a service with requests in flight of this gateway, and the shortest time without an event from
+     * any.
+     */
+    ownSilence: (service: string) => { targets: number; silentMs: number; };
+}
+
+/** What this gateway knows of its path to the upstreams of one service. */
+interface ServicePath {
+    unreachable: Set<string>;
+    lastResponseAtMs: number;
+    lastProbeAtMs: number;
+    isProbing: boolean;
+    /** When the partition was found, monotonic; Infinity while there is none. */
+    partitionedSinceMs: number;
 }
 
 const CHECK_INTERVAL_MS = 100;
@@ -36,110 +47,148 @@
 const RECOVERY_PROBE_INTERVAL_MS = 300;
 
 /**
- * Detects that this gateway is partitioned from the upstreams while other gateways reach them. Then it should get no
- * requests, and conclusions about upstreams from its own view would be wrong. Upstreams that are unreachable for all
- * gateways are no partition of this one.
+ * Detects from which services this gateway is partitioned: it reaches none of their upstreams. Then it should not send
+ * requests there itself, and conclusions about single upstreams from its own view would be wrong. Whether other gateways
+ * reach the upstreams is left to the caller.
  */
 export class PartitionDetector implements ReachabilityRecorder {
-    private readonly unreachable = new Set<string>();
-    private lastResponseAtMs: number;
-    private lastProbeAtMs = -Infinity;
-    private isProbing = false;
-    private hasPartition = false;
-
-    private constructor(private readonly options: PartitionDetectorOptions) {
-        this.lastResponseAtMs = options.clock.monotonicMs();
-    }
+    private readonly paths = new Map<string, ServicePath>();
+    /** Version of the directory at the last look for new services. */
+    private seenVersion = -1;
+
+    private constructor(private readonly options: PartitionDetectorOptions) {}
 
     /** Creates a detector. It detects only after `run` was called. */
     static create(options: PartitionDetectorOptions): PartitionDetector {
         return new PartitionDetector(options);
     }
 
-    /** True while this gateway is partitioned from the upstreams and others are not. */
-    get isPartitioned(): boolean {
-        return this.hasPartition;
+    /** Returns the services from which this gateway is partitioned. */
+    partitionedServices(): string[] {
+        return [...this.paths].filter(([, path]) => isPartitioned(path)).map(([service]) => service);
     }
 
-    /** True during a partition, and while it is being found out whether there is one; for a few moments at a time. */
-    get isSuspected(): boolean {
-        return this.hasPartition || this.isProbing || this.mustConfirm;
+    /** Returns true while this gateway reaches no upstream of a service. */
+    isPartitionedFrom(service: string): boolean {
+        const path = this.paths.get(service);
+        return path !== undefined && isPartitioned(path);
+    }
+
+    /** True if this gateway is partitioned from a service and no upstream of any other has responded since. */
+    get isPartitionedFromAll(): boolean {
+        const paths = [...this.paths.values()];
+        const sinceMs = Math.min(...paths.map(path => path.partitionedSinceMs));
+        return sinceMs < Infinity && paths.every(path => isPartitioned(path) || path.lastResponseAtMs < sinceMs);
+    }
+
+    /** Returns true during a partition, and for a few moments at a time while it is being found out if there is one. */
+    isSuspectedFor(service: string): boolean {
+        const path = this.paths.get(service);
+        return path !== undefined && (isPartitioned(path) || path.isProbing || this.mustConfirm(service, path));
     }
 
     /** Records that an upstream has responded. */
-    recordResponse(): void {
-        this.lastResponseAtMs = this.options.clock.monotonicMs();
-        this.unreachable.clear();
-        this.setPartitioned(false);
+    recordResponse({ service }: Upstream): void {
+        const path = this.pathTo(service);
+        path.lastResponseAtMs = this.options.clock.monotonicMs();
+        path.unreachable.clear();
+        this.setPartitioned(service, path, false);
     }
 
     /** Records that an upstream has accepted no connection. */
-    recordUnreachable({ id }: Upstream): void {
-        if (this.unreachable.size < MIN_UNREACHABLE) {
-            this.unreachable.add(id);
+    recordUnreachable({ service, id }: Upstream): void {
+        const { unreachable } = this.pathTo(service);
+        if (unreachable.size < MIN_UNREACHABLE) {
+            unreachable.add(id);
         }
     }
 
-    /** Checks for a partition until `signal` aborts. */
+    /** Checks for partitions until `signal` aborts. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await this.options.clock.sleep(CHECK_INTERVAL_MS, signal);
-            await this.check();
+            this.addServices();
+            this.paths.forEach((path, service) => void this.check(service, path));
+        }
+    }
+
+    private addServices(): void {
+        const { upstreams } = this.options;
+        if (upstreams.version !== this.seenVersion) {
+            this.seenVersion = upstreams.version;
+            [...upstreams.all()].forEach(({ service }) => this.pathTo(service));
+        }
+    }
+
+    private pathTo(service: string): ServicePath {
+        let path = this.paths.get(service);
+        if (!path) {
+            path = {
+                unreachable: new Set(),
+                lastResponseAtMs: -Infinity,
+                lastProbeAtMs: -Infinity,
+                isProbing: false,
+                partitionedSinceMs: Infinity,
+            };
+            this.paths.set(service, path);
         }
+        return path;
     }
 
-    private get isSuspicious(): boolean {
-        const { clock, ownSilence } = this.options;
-        const sinceResponseMs = clock.monotonicMs() - this.lastResponseAtMs;
-        if (this.unreachable.size >= MIN_UNREACHABLE && sinceResponseMs >= UNRESPONSIVE_MS) {
+    private isSuspicious(service: string, { unreachable, lastResponseAtMs }: ServicePath): boolean {
+        const sinceResponseMs = this.options.clock.monotonicMs() - lastResponseAtMs;
+        if (unreachable.size >= MIN_UNREACHABLE && sinceResponseMs >= UNRESPONSIVE_MS) {
             return true;
         }
-        const { targets, silentMs } = ownSilence();
+        const { targets, silentMs } = this.options.ownSilence(service);
         return targets >= MIN_SILENT_TARGETS && Math.min(silentMs, sinceResponseMs) >= SILENCE_MS;
     }
 
-    /** True if a partition is suspected that upstreams have not just disproved. */
-    private get mustConfirm(): boolean {
-        const { clock, doPeersReceiveEvents } = this.options;
-        return clock.monotonicMs() - this.lastProbeAtMs >= RECHECK_AFTER_MS && this.isSuspicious
-            && doPeersReceiveEvents();
+    /** Returns true if a partition is suspected that upstreams have not just disproved. */
+    private mustConfirm(service: string, path: ServicePath): boolean {
+        return this.options.clock.monotonicMs() - path.lastProbeAtMs >= RECHECK_AFTER_MS
+            && this.isSuspicious(service, path);
     }
 
-    private async check(): Promise<void> {
-        const { clock, random, upstreams, doPeersReceiveEvents } = this.options;
+    private async check(service: string, path: ServicePath): Promise<void> {
+        const { clock, random, upstreams, probe } = this.options;
         const nowMs = clock.monotonicMs();
-        if (this.hasPartition && !doPeersReceiveEvents()) {
-            // Nobody reaches the upstreams, so that requests are as well off here as anywhere.
-            this.setPartitioned(false);
-            this.lastProbeAtMs = nowMs;
+        const mustProbe = isPartitioned(path)
+            ? nowMs - path.lastProbeAtMs >= RECOVERY_PROBE_INTERVAL_MS
+            : this.mustConfirm(service, path);
+        if (!mustProbe || path.isProbing) {
             return;
         }
-        const mustProbe = this.hasPartition
-            ? nowMs - this.lastProbeAtMs >= RECOVERY_PROBE_INTERVAL_MS
-            : this.mustConfirm;
-        if (!mustProbe) {
-            return;
-        }
-        const ready = [...upstreams.all()].filter(({ state }) => state === "ready");
-        const probed = sampleWithoutReplacement(ready, this.hasPartition ? 1 : PROBES, random);
-        this.lastProbeAtMs = nowMs;
-        this.isProbing = true;
-        const results = await Promise.all(probed.map(upstream => this.options.probe(upstream)));
-        this.isProbing = false;
-        const hasResponded = results.includes(true) || this.lastResponseAtMs > nowMs;
+        const ready = [...upstreams.all()].filter(upstream =>
+            upstream.service === service && upstream.state === "ready"
+        );
+        const probed = sampleWithoutReplacement(ready, isPartitioned(path) ? 1 : PROBES, random);
+        path.lastProbeAtMs = nowMs;
+        path.isProbing = true;
+        const results = await Promise.all(probed.map(upstream => probe(upstream)));
+        path.isProbing = false;
+        const hasResponded = results.includes(true) || path.lastResponseAtMs > nowMs;
         if (hasResponded || ready.length < MIN_PROBES) {
-            this.recordResponse();
+            path.lastResponseAtMs = clock.monotonicMs();
+            path.unreachable.clear();
+            this.setPartitioned(service, path, false);
         }
         else {
-            this.setPartitioned(true);
+            this.setPartitioned(service, path, true);
         }
     }
 
-    private setPartitioned(isPartitioned: boolean): void {
-        if (this.hasPartition === isPartitioned) {
+    private setPartitioned(service: string, path: ServicePath, isFound: boolean): void {
+        if (isPartitioned(path) === isFound) {
             return;
         }
-        this.hasPartition = isPartitioned;
-        this.options.log.warn(isPartitioned ? "partitioned from the upstreams" : "partition from the upstreams ended");
+        path.partitionedSinceMs = isFound ? this.options.clock.monotonicMs() : Infinity;
+        this.options.log.warn(isFound ? "partitioned from the upstreams" : "partition from the upstreams ended", {
+            service,
+        });
     }
 }
+
+function isPartitioned({ partitionedSinceMs }: ServicePath): boolean {
+    return partitionedSinceMs < Infinity;
+}
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -45,6 +45,11 @@
      * `sinceMs`. Conclusions about the upstreams of such a zone would be wrong.
      */
     isZoneReachable: (zone: string, sinceMs?: number) => boolean;
+    /**
+     * Returns false while no upstream of a service seems to respond to this gateway. That tells nothing of any single one:
+     * they may all work, and be back at any moment.
+     */
+    isServiceReachable: (service: string) => boolean;
     /** How much older the loads reported by other gateways can be than the interval between their updates. */
     loadLagMs: () => number;
     /** Reports a lost group to all gateways. */
@@ -143,6 +148,8 @@
     private term = 0;
     /** When `run` was called, monotonic. */
     private runningSinceMs = -Infinity;
+    /** When the upstreams of a service were last out of reach, monotonic. */
+    private readonly unreachableUntilMs = new Map<string, number>();
     private readonly stability: FleetStabilityMonitor;
     private readonly memberChecker: MemberChecker;
 
@@ -203,7 +210,7 @@
         }
         this.stability.update();
         for (const [service, { engine }] of configuration.current?.services ?? []) {
-            if (!engine) {
+            if (!engine || !this.updateReachability(service)) {
                 continue;
             }
             const view = this.viewOf(service, engine);
@@ -223,6 +230,15 @@
         }
     }
 
+    /** Returns false while no upstream of a service seems to respond. */
+    private updateReachability(service: string): boolean {
+        if (!this.options.isServiceReachable(service)) {
+            this.unreachableUntilMs.set(service, this.nowMs());
+            return false;
+        }
+        return true;
+    }
+
     /** Takes over groups that an earlier controller formed, as their members' registrations show them. */
     private adoptGroups(view: ServiceView): void {
         for (const group of view.observed.values()) {
@@ -319,7 +335,8 @@
     }
 
     private isReachable(group: ManagedGroup, sinceMs?: number): boolean {
-        return group.members.every(member => this.options.isZoneReachable(member.zone, sinceMs));
+        return this.options.isServiceReachable(group.service)
+            && group.members.every(member => this.options.isZoneReachable(member.zone, sinceMs));
     }
 
     private advance(view: ServiceView, group: ManagedGroup): void {
@@ -472,7 +489,9 @@
             return;
         }
         const silenceMs = SILENCE_BEFORE_CHECK_MS + this.options.loadLagMs();
-        const isSilent = load.inFlight > 0 && load.silentMs > silenceMs && ageMs > silenceMs;
+        // Silence from before the upstreams could be reached again is not the group's.
+        const reachableMs = this.nowMs() - (this.unreachableUntilMs.get(group.service) ?? -Infinity);
+        const isSilent = load.inFlight > 0 && Math.min(load.silentMs, reachableMs) > silenceMs && ageMs > silenceMs;
         const unlisted = group.members.filter(member => !this.options.upstreams.get(member.id));
         const isDue = isSilent
             ? this.memberChecker.isCheckDue(group, CHECK_INTERVAL_MS)
@@ -493,7 +512,7 @@
             if (!this.isCurrent(group, "open")) {
                 return;
             }
-            const isSilentTooLong = isSilent && this.isReachable(group)
+            const isSilentTooLong = isSilent && this.isReachable(group) && reachableMs > MAX_SILENCE_MS
                 && this.options.loads.totalLoad(String(group.epoch)).silentMs > MAX_SILENCE_MS;
             const fresh = this.freshView(view);
             const slow = this.replaceableSlowMembers(fresh, group);
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -84,7 +84,7 @@
 
     private recordReachability(upstream: Upstream, hasResponded: boolean): void {
         if (hasResponded) {
-            this.options.reachability.recordResponse();
+            this.options.reachability.recordResponse(upstream);
         }
         else {
             this.options.reachability.recordUnreachable(upstream);
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -196,7 +196,7 @@
         }
         upstreamLimiter.record(best);
         avoidedUpstreams.recordAttempt(best);
-        return { upstream: best, trackedRequest: loads.trackRequest(best.id, 0, () => undefined) };
+        return { upstream: best, trackedRequest: loads.trackRequest(best.id, best.service, 0, () => undefined) };
     }
 
     private async attempt(call: ForwardedCall, slot: PlainSlot, progress: PlainProgress): Promise<AttemptResult> {
--- a/packages/gateway/src/forwarding/ResponseRecordingClient.ts
+++ b/packages/gateway/src/forwarding/ResponseRecordingClient.ts
@@ -42,7 +42,7 @@
             reachability.recordUnreachable(upstream);
         }
         else if (response.kind !== "unknown") {
-            reachability.recordResponse();
+            reachability.recordResponse(upstream);
         }
         if (response.kind === "answered" || (response.kind === "not-run" && response.reason === "overloaded")) {
             this.record(upstream, response, sentAtMs);
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -275,6 +275,7 @@
         const groupLost = new AbortController();
         const trackedRequest = loads.trackRequest(
             String(epoch),
+            head.service,
             request.promptTokens,
             reason => groupLost.abort(reason),
         );
--- a/packages/gateway/src/placement/LoadTracker.ts
+++ b/packages/gateway/src/placement/LoadTracker.ts
@@ -4,6 +4,7 @@
 
 /** Load that this process's requests put on one target. */
 interface OwnLoad {
+    service: string;
     requests: Set<RequestRecord>;
     lastEventAtMs: number;
 }
@@ -47,10 +48,15 @@
         return new LoadTracker(clock);
     }
 
-    /** Adds a request to the target's load. `abort` is called when the target is found lost. */
-    trackRequest(target: string, promptTokens: number, abort: (reason: string) => void): TrackedRequest {
+    /** Adds a request to the load of a service's target. `abort` is called when the target is found lost. */
+    trackRequest(
+        target: string,
+        service: string,
+        promptTokens: number,
+        abort: (reason: string) => void,
+    ): TrackedRequest {
         const nowMs = this.clock.monotonicMs();
-        const load = this.own.get(target) ?? { requests: new Set(), lastEventAtMs: nowMs };
+        const load = this.own.get(target) ?? { service, requests: new Set(), lastEventAtMs: nowMs };
         this.own.set(target, load);
         const request: RequestRecord = { readSinceMs: nowMs, pendingPrefillTokens: promptTokens, abort };
         load.requests.add(request);
@@ -103,9 +109,10 @@
         this.pauses.set(target, { meanMs, atMs });
     }
 
-    /** Number of targets with requests of this process that are read, and the shortest silence among them. */
-    ownSilence(): { targets: number; silentMs: number; } {
-        const silences = [...this.own.keys()].map(target => this.measureOwnLoad(target).silentMs)
+    /** Returns the number of a service's targets with requests of this process that are read, and the shortest silence. */
+    ownSilence(service: string): { targets: number; silentMs: number; } {
+        const targets = [...this.own].filter(([, load]) => load.service === service);
+        const silences = targets.map(([target]) => this.measureOwnLoad(target).silentMs)
             .filter(silentMs => silentMs < Infinity);
         return { targets: silences.length, silentMs: Math.min(...silences) };
     }
--- a/packages/gateway/tests/PartitionDetector.test.ts
+++ b/packages/gateway/tests/PartitionDetector.test.ts
@@ -17,7 +17,6 @@
     let detector: PartitionDetector;
     let stop: AbortController;
     let isCut: boolean;
-    let doPeersReceiveEvents: boolean;
     let own: { targets: number; silentMs: number; };
     let probes: number;
 
@@ -28,7 +27,6 @@
         upstreams.forEach(upstream => directory.set(upstream));
         stop = new AbortController();
         isCut = false;
-        doPeersReceiveEvents = true;
         own = { targets: 0, silentMs: 0 };
         probes = 0;
         detector = PartitionDetector.create({
@@ -42,8 +40,7 @@
                 await clock.sleep(isReached ? 2 : PROBE_TIMEOUT_MS);
                 return isReached;
             },
-            doPeersReceiveEvents: () => doPeersReceiveEvents,
-            ownSilence: () => own,
+            ownSilence: service => service === "llm" ? own : { targets: 0, silentMs: Infinity },
         });
         void detector.run(stop.signal);
         await clock.advance(5000);
@@ -60,54 +57,68 @@
         isCut = true;
         failConnections(4);
         await clock.advance(DETECTION_MS);
-        expect(detector.isPartitioned).to.equal(true);
+        expect(detector.isPartitionedFrom("llm")).to.equal(true);
     });
 
     it("finds a gateway partitioned whose connections hang", async () => {
         isCut = true;
         own = { targets: 4, silentMs: 800 };
         await clock.advance(DETECTION_MS);
-        expect(detector.isPartitioned).to.equal(true);
+        expect(detector.isPartitionedFrom("llm")).to.equal(true);
     });
 
     it("notices within a second that the partition has ended, without any request", async () => {
         isCut = true;
         failConnections(4);
         await clock.advance(10_000);
-        expect(detector.isPartitioned).to.equal(true);
+        expect(detector.isPartitionedFrom("llm")).to.equal(true);
         isCut = false;
         await clock.advance(RETURN_MS);
-        expect(detector.isPartitioned).to.equal(false);
+        expect(detector.isPartitionedFrom("llm")).to.equal(false);
     });
 
     it("does not take a few crashed upstreams for a partition", async () => {
         for (let second = 0; second < 10; second++) {
             failConnections(8);
-            detector.recordResponse();
+            detector.recordResponse(upstreams[11]!);
             await clock.advance(1000);
-            expect(detector.isPartitioned).to.equal(false);
+            expect(detector.isPartitionedFrom("llm")).to.equal(false);
         }
         failConnections(8);
         await clock.advance(3000);
-        expect([detector.isPartitioned, probes]).to.deep.equal([false, 3]);
+        expect([detector.isPartitionedFrom("llm"), probes]).to.deep.equal([false, 3]);
     });
 
-    it("does not take upstreams for partitioned that no gateway reaches", async () => {
+    it("goes on probing during a long partition, whoever else reaches the upstreams", async () => {
         isCut = true;
-        doPeersReceiveEvents = false;
         failConnections(12);
         own = { targets: 4, silentMs: 5000 };
         await clock.advance(10_000);
-        expect([detector.isPartitioned, probes]).to.deep.equal([false, 0]);
+        expect([detector.isPartitionedFrom("llm"), detector.partitionedServices()]).to.deep.equal([true, ["llm"]]);
+        expect(probes).to.be.within(20, 36);
     });
 
-    it("ends when no other gateway reaches the upstreams any more", async () => {
+    it("is partitioned from one service while the upstreams of another respond", async () => {
+        const app = exampleUpstream("app-0", { service: "app" });
+        isCut = true;
+        failConnections(4);
+        for (let passedMs = 0; passedMs < 5000; passedMs += 100) {
+            detector.recordResponse(app);
+            await clock.advance(100);
+        }
+        expect(detector.isPartitionedFrom("llm")).to.equal(true);
+        expect([detector.isPartitionedFrom("app"), detector.isPartitionedFromAll]).to.deep.equal([false, false]);
+    });
+
+    it("is partitioned from all services once none has responded since the partition was found", async () => {
+        const app = exampleUpstream("app-0", { service: "app" });
+        detector.recordResponse(app);
         isCut = true;
         failConnections(4);
         await clock.advance(DETECTION_MS);
-        doPeersReceiveEvents = false;
-        await clock.advance(RETURN_MS);
-        expect(detector.isPartitioned).to.equal(false);
+        expect(detector.isPartitionedFromAll).to.equal(true);
+        detector.recordResponse(app);
+        expect([detector.isPartitionedFromAll, detector.isPartitionedFrom("llm")]).to.deep.equal([false, true]);
     });
 
     it("probes rarely while requests are silent for a second and go on", async () => {
@@ -116,7 +127,7 @@
             await clock.advance(400);
             own = { targets: 4, silentMs: 900 };
             await clock.advance(600);
-            expect(detector.isPartitioned).to.equal(false);
+            expect(detector.isPartitionedFrom("llm")).to.equal(false);
         }
         expect(probes).to.be.at.most(30_000 / 1500 * 3);
     });
@@ -125,7 +136,7 @@
         own = { targets: 4, silentMs: 5000 };
         let suspectedMs = 0;
         for (let atMs = 0; atMs < 15_000; atMs += 10) {
-            suspectedMs += detector.isSuspected ? 10 : 0;
+            suspectedMs += detector.isSuspectedFor("llm") ? 10 : 0;
             await clock.advance(10);
         }
         expect(suspectedMs).to.be.at.most(15_000 / 1500 * 120);
@@ -135,8 +146,8 @@
         isCut = true;
         await clock.advance(400);
         failConnections(4);
-        expect([detector.isSuspected, detector.isPartitioned]).to.deep.equal([true, false]);
+        expect([detector.isSuspectedFor("llm"), detector.isPartitionedFrom("llm")]).to.deep.equal([true, false]);
         await clock.advance(PROBE_TIMEOUT_MS + 150);
-        expect([detector.isSuspected, detector.isPartitioned]).to.deep.equal([true, true]);
+        expect([detector.isSuspectedFor("llm"), detector.isPartitionedFrom("llm")]).to.deep.equal([true, true]);
     });
 });
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -18,6 +18,10 @@
     return rig;
 }
 
+function openGroupsOf(rig: FleetRig): string[] {
+    return rig.fleet.openHeads().map(({ group }) => `${group?.name}@${group?.epoch}`).sort();
+}
+
 /** Returns a formed fleet, and one of its large groups with functions that observe it. */
 async function createRigWithTarget() {
     const rig = await createFormedRig();
@@ -104,14 +108,46 @@
         rig.stopController();
     });
 
+    describe("when the controller reaches no upstream", () => {
+        /** Longest time from the return of the path until all groups take requests again. */
+        const RETURN_MS = 2000;
+
+        for (const cutMs of [3000, 11_000]) {
+            it(`dissolves no group whose upstreams are all silent for ${cutMs} ms and live on`, async () => {
+                const rig = await createFormedRig();
+                const before = openGroupsOf(rig);
+                const ids = [...rig.directory.all()].map(({ id }) => id);
+                ids.forEach(id => rig.fleet.makeUnresponsive(id, 1e9));
+                await rig.run(cutMs);
+                ids.forEach(id => rig.fleet.makeResponsive(id));
+                await rig.run(RETURN_MS);
+                expect(openGroupsOf(rig)).to.deep.equal(before);
+                expect(rig.lostEpochs).to.deep.equal([]);
+                expect(rig.fleet.violations).to.deep.equal([]);
+                rig.stopController();
+            });
+        }
+
+        it("dissolves no group when a gateway that has just started becomes the controller", async () => {
+            const rig = await createFormedRig();
+            const before = openGroupsOf(rig);
+            const ids = [...rig.directory.all()].map(({ id }) => id);
+            rig.stopController();
+            ids.forEach(id => rig.fleet.makeUnresponsive(id, 1e9));
+            await rig.run(500);
+            rig.startController("second");
+            await rig.run(9000);
+            ids.forEach(id => rig.fleet.makeResponsive(id));
+            await rig.run(RETURN_MS);
+            expect(openGroupsOf(rig)).to.deep.equal(before);
+            rig.stopController();
+        });
+    });
+
     describe("when all gateways restart and registrations have lapsed", () => {
         /** Time in which upstreams register again after the store is back. */
         const REGISTRATION_MS = 2000;
 
-        function openGroupsOf(rig: FleetRig): string[] {
-            return rig.fleet.openHeads().map(({ group }) => `${group?.name}@${group?.epoch}`).sort();
-        }
-
         function ordersOf(rig: FleetRig, incarnation: string): string[] {
             return rig.acceptedOrders.filter(order => order.incarnation === incarnation && order.kind !== "stage")
                 .map(({ kind, upstream }) => `${kind} ${upstream}`);
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -165,7 +165,7 @@
         it(`adds up the load and the retries of ${title}, each gateway's once`, async () => {
             start(vms);
             for (const { loads, retries } of gateways.values()) {
-                loads.trackRequest(EPOCH, 10, () => undefined);
+                loads.trackRequest(EPOCH, "llm", 10, () => undefined);
                 retries.recordRequest("llm");
             }
             for (let pass = 0; pass < 5; pass++) {
--- a/packages/gateway/tests/placement/limits.test.ts
+++ b/packages/gateway/tests/placement/limits.test.ts
@@ -138,10 +138,10 @@
     it("tells whether peers receive events where this process receives none", async () => {
         const clock = ManualClock.create();
         const loads = LoadTracker.create(clock);
-        loads.trackRequest("1", 0, () => undefined);
-        loads.trackRequest("2", 0, () => undefined);
+        loads.trackRequest("1", "llm", 0, () => undefined);
+        loads.trackRequest("2", "llm", 0, () => undefined);
         await clock.advance(600);
-        expect(loads.ownSilence()).to.deep.equal({ targets: 2, silentMs: 600 });
+        expect(loads.ownSilence("llm")).to.deep.equal({ targets: 2, silentMs: 600 });
         expect(loads.doPeersReceiveEvents(1000)).to.equal(false);
         loads.setPeerLoads("b", [["1", { inFlight: 1, pendingPrefillTokens: 0, silentMs: 900 }]]);
         expect(loads.doPeersReceiveEvents(1000)).to.equal(true);
@@ -156,7 +156,7 @@
     it("subtracts a peer's own load from the loads reported to it", async () => {
         const clock = ManualClock.create();
         const loads = LoadTracker.create(clock);
-        loads.trackRequest("1", 500, () => undefined);
+        loads.trackRequest("1", "llm", 500, () => undefined);
         loads.setPeerLoads("b", [["1", load(3, 100)], ["2", load(1, 0)]]);
         loads.setPeerLoads("c", [["1", load(2, 40)]]);
         const targets = loads.targetLoads(() => true);
@@ -192,7 +192,7 @@
     it("adds up the loads of all gateways at a target, with the shortest silence", async () => {
         const clock = ManualClock.create();
         const loads = LoadTracker.create(clock);
-        const call = loads.trackRequest("7", 1000, () => undefined);
+        const call = loads.trackRequest("7", "llm", 1000, () => undefined);
         await clock.advance(500);
         loads.setPeerLoads("b", [["7", { inFlight: 3, pendingPrefillTokens: 200, silentMs: 40 }]]);
         expect(loads.totalLoad("7")).to.deep.equal({ inFlight: 4, pendingPrefillTokens: 1200, silentMs: 40 });
@@ -210,7 +210,7 @@
         beforeEach(async () => {
             clock = ManualClock.create();
             loads = LoadTracker.create(clock);
-            unread = loads.trackRequest("7", 1000, () => undefined);
+            unread = loads.trackRequest("7", "llm", 1000, () => undefined);
             unread.recordEvent();
             unread.pause();
             await clock.advance(600);
@@ -224,7 +224,7 @@
         });
 
         it("counts the silence of the other requests", async () => {
-            loads.trackRequest("7", 1000, () => undefined);
+            loads.trackRequest("7", "llm", 1000, () => undefined);
             await clock.advance(300);
             expect(loads.totalLoad("7").silentMs).to.equal(300);
         });
@@ -253,8 +253,8 @@
     it("aborts the requests at a target that was found lost, and no others", () => {
         const loads = LoadTracker.create(ManualClock.create());
         const aborted: string[] = [];
-        loads.trackRequest("7", 0, reason => aborted.push(`a ${reason}`));
-        loads.trackRequest("8", 0, reason => aborted.push(`b ${reason}`));
+        loads.trackRequest("7", "llm", 0, reason => aborted.push(`a ${reason}`));
+        loads.trackRequest("8", "llm", 0, reason => aborted.push(`b ${reason}`));
         expect(loads.abortRequests("7", "lost")).to.equal(1);
         expect(aborted).to.deep.equal(["a lost"]);
     });
--- a/packages/gateway/tests/placement/tableSizes.test.ts
+++ b/packages/gateway/tests/placement/tableSizes.test.ts
@@ -76,7 +76,7 @@
     it("forget the pauses of groups that are gone", async () => {
         const loads = LoadTracker.create(clock);
         await useKeys(index => {
-            const request = loads.trackRequest(String(index), 1, () => undefined);
+            const request = loads.trackRequest(String(index), "llm", 1, () => undefined);
             request.recordEvent();
             request.recordEvent();
             request.end();
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -1,4 +1,4 @@
-import { ManualClock, MemoryObjectStore } from "@fescuehaven/testing";
+import { ManualClock, MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
 import { ActiveConfiguration } from "../../src/ActiveConfiguration.js";
 import { ControllerLease } from "../../src/fleet/ControllerLease.js";
 import { EpochSource } from "../../src/fleet/EpochSource.js";
@@ -7,6 +7,7 @@
 import { OrderSender } from "../../src/fleet/OrderSender.js";
 import { StandbyPool } from "../../src/fleet/StandbyPool.js";
 import { WeightLoadLimiter } from "../../src/fleet/WeightLoadLimiter.js";
+import { PartitionDetector } from "../../src/PartitionDetector.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import type { TargetLoad } from "../../src/placement/TargetLoad.js";
 import type { UpstreamControl } from "../../src/ports/UpstreamControl.js";
@@ -14,7 +15,6 @@
 import { exampleEngine } from "./exampleEngine.js";
 import { exampleUpstream } from "./exampleUpstream.js";
 import { noMetrics } from "./noMetrics.js";
-import { noReachability } from "./noReachability.js";
 import { SilentDecisionLog } from "./SilentDecisionLog.js";
 import { SimulatedUpstreams } from "./SimulatedUpstreams.js";
 
@@ -45,6 +45,14 @@
     readonly unreachableZones = new Set<string>();
     private readonly loads = LoadTracker.create(this.clock);
     private readonly configuration = ActiveConfiguration.create(this.log);
+    private readonly partitions = PartitionDetector.create({
+        clock: this.clock,
+        random: SeededRandom.create(1),
+        log: this.log,
+        upstreams: this.directory,
+        probe: async upstream => (await this.fleet.fetchReport(upstream)).kind !== "unreachable",
+        ownSilence: service => this.loads.ownSilence(service),
+    });
     /** Accepted orders, with the incarnation of the controller that sent each. */
     readonly acceptedOrders: Array<{ incarnation: string; upstream: string; kind: string; epoch: number; }> = [];
     private stop = new AbortController();
@@ -107,7 +115,7 @@
             control,
             onLeaving: ({ id, startedAtMs }) =>
                 this.directory.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
-            reachability: noReachability,
+            reachability: this.partitions,
         });
         const weightLoadLimiter = WeightLoadLimiter.create({ clock, windowMs: 5000, hasTraffic: () => hasTraffic });
         const lease = ControllerLease.create({
@@ -141,6 +149,7 @@
             isZoneReachable: (zone, sinceMs = -Infinity) =>
                 !this.unreachableZones.has(zone)
                 && this.lastPeerUpdateAtMs() >= Math.max(sinceMs, this.clock.monotonicMs() - ZONE_REACHABLE_MS),
+            isServiceReachable: service => !this.partitions.isSuspectedFor(service),
             loadLagMs: () => this.loadLagMs,
             announceLost: epoch => this.lostEpochs.push(epoch),
             isLost: epoch => this.lostEpochs.includes(epoch),
@@ -154,6 +163,7 @@
             lease.recordListing();
         });
         void lease.run(this.stop.signal);
+        void this.partitions.run(this.stop.signal);
         void controller.run(this.stop.signal);
         return lease;
     }
