Add a failing test of first attempts at a gateway that is partitioned

Callers of gateways that are partitioned from all upstreams saw 0 of 24 and 0 of 50 first attempts served, callers of the others nearly all.

--- /dev/null
+++ b/packages/gateway/tests/partitionedGateways.test.ts
@@ -0,0 +1,61 @@
+import { SystemClock } from "@fescuehaven/runtime";
+import { untilTrue } from "@fescuehaven/testing";
+import { expect } from "chai";
+import { exampleUpstream } from "./support/exampleUpstream.js";
+import { freePort } from "./support/freePort.js";
+import { GatewayRig } from "./support/GatewayRig.js";
+import type { RecordedResponse } from "./support/RecordedResponse.js";
+
+const HEADS = 4;
+/** Until then, the requests of a gateway that is partitioned may fail. */
+const DETECTION_MS = 3000;
+/** A gateway must use its own path again this soon after the partition. */
+const RETURN_MS = 1000;
+
+describe("a gateway that is partitioned from all upstreams", () => {
+    let rig: GatewayRig;
+
+    /** Sends a request every 100 ms and returns the responses when all have ended. */
+    async function sendFor(durationMs: number): Promise<RecordedResponse[]> {
+        const responses: RecordedResponse[] = [];
+        for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
+            responses.push(rig.send("llm"));
+            await rig.clock.advance(100);
+        }
+        await rig.clock.advance(8000);
+        return responses;
+    }
+
+    function isServed({ refusal, ending, text }: RecordedResponse): boolean {
+        return refusal === undefined && ending === "complete" && text.includes("id: 30\n");
+    }
+
+    beforeEach(async () => {
+        rig = await GatewayRig.start();
+        for (let index = 0; index < HEADS; index++) {
+            const group = { name: `g${index}`, epoch: index + 1, rank: 0, phase: "open" } as const;
+            rig.register(exampleUpstream(`head-${index}`, { model: "large", group, domain: `d${index}` }));
+        }
+        const peer = rig.addPeer("gateway-1", undefined, await freePort());
+        await peer.start();
+        await untilTrue(SystemClock.create(), "two connected gateways", 10_000, async () => {
+            await rig.clock.advance(100);
+            return rig.log.lines.filter(({ event }) => event === "peer connected").length >= 2;
+        });
+        await rig.clock.advance(3000);
+    });
+
+    afterEach(() => rig.close());
+
+    it("serves first attempts through a peer that reaches the upstreams", async () => {
+        await sendFor(1000);
+        rig.partitioned.add("gateway-0");
+        await sendFor(DETECTION_MS);
+        const responses = await sendFor(3000);
+        expect(responses.filter(isServed)).to.have.lengthOf(responses.length);
+        rig.partitioned.delete("gateway-0");
+        await sendFor(RETURN_MS);
+        const later = await sendFor(1000);
+        expect(later.filter(isServed)).to.have.lengthOf(later.length);
+    });
+});
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -5,6 +5,7 @@
 import type { ServingConfiguration } from "../../src/model/ServingConfiguration.js";
 import type { Upstream } from "../../src/model/Upstream.js";
 import type { UpstreamClient } from "../../src/ports/UpstreamClient.js";
+import type { UpstreamControl } from "../../src/ports/UpstreamControl.js";
 import type { UpstreamRequest } from "../../src/ports/UpstreamRequest.js";
 import type { UpstreamResponse } from "../../src/ports/UpstreamResponse.js";
 import { exampleEngine } from "./exampleEngine.js";
@@ -26,6 +27,8 @@
 const EVACUATION_KIND = "evacuations";
 const EVENT_PAUSE_MS = 100;
 const RETRY_MS = 100;
+/** Time until a connection that is not accepted, or a request without a response, is given up. */
+const UNREACHABLE_AFTER_MS = 250;
 
 /** A whole gateway, of which only store, upstreams and callers are simulated. */
 export class GatewayRig {
@@ -35,6 +38,8 @@
     readonly fleet: SimulatedUpstreams;
     /** Ids of the upstreams to which requests were sent, in order. */
     readonly sentTo: string[] = [];
+    /** VMs whose gateways are partitioned from all upstreams. */
+    readonly partitioned = new Set<string>();
     readonly gateway: Gateway;
     private readonly peerPort: number;
     private readonly peers: Gateway[] = [];
@@ -62,9 +67,13 @@
         return rig;
     }
 
-    /** Creates a further gateway, which knows the first one as a seed by default; it has to be started. */
-    addPeer(vm: string, seedPeers = [`127.0.0.1:${this.peerPort}`]): Gateway {
-        const peer = this.createGateway({ ...exampleGatewaySettings, vm, seedPeers });
+    /**
+     * Creates a further gateway, which knows the first one as a seed by default; it has to be started. Other gateways can
+     * connect to it if it has a port.
+     */
+    addPeer(vm: string, seedPeers = [`127.0.0.1:${this.peerPort}`], port = 0): Gateway {
+        const peerListen = { host: "127.0.0.1", port };
+        const peer = this.createGateway({ ...exampleGatewaySettings, vm, seedPeers, peerListen });
         this.peers.push(peer);
         return peer;
     }
@@ -143,8 +152,8 @@
             log,
             metrics: noMetrics,
             store,
-            client: this.createClient(),
-            control: this.fleet,
+            client: this.createClient(gatewaySettings.vm),
+            control: this.createControl(gatewaySettings.vm),
             objects: {
                 configuration: {
                     ...CONFIGURATION_KEY,
@@ -182,9 +191,13 @@
     }
 
     /** Creates a client whose upstreams send 30 events, one every `EVENT_PAUSE_MS`, or one complete response. */
-    private createClient(): UpstreamClient {
+    private createClient(vm: string): UpstreamClient {
         return {
             send: async (upstream, call, signal): Promise<UpstreamResponse> => {
+                if (this.partitioned.has(vm)) {
+                    await this.clock.sleep(UNREACHABLE_AFTER_MS);
+                    return { kind: "not-run", reason: "not-connected" };
+                }
                 this.sentTo.push(upstream.id);
                 return {
                     kind: "answered",
@@ -196,6 +209,26 @@
         };
     }
 
+    private createControl(vm: string): UpstreamControl {
+        const { clock, fleet, partitioned } = this;
+        return {
+            fetchReport: async upstream => {
+                if (partitioned.has(vm)) {
+                    await clock.sleep(UNREACHABLE_AFTER_MS);
+                    return { kind: "unreachable", reason: "no answer", isRefused: false };
+                }
+                return fleet.fetchReport(upstream);
+            },
+            order: async (upstream, order, expectedOrderCount) => {
+                if (partitioned.has(vm)) {
+                    await clock.sleep(UNREACHABLE_AFTER_MS);
+                    return { kind: "unknown", reason: "no answer" };
+                }
+                return fleet.order(upstream, order, expectedOrderCount);
+            },
+        };
+    }
+
     private async *events(upstream: Upstream, call: UpstreamRequest, signal: AbortSignal): AsyncGenerator<Buffer> {
         const first = Number(call.resumeAfter ?? 0) + 1;
         for (let id = first; id <= 30; id++) {
