Relay requests through a peer while a gateway is partitioned from upstreams

Cause: a gateway that could not reach the upstreams itself refused every request, though peers reached them. No readiness helps the first attempts: kept connections stay, and the balancer uses all gateways of a zone when most are not ready. One fact for all services also let a response of another service end the partition again and again.

Change: a gateway that reaches no upstream of a service sends its requests through a peer that does. The peer passes bytes on over the protocol of upstreams and refuses what it knows must not be sent; placement, limits, retries and deadlines stay with the gateway that has the request. A request that may have reached a relay is not sent to another one. Gateways tell each other which services they reach; one leaves the balancer only if at least half of the known gateways reach the upstreams.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -12,7 +12,9 @@
 import { WeightLoadLimiter } from "./fleet/WeightLoadLimiter.js";
 import { IdleTimeoutMonitor } from "./forwarding/IdleTimeoutMonitor.js";
 import { PlainDispatcher } from "./forwarding/PlainDispatcher.js";
+import { RelayingClient } from "./forwarding/RelayingClient.js";
 import { RequestForwarder } from "./forwarding/RequestForwarder.js";
+import { RequestRelay } from "./forwarding/RequestRelay.js";
 import { ResponseRecordingClient } from "./forwarding/ResponseRecordingClient.js";
 import { StreamDispatcher } from "./forwarding/StreamDispatcher.js";
 import type { GatewayPorts } from "./GatewayPorts.js";
@@ -24,6 +26,7 @@
 import { PeerConnections } from "./peers/PeerConnections.js";
 import { PeerExchange } from "./peers/PeerExchange.js";
 import { PeerStatePublisher } from "./peers/PeerStatePublisher.js";
+import { RelayDirectory } from "./peers/RelayDirectory.js";
 import { ViewServiceHandler } from "./peers/ViewServiceHandler.js";
 import { ViewSourceSelector } from "./peers/ViewSourceSelector.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
@@ -39,6 +42,8 @@
 import { RetryBudget } from "./placement/RetryBudget.js";
 import { UpstreamLimiter } from "./placement/UpstreamLimiter.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
+import type { UpstreamRequest } from "./ports/UpstreamRequest.js";
+import type { UpstreamResponse } from "./ports/UpstreamResponse.js";
 import { Registration } from "./Registration.js";
 import { StoreEras } from "./StoreEras.js";
 import { StoreWatch } from "./StoreWatch.js";
@@ -83,8 +88,6 @@
 const HUB_LOAD_LAG_MS = 200;
 /** Reachable upstreams respond within milliseconds, and a lost packet is sent again after about 200 ms. */
 const PARTITION_PROBE_TIMEOUT_MS = 250;
-/** A peer reaches upstreams if it has received an event within this time; loads arrive up to 400 ms late. */
-const PEER_EVENTS_WITHIN_MS = 1000;
 const REGISTRATION_KIND = "fescue_gateways";
 
 /** A gateway: accepts requests, forwards them to upstreams, and takes part in the control of the fleet. */
@@ -113,6 +116,8 @@
     private readonly stop = createStopController();
     private readonly exchange: PeerExchange;
     private readonly partitions: PartitionDetector;
+    private readonly relays: RelayDirectory;
+    private readonly relay: RequestRelay;
     private readonly upstreamWatchCalls: SlidingWindowCounter;
     private readonly announcedLimits: AnnouncedLimits;
     /** Configurations that were active at peers when this gateway started, in their stored form. */
@@ -162,6 +167,7 @@
             log,
             isRegistered: (id, startedAtMs) => this.upstreams.get(id)?.startedAtMs === startedAtMs,
         });
+        const avoidedUpstreams = AvoidedUpstreams.create(clock);
         this.partitions = PartitionDetector.create({
             clock,
             random,
@@ -170,6 +176,10 @@
             probe: async upstream =>
                 (await control.fetchReport(upstream, PARTITION_PROBE_TIMEOUT_MS)).kind !== "unreachable",
             ownSilence: service => this.loads.ownSilence(service),
+            onChange: () => {
+                avoidedUpstreams.forgetUnreachable();
+                this.queue.admitWaiting();
+            },
         });
         const waits = RequestedWaits.create({ clock, log });
         const upstreamLimiter = UpstreamLimiter.create({
@@ -192,21 +202,32 @@
             loads: this.loads,
             upstreamLimiter,
             failureRates,
-            avoidedUpstreams: AvoidedUpstreams.create(clock),
+            avoidedUpstreams,
             retryBudget,
             crashGuard,
         };
+        const direct = ResponseRecordingClient.create({
+            clock,
+            log,
+            client,
+            limits: this.announcedLimits,
+            waits,
+            upstreams: this.upstreams,
+            reachability: this.partitions,
+        });
+        const isPartitionedFrom = (service: string) => this.partitions.isPartitionedFrom(service);
+        const relaysFor = (service: string) => this.relays.addressesFor(service);
+        this.relay = RequestRelay.create({ log, upstreams: this.upstreams, waits, client: direct, isPartitionedFrom });
         const dispatcherOptions = {
             ...sharedOptions,
             idleTimeouts: this.idleTimeouts,
-            client: ResponseRecordingClient.create({
-                clock,
+            client: RelayingClient.create({
                 log,
-                client,
-                limits: this.announcedLimits,
-                waits,
-                upstreams: this.upstreams,
-                reachability: this.partitions,
+                metrics,
+                direct,
+                toRelay: client,
+                isUnreachable: service => this.partitions.isSuspectedFor(service),
+                relaysFor,
             }),
             zone: settings.zone,
             viewAgeMs,
@@ -226,7 +247,7 @@
                 gatewayCount,
             }),
             plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated }),
-            isPartitioned: () => this.isPartitioned,
+            isReachable: service => !isPartitionedFrom(service) || relaysFor(service).length > 0,
         });
         this.viewSource = ViewSourceSelector.create({
             vm: settings.vm,
@@ -250,7 +271,8 @@
             incarnation: random.uniqueId(),
             peerSilenceMs: vm => this.exchange.silenceMs(vm),
             candidateRank: () => this.connections.candidateRank(),
-            isUnfit: () => this.isPartitioned,
+            isUnfit: () =>
+                this.partitions.partitionedServices().some(service => this.exchange.peersThatReach(service).length > 0),
             isHolderUnreachableByPeers: () =>
                 this.connections.connectedPeers().length > 0 && !this.exchange.isControllerReachable,
             isConnectedToMostPeers: () =>
@@ -312,11 +334,18 @@
             upstreams: this.upstreams,
             groups: this.groups,
             configurationVersion: () => this.configuration.current?.version ?? 0,
+            unreachableServices: () => this.partitions.partitionedServices(),
             onTraffic: () => {
                 this.hasTraffic = true;
             },
             flush: () => this.statePublisher.flush(),
         });
+        this.relays = RelayDirectory.create({
+            random,
+            zone: settings.zone,
+            connections: this.connections,
+            exchange: this.exchange,
+        });
         this.statePublisher = PeerStatePublisher.create({
             clock,
             snapshot: observer => this.exchange.stateFor(observer),
@@ -343,6 +372,7 @@
             key: { kind: REGISTRATION_KIND, name: settings.vm },
             address: `${settings.peerListen.host}:${settings.peerListen.port}`,
             zone: settings.zone,
+            relayAddress: settings.relayListen && `${settings.relayListen.host}:${settings.relayListen.port}`,
         });
         this.eras.onRise(() => this.registration.writeAgain());
         this.upstreamWatchCalls = SlidingWindowCounter.create(clock, WATCH_RATE_WINDOW_MS);
@@ -373,9 +403,18 @@
             && this.upstreamWatch.ageMs < Infinity;
     }
 
-    /** True while this gateway reaches no upstream and other gateways do. */
+    /**
+     * True while this gateway reaches no upstream and at least half of the known gateways do, so that callers are better
+     * off there. Otherwise it stays in service and sends requests through those that do.
+     */
     get isPartitioned(): boolean {
-        return this.partitions.isPartitionedFromAll && this.loads.doPeersReceiveEvents(PEER_EVENTS_WITHIN_MS);
+        if (!this.partitions.isPartitionedFromAll) {
+            return false;
+        }
+        const known = this.connections.connectedPeers().length + 1;
+        return this.partitions.partitionedServices().some(service =>
+            this.exchange.peersThatReach(service).length * 2 >= known
+        );
     }
 
     /** True once a shutdown has started. */
@@ -383,9 +422,9 @@
         return this.isDraining;
     }
 
-    /** Number of requests in progress. */
+    /** Number of requests in progress, including those of other gateways. */
     get requestsInProgress(): number {
-        return this.forwarder.requestsInProgress;
+        return this.forwarder.requestsInProgress + this.relay.requestsInProgress;
     }
 
     /** Starts all background tasks. Rejects if the peer address cannot be bound. */
@@ -410,6 +449,11 @@
         void this.forwarder.handle(request, response);
     }
 
+    /** Sends a request of another gateway to the upstream that it has chosen. Never rejects. */
+    sendForPeer(upstreamId: string, call: UpstreamRequest, signal: AbortSignal): Promise<UpstreamResponse> {
+        return this.relay.send(upstreamId, call, signal);
+    }
+
     /**
      * Starts the shutdown and releases the controller lease. Requests in progress may continue until `endsAtMs` on the
      * monotonic clock; those that are left then get their final response.
@@ -616,7 +660,7 @@
         const addPeer = (object: StoredObject) => {
             const registered = this.registration.read(object);
             if (registered) {
-                this.connections.add(object.name, registered.address, registered.zone);
+                this.connections.add(object.name, registered);
             }
         };
         return this.watch(
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -11,6 +11,8 @@
     readinessListen: string;
     /** Address on which this gateway listens for calls from other gateways. */
     peerListen: { host: string; port: number; };
+    /** Address on which this gateway relays requests of other gateways to upstreams; absent if no port is free for it. */
+    relayListen?: { host: string; port: number; };
     /** Addresses of some peers, HOST:PORT; used while no registered peer is connected. */
     seedPeers: readonly string[];
     /** Port on which metrics are served. */
--- a/packages/gateway/src/PartitionDetector.ts
+++ b/packages/gateway/src/PartitionDetector.ts
@@ -17,6 +17,8 @@
      * any.
      */
     ownSilence: (service: string) => { targets: number; silentMs: number; };
+    /** Called when a partition was found or has ended. */
+    onChange: () => void;
 }
 
 /** What this gateway knows of its path to the upstreams of one service. */
@@ -186,6 +188,7 @@
         this.options.log.warn(isFound ? "partitioned from the upstreams" : "partition from the upstreams ended", {
             service,
         });
+        this.options.onChange();
     }
 }
 
--- a/packages/gateway/src/Registration.ts
+++ b/packages/gateway/src/Registration.ts
@@ -14,12 +14,18 @@
     /** Address at which peers reach this gateway, HOST:PORT. */
     address: string;
     zone: string;
+    /** Address at which this gateway relays requests of others to upstreams, HOST:PORT. */
+    relayAddress?: string;
 }
 
 const BACKOFF_FIRST_MS = 200;
 const BACKOFF_MAX_MS = 2000;
 
-const registrationSchema = z.object({ address: z.string().min(1), zone: z.string() });
+const registrationSchema = z.object({
+    address: z.string().min(1),
+    zone: z.string(),
+    relayAddress: z.string().optional(),
+});
 
 /** Registers this gateway in the store, where its peers find its address. */
 export class Registration {
@@ -33,7 +39,7 @@
         return new Registration(options);
     }
 
-    /** Returns the address and zone of a registered gateway, or undefined if the object is invalid. */
+    /** Returns the addresses and zone of a registered gateway, or undefined if the object is invalid. */
     read(object: StoredObject): z.infer<typeof registrationSchema> | undefined {
         const parsed = registrationSchema.safeParse(object.value);
         if (!parsed.success) {
@@ -62,16 +68,18 @@
 
     /** Tries to write the registration until the store contains it or `signal` aborts. */
     private async write(signal: AbortSignal): Promise<void> {
-        const { clock, random, store, key, address, zone } = this.options;
+        const { clock, random, store, key, address, zone, relayAddress } = this.options;
+        const value = { address, zone, ...(relayAddress !== undefined && { relayAddress }) };
         const backoff = Backoff.create({ random, firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS });
         while (!signal.aborted) {
             const current = await store.read(key, "status");
-            if (current.kind === "found" && this.read(current.object)?.address === address) {
+            const stored = current.kind === "found" ? this.read(current.object) : undefined;
+            if (stored?.address === address && stored.relayAddress === relayAddress) {
                 return;
             }
             if (current.kind !== "unavailable") {
                 const expected = current.kind === "found" ? current.object.revision : 0;
-                const outcome = await store.write(key, { address, zone }, expected, "status", current.era ?? 0);
+                const outcome = await store.write(key, value, expected, "status", current.era ?? 0);
                 if (outcome.kind === "committed") {
                     return;
                 }
--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -8,6 +8,7 @@
     requests: "Requests by how they ended",
     refusals: "Refused requests by reason",
     retries: "Sendings beyond a request's first, by reason",
+    relayed: "Requests sent through another gateway because this one reached no upstream, by outcome",
     groupsLost: "Serving groups found lost, by reason",
     orders: "Orders to upstreams by outcome",
     storeFailures: "Failed calls to the platform's store, by kind",
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -23,8 +23,8 @@
     crashGuard: CrashGuard;
     streams: StreamDispatcher;
     plain: PlainDispatcher;
-    /** Returns true while this gateway reaches no upstream and others do. */
-    isPartitioned: () => boolean;
+    /** Returns false while this gateway reaches no upstream of a service, and knows no other gateway that does. */
+    isReachable: (service: string) => boolean;
 }
 
 /** Retry-after delay while no configuration is known: a gateway takes about this long to start. */
@@ -133,8 +133,8 @@
             callerResponse.refuse({ kind: "not-run", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS, reason });
             return undefined;
         }
-        if (this.options.isPartitioned()) {
-            const reason = "this gateway reaches no upstream";
+        if (!this.options.isReachable(service.name)) {
+            const reason = "no known gateway reaches an upstream";
             metrics.count("refusals", reason);
             log.info("request refused", { request: request.id, reason });
             callerResponse.refuse({ kind: "not-run", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS, reason });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,7 @@
 export type { GatewayMetrics } from "./ports/GatewayMetrics.js";
 export type { GroupOrder } from "./ports/GroupOrder.js";
 export type { LimitAnnouncement } from "./ports/LimitAnnouncement.js";
+export type { NotRunReason } from "./ports/NotRunReason.js";
 export type { OrderOutcome } from "./ports/OrderOutcome.js";
 export type { ResponseHead } from "./ports/ResponseHead.js";
 export type { UpstreamClient } from "./ports/UpstreamClient.js";
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -24,6 +24,8 @@
 interface RegisteredGateway {
     address: string;
     zone: string;
+    /** Address at which the gateway relays requests to upstreams, HOST:PORT; absent if it does not. */
+    relayAddress?: string;
 }
 
 interface Connection extends RegisteredGateway {
@@ -73,8 +75,8 @@
     }
 
     /** Adds a registered gateway, which may be this one. */
-    add(vm: string, address: string, zone: string): void {
-        this.registered.set(vm, { address, zone });
+    add(vm: string, gateway: RegisteredGateway): void {
+        this.registered.set(vm, gateway);
         this.cachedPosition = undefined;
         this.update();
     }
@@ -176,6 +178,16 @@
         return this.registered.get(vm)?.zone;
     }
 
+    /** Returns the address at which a registered gateway relays requests. */
+    relayAddressOf(vm: string): string | undefined {
+        return this.registered.get(vm)?.relayAddress;
+    }
+
+    /** Returns the registered gateways other than this one. */
+    otherGateways(): string[] {
+        return [...this.registered.keys()].filter(vm => vm !== this.options.vm);
+    }
+
     /** Returns the rank of this gateway among the connected candidates for the controller's lease; 0 is first. */
     candidateRank(): number {
         return this.topology.candidateRank(this.gateways(), vm => this.silenceMs(vm) <= SILENCE_LIMIT_MS);
@@ -303,6 +315,7 @@
         countedGateways: update.countedGateways,
         lostEpochs: update.lostEpochs,
         configurationVersion: update.configurationVersion,
+        unreachableServices: update.unreachableServices,
         announcedLimits: update.announcedLimits.map(report => ({
             upstream: report.upstream,
             startedAtMs: report.startedAtMs,
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -30,6 +30,8 @@
     groups: GroupDirectory;
     /** Version of this gateway's active configuration; 0 if it has none. */
     configurationVersion: () => number;
+    /** Returns the services of which this gateway reaches no upstream. */
+    unreachableServices: () => string[];
     /** Called when a peer has requests in flight. */
     onTraffic: () => void;
     /** Sends the state to all peers without waiting for the next interval. */
@@ -104,6 +106,7 @@
             countedGateways,
             ...this.learnedState(),
             configurationVersion: this.options.configurationVersion(),
+            unreachableServices: this.options.unreachableServices(),
             ...groups,
         };
     }
@@ -223,6 +226,17 @@
             : connections.activeHubOf(zone) === peer;
     }
 
+    /** Returns false if a peer has said that it reaches no upstream of a service; undefined if nothing is known of it. */
+    reaches(peer: string, service: string): boolean | undefined {
+        const state = this.peerStates.get(peer);
+        return state && !state.unreachableServices.includes(service);
+    }
+
+    /** Returns the connected peers that reach upstreams of a service. */
+    peersThatReach(service: string): string[] {
+        return this.options.connections.connectedPeers().filter(peer => this.reaches(peer, service));
+    }
+
     /** Returns the connected peer that says that it is the controller of the highest known term. */
     controllerPeer(): string | undefined {
         return this.options.connections.connectedPeers().find(peer => {
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -28,4 +28,6 @@
     leavingUpstreams: readonly LeavingReport[];
     /** Version of the sender's active configuration; 0 if it has none. */
     configurationVersion: number;
+    /** Services of which the sender reaches no upstream. */
+    unreachableServices: readonly string[];
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -123,6 +123,7 @@
         countedGateways: state.countedGateways,
         lostEpochs: [...state.lostEpochs],
         configurationVersion: state.configurationVersion,
+        unreachableServices: [...state.unreachableServices],
         crashSuspects: state.crashEvidence.promptParts.map(toCrashMessage),
         crashingRequests: state.crashEvidence.requests.map(toCrashMessage),
         announcedLimits: state.announcedLimits.map(report => ({
--- a/packages/gateway/src/placement/AvoidedUpstreams.ts
+++ b/packages/gateway/src/placement/AvoidedUpstreams.ts
@@ -73,6 +73,11 @@
         }
     }
 
+    /** Forgets which upstreams accepted no connection, because the path to them has changed. */
+    forgetUnreachable(): void {
+        this.avoidances.forEach(({ reason }, id) => reason === "not-connected" && this.avoidances.delete(id));
+    }
+
     /** Returns true if the upstream accepted no connection when it was last tried and has not responded since. */
     isUnreachable(upstream: Upstream): boolean {
         return this.avoidanceOf(upstream)?.reason === "not-connected";
--- a/packages/gateway/src/placement/LoadTracker.ts
+++ b/packages/gateway/src/placement/LoadTracker.ts
@@ -117,19 +117,6 @@
         return { targets: silences.length, silentMs: Math.min(...silences) };
     }
 
-    /** Returns true if a peer has reported a target whose last event is not older than this. */
-    doPeersReceiveEvents(withinMs: number): boolean {
-        const nowMs = this.clock.monotonicMs();
-        for (const loads of this.peers.values()) {
-            for (const { load, receivedAtMs } of loads.values()) {
-                if (load.inFlight > 0 && load.silentMs + nowMs - receivedAtMs <= withinMs) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
     /** Aborts this process's requests at a target that was found lost, and returns their number. */
     abortRequests(target: string, reason: string): number {
         const requests = [...this.own.get(target)?.requests ?? []];
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -2,7 +2,15 @@
 export interface GatewayMetrics {
     /** Counts an event by its reason. */
     count(
-        name: "requests" | "refusals" | "retries" | "groupsLost" | "orders" | "storeFailures" | "storeEras",
+        name:
+            | "requests"
+            | "refusals"
+            | "retries"
+            | "relayed"
+            | "groupsLost"
+            | "orders"
+            | "storeFailures"
+            | "storeEras",
         reason: string,
     ): void;
 
--- a/packages/gateway/tests/PartitionDetector.test.ts
+++ b/packages/gateway/tests/PartitionDetector.test.ts
@@ -41,6 +41,7 @@
                 return isReached;
             },
             ownSilence: service => service === "llm" ? own : { targets: 0, silentMs: Infinity },
+            onChange: () => undefined,
         });
         void detector.run(stop.signal);
         await clock.advance(5000);
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -32,6 +32,7 @@
                 retries: [],
                 countedGateways: 1,
                 configurationVersion: 1,
+                unreachableServices: [],
                 lostEpochs: [],
                 crashEvidence: { promptParts: [], requests: [] },
                 announcedLimits: [],
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -52,6 +52,7 @@
         upstreams: this.directory,
         probe: async upstream => (await this.fleet.fetchReport(upstream)).kind !== "unreachable",
         ownSilence: service => this.loads.ownSilence(service),
+        onChange: () => undefined,
     });
     /** Accepted orders, with the incarnation of the controller that sent each. */
     readonly acceptedOrders: Array<{ incarnation: string; upstream: string; kind: string; epoch: number; }> = [];
