--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -357,6 +357,7 @@
                 router => this.statePublisher.registerOn(router),
                 router =>
                     ViewServiceHandler.create({
+                        log,
                         caches: this.caches,
                         newestEra: () => this.eras.current,
                         activeConfiguration: () => this.configuration.storedValue,
--- a/packages/gateway/src/peers/ViewServiceHandler.ts
+++ b/packages/gateway/src/peers/ViewServiceHandler.ts
@@ -1,9 +1,11 @@
 import type { ConnectRouter, HandlerContext } from "@connectrpc/connect";
 import type { Era, ObjectChange, StoredObject } from "@fescuehaven/platform";
 import { ViewService } from "@fescuehaven/protocol";
+import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { WatchCache } from "../WatchCache.js";
 
 interface ViewServiceOptions {
+    log: DecisionLog;
     /** One cache for each kind of object. */
     caches: ReadonlyMap<string, WatchCache>;
     /** Returns the newest era of the store that is known. */
@@ -29,7 +31,7 @@
                 const view = caches.get(kind)?.list();
                 return {
                     isAvailable: view?.isCurrent ?? false,
-                    objects: view?.objects.map(toMessage),
+                    objects: view?.objects.map(object => this.toMessage(object)),
                     revision: view?.revision,
                     era: view?.era,
                 };
@@ -43,19 +45,41 @@
                     return { isAvailable, isCompacted: true, era };
                 }
                 const { changes, revision } = outcome;
-                return { isAvailable: true, changes: changes.map(toChange), revision, era: outcome.era };
+                return {
+                    isAvailable: true,
+                    changes: changes.map(change => this.toChange(change)),
+                    revision,
+                    era: outcome.era,
+                };
             },
             getActiveConfiguration: () => ({ valueJson: JSON.stringify(activeConfiguration()) ?? "" }),
         });
     }
-}
 
-function toMessage({ name, revision, value }: StoredObject) {
-    return { name, revision, valueJson: JSON.stringify(value) ?? "" };
-}
+    private toMessage({ name, revision, value }: StoredObject) {
+        return { name, revision, valueJson: this.toJson(name, value) };
+    }
+
+    private toChange(change: ObjectChange) {
+        return change.kind === "written"
+            ? { isRemoved: false, object: this.toMessage(change.object) }
+            : {
+                isRemoved: true,
+                object: { name: change.object.name, revision: change.object.revision, valueJson: "" },
+            };
+    }
 
-function toChange(change: ObjectChange) {
-    return change.kind === "written"
-        ? { isRemoved: false, object: toMessage(change.object) }
-        : { isRemoved: true, object: { name: change.object.name, revision: change.object.revision, valueJson: "" } };
+    /** Returns a value as text; none for a value of another writer that is nested too deeply, which is invalid anyway. */
+    private toJson(name: string, value: unknown): string {
+        try {
+            return JSON.stringify(value) ?? "";
+        }
+        catch (error) {
+            this.options.log.warn("object cannot be passed on to peers", {
+                object: name,
+                reason: error instanceof Error ? error.message : String(error),
+            });
+            return "";
+        }
+    }
 }
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -42,6 +42,7 @@
 
 function createViewService(cache: WatchCache): ViewServiceHandler {
     return ViewServiceHandler.create({
+        log: SilentDecisionLog.create(),
         caches: new Map([["things", cache]]),
         newestEra: () => 0,
         activeConfiguration: () => ({ version: 7 }),
