Refuse requests in a shutdown that may outlast it and may not be repeated

Here every request gets a final response before the process ends, and one that would take longer than is left is refused as not run. But it was assumed that none takes longer than 5 s: a request that may not be repeated, on a route that allows more, was taken and then answered with a time-out whose outcome is unknown.

Change: only requests that may be sent again count with at most 5 s. The new test failed before.

--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -33,10 +33,10 @@
 /** Retry-after delay of what only this gateway refuses: the other gateways accept requests at once. */
 const OTHER_GATEWAYS_RETRY_AFTER_MS = 200;
 /**
- * Longest time that a request is assumed to need, even if its route's timeout is longer: the duration of the longest
- * streams at a busy group.
+ * Longest time that a request which may be sent again is assumed to need, even if its route's timeout is longer: the
+ * duration of the longest streams at a busy group. Any other may take all of its time.
  */
-const LONGEST_RESPONSE_MS = 5000;
+const LONGEST_REPEATABLE_RESPONSE_MS = 5000;
 
 /** Finds the route and account of each request, sets its deadline and passes it to the route's dispatcher. */
 export class RequestForwarder {
@@ -126,7 +126,9 @@
             return undefined;
         }
         const nowMs = clock.monotonicMs();
-        if (nowMs + Math.min(route.timeoutMs, LONGEST_RESPONSE_MS) > this.endsAtMs) {
+        const allowedMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
+        const mayRepeat = route.kind === "repeatable" || (route.kind === "stream" && route.isResumable);
+        if (nowMs + (mayRepeat ? Math.min(allowedMs, LONGEST_REPEATABLE_RESPONSE_MS) : allowedMs) > this.endsAtMs) {
             const reason = "the gateway shuts down";
             metrics.count("refusals", reason);
             log.info("request refused", { request: request.id, reason, endsInMs: Math.round(this.endsAtMs - nowMs) });
@@ -154,7 +156,6 @@
             callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
             return undefined;
         }
-        const allowedMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
         const deadlineMs = request.receivedAtMs + allowedMs;
         const deadline = new AbortController();
         void clock.sleep(deadlineMs - nowMs, ended).then(() => deadline.abort());
--- a/packages/gateway/tests/forwarding/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding/forwarding.test.ts
@@ -744,6 +744,23 @@
             expect(rig.client.sent.length).to.equal(0);
         });
 
+        it("takes no request that may not be repeated and could be cut when the shutdown ends", async () => {
+            rig.configure({ kind: "once", targets: [{ service: "app", weight: 1 }], timeoutMs: 8000 }, 2);
+            rig.directory.set(exampleUpstream("app-1", { service: "app", domain: "" }));
+            rig.client.serve(async (_, signal) => {
+                await rig.clock.sleep(6500, signal);
+                return signal.aborted ? UNKNOWN : responses.stream(1, 1);
+            });
+            const before = rig.send({ id: "before", model: undefined });
+            rig.drain(7300);
+            await rig.clock.advance(1000);
+            const late = rig.send({ id: "late", model: undefined });
+            await rig.clock.advance(10_000);
+            expect([before.status, before.refusal]).to.deep.equal([200, undefined]);
+            expect(late.refusal).to.include({ kind: "not-run", reason: "the gateway shuts down" });
+            expect(rig.client.sent.map(({ call }) => call.request.id)).to.deep.equal(["before"]);
+        });
+
         it("serves requests with a shorter route timeout until later", async () => {
             rig.configure({ timeoutMs: 800 }, 2);
             rig.directory.set(head("g1", 1));
