Relay no requests for other gateways during a shutdown

A gateway that shuts down would have taken requests of partitioned gateways until its end, and cut them. It refuses them as not run now, and the other gateway tries the next relay.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -462,6 +462,7 @@
     async drain(endsAtMs: number): Promise<void> {
         this.isDraining = true;
         this.forwarder.drain(endsAtMs);
+        this.relay.drain();
         await this.lease.release();
     }
 
--- a/packages/gateway/src/forwarding/RequestRelay.ts
+++ b/packages/gateway/src/forwarding/RequestRelay.ts
@@ -23,6 +23,7 @@
 /** Sends requests of other gateways, which do not reach the upstreams, to the upstreams that those have chosen. */
 export class RequestRelay {
     private active = 0;
+    private isDraining = false;
 
     private constructor(private readonly options: RequestRelayOptions) {}
 
@@ -36,6 +37,11 @@
         return this.active;
     }
 
+    /** Refuses further requests, which would be cut off when the process ends. Other gateways can relay them. */
+    drain(): void {
+        this.isDraining = true;
+    }
+
     /**
      * Sends a request to the upstream with an id, unless this gateway knows why the upstream must not get it. Never rejects.
      */
@@ -64,7 +70,7 @@
         if (!upstream || upstream.state !== "ready") {
             return "other-instance";
         }
-        if (isPartitionedFrom(upstream.service)) {
+        if (this.isDraining || isPartitionedFrom(upstream.service)) {
             return "not-connected";
         }
         return waits.waitMs(upstream) > 0 || this.active >= MAX_RELAYED_REQUESTS ? "overloaded" : undefined;
