Ask for a suspected partition only after a connection was not accepted

Every request asked the detector whether a partition is suspected, which walks the targets of this gateway's requests. A confirmed partition is a lookup.

--- a/packages/gateway/src/forwarding/RelayingClient.ts
+++ b/packages/gateway/src/forwarding/RelayingClient.ts
@@ -12,8 +12,10 @@
     direct: UpstreamClient;
     /** Sends requests to relays, which speak the protocol of upstreams. */
     toRelay: UpstreamClient;
-    /** Returns true while this gateway seems to reach no upstream of a service. */
-    isUnreachable: (service: string) => boolean;
+    /** Returns true while this gateway reaches no upstream of a service. */
+    isPartitionedFrom: (service: string) => boolean;
+    /** Returns true also while it is being found out whether there is a partition. */
+    isSuspectedFor: (service: string) => boolean;
     /** Returns addresses of gateways that reach upstreams of a service. */
     relaysFor: (service: string) => string[];
 }
@@ -32,10 +34,10 @@
 
     /** Sends one request. A request that may have reached a relay is not sent to another one. Never rejects. */
     async send(upstream: Upstream, request: UpstreamRequest, signal: AbortSignal): Promise<UpstreamResponse> {
-        const { direct, isUnreachable } = this.options;
-        if (!isUnreachable(upstream.service)) {
+        const { direct, isPartitionedFrom, isSuspectedFor } = this.options;
+        if (!isPartitionedFrom(upstream.service)) {
             const response = await direct.send(upstream, request, signal);
-            if (!isNotConnected(response) || !isUnreachable(upstream.service)) {
+            if (!isNotConnected(response) || !isSuspectedFor(upstream.service)) {
                 return response;
             }
         }
