--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -226,7 +226,8 @@
                 metrics,
                 direct,
                 toRelay: client,
-                isUnreachable: service => this.partitions.isSuspectedFor(service),
+                isPartitionedFrom,
+                isSuspectedFor: service => this.partitions.isSuspectedFor(service),
                 relaysFor,
             }),
             zone: settings.zone,
@@ -357,6 +358,7 @@
                 router => this.statePublisher.registerOn(router),
                 router =>
                     ViewServiceHandler.create({
+                        log,
                         caches: this.caches,
                         newestEra: () => this.eras.current,
                         activeConfiguration: () => this.configuration.storedValue,
@@ -461,6 +463,7 @@
     async drain(endsAtMs: number): Promise<void> {
         this.isDraining = true;
         this.forwarder.drain(endsAtMs);
+        this.relay.drain();
         await this.lease.release();
     }
 
