Release the lease for a partition only from engines

A gateway that reached no upstream of a plain service released the controller's lease while peers had not found the same yet. The controller gives orders to engines only, so that a plain service whose few upstreams have crashed must not move the lease. Found by reading the change; the tests of the lease and of partitioned gateways pass.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -273,7 +273,10 @@
             peerSilenceMs: vm => this.exchange.silenceMs(vm),
             candidateRank: () => this.connections.candidateRank(),
             isUnfit: () =>
-                this.partitions.partitionedServices().some(service => this.exchange.peersThatReach(service).length > 0),
+                this.partitions.partitionedServices().some(service =>
+                    this.configuration.current?.services.get(service)?.engine !== undefined
+                    && this.exchange.peersThatReach(service).length > 0
+                ),
             isHolderUnreachableByPeers: () =>
                 this.connections.connectedPeers().length > 0 && !this.exchange.isControllerReachable,
             isConnectedToMostPeers: () =>
