--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -337,7 +337,8 @@
         promise: "gateway: graceful shutdown",
         name: "no request is started that would outlast the shutdown",
         file: `${GATEWAY}/src/forwarding/RequestForwarder.ts`,
-        find: "if (nowMs + Math.min(route.timeoutMs, LONGEST_RESPONSE_MS) > this.endsAtMs) {",
+        find:
+            "if (nowMs + (mayRepeat ? Math.min(allowedMs, LONGEST_REPEATABLE_RESPONSE_MS) : allowedMs) > this.endsAtMs) {",
         replace: "if (nowMs > this.endsAtMs) {",
         test: `${GATEWAY}/tests/forwarding/forwarding.test.ts`,
         grep: "refuses at once requests that would outlast the shutdown",
