Make a test independent of pauses of its own process

Its client verifies a connection that was idle for 50 ms, and gives it 50 ms for that; a pause of the process between two calls ends the connection. Reproduced by a pause of 120 ms after 80 ms without calls: it fails each time, and passes with the long interval that the third test of the file uses. The assertions are unchanged; pings have a test of their own.

--- a/packages/coordination/tests/adapters/ConnectPeerClients.test.ts
+++ b/packages/coordination/tests/adapters/ConnectPeerClients.test.ts
@@ -80,6 +80,7 @@
     const sample = () => clients.get(EvidenceService, peer).sampleClock({}, { timeoutMs: 5000 });
 
     it("connects from its local address and shares one connection", async () => {
+        clients = ConnectPeerClients.create({ localAddress: "127.0.0.2", pingIntervalMs: 60_000 });
         await Promise.all([sample(), sample()]);
         expect((await sample()).incarnation).to.equal("i");
         expect(relay.remoteAddresses).to.deep.equal(["127.0.0.2"]);
