--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -5,8 +5,18 @@
 import { configuration, models, streamCall } from "../lib/settings.mjs";
 import { Store } from "../lib/store.mjs";
 
-const DOMAINS = [0, 1, 2];
+const DOMAINS = [0, 1, 2, 3, 4, 5];
+/** Two workers crash in each of these: 6 of 42. */
+const STRUCK_DOMAINS = [0, 1, 2];
+/** Two groups of three, and a spare. */
+const WORKERS_PER_DOMAIN = 7;
+const CLIENTS = 40;
 const OUTAGE_MS = 4500;
+const CRASHES_AFTER_MS = 400;
+const KILL_AFTER_MS = 3300;
+const DEAD_MS = 3500;
+/** An entry is removed after three heartbeat intervals of silence, here also while the store is down. */
+const EXPIRY_MS = 3600;
 
 await runCase(import.meta.dirname, async ({ record, hasTrouble, temporary, closers }) => {
     const store = new Store();
@@ -16,7 +26,7 @@
     const fleet = new Fleet({ store, service: "llm", models, log: record });
     closers.push(() => fleet.close());
     for (const domain of DOMAINS) {
-        for (let index = 0; index < 7; index++) {
+        for (let index = 0; index < WORKERS_PER_DOMAIN; index++) {
             await fleet.add(`i-${domain}${index}`, { domain, staged: ["m0"] });
             await sleep(50);
         }
@@ -31,7 +41,7 @@
 
     const answers = [];
     let isRunning = true;
-    const clients = Array.from({ length: 24 }, async (_, client) => {
+    const clients = Array.from({ length: CLIENTS }, async (_, client) => {
         for (let turn = client; isRunning; turn++) {
             const answer = await call(gateways[turn % gateways.length], streamCall);
             answers.push(answer);
@@ -46,38 +56,26 @@
     await sleep(2000);
     record("before", groups());
     if (hasTrouble) {
-        const serving = domain => {
-            const heads = [...fleet.engines.values()].filter(({ id, isAlive, domain: of, group }) =>
-                isAlive && of === domain && group?.state === "open" && group.members[0] === id
-            );
-            return heads.map(({ group }) => group).sort((one, other) => one.epoch - other.epoch);
-        };
         store.setMode("busy");
+        const downAtMs = performance.now();
         record("the store is down");
-        await sleep(400);
-        for (const domain of DOMAINS) {
-            const [group] = serving(domain);
-            record("worker crashes", { engine: group.members[1], group: group.name });
-            fleet.engines.get(group.members[1]).crash();
+        await sleep(CRASHES_AFTER_MS);
+        for (const domain of STRUCK_DOMAINS) {
+            const heads = [...fleet.engines.values()].filter(item => item.domain === domain && item.leads());
+            for (const { group } of heads) {
+                record("worker crashes", { engine: group.members[1], group: group.name });
+                fleet.engines.get(group.members[1]).crash();
+            }
         }
-        await sleep(2900);
+        await sleep(KILL_AFTER_MS - CRASHES_AFTER_MS);
         record("during the outage", groups());
         const leader = gateways.find(({ name }) => store.get("fescue_controllers", "fleet").specification.vm === name);
         record("the process that wrote the lease is killed", { gateway: leader.name });
         leader.signal("SIGKILL");
-        void sleep(3500).then(() => leader.start());
-        await sleep(600);
-        for (const domain of DOMAINS) {
-            const group = serving(domain).find(({ members }) =>
-                members.every(id => fleet.engines.get(id).isAlive && fleet.engines.get(id).lastWrittenAtMs > 0)
-                && !members.includes(`i-${domain}6`)
-            );
-            record("worker crashes", { engine: group?.members[1], group: group?.name });
-            fleet.engines.get(group.members[1]).crash();
-        }
-        await sleep(OUTAGE_MS - 3900);
+        void sleep(DEAD_MS).then(() => leader.start());
+        await sleep(OUTAGE_MS - (performance.now() - downAtMs));
         fleet.engines.forEach(({ id, lastWrittenAtMs }) => {
-            if (performance.now() - lastWrittenAtMs > 3600) {
+            if (performance.now() - lastWrittenAtMs > EXPIRY_MS) {
                 store.remove("servers", id);
             }
         });
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -256,6 +256,11 @@
         return 202;
     }
 
+    /** True if the worker is the head of an open group. */
+    leads() {
+        return this.isAlive && this.group?.state === "open" && this.group.members[0] === this.id;
+    }
+
     /** True if a member has died, has left or has joined again. */
     standsStill(group) {
         return group.members.some(id => {
