Show that configurations apply late after a connection has gone silent

Cause: a gateway reads the controller's view over one connection and its state over another. If only the first goes silent, a call that waits for changes ends after 6.3 s; the bound is 2 s.

--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -22,7 +22,7 @@
 
     constructor({ index, zone, storeAddress, folder, bounds, host, port, readyPort, internalPort }) {
         this.name = `frontend-${zone}-${index}`;
-        Object.assign(this, { host, port, readyPort });
+        Object.assign(this, { host, port, readyPort, peerAddress: `${host}:${internalPort}` });
         this.folder = folder;
         this.file = path.join(folder, `${this.name}.toml`);
         this.logFile = path.join(folder, `${this.name}.log`);
--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -1,37 +1,57 @@
 import { connect, createServer } from "node:net";
 
-/** A TCP proxy on loopback. While it is cut, it drops all data and closes nothing, as a partition does. */
+/**
+ * A TCP proxy on loopback. What is cut drops all data and closes nothing: everything while `isCut` is true, as in a
+ * partition, or single connections for good.
+ */
 export class Proxy {
     isCut = false;
-    sockets = new Set();
+    /** Open connections, with the number of times that data has arrived from the target. */
+    connections = new Set();
 
     async listen(target) {
         const [host, port] = target.split(":");
         this.server = createServer({ allowHalfOpen: true }, source => {
             const onward = connect({ host, port: Number(port), allowHalfOpen: true });
-            this.join(source, onward);
-            this.join(onward, source);
+            const connection = { source, onward, isSilent: false, answers: 0 };
+            this.connections.add(connection);
+            this.join(connection, source, onward, () => undefined);
+            this.join(connection, onward, source, () => connection.answers += 1);
         });
         await new Promise(resolve => this.server.listen(0, "127.0.0.1", resolve));
         this.address = `127.0.0.1:${this.server.address().port}`;
     }
 
-    join(from, to) {
-        this.sockets.add(from);
+    join(connection, from, to, onData) {
         from.setNoDelay(true);
-        const unlessCut = act => argument => this.isCut || act(argument);
-        from.on("data", unlessCut(bytes => to.write(bytes)));
+        const unlessCut = act => argument => this.isCut || connection.isSilent || act(argument);
+        from.on("data", unlessCut(bytes => {
+            onData();
+            to.write(bytes);
+        }));
         from.on("end", unlessCut(() => to.end()));
         from.on("error", unlessCut(() => to.destroy()));
         from.on("close", () => {
-            this.sockets.delete(from);
+            if (connection.source.destroyed && connection.onward.destroyed) {
+                this.connections.delete(connection);
+            }
             unlessCut(() => to.destroy())();
         });
     }
 
+    /** Makes the open connections silent for good that `isChosen` selects; returns their number. New ones work. */
+    silence(isChosen) {
+        const chosen = [...this.connections].filter(connection => !connection.isSilent && isChosen(connection));
+        chosen.forEach(connection => connection.isSilent = true);
+        return chosen.length;
+    }
+
     close() {
         this.isCut = true;
-        this.sockets.forEach(socket => socket.destroy());
+        this.connections.forEach(({ source, onward }) => {
+            source.destroy();
+            onward.destroy();
+        });
         this.server.close();
     }
 }
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -12,6 +12,8 @@
     objects = new Map();
     events = [];
     waiters = new Set();
+    /** Changes what listings and watches show of an object, so that a proxy can be placed in front of its address. */
+    show = (_kind, object) => object;
     sockets = new Set();
 
     async listen() {
@@ -53,6 +55,13 @@
 
     commit(kind, name, specification) {
         const known = this.get(kind, name);
+        // The entry of a worker changes when more than its `sequence` changes.
+        const isHeartbeat = kind === "servers" && known
+            && JSON.stringify({ ...known.specification, sequence: 0 })
+                === JSON.stringify({ ...specification, sequence: 0 });
+        if (isHeartbeat) {
+            return known;
+        }
         if (known && JSON.stringify(known.specification) === JSON.stringify(specification)) {
             return known;
         }
@@ -92,7 +101,9 @@
         if (request.method === "GET" && name === undefined) {
             const watch = url.searchParams.get("watch");
             if (watch === null) {
-                const items = [...this.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, item]) => item);
+                const items = [...this.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, item]) =>
+                    this.show(kind, item)
+                );
                 send(200, { items, hasMore: false, asOf: this.revision });
             }
             else {
@@ -148,9 +159,10 @@
     async watch(kind, after, waitMs, send) {
         const endMs = performance.now() + waitMs;
         for (;;) {
-            const events = this.events.filter(item => item.kind === kind && item.revision > after).map(item =>
-                item.event
-            );
+            const events = this.events.filter(item => item.kind === kind && item.revision > after).map(({ event }) => ({
+                ...event,
+                object: this.show(kind, event.object),
+            }));
             const leftMs = endMs - performance.now();
             if (this.mode !== "up" || events.length > 0 || leftMs <= 0) {
                 send(200, { events, asOf: this.revision });
