--- a/review/lib/plain.mjs
+++ b/review/lib/plain.mjs
@@ -36,6 +36,10 @@
             response.writeHead(421, { "x-fescuehaven-instance-identifier": id }).end();
             return;
         }
+        if (requestId === undefined) {
+            response.writeHead(400, { "x-fescuehaven-not-executed": "1" }).end();
+            return;
+        }
         this.runs.push({
             id: requestId,
             worker: id,
--- a/review/lib/proxy.mjs
+++ b/review/lib/proxy.mjs
@@ -25,10 +25,13 @@
     join(connection, from, to, onData) {
         from.setNoDelay(true);
         const unlessCut = act => argument => this.isCut || connection.isSilent || act(argument);
-        from.on("data", unlessCut(bytes => {
-            onData();
-            to.write(bytes);
-        }));
+        from.on(
+            "data",
+            unlessCut(bytes => {
+                onData();
+                to.write(bytes);
+            }),
+        );
         from.on("end", unlessCut(() => to.end()));
         from.on("error", unlessCut(() => to.destroy()));
         from.on("close", () => {
