--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -71,7 +71,10 @@
         const connections = [...leader.proxy.connections].sort((one, other) => one.answers - other.answers);
         const chosen = connections.slice(0, Math.floor(connections.length * SILENT_SHARE));
         leader.proxy.silence(connection => chosen.includes(connection));
-        record("connections between gateways go silent", connections.map(({ answers, isSilent }) => ({ answers, isSilent })));
+        record(
+            "connections between gateways go silent",
+            connections.map(({ answers, isSilent }) => ({ answers, isSilent })),
+        );
     }
     // All machines count as reset until the window is over, and are in touch from then on.
     await sleep(STABLE_WINDOW_MS + 100);
--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -16,8 +16,9 @@
     /** Creates a gateway with free ports. The metrics port is fixed, so each has an address that only this script uses. */
     static async create({ index, zone, storeAddress, folder, bounds = {} }) {
         const host = `127.${64 + (process.pid >> 8 & 0x3f)}.${process.pid & 0xff}.${index}`;
-        const [port, readyPort, internalPort] = [await freePort(host), await freePort(host), await freePort(host)];
-        return new Gateway({ index, zone, storeAddress, folder, bounds, host, port, readyPort, internalPort });
+        const port = await freePorts(host, 4);
+        const ports = { port, readyPort: port + 1, internalPort: port + 2 };
+        return new Gateway({ index, zone, storeAddress, folder, bounds, host, ...ports });
     }
 
     constructor({ index, zone, storeAddress, folder, bounds, host, port, readyPort, internalPort }) {
@@ -116,12 +117,13 @@
     }
 }
 
-/** Finds a port of the host that is free, and whose successor is free. */
-async function freePort(host) {
+/** Finds `count` consecutive ports of the host that are free; resolves to the first. */
+async function freePorts(host, count) {
     for (;;) {
-        const port = await listenOnce(host, 0);
-        if (await listenOnce(host, port + 1) > 0) {
-            return port;
+        const first = await listenOnce(host, 0);
+        const others = Array.from({ length: count - 1 }, (_, index) => listenOnce(host, first + 1 + index));
+        if ((await Promise.all(others)).every(port => port > 0)) {
+            return first;
         }
     }
 }
@@ -131,7 +133,7 @@
     const server = createServer();
     return new Promise(resolve => {
         server.once("error", () => resolve(0));
-        server.listen(port, host, () => {
+        server.listen({ host, port }, () => {
             const address = server.address();
             server.close(() => resolve(address.port));
         });
