Show a known suspicion: workers of a group whose head has no entry join others

Cause: a new controller keeps workers back only in domains in which a registered worker shows a serving group; the head of the only group may be open without an entry.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,85 +1,66 @@
 import { runCase } from "../lib/case.mjs";
 import { call } from "../lib/client.mjs";
+import { Fleet } from "../lib/engine.mjs";
 import { Gateway, sleep } from "../lib/gateways.mjs";
-import { PlainService } from "../lib/plain.mjs";
-import { Proxy } from "../lib/proxy.mjs";
-import { configuration, HOST } from "../lib/settings.mjs";
+import { configuration, models, streamCall } from "../lib/settings.mjs";
 import { Store } from "../lib/store.mjs";
 
-/** `configApplyMs` of the settings. */
-const CONFIG_APPLY_MS = 2000;
-const CUT_MS = 4000;
-const REVOKED_KEY = "revoked-key";
-const CALL_INTERVAL_MS = 20;
-
-/** Returns a version of the configuration whose tenant has these keys. */
-function versionWith(version, apiKeys) {
-    return { ...configuration, version, tenants: [{ name: "acme", apiKeys }] };
-}
+/** How long the entry of the other writer is there. */
+const ENTRY_MS = 3000;
+/** Groups form within two seconds of the start. */
+const FORMATION_MS = 12_000;
+const CALLS = 200;
+const CALL_INTERVAL_MS = 50;
 
 await runCase(import.meta.dirname, async ({ record, hasTrouble, temporary, closers }) => {
     const store = new Store();
     await store.listen();
     closers.push(() => store.close());
-    store.put("config", "main", versionWith(7, ["key", REVOKED_KEY]));
-    const service = new PlainService({ store, service: "app" });
-    closers.push(() => service.close());
-    for (const id of ["i-1", "i-2", "i-3"]) {
-        await service.add(id);
+    store.put("config", "main", configuration);
+    if (hasTrouble) {
+        // An entry of another writer, of a service that neither the pages nor the configuration name.
+        const entry = {
+            service: "archive",
+            address: "127.0.0.1:9",
+            zone: "a",
+            version: "v1",
+            slots: 1,
+            state: "ready",
+            coldRemainingMs: 0,
+            sequence: 1,
+            born: 1_700_000_000_000,
+            group: { name: "archive", epoch: 2_147_483_647, rank: 0, state: "open" },
+        };
+        store.put("servers", "archive-1", entry);
+        record("entry of another writer", entry);
     }
-    const gateways = [];
-    for (const index of [1, 2, 3]) {
-        const proxy = new Proxy();
-        await proxy.listen(store.address);
-        closers.push(() => proxy.close());
-        const gateway = await Gateway.create({ index, zone: "a", storeAddress: proxy.address, folder: temporary });
-        gateways.push(Object.assign(gateway, { proxy }));
+    const fleet = new Fleet({ store, service: "llm", models, log: record });
+    closers.push(() => fleet.close());
+    for (let index = 0; index < 7; index++) {
+        await fleet.add(`i-${index}`, { staged: ["m0"] });
     }
-    closers.push(() => Promise.all(gateways.map(gateway => gateway.stop())));
+    const gateways = await Promise.all(
+        [1, 2, 3].map(index => Gateway.create({ index, zone: "a", storeAddress: store.address, folder: temporary })),
+    );
     gateways.forEach(gateway => gateway.start());
+    closers.push(() => Promise.all(gateways.map(gateway => gateway.stop())));
     await Promise.all(gateways.map(gateway => gateway.untilReady()));
-    await sleep(6000);
-    const leaderName = store.get("fescue_controllers", "fleet").specification.vm;
-    const leader = gateways.find(({ name }) => name === leaderName);
-    const others = gateways.filter(gateway => gateway !== leader);
-    record("the process that wrote the lease", { gateway: leaderName });
-
-    const calls = [];
-    let isRunning = true;
-    const client = (async () => {
-        for (let turn = 0; isRunning; turn++) {
-            const gateway = others[turn % others.length];
-            const key = { hostName: HOST, path: "/bookings/x", deadlineMs: 4000, key: REVOKED_KEY, body: "{}" };
-            calls.push(call(gateway, key).then(answer => ({ ...answer, gateway: gateway.name })));
-            await sleep(CALL_INTERVAL_MS);
-        }
-    })();
-    await sleep(1000);
-    // Two configurations in quick succession; the second one takes a key away.
-    store.put("config", "main", versionWith(8, ["key", REVOKED_KEY, "new-key"]));
-    record("version 8 is acknowledged");
-    await sleep(150);
+    await sleep(ENTRY_MS);
     if (hasTrouble) {
-        leader.proxy.isCut = true;
-        record("that process is partitioned from the store", { gateway: leaderName });
+        store.remove("servers", "archive-1");
+        record("the entry of the other writer is removed");
     }
-    await sleep(50);
-    store.put("config", "main", versionWith(9, ["key", "new-key"]));
-    const acknowledgedAtMs = performance.now();
-    record("version 9 is acknowledged, which takes the key away");
-    await sleep(CUT_MS);
-    isRunning = false;
-    await client;
-    const answers = await Promise.all(calls);
-    const ranIds = new Set(service.runs.map(({ id }) => id));
-    for (const { id, gateway, status, sentAtMs } of answers) {
-        const sentAfterMs = Math.round(sentAtMs - acknowledgedAtMs);
-        record("answer", { id, gateway, status, sentAfterMs, hasRun: ranIds.has(id) });
+    await sleep(FORMATION_MS - ENTRY_MS);
+    const calls = [];
+    for (let index = 0; index < CALLS; index++) {
+        calls.push(call(gateways[index % gateways.length], streamCall));
+        await sleep(CALL_INTERVAL_MS);
     }
-    const late = answers.filter(({ id, sentAtMs }) => sentAtMs > acknowledgedAtMs + CONFIG_APPLY_MS && ranIds.has(id));
-    record("late", { count: late.length });
-    return late.map(({ id, gateway, sentAtMs }) =>
-        `CONFIG: ${id} ran with the key that was taken away, sent to ${gateway} `
-        + `${Math.round(sentAtMs - acknowledgedAtMs)} ms after the acknowledgement`
-    );
+    const answers = await Promise.all(calls);
+    answers.forEach(({ id, status, isWhole }) => record("answer", { id, status, isWhole }));
+    fleet.runs.forEach(run => record("run", run));
+    fleet.engines.forEach(item => record("worker", { id: item.id, ...item.state() }));
+    const served = answers.filter(({ status, isWhole }) => status === 200 && isWhole).length;
+    record("served", { served, of: answers.length });
+    return served === 0 ? [`no request is served: ${answers.length} sent, ${fleet.runs.length} run`] : [];
 });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -6,11 +6,9 @@
 import { configuration, HOST } from "../lib/settings.mjs";
 import { Store } from "../lib/store.mjs";
 
-/** `configApplyMs` and `stableWindowMs` of the settings. */
+/** `configApplyMs` of the settings. */
 const CONFIG_APPLY_MS = 2000;
-const STABLE_WINDOW_MS = 3000;
-/** Gateways send their state over the busier half of the connections, and read each other's view over the other half. */
-const SILENT_SHARE = 0.5;
+const CUT_MS = 4000;
 const REVOKED_KEY = "revoked-key";
 const CALL_INTERVAL_MS = 20;
 
@@ -30,24 +28,17 @@
         await service.add(id);
     }
     const gateways = [];
-    const proxies = new Map();
     for (const index of [1, 2, 3]) {
-        const gateway = await Gateway.create({ index, zone: "a", storeAddress: store.address, folder: temporary });
         const proxy = new Proxy();
-        await proxy.listen(gateway.peerAddress);
+        await proxy.listen(store.address);
         closers.push(() => proxy.close());
-        proxies.set(gateway.peerAddress, proxy);
+        const gateway = await Gateway.create({ index, zone: "a", storeAddress: proxy.address, folder: temporary });
         gateways.push(Object.assign(gateway, { proxy }));
     }
-    // Gateways reach each other through the proxies.
-    store.show = (kind, object) => {
-        const proxy = kind === "fescue_gateways" ? proxies.get(object.specification.address) : undefined;
-        return proxy ? { ...object, specification: { ...object.specification, address: proxy.address } } : object;
-    };
     closers.push(() => Promise.all(gateways.map(gateway => gateway.stop())));
     gateways.forEach(gateway => gateway.start());
     await Promise.all(gateways.map(gateway => gateway.untilReady()));
-    await sleep(8000);
+    await sleep(6000);
     const leaderName = store.get("fescue_controllers", "fleet").specification.vm;
     const leader = gateways.find(({ name }) => name === leaderName);
     const others = gateways.filter(gateway => gateway !== leader);
@@ -58,30 +49,25 @@
     const client = (async () => {
         for (let turn = 0; isRunning; turn++) {
             const gateway = others[turn % others.length];
-            const request = { hostName: HOST, path: "/bookings/x", deadlineMs: 4000, key: REVOKED_KEY, body: "{}" };
-            calls.push(call(gateway, request).then(answer => ({ ...answer, gateway: gateway.name })));
+            const key = { hostName: HOST, path: "/bookings/x", deadlineMs: 4000, key: REVOKED_KEY, body: "{}" };
+            calls.push(call(gateway, key).then(answer => ({ ...answer, gateway: gateway.name })));
             await sleep(CALL_INTERVAL_MS);
         }
     })();
     await sleep(1000);
+    // Two configurations in quick succession; the second one takes a key away.
     store.put("config", "main", versionWith(8, ["key", REVOKED_KEY, "new-key"]));
     record("version 8 is acknowledged");
-    await sleep(300);
+    await sleep(150);
     if (hasTrouble) {
-        const connections = [...leader.proxy.connections].sort((one, other) => one.answers - other.answers);
-        const chosen = connections.slice(0, Math.floor(connections.length * SILENT_SHARE));
-        leader.proxy.silence(connection => chosen.includes(connection));
-        record(
-            "connections between gateways go silent",
-            connections.map(({ answers, isSilent }) => ({ answers, isSilent })),
-        );
+        leader.proxy.isCut = true;
+        record("that process is partitioned from the store", { gateway: leaderName });
     }
-    // All machines count as reset until the window is over, and are in touch from then on.
-    await sleep(STABLE_WINDOW_MS + 100);
+    await sleep(50);
     store.put("config", "main", versionWith(9, ["key", "new-key"]));
     const acknowledgedAtMs = performance.now();
     record("version 9 is acknowledged, which takes the key away");
-    await sleep(5000);
+    await sleep(CUT_MS);
     isRunning = false;
     await client;
     const answers = await Promise.all(calls);
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -2,53 +2,98 @@
 import { call } from "../lib/client.mjs";
 import { Gateway, sleep } from "../lib/gateways.mjs";
 import { PlainService } from "../lib/plain.mjs";
+import { Proxy } from "../lib/proxy.mjs";
 import { configuration, HOST } from "../lib/settings.mjs";
 import { Store } from "../lib/store.mjs";
 
-/** How long a worker works on a request: less than the deadline, and than what is left of the grace period. */
-const WORK_MS = 2500;
-const DEADLINE_MS = 4000;
-const SECOND_STOP_AFTER_MS = 1000;
-const GRACE_PERIOD_MS = 8000;
-const CALLS = 40;
-const CALL_INTERVAL_MS = 25;
+/** `configApplyMs` and `stableWindowMs` of the settings. */
+const CONFIG_APPLY_MS = 2000;
+const STABLE_WINDOW_MS = 3000;
+/** Gateways send their state over the busier half of the connections, and read each other's view over the other half. */
+const SILENT_SHARE = 0.5;
+const REVOKED_KEY = "revoked-key";
+const CALL_INTERVAL_MS = 20;
+
+/** Returns a version of the configuration whose tenant has these keys. */
+function versionWith(version, apiKeys) {
+    return { ...configuration, version, tenants: [{ name: "acme", apiKeys }] };
+}
 
 await runCase(import.meta.dirname, async ({ record, hasTrouble, temporary, closers }) => {
     const store = new Store();
     await store.listen();
     closers.push(() => store.close());
-    store.put("config", "main", configuration);
-    const service = new PlainService({ store, service: "app", workMs: WORK_MS });
+    store.put("config", "main", versionWith(7, ["key", REVOKED_KEY]));
+    const service = new PlainService({ store, service: "app" });
     closers.push(() => service.close());
     for (const id of ["i-1", "i-2", "i-3"]) {
         await service.add(id);
     }
-    const gateways = await Promise.all(
-        [1, 2, 3].map(index => Gateway.create({ index, zone: "a", storeAddress: store.address, folder: temporary })),
-    );
+    const gateways = [];
+    const proxies = new Map();
+    for (const index of [1, 2, 3]) {
+        const gateway = await Gateway.create({ index, zone: "a", storeAddress: store.address, folder: temporary });
+        const proxy = new Proxy();
+        await proxy.listen(gateway.peerAddress);
+        closers.push(() => proxy.close());
+        proxies.set(gateway.peerAddress, proxy);
+        gateways.push(Object.assign(gateway, { proxy }));
+    }
+    // Gateways reach each other through the proxies.
+    store.show = (kind, object) => {
+        const proxy = kind === "fescue_gateways" ? proxies.get(object.specification.address) : undefined;
+        return proxy ? { ...object, specification: { ...object.specification, address: proxy.address } } : object;
+    };
     closers.push(() => Promise.all(gateways.map(gateway => gateway.stop())));
     gateways.forEach(gateway => gateway.start());
     await Promise.all(gateways.map(gateway => gateway.untilReady()));
-    await sleep(4000);
-    const [stopped] = gateways;
+    await sleep(8000);
+    const leaderName = store.get("fescue_controllers", "fleet").specification.vm;
+    const leader = gateways.find(({ name }) => name === leaderName);
+    const others = gateways.filter(gateway => gateway !== leader);
+    record("the process that wrote the lease", { gateway: leaderName });
+
     const calls = [];
-    for (let index = 0; index < CALLS; index++) {
-        calls.push(call(stopped, { hostName: HOST, path: "/bookings/x", deadlineMs: DEADLINE_MS, body: "{}" }));
-        await sleep(CALL_INTERVAL_MS);
-    }
-    stopped.signal("SIGTERM");
-    const stoppedAtMs = performance.now();
-    record("SIGTERM", { gateway: stopped.name });
-    await sleep(SECOND_STOP_AFTER_MS);
+    let isRunning = true;
+    const client = (async () => {
+        for (let turn = 0; isRunning; turn++) {
+            const gateway = others[turn % others.length];
+            const request = { hostName: HOST, path: "/bookings/x", deadlineMs: 4000, key: REVOKED_KEY, body: "{}" };
+            calls.push(call(gateway, request).then(answer => ({ ...answer, gateway: gateway.name })));
+            await sleep(CALL_INTERVAL_MS);
+        }
+    })();
+    await sleep(1000);
+    store.put("config", "main", versionWith(8, ["key", REVOKED_KEY, "new-key"]));
+    record("version 8 is acknowledged");
+    await sleep(300);
     if (hasTrouble) {
-        stopped.signal("SIGTERM");
-        record("SIGTERM once more", { gateway: stopped.name });
+        const connections = [...leader.proxy.connections].sort((one, other) => one.answers - other.answers);
+        const chosen = connections.slice(0, Math.floor(connections.length * SILENT_SHARE));
+        leader.proxy.silence(connection => chosen.includes(connection));
+        record(
+            "connections between gateways go silent",
+            connections.map(({ answers, isSilent }) => ({ answers, isSilent })),
+        );
     }
+    // All machines count as reset until the window is over, and are in touch from then on.
+    await sleep(STABLE_WINDOW_MS + 100);
+    store.put("config", "main", versionWith(9, ["key", "new-key"]));
+    const acknowledgedAtMs = performance.now();
+    record("version 9 is acknowledged, which takes the key away");
+    await sleep(5000);
+    isRunning = false;
+    await client;
     const answers = await Promise.all(calls);
-    const exit = await Promise.race([stopped.exited, sleep(GRACE_PERIOD_MS)]);
-    record("exit", { ...exit, afterMs: Math.round(performance.now() - stoppedAtMs) });
     const ranIds = new Set(service.runs.map(({ id }) => id));
-    answers.forEach(({ id, status, isWhole }) => record("answer", { id, status, isWhole, hasRun: ranIds.has(id) }));
-    const lost = answers.filter(({ id, isWhole }) => ranIds.has(id) && !isWhole);
-    return lost.map(({ id }) => `LOST: ${id} was passed on to a worker, and its connection ended without an answer`);
+    for (const { id, gateway, status, sentAtMs } of answers) {
+        const sentAfterMs = Math.round(sentAtMs - acknowledgedAtMs);
+        record("answer", { id, gateway, status, sentAfterMs, hasRun: ranIds.has(id) });
+    }
+    const late = answers.filter(({ id, sentAtMs }) => sentAtMs > acknowledgedAtMs + CONFIG_APPLY_MS && ranIds.has(id));
+    record("late", { count: late.length });
+    return late.map(({ id, gateway, sentAtMs }) =>
+        `CONFIG: ${id} ran with the key that was taken away, sent to ${gateway} `
+        + `${Math.round(sentAtMs - acknowledgedAtMs)} ms after the acknowledgement`
+    );
 });
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -47,16 +47,16 @@
         this.engines.forEach(engine => engine.crash());
     }
 
-    /** Says which group the worker belongs to as long as the head of it is open or closing, or stands still. */
-    servingGroupOf(engine) {
-        const { group } = engine;
-        if (!group) {
-            return undefined;
-        }
-        const head = this.engines.get(group.members[0]);
-        const isOpen = head?.isAlive && head.group?.name === group.name && head.group.epoch === group.epoch
-            && (head.group.state === "open" || head.group.state === "closing");
-        return isOpen ? group : undefined;
+    /**
+     * Returns the groups that count the worker as a member and whose head is open or closing, or stands still and is not yet
+     * broken. That a member has left makes the head stand still; it notices nothing else.
+     */
+    servingGroupsOf({ id, joined }) {
+        return [...this.engines.values()]
+            .filter(({ isAlive, group }) => isAlive && (group?.state === "open" || group?.state === "closing"))
+            .filter(head => head.group.members[0] === head.id && head.group.members.includes(id))
+            .map(({ group }) => group)
+            .filter(({ name, epoch }) => joined.has(`${name}@${epoch}`));
     }
 }
 
@@ -65,9 +65,12 @@
     sequence = 0;
     beats = 0;
     isAlive = false;
+    isCutFromStore = false;
     highestEpoch = 0;
     lastWrittenAtMs = -Infinity;
     sockets = new Set();
+    /** Groups that the worker has joined since its start. */
+    joined = new Set();
     states = [];
     running = 0;
 
@@ -118,7 +121,7 @@
     }
 
     register() {
-        if (!this.isAlive) {
+        if (!this.isAlive || this.isCutFromStore) {
             return;
         }
         this.beats += 1;
@@ -189,12 +192,14 @@
         if (isSame) {
             return 200;
         }
-        const serving = fleet.servingGroupOf(this);
-        if (serving && serving.name !== group) {
-            fleet.broken.push(
-                `TWO: ${this.id} takes a join of ${group}@${epoch} while the head of ${serving.name}@${serving.epoch} is open`,
-            );
+        for (const { name, epoch: ofEpoch, state, members: [head] } of fleet.servingGroupsOf(this)) {
+            if (name !== group) {
+                const text =
+                    `${this.id} takes a join of ${group}@${epoch} while ${head}, the head of ${name}@${ofEpoch}, is ${state}`;
+                fleet.broken.push(`TWO: ${text}`);
+            }
         }
+        this.joined.add(`${group}@${epoch}`);
         const { loadTimeS, warmS } = fleet.models.find(({ name }) => name === model);
         const isStaged = this.staged.includes(model);
         const joinMs = this.lastModel === model ? WARM_JOIN_MS : 1000 * (isStaged ? warmS : loadTimeS);
