--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -86,5 +86,6 @@
     record("after", groups());
     isRunning = false;
     await Promise.all(clients);
+    fleet.runs.forEach(({ id, engine, group, isComplete = false }) => record("run", { id, engine, group, isComplete }));
     return fleet.broken;
 });
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -24,6 +24,35 @@
         closers: [],
     };
     let status = COULD_NOT_RUN;
+    let isFinishing = false;
+    /** Ends all processes that the case has started, writes the record and exits. */
+    const finish = async () => {
+        if (isFinishing) {
+            return;
+        }
+        isFinishing = true;
+        for (const close of context.closers.splice(0).reverse()) {
+            await close();
+        }
+        writeFileSync(path.join(folder, "record.txt"), `${lines.join("\n")}\n`);
+        if (process.env.KEEP !== "1") {
+            rmSync(context.temporary, { recursive: true, force: true });
+        }
+        process.exit(status);
+    };
+    const giveUp = error => {
+        if (isFinishing) {
+            return;
+        }
+        record(`could not run: ${error?.stack ?? error}`);
+        console.log(`could not run: ${error?.message ?? error}`);
+        status = COULD_NOT_RUN;
+        void finish();
+    };
+    process.on("uncaughtException", giveUp);
+    for (const name of ["SIGINT", "SIGTERM"]) {
+        process.once(name, () => giveUp(new Error(name)));
+    }
     try {
         const broken = await run(context);
         broken.forEach(text => record(`BROKEN ${text}`));
@@ -31,15 +60,8 @@
         console.log(broken.length > 0 ? `broken:\n${broken.slice(0, 5).join("\n")}` : "the rule held");
     }
     catch (error) {
-        record(`could not run: ${error.stack}`);
-        console.log(`could not run: ${error.message}`);
-    }
-    for (const close of context.closers.reverse()) {
-        await close();
-    }
-    writeFileSync(path.join(folder, "record.txt"), `${lines.join("\n")}\n`);
-    if (process.env.KEEP !== "1") {
-        rmSync(context.temporary, { recursive: true, force: true });
+        giveUp(error);
+        return;
     }
-    process.exit(status);
+    await finish();
 }
