Count only the epochs of this fleet's engines

Cause: the next term is above the highest epoch of all registrations, of whatever service, and terms are never taken back.

Ruled out: that the foreign entry blocks groups by being there, as it is gone after three seconds.

Change: ObservedEpochs takes the epochs of engines of configured services only, at most 1000 terms ahead of the lease. The decoder accepts all epochs of 32 bits, so that a store that holds such a term recovers with the update. Wire and store are unchanged.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -7,6 +7,7 @@
 import { EpochSource } from "./fleet/EpochSource.js";
 import { FleetController } from "./fleet/FleetController.js";
 import { MemberProber } from "./fleet/MemberProber.js";
+import { ObservedEpochs } from "./fleet/ObservedEpochs.js";
 import { OrderSender } from "./fleet/OrderSender.js";
 import { StandbyPool } from "./fleet/StandbyPool.js";
 import { WeightLoadLimiter } from "./fleet/WeightLoadLimiter.js";
@@ -264,6 +265,12 @@
             return sources.length > 0 ? sources : seeds;
         };
         this.assistedStore = PeerAssistedStore.create({ clock, random, log, eras: this.eras, store, source, peers });
+        const observedEpochs = ObservedEpochs.create({
+            log,
+            configuration: this.configuration,
+            upstreams: this.upstreams,
+            knownTerm: () => this.lease.term,
+        });
         this.lease = ControllerLease.create({
             clock,
             log,
@@ -283,7 +290,7 @@
                 this.connections.connectedPeers().length * 2 >= this.connections.followedPeers().length,
             blockedSuspects: () => crashGuard.blocked(),
             onBlockedSuspects: blocked => crashGuard.merge(blocked),
-            highestUpstreamTerm: () => EpochSource.highestTerm(this.upstreams),
+            highestUpstreamTerm: () => observedEpochs.highestTerm,
         });
         const orders = OrderSender.create({
             clock,
@@ -308,6 +315,7 @@
             upstreams: this.upstreams,
             loads: this.loads,
             lease: this.lease,
+            epochs: EpochSource.create(observedEpochs),
             orders,
             prober: MemberProber.create({ clock, orders }),
             weightLoadLimiter,
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -42,8 +42,6 @@
     private readonly listeners = new Set<() => void>();
     private changeCount = 0;
     private memberAddedAtMs = -Infinity;
-    /** Computed again when the directory has changed. */
-    private cachedHighestEpoch: { version: number; epoch: number; } | undefined;
 
     private readonly leaving: LeavingInstances;
 
@@ -69,18 +67,6 @@
         return this.changeCount;
     }
 
-    /** Highest epoch of a group that an upstream shows; 0 if none belongs to a group. */
-    get highestEpoch(): number {
-        if (this.cachedHighestEpoch?.version !== this.version) {
-            let epoch = 0;
-            for (const { group } of this.upstreams.values()) {
-                epoch = Math.max(epoch, group?.epoch ?? 0);
-            }
-            this.cachedHighestEpoch = { version: this.version, epoch };
-        }
-        return this.cachedHighestEpoch.epoch;
-    }
-
     /** Calls `listener` after every change. */
     onChange(listener: () => void): void {
         this.listeners.add(listener);
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -11,7 +11,7 @@
 import { groupBy } from "../util/groupBy.js";
 import { chooseMembers } from "./chooseMembers.js";
 import type { ControllerLease } from "./ControllerLease.js";
-import { EpochSource } from "./EpochSource.js";
+import type { EpochSource } from "./EpochSource.js";
 import { FleetStabilityMonitor } from "./FleetStabilityMonitor.js";
 import type { ManagedGroup } from "./ManagedGroup.js";
 import { MemberChecker } from "./MemberChecker.js";
@@ -34,6 +34,7 @@
     upstreams: UpstreamDirectory;
     loads: LoadTracker;
     lease: ControllerLease;
+    epochs: EpochSource;
     orders: OrderSender;
     prober: MemberProber;
     weightLoadLimiter: WeightLoadLimiter;
@@ -144,7 +145,6 @@
 export class FleetController {
     private groups = new Map<string, ManagedGroup>();
     private readonly health: UpstreamHealth;
-    private readonly epochs: EpochSource;
     private term = 0;
     /** When `run` was called, monotonic. */
     private runningSinceMs = -Infinity;
@@ -155,7 +155,6 @@
 
     private constructor(private readonly options: FleetControllerOptions) {
         this.health = UpstreamHealth.create(options);
-        this.epochs = EpochSource.create(options.upstreams);
         this.stability = FleetStabilityMonitor.create(options);
         this.memberChecker = MemberChecker.create({
             ...options,
@@ -204,7 +203,7 @@
         if (lease.term !== this.term) {
             this.stepDown();
             this.term = lease.term;
-            this.epochs.start(this.term);
+            this.options.epochs.start(this.term);
             this.quarantineReplacedBefore();
             log.info("acting as the controller", { term: this.term });
         }
@@ -225,7 +224,7 @@
                 engine,
                 this.freeUpstreams(view),
                 this.groups,
-                () => this.epochs.next(),
+                () => this.options.epochs.next(),
             );
         }
     }
@@ -813,7 +812,7 @@
         reason: string,
         previous: { lostAtMs?: number; consecutiveRejections?: number; } = {},
     ): void {
-        const epoch = this.epochs.next();
+        const epoch = this.options.epochs.next();
         const group: ManagedGroup = {
             name,
             service,
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -1,6 +1,9 @@
 import { MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
+import { ControllerLease } from "../../src/fleet/ControllerLease.js";
+import { EPOCHS_PER_TERM } from "../../src/fleet/epochsPerTerm.js";
 import type { Upstream } from "../../src/model/Upstream.js";
+import { exampleUpstream } from "../support/exampleUpstream.js";
 import { FleetRig } from "../support/FleetRig.js";
 
 /**
@@ -10,6 +13,8 @@
 const FORMATION_MS = 60_000;
 /** Target for the median repair time after the loss of one member, counted from when callers see silence. */
 const REPAIR_TARGET_MS = 3000;
+/** Time for which another writer's registration is in the store. */
+const FOREIGN_REGISTRATION_MS = 3000;
 
 async function createFormedRig(): Promise<FleetRig> {
     const rig = FleetRig.create(2, 11);
@@ -108,6 +113,35 @@
         rig.stopController();
     });
 
+    // Guards against terms that rise to an epoch of another writer's registration, after which no epoch is valid.
+    const foreignEpochs: ReadonlyArray<[string, number]> = [["archive", 900 * EPOCHS_PER_TERM], ["llm", 2 ** 31 - 1]];
+    for (const [service, epoch] of foreignEpochs) {
+        it(`keeps its term although a registration of another writer for ${service} states epoch ${epoch}`, async () => {
+            const rig = FleetRig.create(2, 11);
+            const group = { name: "foreign", epoch, rank: 0, phase: "open" as const };
+            rig.fleet.add(exampleUpstream("foreign", { service, domain: "elsewhere", group }));
+            rig.fleet.makeUnresponsive("foreign", FOREIGN_REGISTRATION_MS);
+            const lease = rig.addController("only");
+            await rig.run(FOREIGN_REGISTRATION_MS + FORMATION_MS);
+            const epochs = rig.fleet.openHeads().map(head => head.group!.epoch);
+            expect([lease.term, rig.countCompleteGroups()]).to.deep.equal([1, { large: 2, small: 2 }]);
+            expect(Math.max(...epochs)).to.be.below(2 * EPOCHS_PER_TERM);
+            rig.stopController();
+        });
+    }
+
+    // Guards against a store in which an earlier build has left a term whose epochs were no longer valid.
+    it("forms groups in a term beyond the epochs that earlier builds accept", async () => {
+        const rig = FleetRig.create(2, 11);
+        const released = { vm: "", incarnation: "", term: 2 ** 15, renewals: 0 };
+        await rig.store.write({ kind: ControllerLease.kind, name: "fleet" }, released, 0);
+        const lease = rig.addController("only");
+        await rig.run(FORMATION_MS);
+        expect([lease.term, rig.countCompleteGroups()]).to.deep.equal([2 ** 15 + 1, { large: 2, small: 2 }]);
+        expect(rig.fleet.openHeads().every(head => head.group!.epoch > 2 ** 31)).to.equal(true);
+        rig.stopController();
+    });
+
     describe("when the controller reaches no upstream", () => {
         /** Longest time from the return of the path until all groups take requests again. */
         const RETURN_MS = 2000;
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -4,6 +4,7 @@
 import { EpochSource } from "../../src/fleet/EpochSource.js";
 import { FleetController } from "../../src/fleet/FleetController.js";
 import { MemberProber } from "../../src/fleet/MemberProber.js";
+import { ObservedEpochs } from "../../src/fleet/ObservedEpochs.js";
 import { OrderSender } from "../../src/fleet/OrderSender.js";
 import { StandbyPool } from "../../src/fleet/StandbyPool.js";
 import { WeightLoadLimiter } from "../../src/fleet/WeightLoadLimiter.js";
@@ -119,7 +120,13 @@
             reachability: this.partitions,
         });
         const weightLoadLimiter = WeightLoadLimiter.create({ clock, windowMs: 5000, hasTraffic: () => hasTraffic });
-        const lease = ControllerLease.create({
+        const observedEpochs = ObservedEpochs.create({
+            log,
+            configuration: this.configuration,
+            upstreams: this.directory,
+            knownTerm: () => lease.term,
+        });
+        const lease: ControllerLease = ControllerLease.create({
             clock,
             log,
             store,
@@ -132,7 +139,7 @@
             isConnectedToMostPeers: () => true,
             blockedSuspects: () => ({ promptParts: [], requests: [] }),
             onBlockedSuspects: () => undefined,
-            highestUpstreamTerm: () => EpochSource.highestTerm(this.directory),
+            highestUpstreamTerm: () => observedEpochs.highestTerm,
         });
         const controller = FleetController.create({
             clock,
@@ -142,6 +149,7 @@
             upstreams: this.directory,
             loads: this.loads,
             lease,
+            epochs: EpochSource.create(observedEpochs),
             orders,
             prober: MemberProber.create({ clock, orders }),
             weightLoadLimiter,
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -605,4 +605,22 @@
         test: `${GATEWAY}/tests/forwarding/unreachableUpstreams.test.ts`,
         grep: "does not use up a request's rejections when several have crashed",
     },
+    {
+        promise: "gateway: groups form again",
+        name: "epochs of services that are not configured do not count",
+        file: `${GATEWAY}/src/fleet/ObservedEpochs.ts`,
+        find: "if (epoch <= highest || !configuration.current?.services.get(upstream.service)?.engine) {",
+        replace: "if (epoch <= highest) {",
+        test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
+        grep: "a registration of another writer for archive",
+    },
+    {
+        promise: "gateway: groups form again",
+        name: "epochs far ahead of the lease do not count",
+        file: `${GATEWAY}/src/fleet/ObservedEpochs.ts`,
+        find: "if (epoch > maxEpoch) {",
+        replace: "if (epoch > 2 ** 53) {",
+        test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
+        grep: "a registration of another writer for llm",
+    },
 ];
