State the age of a view, and end its use before changes are late

Cause: the others read the store through the controller, whose view counted as current until its watch had timed out (1500 + 1000 ms); the bound is 2000 ms. A view carried no age.

Ruled out: late activation at the followers, which apply a change as soon as they read it.

Change: a gateway records when the store has last confirmed each kind, states that age to followers, and ends their watches at 70% of the deadline for changes, which is taken from the bounds in the settings. Hubs count as confirmed while the controller has their call. Watches of gateways whose view is read wait for half of the deadline. The field is optional: old followers ignore it; a source of an earlier build, which states none, is not read, so that the bound holds in a mixed fleet too, at the price of calls.

Without the age the two new tests fail (npm run safeguards).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -59,8 +59,13 @@
  * watch, it is shorter than the time in which a change must be active after a connection was lost.
  */
 const URGENT_WATCH_WAIT_MS = 2200;
-/** The same at a gateway whose view others read; shorter because they notice a lost connection only after it. */
-const READER_WATCH_WAIT_MS = 1500;
+/**
+ * The same at a gateway whose view others read, as a share of the time within which a change must be in effect; every
+ * response confirms the view.
+ */
+const READER_WATCH_SHARE = 0.5;
+/** Age from which a view must not be read by others, as a share of that time; the rest is for reading the store instead. */
+const MAX_VIEW_AGE_SHARE = 0.7;
 /** Maximum wait of a watch for the gateways' own objects; peers notice most of these changes by themselves. */
 const GATEWAY_WATCH_WAIT_MS = 8000;
 /**
@@ -128,7 +133,7 @@
     private hasTraffic = false;
     private isDraining = false;
 
-    private constructor(settings: GatewaySettings, private readonly ports: GatewayPorts) {
+    private constructor(private readonly settings: GatewaySettings, private readonly ports: GatewayPorts) {
         const { clock, random, log, metrics, store, client, control } = ports;
         this.eras = StoreEras.create({ clock, log, metrics });
         this.configuration = ActiveConfiguration.create(log);
@@ -264,7 +269,16 @@
             const sources = this.connections.viewSources();
             return sources.length > 0 ? sources : seeds;
         };
-        this.assistedStore = PeerAssistedStore.create({ clock, random, log, eras: this.eras, store, source, peers });
+        this.assistedStore = PeerAssistedStore.create({
+            clock,
+            random,
+            log,
+            eras: this.eras,
+            store,
+            source,
+            peers,
+            onSourceLost: kind => this.caches.get(kind)?.interrupt(),
+        });
         const observedEpochs = ObservedEpochs.create({
             log,
             configuration: this.configuration,
@@ -505,6 +519,7 @@
     private watch(
         kind: string,
         waitMs: () => number,
+        maxAgeMs: () => number,
         pauseMs: () => number,
         onListing: (objects: readonly StoredObject[], isAfterOutage: boolean, isRestored: boolean) => void,
         onChange: (change: ObjectChange) => void,
@@ -513,6 +528,7 @@
         const cache: WatchCache = WatchCache.create(
             clock,
             () => watch.isResponding && this.assistedStore.isAuthoritative(kind),
+            { ageMs: () => this.assistedStore.ageMs(kind), maxAgeMs },
         );
         this.caches.set(kind, cache);
         const watch: StoreWatch = StoreWatch.create({
@@ -582,6 +598,7 @@
         return this.watch(
             kind,
             () => this.urgentWatchWaitMs(),
+            () => this.maxUrgentViewAgeMs(),
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => {
                 // At once with the store's, so that a peer that is behind does not delay what the store has.
@@ -600,6 +617,7 @@
         return this.watch(
             kind,
             () => this.urgentWatchWaitMs(),
+            () => this.maxUrgentViewAgeMs(),
             () => this.upstreamWatchPauseMs(),
             (objects, isAfterOutage, isRestored) => {
                 const decoded = objects.map(object => this.decodeUpstream(object)).filter(item => item !== undefined);
@@ -620,8 +638,18 @@
         );
     }
 
+    /** True while other gateways read the store through this one. */
+    private get isViewSource(): boolean {
+        return this.connections.isActiveHub || this.lease.isController;
+    }
+
     private urgentWatchWaitMs(): number {
-        return this.connections.isActiveHub || this.lease.isController ? READER_WATCH_WAIT_MS : URGENT_WATCH_WAIT_MS;
+        return this.isViewSource ? this.settings.changeDeadlineMs * READER_WATCH_SHARE : URGENT_WATCH_WAIT_MS;
+    }
+
+    /** Gateways without access to the store read any peer's view, which then has no better one to compare with. */
+    private maxUrgentViewAgeMs(): number {
+        return this.isViewSource ? this.settings.changeDeadlineMs * MAX_VIEW_AGE_SHARE : Infinity;
     }
 
     private upstreamWatchPauseMs(): number {
@@ -650,6 +678,7 @@
         return this.watch(
             kind,
             () => this.urgentWatchWaitMs(),
+            () => this.maxUrgentViewAgeMs(),
             () => DEFAULT_WATCH_PAUSE_MS,
             (objects, _, isRestored) =>
                 this.evacuatedZones.replaceAll(new Set(objects.map(object => object.name)), isRestored),
@@ -661,6 +690,7 @@
         return this.watch(
             ControllerLease.kind,
             () => GATEWAY_WATCH_WAIT_MS,
+            () => Infinity,
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => {
                 objects.forEach(object => this.lease.observe(object, this.eras.current));
@@ -680,6 +710,7 @@
         return this.watch(
             REGISTRATION_KIND,
             () => GATEWAY_WATCH_WAIT_MS,
+            () => Infinity,
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => objects.forEach(addPeer),
             change => change.kind === "written" ? addPeer(change.object) : this.connections.remove(change.object.name),
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -26,6 +26,8 @@
     /** Time for which the head of a group with an unresponsive member waits before it gives the group up. */
     groupStallMs: number;
     heartbeatIntervalMs: number;
+    /** Time within which a change in the store must be in effect at all gateways. */
+    changeDeadlineMs: number;
     retryBudget: RetryBudgetSettings;
     /** Limit on loads from the weight store: the counting window, and the share by which the rate may be exceeded. */
     loadCeiling: { windowMs: number; overage: number; };
--- a/packages/gateway/src/WatchCache.ts
+++ b/packages/gateway/src/WatchCache.ts
@@ -7,9 +7,16 @@
     asOf: Revision;
 }
 
+/** How old the cached view is, and from which age on it must not be read by others. */
+interface ViewAge {
+    ageMs: () => number;
+    maxAgeMs: () => number;
+}
+
 /** Maximum number of changes kept for followers; covers many seconds in a large fleet. */
 const HISTORY_LENGTH = 2000;
 
+const AGELESS: ViewAge = { ageMs: () => 0, maxAgeMs: () => Infinity };
 const UNAVAILABLE = { kind: "unavailable", retryAfterMs: 100 } as const;
 
 /**
@@ -24,14 +31,23 @@
     private compactedRevision: Revision = 0;
     private waiters = new Set<() => void>();
 
-    private constructor(private readonly clock: Clock, private readonly isSourceResponding: () => boolean) {}
+    private constructor(
+        private readonly clock: Clock,
+        private readonly isSourceResponding: () => boolean,
+        private readonly age: ViewAge,
+    ) {}
 
     /**
-     * Creates an empty cache. It is unavailable while its source does not respond, so that followers turn to the store
-     * itself.
+     * Creates an empty cache. It is unavailable while its source does not respond or has not confirmed the view for too
+     * long, so that followers turn to the store itself.
      */
-    static create(clock: Clock, isSourceResponding: () => boolean): WatchCache {
-        return new WatchCache(clock, isSourceResponding);
+    static create(clock: Clock, isSourceResponding: () => boolean, age: ViewAge = AGELESS): WatchCache {
+        return new WatchCache(clock, isSourceResponding, age);
+    }
+
+    /** Time since the source has confirmed the view. */
+    get ageMs(): number {
+        return this.age.ageMs();
     }
 
     /** Replaces all objects by those of a listing from an era. */
@@ -69,7 +85,7 @@
         this.waiters.forEach(wake => wake());
     }
 
-    /** Wakes waiting followers after a failed call to the store, so that they notice it at once. */
+    /** Wakes waiting followers, so that they notice at once that the view is no longer current. */
     interrupt(): void {
         this.waiters.forEach(wake => wake());
     }
@@ -80,7 +96,7 @@
             objects: [...this.objects.values()],
             revision: this.revision ?? 0,
             ...(this.era !== undefined && { era: this.era }),
-            isCurrent: this.revision !== undefined && this.isSourceResponding(),
+            isCurrent: this.revision !== undefined && this.isCurrent(),
         };
     }
 
@@ -89,7 +105,7 @@
         const deadlineMs = this.clock.monotonicMs() + waitMs;
         for (;;) {
             const ownEra = this.era ?? 0;
-            if (this.revision === undefined || !this.isSourceResponding() || ownEra < era) {
+            if (this.revision === undefined || !this.isCurrent() || ownEra < era) {
                 return UNAVAILABLE;
             }
             const eraField = this.era === undefined ? {} : { era: this.era };
@@ -101,10 +117,15 @@
             if (changes.length > 0 || remainingMs <= 0 || signal.aborted) {
                 return { kind: "changed", changes, revision: Math.max(after, this.revision), ...eraField };
             }
-            await this.waitForAdvance(remainingMs, signal);
+            const untilTooOldMs = Math.max(0, this.age.maxAgeMs() - this.ageMs);
+            await this.waitForAdvance(Math.min(remainingMs, untilTooOldMs), signal);
         }
     }
 
+    private isCurrent(): boolean {
+        return this.isSourceResponding() && this.ageMs < this.age.maxAgeMs();
+    }
+
     private async waitForAdvance(waitMs: number, signal: AbortSignal): Promise<void> {
         const wakeController = new AbortController();
         const wake = () => wakeController.abort();
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -30,6 +30,8 @@
     source: () => ViewSource | undefined;
     /** Gateways whose views may be used while the store is unavailable. */
     peers: () => ViewSource[];
+    /** Called when a kind is no longer read through the source. */
+    onSourceLost: (kind: string) => void;
 }
 
 /** A peer's view of one kind of object. */
@@ -40,6 +42,14 @@
     era?: Era;
     /** False if the peer does not reach the store either and this is its last known state. */
     isCurrent: boolean;
+    /** Age of the view; undefined if the peer is of an earlier build, which does not state it. */
+    ageMs: number | undefined;
+}
+
+/** Outcome of a watch at a peer, and the age of its view as in `PeerListing`. */
+interface PeerWatch {
+    outcome: WatchOutcome;
+    ageMs: number | undefined;
 }
 
 /** Position of a watch in the store. */
@@ -52,8 +62,13 @@
 const LIST_TIMEOUT_MS = 1000;
 /** Additional time beyond a watch's own wait after which the call to a peer is aborted. */
 const WATCH_GRACE_MS = 300;
-/** Longest wait of a watch at the source. A peer that falls silent is detected sooner, by its missing updates. */
+/**
+ * Longest wait of a watch at the source, which ends it sooner when its view gets too old. A peer that falls silent is
+ * detected by its missing updates.
+ */
 const PEER_WATCH_MS = 6000;
+/** Time for which a source that states no age is not read again. */
+const AGELESS_SOURCE_RETRY_MS = 5000;
 /** Number of peers that are tried before the store counts as unavailable: one may be partitioned from it as well. */
 const MAX_FALLBACK_PEERS = 2;
 /** Number of peers that are asked for their active configuration: some may have started after a restore as well. */
@@ -84,6 +99,14 @@
     private readonly unavailableKinds = new Set<string>();
     /** Kinds whose newest response came from a fallback peer. */
     private readonly fallbackKinds = new Set<string>();
+    /** When the store has last confirmed the view of each kind, monotonic. */
+    private readonly confirmedAtMs = new Map<string, number>();
+    /** Kinds for which the source has a call in progress, which it ends when its view gets too old. */
+    private readonly followedKinds = new Set<string>();
+    /** Sources that have stated the age of their view since the last failed call. */
+    private readonly sourcesWithAge = new Set<string>();
+    /** Sources of earlier builds, by address, and when they were found to state no age, monotonic. */
+    private readonly agelessAtMs = new Map<string, number>();
 
     private constructor(private readonly options: PeerAssistedStoreOptions) {}
 
@@ -97,6 +120,11 @@
         return !this.fallbackKinds.has(kind);
     }
 
+    /** Returns the time since the store has confirmed the view of a kind; Infinity before the first time. */
+    ageMs(kind: string): number {
+        return this.followedKinds.has(kind) ? 0 : this.nowMs() - (this.confirmedAtMs.get(kind) ?? -Infinity);
+    }
+
     /** Reads one object from the platform's store. */
     async read(key: ObjectKey, callClass: CallClass): Promise<ReadOutcome> {
         const outcome = await this.options.store.read(key, callClass);
@@ -125,13 +153,15 @@
     /** Lists the objects of one kind. */
     async list(kinds: readonly string[], callClass: CallClass): Promise<ListOutcome> {
         const [kind = ""] = kinds;
-        const source = this.options.source();
+        const source = this.currentSource();
         const listing = source && await this.listAt(source, kind);
-        if (listing?.isCurrent && this.isOfNewestEra(listing)) {
+        const isUsable = source && listing?.isCurrent && this.recordAge(source, kind, listing.ageMs);
+        if (isUsable && this.isOfNewestEra(listing)) {
             return this.listedOutcome(kind, listing, true);
         }
         const storeListing = await this.options.store.list(kinds, callClass);
         if (storeListing.kind === "listed") {
+            this.confirmedAtMs.set(kind, this.nowMs());
             return this.listedOutcome(kind, storeListing, true);
         }
         const peerListing = await this.listAtPeers(kind);
@@ -151,8 +181,8 @@
             return { kind: "compacted", era: this.options.eras.current };
         }
         const cursor = { revision: after, era };
-        const source = this.options.source();
-        const outcome = source && await this.watchAt(source, kind, cursor, PEER_WATCH_MS, signal);
+        const source = this.currentSource();
+        const outcome = source && await this.watchAtSource(source, kind, cursor, signal);
         if (outcome) {
             this.fallbackKinds.delete(kind);
             return outcome;
@@ -162,6 +192,9 @@
             if (storeOutcome.kind !== "unavailable" || signal.aborted) {
                 this.fallbackKinds.delete(kind);
                 this.failedKinds.delete(kind);
+                if (storeOutcome.kind === "changed") {
+                    this.confirmedAtMs.set(kind, this.nowMs());
+                }
                 return storeOutcome;
             }
             if (!this.failedKinds.has(kind)) {
@@ -176,7 +209,7 @@
             const peerOutcome = await this.watchAt(peer, kind, cursor, FALLBACK_WATCH_MS, signal);
             if (peerOutcome) {
                 this.recordFallback(kind, peer);
-                return peerOutcome;
+                return peerOutcome.outcome;
             }
         }
         this.unavailableKinds.delete(kind);
@@ -199,6 +232,54 @@
         return values.filter(value => value !== undefined);
     }
 
+    /** Returns the source, unless it was found to be of a build that does not state the age of its view. */
+    private currentSource(): ViewSource | undefined {
+        const source = this.options.source();
+        const agelessAtMs = this.agelessAtMs.get(source?.address ?? "") ?? -Infinity;
+        return this.nowMs() - agelessAtMs < AGELESS_SOURCE_RETRY_MS ? undefined : source;
+    }
+
+    /** Waits for changes at the source. Returns undefined if its view cannot be used. */
+    private async watchAtSource(
+        source: ViewSource,
+        kind: string,
+        cursor: Cursor,
+        signal: AbortSignal,
+    ): Promise<WatchOutcome | undefined> {
+        if (!this.sourcesWithAge.has(source.address)) {
+            const probe = await this.watchAt(source, kind, cursor, PROBE_WAIT_MS, signal);
+            if (!probe || !this.recordAge(source, kind, probe.ageMs) || !isEmpty(probe.outcome)) {
+                return probe?.ageMs === undefined ? undefined : probe.outcome;
+            }
+        }
+        this.followedKinds.add(kind);
+        const watched = await this.watchAt(source, kind, cursor, PEER_WATCH_MS, signal);
+        this.followedKinds.delete(kind);
+        if (watched && this.recordAge(source, kind, watched.ageMs)) {
+            return watched.outcome;
+        }
+        this.options.onSourceLost(kind);
+        return undefined;
+    }
+
+    /** Records the age that a source states for its view. Returns false if it states none. */
+    private recordAge({ address }: ViewSource, kind: string, ageMs: number | undefined): boolean {
+        const nowMs = this.nowMs();
+        if (ageMs === undefined) {
+            this.options.log.info("source states no age of its view; reading the store", { kind, peer: address });
+            this.agelessAtMs.set(address, nowMs);
+            return false;
+        }
+        this.agelessAtMs.delete(address);
+        this.sourcesWithAge.add(address);
+        this.confirmedAtMs.set(kind, nowMs - ageMs);
+        return true;
+    }
+
+    private nowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+
     /** Checks at intervals whether the store is available again. */
     private async probe(kind: string, { revision, era }: Cursor, signal: AbortSignal): Promise<void> {
         while (this.unavailableKinds.has(kind) && !signal.aborted) {
@@ -261,13 +342,14 @@
 
     private listAt(source: ViewSource, kind: string): Promise<PeerListing | undefined> {
         return this.callPeer(source, AbortSignal.timeout(LIST_TIMEOUT_MS), async (client, signal) => {
-            const { objects, revision, isAvailable, era } = await client.listObjects({ kind }, { signal });
+            const { objects, revision, isAvailable, era, ageMs } = await client.listObjects({ kind }, { signal });
             this.options.eras.observe(era);
             return {
                 objects: objects.map(object => toStoredObject(kind, object)),
                 revision,
                 ...eraField(era),
                 isCurrent: isAvailable,
+                ageMs,
             };
         });
     }
@@ -278,9 +360,9 @@
         cursor: Cursor,
         waitMs: number,
         signal: AbortSignal,
-    ): Promise<WatchOutcome | undefined> {
+    ): Promise<PeerWatch | undefined> {
         const limit = AbortSignal.any([signal, AbortSignal.timeout(waitMs + WATCH_GRACE_MS)]);
-        return this.callPeer(source, limit, async (client, callSignal): Promise<WatchOutcome | undefined> => {
+        return this.callPeer(source, limit, async (client, callSignal): Promise<PeerWatch | undefined> => {
             const { revision: after, era } = cursor;
             const response = await client.watchObjects({ kind, after, waitMs, era }, { signal: callSignal });
             this.options.eras.observe(response.era);
@@ -291,9 +373,10 @@
                 const object = toStoredObject(kind, change.object);
                 return change.isRemoved ? { kind: "removed", object } : { kind: "written", object };
             });
-            return response.isCompacted
+            const outcome: WatchOutcome = response.isCompacted
                 ? { kind: "compacted", ...eraField(response.era) }
                 : { kind: "changed", changes, revision: response.revision, ...eraField(response.era) };
+            return { outcome, ageMs: response.ageMs };
         });
     }
 
@@ -325,6 +408,7 @@
         catch {
             // The reason does not matter: another peer is called instead, and it is logged if none responds.
             this.clients.delete(address);
+            this.sourcesWithAge.delete(address);
             return undefined;
         }
     }
@@ -335,6 +419,10 @@
     return era === otherEra ? listing.revision > (other?.revision ?? 0) : era > otherEra;
 }
 
+function isEmpty(outcome: WatchOutcome): boolean {
+    return outcome.kind === "changed" && outcome.changes.length === 0;
+}
+
 function eraField(era: Era): { era?: Era; } {
     return era === 0 ? {} : { era };
 }
--- a/packages/gateway/src/peers/ViewServiceHandler.ts
+++ b/packages/gateway/src/peers/ViewServiceHandler.ts
@@ -28,8 +28,10 @@
         const { caches, newestEra, activeConfiguration } = this.options;
         router.service(ViewService, {
             listObjects: ({ kind }) => {
-                const view = caches.get(kind)?.list();
+                const cache = caches.get(kind);
+                const view = cache?.list();
                 return {
+                    ...ageField(cache),
                     isAvailable: view?.isCurrent ?? false,
                     objects: view?.objects.map(object => this.toMessage(object)),
                     revision: view?.revision,
@@ -38,14 +40,16 @@
             },
             watchObjects: async (request, context: HandlerContext) => {
                 const { kind, after, waitMs } = request;
-                const outcome = await caches.get(kind)?.watch(after, waitMs, context.signal, request.era);
+                const cache = caches.get(kind);
+                const outcome = await cache?.watch(after, waitMs, context.signal, request.era);
                 if (outcome?.kind !== "changed") {
                     const isAvailable = outcome?.kind === "compacted";
                     const era = isAvailable ? outcome.era : newestEra();
-                    return { isAvailable, isCompacted: true, era };
+                    return { isAvailable, isCompacted: true, era, ...ageField(cache) };
                 }
                 const { changes, revision } = outcome;
                 return {
+                    ...ageField(cache),
                     isAvailable: true,
                     changes: changes.map(change => this.toChange(change)),
                     revision,
@@ -83,3 +87,8 @@
         }
     }
 }
+
+/** Returns the age of a view; nothing before it was first confirmed. */
+function ageField(cache: WatchCache | undefined): { ageMs?: number; } {
+    return cache && cache.ageMs < Infinity ? { ageMs: Math.round(cache.ageMs) } : {};
+}
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -1,4 +1,5 @@
 import { PeerServer } from "@fescuehaven/daemon";
+import { ViewService } from "@fescuehaven/protocol";
 import { SystemClock, SystemRandom } from "@fescuehaven/runtime";
 import { ManualClock, MemoryObjectStore, SeededRandom, untilTrue } from "@fescuehaven/testing";
 import { expect } from "chai";
@@ -40,6 +41,10 @@
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
 };
 
+const MAX_VIEW_AGE_MS = 400;
+/** Time for reading the store instead, on a loaded machine. */
+const REACTION_MS = 400;
+
 function createViewService(cache: WatchCache): ViewServiceHandler {
     return ViewServiceHandler.create({
         log: SilentDecisionLog.create(),
@@ -56,12 +61,17 @@
     let cache: WatchCache;
     let isCurrent: boolean;
     let observers: string[];
+    let viewAgeMs: () => number;
 
     beforeEach(async () => {
         port = await freePort();
         isCurrent = true;
         observers = [];
-        cache = WatchCache.create(clock, () => isCurrent);
+        viewAgeMs = () => 0;
+        cache = WatchCache.create(clock, () => isCurrent, {
+            ageMs: () => viewAgeMs(),
+            maxAgeMs: () => MAX_VIEW_AGE_MS,
+        });
         cache.applyListing([{ kind: "things", name: "a", revision: 3, value: { x: 1 } }]);
         cache.advance(5);
         const publisher = PeerStatePublisher.create({
@@ -142,6 +152,7 @@
         let log: SilentDecisionLog;
         let store: PeerAssistedStore;
         let eras: StoreEras;
+        let lostKinds: string[];
         let stop: AbortController;
         let signal: AbortSignal;
 
@@ -154,6 +165,7 @@
             const hub = () => ({ address: `127.0.0.1:${port}`, silent: silent.signal });
             hubs = [hub()];
             fallbackPeers = [];
+            lostKinds = [];
             log = SilentDecisionLog.create();
             eras = StoreEras.create({ clock, log, metrics: noMetrics });
             store = PeerAssistedStore.create({
@@ -164,11 +176,19 @@
                 store: platformStore,
                 source: () => hubs[0],
                 peers: () => fallbackPeers,
+                onSourceLost: kind => lostKinds.push(kind),
             });
         });
 
         afterEach(() => stop.abort());
 
+        /** Writes further objects to the store, whose revision is 1 at first. */
+        async function writeUntilRevision(revision: number): Promise<void> {
+            for (let next = 2; next <= revision; next++) {
+                await platformStore.write({ kind: "things", name: `direct-${next}` }, 1, 0);
+            }
+        }
+
         it("lists and watches through the hub", async () => {
             const listed = await store.list(["things"], "read");
             expect(listed).to.deep.equal({
@@ -205,6 +225,44 @@
             expect(platformStore.calls.watch).to.equal(1);
         });
 
+        // Guards against changes that take effect late because the source has silently lost the store.
+        it("reads the store directly once the source's view has not been confirmed for too long", async () => {
+            await store.list(["things"], "read");
+            const startedAtMs = performance.now();
+            viewAgeMs = () => performance.now() - startedAtMs;
+            await writeUntilRevision(6);
+            const seen = await store.watch(["things"], 5, 2000, signal);
+            expect(performance.now() - startedAtMs).to.be.within(MAX_VIEW_AGE_MS, MAX_VIEW_AGE_MS + REACTION_MS);
+            expect([seen.kind, platformStore.calls.watch, lostKinds]).to.deep.equal(["changed", 1, ["things"]]);
+        });
+
+        // Guards against a mixed fleet that trusts a source of an earlier build, which keeps old views for too long.
+        it("reads the store directly while the source states no age of its view", async () => {
+            const oldPort = await freePort();
+            const oldServer = PeerServer.create({
+                host: "127.0.0.1",
+                port: oldPort,
+                services: [router =>
+                    router.service(ViewService, {
+                        listObjects: () => ({ isAvailable: true, revision: 5 }),
+                        watchObjects: async () => {
+                            await clock.sleep(2000);
+                            return { isAvailable: true, revision: 5 };
+                        },
+                    })],
+                interceptors: [],
+            });
+            await oldServer.listen();
+            hubs = [{ address: `127.0.0.1:${oldPort}`, silent: silent.signal }];
+            const listed = await store.list(["things"], "read");
+            expect(listed.kind === "listed" && listed.objects.map(item => item.name)).to.deep.equal(["direct"]);
+            const startedAtMs = performance.now();
+            await store.watch(["things"], 5, 100, signal);
+            expect(performance.now() - startedAtMs).to.be.below(REACTION_MS);
+            expect(platformStore.calls).to.include({ list: 1, watch: 1 });
+            await oldServer.close();
+        });
+
         describe("without a hub", () => {
             beforeEach(() => {
                 fallbackPeers = hubs;
@@ -265,6 +323,7 @@
                     store: platformStore,
                     source: () => undefined,
                     peers: () => fallbackPeers,
+                    onSourceLost: () => undefined,
                 });
                 const listed = await fresh.list(["things"], "read");
                 expect(listed.kind === "listed" && [listed.revision, listed.objects.length]).to.deep.equal([5, 1]);
--- a/packages/gateway/tests/support/exampleGatewaySettings.ts
+++ b/packages/gateway/tests/support/exampleGatewaySettings.ts
@@ -16,6 +16,7 @@
     shutdownGraceMs: 8000,
     groupStallMs: 4000,
     heartbeatIntervalMs: 1200,
+    changeDeadlineMs: 2000,
     retryBudget: { ratio: 0.2, slack: 130, windowMs: 10_000 },
     loadCeiling: { windowMs: 5000, overage: 1.1 },
 };
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -623,4 +623,22 @@
         test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
         grep: "a registration of another writer for llm",
     },
+    {
+        promise: "gateway: changes in time",
+        name: "a view that the store has not confirmed for too long is not read",
+        file: `${GATEWAY}/src/WatchCache.ts`,
+        find: "return this.isSourceResponding() && this.ageMs < this.age.maxAgeMs();",
+        replace: "return this.isSourceResponding();",
+        test: `${GATEWAY}/tests/peers/peers.test.ts`,
+        grep: "view has not been confirmed for too long",
+    },
+    {
+        promise: "gateway: changes in time",
+        name: "a view without a stated age is not read",
+        file: `${GATEWAY}/src/peers/PeerAssistedStore.ts`,
+        find: "if (ageMs === undefined) {",
+        replace: "if (ageMs === undefined && this.options === undefined) {",
+        test: `${GATEWAY}/tests/peers/peers.test.ts`,
+        grep: "while the source states no age of its view",
+    },
 ];
