Detect a silent connection over which a view is read

Cause: the view of the controller is read over a connection of its own, but only the connection of its state was checked. A call that waited on the silent one ended after 6.3 s.

The case does not fail in each run, so the new test silences the view's connection alone; without a limit for the response to pings it fails (npm run safeguards).

Change: the connections over which views are read send HTTP/2 pings while a call waits, and end after 60% of the deadline for changes.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -66,6 +66,8 @@
 const READER_WATCH_SHARE = 0.5;
 /** Age from which a view must not be read by others, as a share of that time; the rest is for reading the store instead. */
 const MAX_VIEW_AGE_SHARE = 0.7;
+/** Time until a silent connection to a peer whose view is read is given up, as a share of that time. */
+const SILENCE_LIMIT_SHARE = 0.6;
 /** Maximum wait of a watch for the gateways' own objects; peers notice most of these changes by themselves. */
 const GATEWAY_WATCH_WAIT_MS = 8000;
 /**
@@ -277,6 +279,7 @@
             store,
             source,
             peers,
+            silenceLimitMs: settings.changeDeadlineMs * SILENCE_LIMIT_SHARE,
             onSourceLost: kind => this.caches.get(kind)?.interrupt(),
         });
         const observedEpochs = ObservedEpochs.create({
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -30,6 +30,8 @@
     source: () => ViewSource | undefined;
     /** Gateways whose views may be used while the store is unavailable. */
     peers: () => ViewSource[];
+    /** Time within which a connection to a peer that has fallen silent is given up. */
+    silenceLimitMs: number;
     /** Called when a kind is no longer read through the source. */
     onSourceLost: (kind: string) => void;
 }
@@ -63,8 +65,8 @@
 /** Additional time beyond a watch's own wait after which the call to a peer is aborted. */
 const WATCH_GRACE_MS = 300;
 /**
- * Longest wait of a watch at the source, which ends it sooner when its view gets too old. A peer that falls silent is
- * detected by its missing updates.
+ * Longest wait of a watch at the source. The source ends it sooner when its view gets too old, and pings show that its
+ * connection has fallen silent.
  */
 const PEER_WATCH_MS = 6000;
 /** Time for which a source that states no age is not read again. */
@@ -399,7 +401,13 @@
     ): Promise<T | undefined> {
         let client = this.clients.get(address);
         if (!client) {
-            client = createClient(ViewService, createGrpcTransport({ baseUrl: `http://${address}` }));
+            const pingMs = this.options.silenceLimitMs / 2;
+            const transport = createGrpcTransport({
+                baseUrl: `http://${address}`,
+                pingIntervalMs: pingMs,
+                pingTimeoutMs: pingMs,
+            });
+            client = createClient(ViewService, transport);
             this.clients.set(address, client);
         }
         try {
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -1,7 +1,7 @@
 import { PeerServer } from "@fescuehaven/daemon";
 import { ViewService } from "@fescuehaven/protocol";
 import { SystemClock, SystemRandom } from "@fescuehaven/runtime";
-import { ManualClock, MemoryObjectStore, SeededRandom, untilTrue } from "@fescuehaven/testing";
+import { ManualClock, MemoryObjectStore, SeededRandom, SilentRelay, untilTrue } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { PeerAssistedStore } from "../../src/peers/PeerAssistedStore.js";
 import { PeerConnections } from "../../src/peers/PeerConnections.js";
@@ -42,6 +42,7 @@
 };
 
 const MAX_VIEW_AGE_MS = 400;
+const SILENCE_LIMIT_MS = 600;
 /** Time for reading the store instead, on a loaded machine. */
 const REACTION_MS = 400;
 
@@ -176,6 +177,7 @@
                 store: platformStore,
                 source: () => hubs[0],
                 peers: () => fallbackPeers,
+                silenceLimitMs: SILENCE_LIMIT_MS,
                 onSourceLost: kind => lostKinds.push(kind),
             });
         });
@@ -236,6 +238,23 @@
             expect([seen.kind, platformStore.calls.watch, lostKinds]).to.deep.equal(["changed", 1, ["things"]]);
         });
 
+        // Guards against changes that take effect late because one connection between two gateways has gone silent.
+        it("reads the store directly once its connection to the source is silent, while others work", async () => {
+            const relay = SilentRelay.create({ target: { host: "127.0.0.1", port }, clock });
+            const address = (await relay.listen()).replace("http://", "");
+            hubs = [{ address, silent: silent.signal }];
+            await store.list(["things"], "read");
+            await writeUntilRevision(6);
+            const watching = store.watch(["things"], 5, 2000, signal);
+            await clock.sleep(50);
+            relay.silenceOpenConnections();
+            const silentAtMs = performance.now();
+            expect((await watching).kind).to.equal("changed");
+            expect(performance.now() - silentAtMs).to.be.below(SILENCE_LIMIT_MS + REACTION_MS);
+            expect(platformStore.calls.watch).to.equal(1);
+            await relay.close();
+        });
+
         // Guards against a mixed fleet that trusts a source of an earlier build, which keeps old views for too long.
         it("reads the store directly while the source states no age of its view", async () => {
             const oldPort = await freePort();
@@ -323,6 +342,7 @@
                     store: platformStore,
                     source: () => undefined,
                     peers: () => fallbackPeers,
+                    silenceLimitMs: SILENCE_LIMIT_MS,
                     onSourceLost: () => undefined,
                 });
                 const listed = await fresh.list(["things"], "read");
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -18,6 +18,7 @@
 export { ProcessHandle } from "./launcher/ProcessHandle.js";
 export type { ProcessSpec } from "./launcher/ProcessSpec.js";
 export { chooseNetwork } from "./network/chooseNetwork.js";
+export { SilentRelay } from "./network/SilentRelay.js";
 export { type EngineBehaviour, engineBehaviourSchema } from "./standins/EngineBehaviour.js";
 export { expectedTokens } from "./standins/expectedTokens.js";
 export { StandinEngine } from "./standins/StandinEngine.js";
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -641,4 +641,13 @@
         test: `${GATEWAY}/tests/peers/peers.test.ts`,
         grep: "while the source states no age of its view",
     },
+    {
+        promise: "gateway: changes in time",
+        name: "a silent connection to the source is given up",
+        file: `${GATEWAY}/src/peers/PeerAssistedStore.ts`,
+        find: "pingTimeoutMs: pingMs,",
+        replace: "pingTimeoutMs: pingMs * 1000,",
+        test: `${GATEWAY}/tests/peers/peers.test.ts`,
+        grep: "its connection to the source is silent",
+    },
 ];
