Withhold joins that were decided without knowing an upstream's group

Cause: a controller that has just taken over after an outage of the store knows the registrations from before. Its join conflicts; the sender took the order count from the upstream's report and repeated the join, whatever group that report showed. A report that was requested for another order had the same effect.

Without the check, the new test has a member join while its group is open (npm run safeguards). Ruled out: two gateways that act as the controller at the same time; the first one is dead by then.

Change: a join is withheld if the report of the order count that it states shows a serving group of another name, or a newer one of the same name from another term. The report's group goes into the directory, and the formation is withdrawn. Nothing changes on the wire.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -316,6 +316,7 @@
             control,
             onLeaving: ({ id, startedAtMs }) =>
                 this.upstreams.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
+            onOtherGroup: (upstream, report) => this.upstreams.recordReport(upstream, report),
             reachability: this.partitions,
         });
         const hasTraffic = () => this.hasTraffic;
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -57,7 +57,7 @@
         return new UpstreamDirectory(options);
     }
 
-    /** When an upstream was last added that belonged to a group already, on the monotonic clock. */
+    /** When an upstream was last found to belong to a group that the directory did not show, monotonic. */
     get lastMemberAddedAtMs(): number {
         return this.memberAddedAtMs;
     }
@@ -132,6 +132,18 @@
         return isNewer;
     }
 
+    /** Applies an upstream's own report of a group that it has joined since its registration was written. */
+    recordReport(
+        { id, startedAtMs }: Upstream,
+        { group, model, stagedModels }: Pick<Upstream, "group" | "model" | "stagedModels">,
+    ): void {
+        const known = this.upstreams.get(id);
+        if (known?.startedAtMs === startedAtMs && (group?.epoch ?? 0) > (known.group?.epoch ?? 0)) {
+            this.memberAddedAtMs = this.options.clock.monotonicMs();
+            this.set({ ...known, group, model, stagedModels });
+        }
+    }
+
     /** Removes an upstream. */
     remove(id: string, reason: string): void {
         this.missingSinceMs.delete(id);
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -722,6 +722,7 @@
     private reform(view: ServiceView, group: ManagedGroup, reason: string, excluded: ReadonlySet<string>): boolean {
         const staying = group.members
             .filter(member => !excluded.has(member.id) && this.health.isUsable(member))
+            .filter(member => !this.isMemberElsewhere(member, group.name))
             .map(member => this.options.upstreams.get(member.id) ?? member);
         const free = this.freeUpstreams(view).filter(upstream => upstream.domain === group.domain);
         const notSlow = free.filter(upstream => !this.health.isSlow(upstream.id));
@@ -848,6 +849,9 @@
                     if (outcome === "unresponsive") {
                         this.health.markUnresponsive(member);
                     }
+                    if (outcome === "outdated") {
+                        this.withdrawOutdated(group, member);
+                    }
                     if (outcome === "rejected") {
                         // The member has seen a higher epoch or accepted another order first; re-forming with a new
                         // epoch helps.
@@ -857,6 +861,29 @@
         }
     }
 
+    /**
+     * Stops the formation of a group that was decided from registrations older than its members' state. A newer group of
+     * the same name is adopted then; a member of another group is replaced.
+     */
+    private withdrawOutdated(group: ManagedGroup, member: Upstream): void {
+        if (!this.isCurrent(group, "joining")) {
+            return;
+        }
+        if (this.options.upstreams.get(member.id)?.group?.name === group.name) {
+            this.options.log.info("group formation withdrawn", { group: group.name, epoch: group.epoch });
+            this.groups.delete(group.name);
+        }
+        else {
+            group.hasRejectedJoin = true;
+        }
+    }
+
+    /** Returns true if an upstream's registration shows it in a serving group of another name. */
+    private isMemberElsewhere(upstream: Upstream, name: string): boolean {
+        const group = this.options.upstreams.get(upstream.id)?.group;
+        return group !== undefined && group.name !== name && !standbyGroups.isStandby(group.name);
+    }
+
     /** Gives up a group whose domain has too few VMs, and frees its members. */
     private dissolve(group: ManagedGroup): void {
         this.options.log.info("group dissolved", { group: group.name, epoch: group.epoch });
--- a/packages/gateway/src/fleet/ObservedEpochs.ts
+++ b/packages/gateway/src/fleet/ObservedEpochs.ts
@@ -3,6 +3,7 @@
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { UpstreamDirectory } from "../UpstreamDirectory.js";
 import { EPOCHS_PER_TERM } from "./epochsPerTerm.js";
+import { termOf } from "./termOf.js";
 
 interface ObservedEpochsOptions {
     log: DecisionLog;
@@ -57,7 +58,7 @@
 
     /** Highest term in which an engine of a configured service has joined its group; 0 if there is none. */
     get highestTerm(): number {
-        return Math.floor(this.highest / EPOCHS_PER_TERM);
+        return termOf(this.highest);
     }
 
     private computeHighest(knownTerm: number): number {
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -7,6 +7,8 @@
 import type { UpstreamControl } from "../ports/UpstreamControl.js";
 import type { UpstreamReport } from "../ports/UpstreamReport.js";
 import { instanceKeyOf } from "./instanceKeyOf.js";
+import { standbyGroups } from "./standbyGroups.js";
+import { termOf } from "./termOf.js";
 
 interface OrderSenderOptions {
     clock: Clock;
@@ -15,14 +17,28 @@
     control: UpstreamControl;
     /** Called when an upstream has said that it is shutting down. */
     onLeaving: (upstream: Upstream) => void;
+    /** Called with a report that shows an upstream in another group than its registration. */
+    onOtherGroup: (upstream: Upstream, report: ReceivedReport) => void;
     reachability: ReachabilityRecorder;
 }
 
+type ReceivedReport = UpstreamReport & { kind: "reported"; };
+
 /**
- * Result of an order after all attempts. `unresponsive` means that the instance was replaced, or that the outcome is
- * still unknown after the last attempt.
+ * Result of an order after all attempts. `outdated` means that the upstream belongs to a group that the sender did not
+ * know of, which the order would have broken. `unresponsive` means that the instance was replaced, or that the outcome
+ * is still unknown after the last attempt.
  */
-type OrderResult = "completed" | "rejected" | "unresponsive";
+type OrderResult = "completed" | "rejected" | "outdated" | "unresponsive";
+
+/** Whether an accepted order changes the group to which an upstream belongs, so that earlier reports say nothing of it. */
+const changesMembership: Record<GroupOrder["kind"], boolean> = {
+    join: true,
+    leave: true,
+    open: false,
+    close: false,
+    stage: false,
+};
 
 const MAX_ATTEMPTS = 8;
 /** Pause after a conflict, so that reports can catch up. */
@@ -39,8 +55,8 @@
 export class OrderSender {
     /** Number of orders that each instance has accepted, as far as known. */
     private readonly orderCounts = new Map<string, number>();
-    /** Order counts from the last reports, which lag behind by a few hundred ms. */
-    private readonly reportedCounts = new Map<string, number>();
+    /** The last reports, which lag behind by a few hundred ms. */
+    private readonly reports = new Map<string, ReceivedReport>();
     private readonly busy = new Set<string>();
 
     private constructor(private readonly options: OrderSenderOptions) {}
@@ -74,7 +90,7 @@
         const report = await this.options.control.fetchReport(upstream, timeoutMs);
         this.recordReachability(upstream, report.kind !== "unreachable");
         if (report.kind === "reported" && report.startedAtMs === upstream.startedAtMs) {
-            this.reportedCounts.set(instanceKeyOf(upstream), report.orderCount);
+            this.reports.set(instanceKeyOf(upstream), report);
             if (report.isLeaving) {
                 this.options.onLeaving(upstream);
             }
@@ -95,7 +111,19 @@
         const { control, log, metrics } = this.options;
         let hadNoResponse = false;
         for (let tries = 1; tries <= MAX_ATTEMPTS; tries++) {
-            const expectedCount = this.orderCounts.get(instanceKey) ?? this.reportedCounts.get(instanceKey) ?? 0;
+            const report = this.reports.get(instanceKey);
+            const expectedCount = this.orderCounts.get(instanceKey) ?? report?.orderCount ?? 0;
+            if (order.kind === "join" && report?.orderCount === expectedCount && isOutdated(order, upstream, report)) {
+                log.info("order withheld", {
+                    upstream: upstream.id,
+                    group: order.group,
+                    epoch: order.epoch,
+                    memberOf: report.group?.name,
+                    memberEpoch: report.group?.epoch,
+                });
+                this.options.onOtherGroup(upstream, report);
+                return "outdated";
+            }
             const outcome = await control.order(upstream, order, expectedCount);
             this.recordReachability(upstream, outcome.kind !== "unknown");
             metrics.count("orders", `${order.kind} ${outcome.kind}`);
@@ -113,6 +141,9 @@
             }
             if (outcome.kind === "accepted") {
                 this.orderCounts.set(instanceKey, expectedCount + 1);
+                if (report?.orderCount === expectedCount && !changesMembership[order.kind]) {
+                    this.reports.set(instanceKey, { ...report, orderCount: expectedCount + 1 });
+                }
                 return "completed";
             }
             if (outcome.kind === "done") {
@@ -169,3 +200,15 @@
         return isStale || tries <= MAX_UNEXPLAINED_CONFLICTS ? undefined : "rejected";
     }
 }
+
+/**
+ * Returns true for a join that was decided without knowing the group to which a report shows the upstream to belong. As
+ * the order states the report's order count, an upstream that accepts it is in the state of the report.
+ */
+function isOutdated(order: GroupOrder & { kind: "join"; }, upstream: Upstream, { group }: ReceivedReport): boolean {
+    if (!group || standbyGroups.isStandby(group.name)) {
+        return false;
+    }
+    const isOwn = termOf(group.epoch) === termOf(order.epoch);
+    return group.name !== order.group || (!isOwn && group.epoch > (upstream.group?.epoch ?? 0));
+}
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -312,6 +312,61 @@
         });
     });
 
+    describe("when another gateway becomes the controller with registrations from before a store outage", () => {
+        /** Time until upstreams have registered again. */
+        const REGISTRATION_MS = 1500;
+        const isSpare = ({ group }: Upstream) => group?.name.startsWith("standby.") ?? true;
+
+        /**
+         * Lets a controller repair the small group of a domain with its spare while the store is away. The next one knows
+         * the registrations from before. Upstreams for which `isCrashing` returns true crash before it starts; spares among
+         * them are no longer registered.
+         */
+        async function takeOverAfterOutage(isCrashing: (upstream: Upstream) => boolean) {
+            const rig = await createFormedRig();
+            rig.requestDurationMs = Infinity;
+            const outdated = [...rig.directory.all()];
+            const isIn = (upstream: Upstream, model: string) =>
+                upstream.domain === "d0" && upstream.group?.name === `d0.1.${model}`;
+            rig.isViewFresh = false;
+            rig.fleet.isPublishing = false;
+            rig.fleet.crash(outdated.find(item => isIn(item, "small") && item.group?.rank === 1)!.id);
+            await rig.run(REPAIR_TARGET_MS);
+            const repaired = rig.fleet.openHeads().find(item => isIn(item, "small"))!.group!.epoch;
+            outdated.filter(isCrashing).forEach(({ id }) => rig.fleet.crash(id));
+            rig.stopController();
+            outdated.forEach(item => rig.directory.set(item));
+            outdated.filter(item => isCrashing(item) && isSpare(item)).forEach(({ id }) =>
+                rig.directory.remove(id, "crashed")
+            );
+            rig.isViewFresh = true;
+            rig.startController("second");
+            await rig.run(REGISTRATION_MS);
+            rig.fleet.isPublishing = true;
+            [...rig.directory.all()].map(({ id }) => rig.fleet.state(id)).forEach(item => rig.directory.set(item));
+            await rig.run(FORMATION_MS);
+            const isKept = rig.fleet.openHeads().some(({ group }) => group?.epoch === repaired);
+            const isBrokenOff = rig.fleet.brokenOffEpochs.has(repaired);
+            rig.stopController();
+            return { violations: rig.fleet.violations, isKept, isBrokenOff };
+        }
+
+        // Guards against a join that takes a member from a serving group whose formation the controller has not seen.
+        it("takes no member of a serving group for a spare", async () => {
+            const result = await takeOverAfterOutage(upstream =>
+                upstream.domain === "d0" && upstream.model === "large"
+                && (isSpare(upstream) || upstream.group?.rank === 1)
+            );
+            expect(result).to.deep.equal({ violations: [], isKept: true, isBrokenOff: false });
+        });
+
+        // Guards against joins that break off the requests of a newer group of the same name.
+        it("keeps a group that was formed again meanwhile", async () => {
+            const result = await takeOverAfterOutage(() => false);
+            expect(result).to.deep.equal({ violations: [], isKept: true, isBrokenOff: false });
+        });
+    });
+
     describe("when another gateway becomes the controller", () => {
         const takeovers: ReadonlyArray<
             { title: string; cause: (target: Awaited<ReturnType<typeof createRigWithTarget>>) => Promise<void>; }
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -117,6 +117,7 @@
             control,
             onLeaving: ({ id, startedAtMs }) =>
                 this.directory.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
+            onOtherGroup: (upstream, report) => this.directory.recordReport(upstream, report),
             reachability: this.partitions,
         });
         const weightLoadLimiter = WeightLoadLimiter.create({ clock, windowMs: 5000, hasTraffic: () => hasTraffic });
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -650,4 +650,22 @@
         test: `${GATEWAY}/tests/peers/peers.test.ts`,
         grep: "its connection to the source is silent",
     },
+    {
+        promise: "gateway: one group per upstream",
+        name: "no join that was decided without knowing an upstream's group",
+        file: `${GATEWAY}/src/fleet/OrderSender.ts`,
+        find: "return group.name !== order.group || (!isOwn && group.epoch > (upstream.group?.epoch ?? 0));",
+        replace: "return !isOwn && group.name === order.group && group.epoch > (upstream.group?.epoch ?? 0);",
+        test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
+        grep: "takes no member of a serving group for a spare",
+    },
+    {
+        promise: "gateway: complete responses",
+        name: "no join that breaks a newer group of the same name",
+        file: `${GATEWAY}/src/fleet/OrderSender.ts`,
+        find: "return group.name !== order.group || (!isOwn && group.epoch > (upstream.group?.epoch ?? 0));",
+        replace: "return group.name !== order.group;",
+        test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
+        grep: "keeps a group that was formed again meanwhile",
+    },
 ];
