Limit the bytes of all incomplete responses together

Callers saw: with upstreams that send bodies without end, a gateway's memory grew beyond its limit; the process would end, and with it the requests of all its callers (report of another operator).

Cause: each response is limited, to 4 MiB, or 1 MiB for an event; their sum is not, and grows with the number of connections.

Without the limit the new test of events fails (npm run safeguards).

Change: ResponseMemory limits the sum to 16 MiB and drops the largest response when it is exceeded. A response of which a part was dropped is never completed.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,6 +16,7 @@
 import { RelayingClient } from "./forwarding/RelayingClient.js";
 import { RequestForwarder } from "./forwarding/RequestForwarder.js";
 import { RequestRelay } from "./forwarding/RequestRelay.js";
+import { ResponseMemory } from "./forwarding/ResponseMemory.js";
 import { ResponseRecordingClient } from "./forwarding/ResponseRecordingClient.js";
 import { StreamDispatcher } from "./forwarding/StreamDispatcher.js";
 import type { GatewayPorts } from "./GatewayPorts.js";
@@ -83,6 +84,8 @@
 const HUB_WATCH_PAUSE_MS = 150;
 /** Pause before other watches are renewed. */
 const DEFAULT_WATCH_PAUSE_MS = 50;
+/** Limit on the bytes of all incomplete responses together: a small part of the memory of a small gateway. */
+const MAX_HELD_RESPONSE_BYTES = 16 * 1024 * 1024;
 const SWEEP_INTERVAL_MS = 200;
 /** A configuration that peers have is expected from the store for this time: longer than it takes to reach all gateways. */
 const PEER_CONFIGURATION_GRACE_MS = 3000;
@@ -213,6 +216,7 @@
             avoidedUpstreams,
             retryBudget,
             crashGuard,
+            responseMemory: ResponseMemory.create(MAX_HELD_RESPONSE_BYTES),
         };
         const direct = ResponseRecordingClient.create({
             clock,
--- a/packages/gateway/src/forwarding/EventFramer.ts
+++ b/packages/gateway/src/forwarding/EventFramer.ts
@@ -1,4 +1,5 @@
 import { GrowingBuffer } from "./GrowingBuffer.js";
+import type { ResponseMemory } from "./ResponseMemory.js";
 
 /** Consecutive complete events of a stream. */
 interface FramedEvents {
@@ -17,16 +18,23 @@
 /** Splits a stream of server-sent events at event boundaries and tracks the id of the last complete event. */
 export class EventFramer {
     /** Beginning of the next event. */
-    private partialEvent = GrowingBuffer.create();
+    private partialEvent: GrowingBuffer;
     /** Length of the line with which the data so far ends. */
     private partialLineLength = 0;
     private lastId: string | undefined;
 
-    private constructor() {}
+    private constructor(private readonly memory?: ResponseMemory) {
+        this.partialEvent = GrowingBuffer.create(memory);
+    }
+
+    /** Creates a framer for a new stream. Call `release` when the stream has ended. */
+    static create(memory?: ResponseMemory): EventFramer {
+        return new EventFramer(memory);
+    }
 
-    /** Creates a framer for a new stream. */
-    static create(): EventFramer {
-        return new EventFramer();
+    /** Ends the use of memory. */
+    release(): void {
+        this.partialEvent.release();
     }
 
     /** Id of the last complete event that has one; undefined if there is none. */
@@ -41,7 +49,7 @@
 
     /**
      * Appends a chunk and returns the events that it completes; undefined if it completes none. Throws if an event is too
-     * long.
+     * long, or was dropped because all incomplete responses together are too long.
      */
     push(chunk: Buffer): FramedEvents | undefined {
         let end = 0;
@@ -63,7 +71,8 @@
         const bytes = this.partialEvent.length > 0
             ? Buffer.concat([this.partialEvent.bytes, chunk.subarray(0, end)])
             : chunk.subarray(0, end);
-        this.partialEvent = GrowingBuffer.create();
+        this.partialEvent.release();
+        this.partialEvent = GrowingBuffer.create(this.memory);
         this.appendPartial(chunk.subarray(end));
         this.lastId = lastIdIn(bytes) ?? this.lastId;
         return { bytes, count };
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -18,6 +18,7 @@
 import type { ForwardedCall } from "./ForwardedCall.js";
 import type { IdleTimeoutMonitor } from "./IdleTimeoutMonitor.js";
 import { readBody } from "./readBody.js";
+import type { ResponseMemory } from "./ResponseMemory.js";
 
 interface PlainDispatcherOptions {
     clock: Clock;
@@ -33,6 +34,7 @@
     crashGuard: CrashGuard;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
+    responseMemory: ResponseMemory;
     zone: string;
     isEvacuated: (zone: string) => boolean;
     viewAgeMs: () => number;
@@ -244,7 +246,9 @@
             if (response.kind === "answered") {
                 avoidedUpstreams.recordReached(upstream);
             }
-            const body = response.kind === "answered" ? await readBody(response.body) : undefined;
+            const body = response.kind === "answered"
+                ? await readBody(response.body, undefined, this.options.responseMemory)
+                : undefined;
             slot.trackedRequest.recordEvent();
             if (response.kind === "unknown" || body?.kind !== "completed") {
                 failureRates.record(upstream.id, true);
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -22,6 +22,7 @@
 import type { ForwardedCall } from "./ForwardedCall.js";
 import type { IdleTimeoutMonitor } from "./IdleTimeoutMonitor.js";
 import { readBody } from "./readBody.js";
+import type { ResponseMemory } from "./ResponseMemory.js";
 
 interface StreamDispatcherOptions {
     clock: Clock;
@@ -37,6 +38,7 @@
     crashGuard: CrashGuard;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
+    responseMemory: ResponseMemory;
     zone: string;
     /** Time since the view of the upstreams was last updated. */
     viewAgeMs: () => number;
@@ -327,6 +329,7 @@
             abandonment.signal,
         ]);
         const aborted = new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
+        const framer = EventFramer.create(this.options.responseMemory);
         try {
             const response = await client.send(head, {
                 request: call.request,
@@ -346,13 +349,12 @@
             }
             avoidedUpstreams.recordReached(head);
             if (response.head.status < 200 || response.head.status > 299 || !response.isSigned) {
-                const body = await readBody(response.body);
+                const body = await readBody(response.body, undefined, this.options.responseMemory);
                 failureRates.record(head.id, true);
                 return body.kind === "completed" && response.head.status >= 300
                     ? { kind: "failure-answer", head: response.head, body: body.bytes }
                     : { kind: "broken", reason: "unusable answer" };
             }
-            const framer = EventFramer.create();
             for await (const chunk of response.body) {
                 const events = framer.push(chunk);
                 if (!events) {
@@ -400,6 +402,7 @@
             );
         }
         finally {
+            framer.release();
             idleTimer.stop();
             slot.trackedRequest.end();
             this.options.queue.admitWaiting();
--- a/packages/gateway/src/forwarding/readBody.ts
+++ b/packages/gateway/src/forwarding/readBody.ts
@@ -1,4 +1,5 @@
 import { GrowingBuffer } from "./GrowingBuffer.js";
+import type { ResponseMemory } from "./ResponseMemory.js";
 
 /** Result of reading a body. */
 type BodyResult = { kind: "completed"; bytes: Buffer; } | { kind: "broken"; reason: string; };
@@ -6,9 +7,16 @@
 /** Responses of plain services and error responses are far smaller; a process reads many at once in 350 MB. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Reads a body to its end; a longer one than the limit is broken. Never rejects. */
-export async function readBody(body: AsyncIterable<Buffer>, maxBytes = MAX_BODY_BYTES): Promise<BodyResult> {
-    const read = GrowingBuffer.create();
+/**
+ * Reads a body to its end; a longer one than the limit, or one that is dropped because all together are too long, is
+ * broken. Never rejects.
+ */
+export async function readBody(
+    body: AsyncIterable<Buffer>,
+    maxBytes = MAX_BODY_BYTES,
+    memory?: ResponseMemory,
+): Promise<BodyResult> {
+    const read = GrowingBuffer.create(memory);
     try {
         for await (const chunk of body) {
             if (read.length + chunk.length > maxBytes) {
@@ -16,9 +24,12 @@
             }
             read.append(chunk);
         }
+        return { kind: "completed", bytes: read.bytes };
     }
     catch (error) {
         return { kind: "broken", reason: error instanceof Error ? error.message : String(error) };
     }
-    return { kind: "completed", bytes: read.bytes };
+    finally {
+        read.release();
+    }
 }
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -3,6 +3,7 @@
 import { IdleTimeoutMonitor } from "../../src/forwarding/IdleTimeoutMonitor.js";
 import { PlainDispatcher } from "../../src/forwarding/PlainDispatcher.js";
 import { RequestForwarder } from "../../src/forwarding/RequestForwarder.js";
+import { ResponseMemory } from "../../src/forwarding/ResponseMemory.js";
 import { ResponseRecordingClient } from "../../src/forwarding/ResponseRecordingClient.js";
 import { StreamDispatcher } from "../../src/forwarding/StreamDispatcher.js";
 import type { IncomingRequest } from "../../src/model/IncomingRequest.js";
@@ -116,6 +117,7 @@
                 reachability: noReachability,
             }),
             zone: "a",
+            responseMemory: ResponseMemory.create(Infinity),
             viewAgeMs: () => 0,
         };
         this.forwarder = RequestForwarder.create({
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -668,4 +668,22 @@
         test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
         grep: "keeps a group that was formed again meanwhile",
     },
+    {
+        promise: "gateway: bounded memory",
+        name: "all incomplete responses together have a limit",
+        file: `${GATEWAY}/src/forwarding/ResponseMemory.ts`,
+        find: "while (this.totalBytes > this.limitBytes) {",
+        replace: "while (this.totalBytes > Number.MAX_VALUE) {",
+        test: `${GATEWAY}/tests/forwarding/heldResponses.test.ts`,
+        grep: "events without end on all connections",
+    },
+    {
+        promise: "gateway: complete responses",
+        name: "no response is completed of which a part was dropped",
+        file: `${GATEWAY}/src/forwarding/GrowingBuffer.ts`,
+        find: "if (this.isEvicted) {",
+        replace: "if (this.isEvicted && this.byteCount < 0) {",
+        test: `${GATEWAY}/tests/forwarding/heldResponses.test.ts`,
+        grep: "whose beginning was dropped",
+    },
 ];
