Wait for heads without a registration at the start of a term

Cause: a new controller kept upstreams without a group back only in domains in which a registration shows a serving group, and only those registered at that moment.

Wire and store are unchanged.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -146,6 +146,8 @@
     private groups = new Map<string, ManagedGroup>();
     private readonly health: UpstreamHealth;
     private term = 0;
+    /** When this gateway became the controller of the term, monotonic. */
+    private termSinceMs = -Infinity;
     /** When `run` was called, monotonic. */
     private runningSinceMs = -Infinity;
     /** When the upstreams of a service were last out of reach, monotonic. */
@@ -203,10 +205,11 @@
         if (lease.term !== this.term) {
             this.stepDown();
             this.term = lease.term;
+            this.termSinceMs = this.nowMs();
             this.options.epochs.start(this.term);
-            this.quarantineReplacedBefore();
             log.info("acting as the controller", { term: this.term });
         }
+        this.quarantineReplacedBefore();
         this.stability.update();
         for (const [service, { engine }] of configuration.current?.services ?? []) {
             if (!engine || !this.updateReachability(service)) {
@@ -776,15 +779,20 @@
     }
 
     /**
-     * Quarantines upstreams that an earlier controller may just have replaced: those that have had a model and belong to
-     * no group, in domains with serving groups.
+     * Quarantines upstreams without a group that an earlier controller may have replaced or released: the head of the group
+     * that they have left may still wait for them, and may have no registration. Nothing is left to wait for once each head
+     * must have given up the groups of the earlier controller.
      */
     private quarantineReplacedBefore(): void {
-        const all = [...this.options.upstreams.all()];
-        const isServing = ({ group }: Upstream) => group !== undefined && !standbyGroups.isStandby(group.name);
-        const servingDomains = new Set(all.filter(isServing).map(({ domain }) => domain));
-        all.filter(({ group, stagedModels, domain }) => !group && stagedModels.length > 0 && servingDomains.has(domain))
-            .forEach(upstream => this.quarantineUnknown(upstream));
+        const untilMs = this.termSinceMs + this.options.groupStallMs + STALL_MARGIN_MS;
+        if (this.nowMs() >= untilMs) {
+            return;
+        }
+        for (const upstream of this.options.upstreams.all()) {
+            if (!upstream.group && upstream.stagedModels.length > 0 && !this.health.hasQuarantine(upstream)) {
+                this.health.quarantine(upstream, untilMs, () => false);
+            }
+        }
     }
 
     /** Reserves the remaining members until the group can be re-formed or is dissolved. */
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -367,6 +367,26 @@
         });
     });
 
+    // Guards against members of a given-up group that join another one while a head without a registration waits for them.
+    for (const delayMs of [0, 200, 800]) {
+        it(`joins no member of a group that the last controller gave up to another group, ${delayMs} ms later`, async () => {
+            const rig = FleetRig.create(2, 3);
+            rig.startController("first");
+            await rig.run(FORMATION_MS);
+            const head = rig.fleet.openHeads().find(item => item.domain === "d0")!;
+            const members = [...rig.directory.all()].filter(({ id, domain }) => domain === "d0" && id !== head.id);
+            rig.directory.remove(head.id, "partitioned from the store");
+            while (members.some(({ id }) => rig.fleet.state(id).group)) {
+                await rig.run(100);
+            }
+            await rig.run(delayMs);
+            rig.startController("second");
+            await rig.run(FORMATION_MS);
+            expect(rig.fleet.violations).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
+
     describe("when another gateway becomes the controller", () => {
         const takeovers: ReadonlyArray<
             { title: string; cause: (target: Awaited<ReturnType<typeof createRigWithTarget>>) => Promise<void>; }
