Form the first groups of a fleet at once when weights are staged

Cause: the wait at the start of a term also applied to the first one, before which there was no controller.

Evidence: the new test fails without the condition and passes with it.

Change: no wait in term 1.

--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -77,6 +77,7 @@
     excluded: ReadonlySet<string>;
 }
 
+const FIRST_TERM = 1;
 /** Pause between two reconcile passes; short compared to the 200 ms of a warm join. */
 const RECONCILE_INTERVAL_MS = 40;
 /** Pause between two checks of the lease while another gateway is the controller; `ControllerLease` polls as often. */
@@ -781,11 +782,11 @@
     /**
      * Quarantines upstreams without a group that an earlier controller may have replaced or released: the head of the group
      * that they have left may still wait for them, and may have no registration. Nothing is left to wait for once each head
-     * must have given up the groups of the earlier controller.
+     * must have given up the groups of the earlier controller. Before the first term, there was none.
      */
     private quarantineReplacedBefore(): void {
         const untilMs = this.termSinceMs + this.options.groupStallMs + STALL_MARGIN_MS;
-        if (this.nowMs() >= untilMs) {
+        if (this.term === FIRST_TERM || this.nowMs() >= untilMs) {
             return;
         }
         for (const upstream of this.options.upstreams.all()) {
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -13,6 +13,8 @@
 const FORMATION_MS = 60_000;
 /** Target for the median repair time after the loss of one member, counted from when callers see silence. */
 const REPAIR_TARGET_MS = 3000;
+/** Time for which heads wait for members; a later controller waits as long. */
+const GROUP_STALL_MS = 4000;
 /** Time for which another writer's registration is in the store. */
 const FOREIGN_REGISTRATION_MS = 3000;
 
@@ -387,6 +389,18 @@
         });
     }
 
+    it("forms groups at once in the first term although weights are staged", async () => {
+        const rig = FleetRig.create(2, 11);
+        for (const upstream of [...rig.directory.all()]) {
+            rig.directory.remove(upstream.id, "replaced");
+            rig.fleet.add({ ...upstream, stagedModels: ["small"] });
+        }
+        rig.startController("first");
+        await rig.run(GROUP_STALL_MS);
+        expect(rig.countCompleteGroups()).to.deep.include({ small: 2 });
+        rig.stopController();
+    });
+
     describe("when another gateway becomes the controller", () => {
         const takeovers: ReadonlyArray<
             { title: string; cause: (target: Awaited<ReturnType<typeof createRigWithTarget>>) => Promise<void>; }
