Withhold joins of spares that have left a group unnoticed

Callers saw: nothing; found with a model of takeovers. A spare that an earlier controller has used and released since its registration was written would have joined another group while the head of the first one still waited for it.

Cause: a report that shows no group counted as proof that the upstream is free.

The new test fails without it (npm run safeguards).

Change: a join is withheld if the registration shows a group and the report none. The directory then shows none either, so that the upstream is kept back like any other without a group. Wire and store are unchanged.

--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -132,14 +132,14 @@
         return isNewer;
     }
 
-    /** Applies an upstream's own report of a group that it has joined since its registration was written. */
+    /** Applies an upstream's own report of a group that it has joined or left since its registration was written. */
     recordReport(
         { id, startedAtMs }: Upstream,
         { group, model, stagedModels }: Pick<Upstream, "group" | "model" | "stagedModels">,
     ): void {
         const known = this.upstreams.get(id);
-        if (known?.startedAtMs === startedAtMs && (group?.epoch ?? 0) > (known.group?.epoch ?? 0)) {
-            this.memberAddedAtMs = this.options.clock.monotonicMs();
+        if (known?.startedAtMs === startedAtMs && (!group || group.epoch > (known.group?.epoch ?? 0))) {
+            this.memberAddedAtMs = group ? this.options.clock.monotonicMs() : this.memberAddedAtMs;
             this.set({ ...known, group, model, stagedModels });
         }
     }
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -726,7 +726,7 @@
     private reform(view: ServiceView, group: ManagedGroup, reason: string, excluded: ReadonlySet<string>): boolean {
         const staying = group.members
             .filter(member => !excluded.has(member.id) && this.health.isUsable(member))
-            .filter(member => !this.isMemberElsewhere(member, group.name))
+            .filter(member => !this.mayBelongElsewhere(member, group.name))
             .map(member => this.options.upstreams.get(member.id) ?? member);
         const free = this.freeUpstreams(view).filter(upstream => upstream.domain === group.domain);
         const notSlow = free.filter(upstream => !this.health.isSlow(upstream.id));
@@ -887,10 +887,12 @@
         }
     }
 
-    /** Returns true if an upstream's registration shows it in a serving group of another name. */
-    private isMemberElsewhere(upstream: Upstream, name: string): boolean {
+    /** Returns true for a member of a serving group of another name, and for one that has left such a group recently. */
+    private mayBelongElsewhere(upstream: Upstream, name: string): boolean {
         const group = this.options.upstreams.get(upstream.id)?.group;
-        return group !== undefined && group.name !== name && !standbyGroups.isStandby(group.name);
+        return group
+            ? group.name !== name && !standbyGroups.isStandby(group.name)
+            : this.health.isQuarantined(upstream);
     }
 
     /** Gives up a group whose domain has too few VMs, and frees its members. */
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -206,7 +206,11 @@
  * the order states the report's order count, an upstream that accepts it is in the state of the report.
  */
 function isOutdated(order: GroupOrder & { kind: "join"; }, upstream: Upstream, { group }: ReceivedReport): boolean {
-    if (!group || standbyGroups.isStandby(group.name)) {
+    if (!group) {
+        // It has left a group, whose head may still wait for it.
+        return upstream.group !== undefined && upstream.group.name !== order.group;
+    }
+    if (standbyGroups.isStandby(group.name)) {
         return false;
     }
     const isOwn = termOf(group.epoch) === termOf(order.epoch);
--- a/packages/gateway/tests/fleet/FleetController.test.ts
+++ b/packages/gateway/tests/fleet/FleetController.test.ts
@@ -389,6 +389,46 @@
         });
     }
 
+    // Guards against a join of a spare that has been used and released again since its registration was written.
+    it("joins no spare to a group that has left another one, whose head waits, before its registration shows that", async () => {
+        const rig = await createFormedRig();
+        rig.requestDurationMs = Infinity;
+        const outdated = [...rig.directory.all()].filter(({ domain }) => domain === "d0");
+        const large = outdated.find(({ group }) => group?.name === "d0.1.large" && group.rank === 1)!;
+        const small = outdated.filter(({ group }) => group?.name === "d0.1.small");
+        const spare = outdated.find(({ group, model }) => group?.name.startsWith("standby.") && model === "small")!;
+        const otherSpare = outdated.find(({ group, model }) =>
+            group?.name.startsWith("standby.") && model === "large"
+        )!;
+        rig.isViewFresh = false;
+        rig.fleet.isPublishing = false;
+        rig.stopController();
+        // An earlier controller forms the small group with the spare, and gives it up.
+        const members = [small[0]!.id, small[1]!.id, spare.id];
+        const join = { kind: "join", group: "d0.1.small", epoch: 65_600, model: "small", members } as const;
+        const count = (id: string) =>
+            rig.fleet.fetchReport(rig.fleet.state(id)).then(report =>
+                report.kind === "reported" ? report.orderCount : 0
+            );
+        for (const id of members) {
+            await rig.fleet.order(rig.fleet.state(id), join, await count(id));
+        }
+        await rig.run(2000);
+        const open = { kind: "open", group: "d0.1.small", epoch: 65_600 } as const;
+        await rig.fleet.order(rig.fleet.state(members[0]!), open, await count(members[0]!));
+        await rig.run(500);
+        const leave = { kind: "leave", group: "d0.1.small", epoch: 65_600 } as const;
+        await rig.fleet.order(rig.fleet.state(spare.id), leave, await count(spare.id));
+        rig.fleet.crash(large.id);
+        rig.directory.remove(otherSpare.id, "crashed");
+        small.forEach(({ id }) => rig.directory.remove(id, "partitioned from the store"));
+        rig.isViewFresh = true;
+        rig.startController("second");
+        await rig.run(GROUP_STALL_MS);
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("forms groups at once in the first term although weights are staged", async () => {
         const rig = FleetRig.create(2, 11);
         for (const upstream of [...rig.directory.all()]) {
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -695,4 +695,13 @@
         test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
         grep: "that the last controller gave up to another group",
     },
+    {
+        promise: "gateway: one group per upstream",
+        name: "no join of an upstream that has left a group unnoticed",
+        file: `${GATEWAY}/src/fleet/OrderSender.ts`,
+        find: "return upstream.group !== undefined && upstream.group.name !== order.group;",
+        replace: "return false;",
+        test: `${GATEWAY}/tests/fleet/FleetController.test.ts`,
+        grep: "joins no spare to a group that has left another one",
+    },
 ];
--- a/spec/check.mjs
+++ b/spec/check.mjs
@@ -18,6 +18,7 @@
 const REMOVAL_IS_FINAL = "knownRemoval";
 const ONE_GATEWAY_PER_TERM = "acceptedFrom==g";
 const TERMS_NEVER_GO_BACK = "orderTerm[g]>=acceptedTerm";
+const NO_HEAD_WAITS = "!(isHeadWaiting)";
 const REPLACES_WHAT_IT_READ = "term==readTerm[g]";
 
 /** Models with their bounds. `switches` maps each switch to a part of the assertion that must fail when it is set. */
@@ -88,6 +89,16 @@
             ASSUME_COMMITTED: ONE_GATEWAY_PER_TERM,
         },
     },
+    {
+        file: "takeover.pml",
+        bounds: [[]],
+        switches: {
+            NO_PRECONDITION: NO_HEAD_WAITS,
+            NO_REPORT_CHECK: NO_HEAD_WAITS,
+            NO_LEFT_CHECK: NO_HEAD_WAITS,
+            NO_TERM_WAIT: NO_HEAD_WAITS,
+        },
+    },
 ];
 
 /** Returns all runs, intact models first, since they take longest. */
