State the wait for heads, the timing of watches and the reading of a source once each

Behaviour is unchanged. The time until heads give a group up was computed in four places; the waits and ages of watches were passed as pairs of functions five times; the probe of a source repeated the steps of the watch after it, with a nested return.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -53,6 +53,12 @@
 import { SlidingWindowCounter } from "./util/SlidingWindowCounter.js";
 import { WatchCache } from "./WatchCache.js";
 
+/** How long one watch waits, and from which age on the view that it keeps must not be read by other gateways. */
+interface WatchTiming {
+    waitMs: () => number;
+    maxAgeMs: () => number;
+}
+
 /** Time for upstreams to register again after a store outage: two of their usual heartbeats. */
 const REREGISTRATION_GRACE_MS = 1800;
 /**
@@ -71,6 +77,7 @@
 const SILENCE_LIMIT_SHARE = 0.6;
 /** Maximum wait of a watch for the gateways' own objects; peers notice most of these changes by themselves. */
 const GATEWAY_WATCH_WAIT_MS = 8000;
+const GATEWAY_OBJECTS_TIMING: WatchTiming = { waitMs: () => GATEWAY_WATCH_WAIT_MS, maxAgeMs: () => Infinity };
 /**
  * Pause before a watch of upstreams is renewed, so that one response contains several changes. The pause of the
  * controller is much shorter because it waits for members; it reports opened groups to the other gateways.
@@ -526,8 +533,7 @@
 
     private watch(
         kind: string,
-        waitMs: () => number,
-        maxAgeMs: () => number,
+        { waitMs, maxAgeMs }: WatchTiming,
         pauseMs: () => number,
         onListing: (objects: readonly StoredObject[], isAfterOutage: boolean, isRestored: boolean) => void,
         onChange: (change: ObjectChange) => void,
@@ -605,8 +611,7 @@
         };
         return this.watch(
             kind,
-            () => this.urgentWatchWaitMs(),
-            () => this.maxUrgentViewAgeMs(),
+            this.urgentTiming,
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => {
                 // At once with the store's, so that a peer that is behind does not delay what the store has.
@@ -624,8 +629,7 @@
         const { kind } = this.ports.objects.upstreams;
         return this.watch(
             kind,
-            () => this.urgentWatchWaitMs(),
-            () => this.maxUrgentViewAgeMs(),
+            this.urgentTiming,
             () => this.upstreamWatchPauseMs(),
             (objects, isAfterOutage, isRestored) => {
                 const decoded = objects.map(object => this.decodeUpstream(object)).filter(item => item !== undefined);
@@ -651,14 +655,12 @@
         return this.connections.isActiveHub || this.lease.isController;
     }
 
-    private urgentWatchWaitMs(): number {
-        return this.isViewSource ? this.settings.changeDeadlineMs * READER_WATCH_SHARE : URGENT_WATCH_WAIT_MS;
-    }
-
-    /** Gateways without access to the store read any peer's view, which then has no better one to compare with. */
-    private maxUrgentViewAgeMs(): number {
-        return this.isViewSource ? this.settings.changeDeadlineMs * MAX_VIEW_AGE_SHARE : Infinity;
-    }
+    /** For objects that operators and upstreams write. */
+    private readonly urgentTiming: WatchTiming = {
+        waitMs: () => this.isViewSource ? this.settings.changeDeadlineMs * READER_WATCH_SHARE : URGENT_WATCH_WAIT_MS,
+        // Gateways without access to the store read any peer's view, which then has no better one to compare with.
+        maxAgeMs: () => this.isViewSource ? this.settings.changeDeadlineMs * MAX_VIEW_AGE_SHARE : Infinity,
+    };
 
     private upstreamWatchPauseMs(): number {
         if (this.lease.isController) {
@@ -685,8 +687,7 @@
         const { kind } = this.ports.objects.evacuations;
         return this.watch(
             kind,
-            () => this.urgentWatchWaitMs(),
-            () => this.maxUrgentViewAgeMs(),
+            this.urgentTiming,
             () => DEFAULT_WATCH_PAUSE_MS,
             (objects, _, isRestored) =>
                 this.evacuatedZones.replaceAll(new Set(objects.map(object => object.name)), isRestored),
@@ -697,8 +698,7 @@
     private watchLease(): StoreWatch {
         return this.watch(
             ControllerLease.kind,
-            () => GATEWAY_WATCH_WAIT_MS,
-            () => Infinity,
+            GATEWAY_OBJECTS_TIMING,
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => {
                 objects.forEach(object => this.lease.observe(object, this.eras.current));
@@ -717,8 +717,7 @@
         };
         return this.watch(
             REGISTRATION_KIND,
-            () => GATEWAY_WATCH_WAIT_MS,
-            () => Infinity,
+            GATEWAY_OBJECTS_TIMING,
             () => DEFAULT_WATCH_PAUSE_MS,
             objects => objects.forEach(addPeer),
             change => change.kind === "written" ? addPeer(change.object) : this.connections.remove(change.object.name),
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -759,7 +759,7 @@
      * accepted its own order, or must have given the group up.
      */
     private quarantineReplaced(group: ManagedGroup, members: readonly Upstream[]): void {
-        const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
+        const untilMs = this.headsWaitUntilMs(this.nowMs());
         const kept = idsOf(members);
         const { epoch } = group;
         const head = headOf(group);
@@ -775,7 +775,7 @@
 
     /** Keeps an upstream from joining another group that an earlier controller may have replaced, with an unknown head. */
     private quarantineUnknown(upstream: Upstream): void {
-        const untilMs = this.nowMs() + this.options.groupStallMs + STALL_MARGIN_MS;
+        const untilMs = this.headsWaitUntilMs(this.nowMs());
         this.health.quarantine(upstream, untilMs, () => false);
     }
 
@@ -785,7 +785,7 @@
      * must have given up the groups of the earlier controller. Before the first term, there was none.
      */
     private quarantineReplacedBefore(): void {
-        const untilMs = this.termSinceMs + this.options.groupStallMs + STALL_MARGIN_MS;
+        const untilMs = this.headsWaitUntilMs(this.termSinceMs);
         if (this.term === FIRST_TERM || this.nowMs() >= untilMs) {
             return;
         }
@@ -910,10 +910,10 @@
      * or must have given the group up.
      */
     private async releaseMembers({ name, epoch, members }: ObservedGroup): Promise<void> {
-        const { orders, groupStallMs } = this.options;
+        const { orders } = this.options;
         const head = members.get(0);
         const others = [...members.values()].filter(member => member !== head);
-        const untilMs = this.nowMs() + groupStallMs + STALL_MARGIN_MS;
+        const untilMs = this.headsWaitUntilMs(this.nowMs());
         let hasLeft = false;
         others.forEach(member => this.health.quarantine(member, untilMs, () => hasLeft));
         const leave = { kind: "leave", group: name, epoch } as const;
@@ -1045,6 +1045,11 @@
         return head && this.options.upstreams.get(head.id);
     }
 
+    /** Returns when every head has given up a group that stands still since `sinceMs`, both monotonic. */
+    private headsWaitUntilMs(sinceMs: number): number {
+        return sinceMs + this.options.groupStallMs + STALL_MARGIN_MS;
+    }
+
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -248,20 +248,23 @@
         cursor: Cursor,
         signal: AbortSignal,
     ): Promise<WatchOutcome | undefined> {
+        const watchFor = async (waitMs: number) => {
+            const watched = await this.watchAt(source, kind, cursor, waitMs, signal);
+            return watched && this.recordAge(source, kind, watched.ageMs) ? watched.outcome : undefined;
+        };
         if (!this.sourcesWithAge.has(source.address)) {
-            const probe = await this.watchAt(source, kind, cursor, PROBE_WAIT_MS, signal);
-            if (!probe || !this.recordAge(source, kind, probe.ageMs) || !isEmpty(probe.outcome)) {
-                return probe?.ageMs === undefined ? undefined : probe.outcome;
+            const probed = await watchFor(PROBE_WAIT_MS);
+            if (!probed || !isEmpty(probed)) {
+                return probed;
             }
         }
         this.followedKinds.add(kind);
-        const watched = await this.watchAt(source, kind, cursor, PEER_WATCH_MS, signal);
+        const outcome = await watchFor(PEER_WATCH_MS);
         this.followedKinds.delete(kind);
-        if (watched && this.recordAge(source, kind, watched.ageMs)) {
-            return watched.outcome;
+        if (!outcome) {
+            this.options.onSourceLost(kind);
         }
-        this.options.onSourceLost(kind);
-        return undefined;
+        return outcome;
     }
 
     /** Records the age that a source states for its view. Returns false if it states none. */
