Log the age of the configuration's view, and measure the delay of the event loop

Two incidents could not be told apart by the logs: a gateway that receives a change late, and one that has received it and handles it late.

--- a/packages/gateway/src/ActiveConfiguration.ts
+++ b/packages/gateway/src/ActiveConfiguration.ts
@@ -33,7 +33,11 @@
     }
 
     /** Activates a configuration, whose stored form is `value`, if it is newer than the active one. */
-    adopt(configuration: ServingConfiguration, value?: unknown): void {
+    adopt(
+        configuration: ServingConfiguration,
+        value?: unknown,
+        logFields: Readonly<Record<string, unknown>> = {},
+    ): void {
         const before = this.configuration?.version;
         this.setStoreBehind(configuration.version < (before ?? 0), configuration.version);
         if (before !== undefined && configuration.version <= before) {
@@ -46,6 +50,7 @@
             version: configuration.version,
             before,
             routes: configuration.routes.length,
+            ...logFields,
         });
         this.listeners.forEach(listener => listener(configuration));
     }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -258,6 +258,7 @@
             log,
             metrics,
             configuration: this.configuration,
+            configurationAgeMs: () => this.configurationWatch.ageMs,
             retryBudget,
             crashGuard,
             streams: StreamDispatcher.create({
@@ -515,12 +516,14 @@
     }
 
     private async sweep(signal: AbortSignal): Promise<void> {
-        const { clock } = this.ports;
+        const { clock, metrics } = this.ports;
         while (!signal.aborted) {
+            const dueAtMs = clock.monotonicMs() + SWEEP_INTERVAL_MS;
             await clock.sleep(SWEEP_INTERVAL_MS, signal);
             if (signal.aborted) {
                 return;
             }
+            metrics.observe("eventLoopDelay", Math.max(0, clock.monotonicMs() - dueAtMs));
             this.upstreams.expireMissing();
             this.evacuatedZones.settle();
             this.connections.update();
@@ -595,7 +598,8 @@
     private adoptConfiguration(value: unknown, logFields: Readonly<Record<string, unknown>>): void {
         const decoded = this.ports.objects.configuration.decode(value);
         if (decoded.kind === "decoded") {
-            this.configuration.adopt(decoded.value, value);
+            const viewAgeMs = Math.round(this.configurationWatch.ageMs);
+            this.configuration.adopt(decoded.value, value, { ...logFields, viewAgeMs });
         }
         else {
             this.ports.log.warn("invalid configuration object", { ...logFields, reason: decoded.reason });
--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -21,6 +21,7 @@
     queueWait: "Seconds that a request waited for a place",
     repair: "Seconds from a lost member until its group was open again",
     restoredRead: "Seconds from a new era of the platform's store until a kind was listed again",
+    eventLoopDelay: "Seconds by which a periodic task ran late",
 } as const;
 
 /** Counters and histograms in the Prometheus text format. */
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -19,6 +19,8 @@
     log: DecisionLog;
     metrics: GatewayMetrics;
     configuration: ActiveConfiguration;
+    /** Time since the view of the configuration was last updated. */
+    configurationAgeMs: () => number;
     retryBudget: RetryBudget;
     crashGuard: CrashGuard;
     streams: StreamDispatcher;
@@ -185,6 +187,8 @@
             request: request.id,
             reason: refusal.kind,
             configuration: version,
+            viewAgeMs: Math.round(this.options.configurationAgeMs()),
+            waitedMs: Math.round(this.options.clock.monotonicMs() - request.receivedAtMs),
             host: request.host,
         });
         callerResponse.refuse(refusal);
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -15,5 +15,8 @@
     ): void;
 
     /** Adds a duration to a histogram. */
-    observe(name: "firstEvent" | "answer" | "queueWait" | "repair" | "restoredRead", durationMs: number): void;
+    observe(
+        name: "firstEvent" | "answer" | "queueWait" | "repair" | "restoredRead" | "eventLoopDelay",
+        durationMs: number,
+    ): void;
 }
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -126,6 +126,7 @@
             log,
             metrics: noMetrics,
             configuration: this.configuration,
+            configurationAgeMs: () => 0,
             retryBudget,
             crashGuard: this.crashGuard,
             streams: StreamDispatcher.create({
