--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -15,6 +15,9 @@
     let received: Map<string, number>;
     let snapshots: number;
     let term: number;
+    let crashEvidence: PeerState["crashEvidence"];
+    /** Updates with evidence by follower. */
+    let withEvidence: Map<string, number>;
 
     beforeEach(async () => {
         clock = ManualClock.create();
@@ -22,6 +25,8 @@
         received = new Map();
         snapshots = 0;
         term = 1;
+        crashEvidence = { promptParts: [], requests: [] };
+        withEvidence = new Map();
         const snapshot = (): PeerState => {
             snapshots += 1;
             return {
@@ -34,7 +39,7 @@
                 configurationVersion: 1,
                 unreachableServices: [],
                 lostEpochs: [],
-                crashEvidence: { promptParts: [], requests: [] },
+                crashEvidence,
                 announcedLimits: [],
                 leavingUpstreams: [],
             };
@@ -55,6 +60,10 @@
         void (async () => {
             for await (const update of updates) {
                 received.set(observer, (received.get(observer) ?? 0) + (update.term > 0 ? 1 : 0));
+                withEvidence.set(
+                    observer,
+                    (withEvidence.get(observer) ?? 0) + (update.crashSuspects.length > 0 ? 1 : 0),
+                );
             }
         })().catch(() => undefined);
         await clock.settle();
@@ -95,6 +104,19 @@
         expect(received.get("near")).to.be.within(9, 12);
     });
 
+    // Guards against hubs that spend their processor time on evidence that their followers have already.
+    it("sends evidence that has not changed once, whatever else changes", async () => {
+        crashEvidence = { promptParts: [{ part: "p", pool: "", crashes: [{ upstream: 1, ageMs: 5 }] }], requests: [] };
+        await follow("near");
+        await advanceWithChanges(4000);
+        expect(withEvidence.get("near")).to.equal(1);
+        expect(received.get("near")).to.be.within(38, 42);
+        crashEvidence = { promptParts: [{ part: "q", pool: "", crashes: [{ upstream: 1, ageMs: 5 }] }], requests: [] };
+        await advanceWithChanges(200);
+        await follow("standby");
+        expect([withEvidence.get("near"), withEvidence.get("standby")]).to.deep.equal([2, 1]);
+    });
+
     it("takes no snapshots while there are no followers", async () => {
         await clock.advance(4000);
         expect(snapshots).to.equal(0);
--- a/packages/gateway/tests/peers/ViewServiceHandler.test.ts
+++ b/packages/gateway/tests/peers/ViewServiceHandler.test.ts
@@ -41,6 +41,28 @@
         ]]);
     });
 
+    // Guards against a hub that converts a large object once for each of its followers.
+    it("converts an object to text once for all followers", async () => {
+        let conversions = 0;
+        const toJSON = () => {
+            conversions += 1;
+            return {};
+        };
+        const { cache, client } = createView();
+        cache.applyListing([]);
+        cache.advance(1);
+        cache.applyChange({
+            kind: "written",
+            object: { kind: "servers", name: "large", revision: 2, value: { toJSON } },
+        });
+        cache.advance(2);
+        for (let follower = 0; follower < 5; follower++) {
+            const { changes } = await client.watchObjects({ kind: "servers", after: 1, waitMs: 0, era: 0 });
+            expect(changes.map(({ object }) => object?.valueJson)).to.deep.equal(["{}"]);
+        }
+        expect(conversions).to.equal(1);
+    });
+
     it("delivers the other changes beside one that is nested too deeply", async () => {
         const { cache, client } = createView();
         cache.applyListing([]);
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -63,12 +63,15 @@
     let isCurrent: boolean;
     let observers: string[];
     let viewAgeMs: () => number;
+    /** Compressions that clients have accepted. */
+    let acceptedEncodings: string[];
 
     beforeEach(async () => {
         port = await freePort();
         isCurrent = true;
         observers = [];
         viewAgeMs = () => 0;
+        acceptedEncodings = [];
         cache = WatchCache.create(clock, () => isCurrent, {
             ageMs: () => viewAgeMs(),
             maxAgeMs: () => MAX_VIEW_AGE_MS,
@@ -90,13 +93,49 @@
                 router => publisher.registerOn(router),
                 router => createViewService(cache).registerOn(router),
             ],
-            interceptors: [],
+            interceptors: [next => request => {
+                acceptedEncodings.push(request.header.get("grpc-accept-encoding") ?? "");
+                return next(request);
+            }],
         });
         await server.listen();
     });
 
     afterEach(() => server.close());
 
+    for (const [zone, encodings] of [["a", ""], ["b", "gzip,br"]] as const) {
+        // Guards against hubs that spend their processor time on compressing each message to each gateway of their zone.
+        it(`accept ${encodings === "" ? "no compression" : "compression"} from a peer of zone ${zone}`, async () => {
+            const connections = PeerConnections.create({
+                clock,
+                random: SystemRandom.create(),
+                log: SilentDecisionLog.create(),
+                vm: "me",
+                zone: "a",
+                onState: () => undefined,
+                onDisconnected: () => undefined,
+            });
+            connections.add("me", { address: "127.0.0.1:1", zone: "a" });
+            connections.add("other", { address: `127.0.0.1:${port}`, zone });
+            await untilTrue(clock, "the peer is connected", 2000, () => connections.connectedPeers().length === 1);
+            expect(acceptedEncodings).to.deep.equal([encodings]);
+            const store = PeerAssistedStore.create({
+                clock,
+                random: SystemRandom.create(),
+                log: SilentDecisionLog.create(),
+                eras: StoreEras.create({ clock, log: SilentDecisionLog.create(), metrics: noMetrics }),
+                store: MemoryObjectStore.create(clock),
+                source: () => connections.reachablePeer("other"),
+                peers: () => [],
+                silenceLimitMs: SILENCE_LIMIT_MS,
+                onSourceLost: () => undefined,
+            });
+            await store.list(["things"], "read");
+            expect(acceptedEncodings).to.deep.equal([encodings, encodings]);
+            connections.close();
+        });
+    }
+
     it("receive a peer's state unchanged and report a disconnected peer", async () => {
         let onDisconnected: (peer: string) => void = () => undefined;
         const disconnected = new Promise<string>(resolve => {
