Send peers only the evidence that is new to them

Cause: each update between gateways, up to ten a second, repeated everything that was learned from responses: suspects of crashes, announced limits, leaving upstreams. A hub decodes and merges it for each gateway of its zone.

Now a publisher remembers for each stream which entries it has sent, and sends those that are new or changed, everything once more after 5 s, and everything on a new stream.

--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -10,6 +10,8 @@
 import type { CrashSuspect } from "../placement/CrashSuspect.js";
 import { WakeSignal } from "../util/WakeSignal.js";
 import type { PeerState } from "./PeerState.js";
+import { UnsentEvidence } from "./UnsentEvidence.js";
+import { withoutAges } from "./withoutAges.js";
 
 interface PeerStatePublisherOptions {
     clock: Clock;
@@ -33,7 +35,10 @@
 /** Longest interval between updates: peers regard a sender as silent after several. */
 const HEARTBEAT_MS = 400;
 
-/** Streams this gateway's state to its peers. All are served in the same poll, so that the process wakes up once. */
+/**
+ * Streams this gateway's state to its peers; what was learned from responses only when it is new to the peer. All are
+ * served in the same poll, so that the process wakes up once.
+ */
 export class PeerStatePublisher {
     private readonly followers = new Set<Follower>();
     private readonly wakeSignal = WakeSignal.create();
@@ -76,6 +81,7 @@
         const follower: Follower = { wakeSignal: WakeSignal.create(), isUrgent: true };
         this.followers.add(follower);
         this.wakeSignal.notify();
+        const unsentEvidence = UnsentEvidence.create();
         let sentText = "";
         let sentAtMs = -Infinity;
         try {
@@ -85,11 +91,13 @@
                 if (follower.isUrgent || sinceMs >= intervalMs(observer)) {
                     follower.isUrgent = false;
                     const state = snapshot(observer);
-                    const text = JSON.stringify(state, withoutAges);
-                    if (text !== sentText || sinceMs >= HEARTBEAT_MS) {
-                        sentText = text;
+                    const update = { ...state, ...unsentEvidence.take(state, nowMs) };
+                    // The silence of loads changes all the time.
+                    const text = update.loads.length > 0 ? undefined : JSON.stringify(update, withoutAges);
+                    if (text === undefined || text !== sentText || sinceMs >= HEARTBEAT_MS) {
+                        sentText = text ?? "";
                         sentAtMs = nowMs;
-                        yield toUpdate(state);
+                        yield toUpdate(update);
                     }
                 }
                 await follower.wakeSignal.wait(signal);
@@ -101,13 +109,6 @@
     }
 }
 
-/** Fields that change all the time; heartbeats update them. */
-const ageFields: ReadonlySet<string> = new Set(["ageMs", "requestAgeMs"]);
-
-function withoutAges(key: string, value: unknown): unknown {
-    return ageFields.has(key) ? undefined : value;
-}
-
 function toUpdate(state: PeerState): GatewayUpdate {
     return create(GatewayUpdateSchema, {
         term: state.term,
--- /dev/null
+++ b/packages/gateway/src/peers/withoutAges.ts
@@ -0,0 +1,7 @@
+/** Fields that change all the time; heartbeats update them. */
+const ageFields: ReadonlySet<string> = new Set(["ageMs", "requestAgeMs"]);
+
+/** Replacer for `JSON.stringify` that leaves ages out. */
+export function withoutAges(key: string, value: unknown): unknown {
+    return ageFields.has(key) ? undefined : value;
+}
