Do not compress messages between gateways of one zone

Hubs of 25 gateways compressed each message of 1 KB and more once for every gateway of their zone, and decompressed those that they received. In a profile of a controller (soak, 20 gateways) zlib was the largest single consumer of processor time.

A client now accepts compressed responses only from gateways of other zones, where bytes are billed.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -278,7 +278,11 @@
             controllerPeer: () => this.exchange.controllerPeer(),
         });
         const source = () => this.viewSource.current();
-        const seeds = settings.seedPeers.map(address => ({ address, silent: this.stop.signal }));
+        const seeds = settings.seedPeers.map(address => ({
+            address,
+            silent: this.stop.signal,
+            isInSameZone: false,
+        }));
         const peers = () => {
             const sources = this.connections.viewSources();
             return sources.length > 0 ? sources : seeds;
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -1,5 +1,4 @@
 import { type Client, createClient } from "@connectrpc/connect";
-import { createGrpcTransport } from "@connectrpc/connect-node";
 import type {
     CallClass,
     Era,
@@ -17,6 +16,7 @@
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { StoreEras } from "../StoreEras.js";
+import { createPeerTransport } from "./createPeerTransport.js";
 import type { ViewSource } from "./ViewSource.js";
 
 interface PeerAssistedStoreOptions {
@@ -398,19 +398,14 @@
 
     /** Calls a peer; returns undefined if the call fails or the peer has no current view. */
     private async callPeer<T>(
-        { address, silent }: ViewSource,
+        { address, silent, isInSameZone }: ViewSource,
         limit: AbortSignal,
         call: (client: Client<typeof ViewService>, signal: AbortSignal) => Promise<T | undefined>,
     ): Promise<T | undefined> {
         let client = this.clients.get(address);
         if (!client) {
             const pingMs = this.options.silenceLimitMs / 2;
-            const transport = createGrpcTransport({
-                baseUrl: `http://${address}`,
-                pingIntervalMs: pingMs,
-                pingTimeoutMs: pingMs,
-            });
-            client = createClient(ViewService, transport);
+            client = createClient(ViewService, createPeerTransport({ address, isInSameZone, pingMs }));
             this.clients.set(address, client);
         }
         try {
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -1,11 +1,11 @@
 import { createClient } from "@connectrpc/connect";
-import { createGrpcTransport } from "@connectrpc/connect-node";
 import { Backoff } from "@fescuehaven/coordination";
 import { type CrashSuspect as CrashSuspectMessage, GatewayService, type GatewayUpdate } from "@fescuehaven/protocol";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { CrashSuspect } from "../placement/CrashSuspect.js";
 import type { GatewayPosition } from "../placement/GatewayPosition.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
+import { createPeerTransport } from "./createPeerTransport.js";
 import type { PeerState } from "./PeerState.js";
 import { Topology } from "./Topology.js";
 import type { ViewSource } from "./ViewSource.js";
@@ -205,7 +205,7 @@
         const sinceMs = this.options.clock.monotonicMs() - REACHABLE_WITHIN_MS;
         return [...this.connections]
             .filter(([peer, { lastReceivedAtMs }]) => lastReceivedAtMs >= sinceMs && isWanted(peer))
-            .map(([, { address, silent }]) => ({ address, silent: silent.signal }));
+            .map(([, connection]) => this.toViewSource(connection));
     }
 
     /** Returns a followed peer if it is reachable; `silent` aborts when it falls silent. */
@@ -213,7 +213,7 @@
         const connection = this.connections.get(peer);
         const isReachable = connection
             && this.options.clock.monotonicMs() - connection.lastReceivedAtMs <= REACHABLE_WITHIN_MS;
-        return isReachable ? { address: connection.address, silent: connection.silent.signal } : undefined;
+        return isReachable ? this.toViewSource(connection) : undefined;
     }
 
     /** Returns the time since a peer's last update; Infinity if there was none. */
@@ -244,6 +244,15 @@
         return this.followedPeers().filter(peer => this.silenceMs(peer) <= SILENCE_LIMIT_MS);
     }
 
+    private isInSameZone({ zone }: Connection): boolean {
+        return zone === this.options.zone;
+    }
+
+    private toViewSource(connection: Connection): ViewSource {
+        const { address, silent } = connection;
+        return { address, silent: silent.signal, isInSameZone: this.isInSameZone(connection) };
+    }
+
     private gateways(): Array<{ vm: string; zone: string; }> {
         return [...this.registered].map(([vm, { zone }]) => ({ vm, zone }));
     }
@@ -273,7 +282,10 @@
     }
 
     private async receive(peer: string, connection: Connection, onUpdate: () => void): Promise<void> {
-        const transport = createGrpcTransport({ baseUrl: `http://${connection.address}` });
+        const transport = createPeerTransport({
+            address: connection.address,
+            isInSameZone: this.isInSameZone(connection),
+        });
         const client = createClient(GatewayService, transport);
         const signal = AbortSignal.any([connection.attempt.signal, connection.stop.signal]);
         for await (const update of client.watchGateway({ observer: this.options.vm }, { signal })) {
--- a/packages/gateway/src/peers/ViewSource.ts
+++ b/packages/gateway/src/peers/ViewSource.ts
@@ -3,4 +3,6 @@
     address: string;
     /** Aborts when its view must no longer be read, such as when it falls silent. */
     silent: AbortSignal;
+    /** True if it runs in the zone of this gateway. */
+    isInSameZone: boolean;
 }
--- a/packages/gateway/tests/peers/ViewSourceSelector.test.ts
+++ b/packages/gateway/tests/peers/ViewSourceSelector.test.ts
@@ -37,7 +37,9 @@
             onDisconnected: () => undefined,
         });
         connections.reachablePeer = (peer): ViewSource | undefined =>
-            silentPeers.has(peer) ? undefined : { address: peer, silent: new AbortController().signal };
+            silentPeers.has(peer)
+                ? undefined
+                : { address: peer, silent: new AbortController().signal, isInSameZone: true };
         const gateway: TestGateway = {
             vm,
             connections,
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -8,6 +8,7 @@
 import type { PeerState } from "../../src/peers/PeerState.js";
 import { PeerStatePublisher } from "../../src/peers/PeerStatePublisher.js";
 import { ViewServiceHandler } from "../../src/peers/ViewServiceHandler.js";
+import type { ViewSource } from "../../src/peers/ViewSource.js";
 import { StoreEras } from "../../src/StoreEras.js";
 import { WatchCache } from "../../src/WatchCache.js";
 import { freePort } from "../support/freePort.js";
@@ -187,8 +188,8 @@
     describe("reading the store through peers", () => {
         let platformStore: MemoryObjectStore;
         let silent: AbortController;
-        let hubs: Array<{ address: string; silent: AbortSignal; }>;
-        let fallbackPeers: Array<{ address: string; silent: AbortSignal; }>;
+        let hubs: ViewSource[];
+        let fallbackPeers: ViewSource[];
         let log: SilentDecisionLog;
         let store: PeerAssistedStore;
         let eras: StoreEras;
@@ -202,7 +203,7 @@
             platformStore = MemoryObjectStore.create(ManualClock.create());
             await platformStore.write({ kind: "things", name: "direct" }, 1, 0);
             silent = new AbortController();
-            const hub = () => ({ address: `127.0.0.1:${port}`, silent: silent.signal });
+            const hub = () => ({ address: `127.0.0.1:${port}`, silent: silent.signal, isInSameZone: true });
             hubs = [hub()];
             fallbackPeers = [];
             lostKinds = [];
@@ -281,7 +282,7 @@
         it("reads the store directly once its connection to the source is silent, while others work", async () => {
             const relay = SilentRelay.create({ target: { host: "127.0.0.1", port }, clock });
             const address = (await relay.listen()).replace("http://", "");
-            hubs = [{ address, silent: silent.signal }];
+            hubs = [{ address, silent: silent.signal, isInSameZone: true }];
             await store.list(["things"], "read");
             await writeUntilRevision(6);
             const watching = store.watch(["things"], 5, 2000, signal);
@@ -311,7 +312,7 @@
                 interceptors: [],
             });
             await oldServer.listen();
-            hubs = [{ address: `127.0.0.1:${oldPort}`, silent: silent.signal }];
+            hubs = [{ address: `127.0.0.1:${oldPort}`, silent: silent.signal, isInSameZone: true }];
             const listed = await store.list(["things"], "read");
             expect(listed.kind === "listed" && listed.objects.map(item => item.name)).to.deep.equal(["direct"]);
             const startedAtMs = performance.now();
@@ -392,7 +393,11 @@
         });
 
         it("returns the configurations that are active at the peers that respond", async () => {
-            fallbackPeers = [...hubs, { address: `127.0.0.1:${await freePort()}`, silent: silent.signal }];
+            fallbackPeers = [...hubs, {
+                address: `127.0.0.1:${await freePort()}`,
+                silent: silent.signal,
+                isInSameZone: true,
+            }];
             expect(await store.activeConfigurations()).to.deep.equal([{ version: 7 }]);
         });
 
@@ -451,7 +456,11 @@
                 await newerServer.listen();
                 isCurrent = false;
                 platformStore.faults.outage = true;
-                fallbackPeers = [...hubs, { address: `127.0.0.1:${newerPort}`, silent: silent.signal }];
+                fallbackPeers = [...hubs, {
+                    address: `127.0.0.1:${newerPort}`,
+                    silent: silent.signal,
+                    isInSameZone: true,
+                }];
                 hubs = [];
                 const listed = await store.list(["things"], "read");
                 expect(listed.kind === "listed" && [listed.revision, listed.era]).to.deep.equal([2, 1]);
