Deny a request only once the configuration is known to be the newest

What callers saw: 404 and 401 for routes and keys of configurations that had to be in effect, up to 0.8 s after the 3 s that a change may take.

Cause: a denial rested on whatever configuration was active. Nothing compares the age of that view with the bound, and no gateway can know it: its event loop, or that of the hub through which it reads, may be delayed.

Now a gateway that would deny a request reads the configuration from the store first, or while that is unavailable a peer's view of a stated age, and matches again. One read counts for half of the time in which a change must be in effect, for all denials together, unless another gateway names a newer version. After 1 s, or if nothing can be read, the answer is 503, not run, with a time to come back. Requests that are allowed are served as before, also while a gateway is cut off from the store.

--- /dev/null
+++ b/packages/gateway/src/ConfigurationVerifier.ts
@@ -0,0 +1,74 @@
+import type { ReadOutcome } from "@fescuehaven/platform";
+import type { Clock } from "@fescuehaven/runtime";
+import type { DecisionLog } from "./ports/DecisionLog.js";
+
+interface ConfigurationVerifierOptions {
+    clock: Clock;
+    log: DecisionLog;
+    /** Reads the configuration object as it is now, or was a short time ago. */
+    read: () => Promise<ReadOutcome>;
+    /** Activates a configuration in its stored form if it is newer than the active one. */
+    adopt: (value: unknown) => void;
+    /** Returns true if another gateway is known to have a newer configuration. */
+    isBehind: () => boolean;
+    /** Activates the newer configurations of other gateways. */
+    catchUp: () => Promise<void>;
+    /** A verification counts for requests that are read within this time of its start. */
+    validForMs: number;
+}
+
+/** Longest wait for the store, or else a peer. Callers that are refused then find another gateway sooner. */
+const TIMEOUT_MS = 1000;
+
+/**
+ * Verifies before a request is denied that the active configuration is the newest one. A gateway may learn late of a
+ * change, without noticing: its own event loop or that of the gateway through which it reads the store may be delayed.
+ */
+export class ConfigurationVerifier {
+    private verifiedAtMs = -Infinity;
+    private reading: Promise<boolean> | undefined;
+
+    private constructor(private readonly options: ConfigurationVerifierOptions) {}
+
+    /** Creates a verifier. It reads nothing until `verify` is called. */
+    static create(options: ConfigurationVerifierOptions): ConfigurationVerifier {
+        return new ConfigurationVerifier(options);
+    }
+
+    /** Resolves to true once the active configuration is known to be the newest; false if that cannot be found out. */
+    async verify(): Promise<boolean> {
+        const { clock, isBehind, validForMs } = this.options;
+        if (clock.monotonicMs() - this.verifiedAtMs < validForMs && !isBehind()) {
+            return true;
+        }
+        this.reading ??= this.read().finally(() => {
+            this.reading = undefined;
+        });
+        const timeout = new AbortController();
+        const timedOut = clock.sleep(TIMEOUT_MS, timeout.signal).then(() => false);
+        const isVerified = await Promise.race([this.reading, timedOut]);
+        timeout.abort();
+        return isVerified;
+    }
+
+    private async read(): Promise<boolean> {
+        const { clock, log, read, adopt, isBehind, catchUp } = this.options;
+        const startedAtMs = clock.monotonicMs();
+        const outcome = await read();
+        const tookMs = Math.round(clock.monotonicMs() - startedAtMs);
+        if (outcome.kind === "unavailable") {
+            log.info("configuration could not be verified", { tookMs });
+            return false;
+        }
+        if (outcome.kind === "found") {
+            adopt(outcome.object.value);
+        }
+        if (isBehind()) {
+            // The store may have been restored from an older copy.
+            await catchUp();
+        }
+        log.info("configuration verified", { tookMs });
+        this.verifiedAtMs = startedAtMs;
+        return true;
+    }
+}
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -2,6 +2,7 @@
 import type { ObjectChange, StoredObject } from "@fescuehaven/platform";
 import { setMaxListeners } from "node:events";
 import { ActiveConfiguration } from "./ActiveConfiguration.js";
+import { ConfigurationVerifier } from "./ConfigurationVerifier.js";
 import { EvacuatedZones } from "./EvacuatedZones.js";
 import { ControllerLease } from "./fleet/ControllerLease.js";
 import { EpochSource } from "./fleet/EpochSource.js";
@@ -30,6 +31,7 @@
 import { PeerStatePublisher } from "./peers/PeerStatePublisher.js";
 import { RelayDirectory } from "./peers/RelayDirectory.js";
 import { ViewServiceHandler } from "./peers/ViewServiceHandler.js";
+import type { ViewSource } from "./peers/ViewSource.js";
 import { ViewSourceSelector } from "./peers/ViewSourceSelector.js";
 import { AdmissionQueue } from "./placement/AdmissionQueue.js";
 import { AnnouncedLimits } from "./placement/AnnouncedLimits.js";
@@ -75,6 +77,8 @@
 const MAX_VIEW_AGE_SHARE = 0.7;
 /** Time until a silent connection to a peer whose view is read is given up, as a share of that time. */
 const SILENCE_LIMIT_SHARE = 0.6;
+/** Time for which the configuration counts as the newest after it was verified, as a share of that time. */
+const VERIFICATION_SHARE = 0.5;
 /** Maximum wait of a watch for the gateways' own objects; peers notice most of these changes by themselves. */
 const GATEWAY_WATCH_WAIT_MS = 8000;
 const GATEWAY_OBJECTS_TIMING: WatchTiming = { waitMs: () => GATEWAY_WATCH_WAIT_MS, maxAgeMs: () => Infinity };
@@ -111,6 +115,7 @@
 /** A gateway: accepts requests, forwards them to upstreams, and takes part in the control of the fleet. */
 export class Gateway {
     private readonly configuration: ActiveConfiguration;
+    private readonly configurationVerifier: ConfigurationVerifier;
     private readonly upstreams: UpstreamDirectory;
     private readonly evacuatedZones: EvacuatedZones;
     private readonly loads: LoadTracker;
@@ -259,6 +264,7 @@
             metrics,
             configuration: this.configuration,
             configurationAgeMs: () => this.configurationWatch.ageMs,
+            verifyConfiguration: () => this.configurationVerifier.verify(),
             retryBudget,
             crashGuard,
             streams: StreamDispatcher.create({
@@ -298,6 +304,16 @@
             silenceLimitMs: settings.changeDeadlineMs * SILENCE_LIMIT_SHARE,
             onSourceLost: kind => this.caches.get(kind)?.interrupt(),
         });
+        const verificationMs = settings.changeDeadlineMs * VERIFICATION_SHARE;
+        this.configurationVerifier = ConfigurationVerifier.create({
+            clock,
+            log,
+            read: () => this.assistedStore.readRecent(ports.objects.configuration, verificationMs),
+            adopt: value => this.adoptConfiguration(value, { source: "verification" }),
+            isBehind: () => this.gatewaysAhead().length > 0,
+            catchUp: () => this.catchUpWith(this.gatewaysAhead()),
+            validForMs: verificationMs,
+        });
         const observedEpochs = ObservedEpochs.create({
             log,
             configuration: this.configuration,
@@ -584,21 +600,29 @@
         await this.configurationWatch.run(signal);
     }
 
+    /** Returns the reachable gateways that have named a newer configuration than this gateway's. */
+    private gatewaysAhead(): ViewSource[] {
+        return this.connections.viewSources(peer => this.exchange.hasNewerConfiguration(peer));
+    }
+
     /** Takes a newer configuration from peers that the store does not deliver: it was restored from an older copy. */
     private checkPeerConfigurations(): void {
         const nowMs = this.ports.clock.monotonicMs();
-        const ahead = this.connections.viewSources(peer => this.exchange.hasNewerConfiguration(peer));
+        const ahead = this.gatewaysAhead();
         this.configurationBehindSinceMs = ahead.length > 0
             ? Math.min(this.configurationBehindSinceMs, nowMs)
             : Infinity;
         if (nowMs - this.configurationBehindSinceMs >= PEER_CONFIGURATION_GRACE_MS) {
             this.configurationBehindSinceMs = nowMs;
-            void this.assistedStore.activeConfigurations(ahead).then(values =>
-                values.forEach(value => this.adoptConfiguration(value, { source: "peer" }))
-            );
+            void this.catchUpWith(ahead);
         }
     }
 
+    private async catchUpWith(gateways: ViewSource[]): Promise<void> {
+        const values = await this.assistedStore.activeConfigurations(gateways);
+        values.forEach(value => this.adoptConfiguration(value, { source: "peer" }));
+    }
+
     private adoptConfiguration(value: unknown, logFields: Readonly<Record<string, unknown>>): void {
         const decoded = this.ports.objects.configuration.decode(value);
         if (decoded.kind === "decoded") {
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -3,6 +3,7 @@
 import type { ClientAccount } from "../model/ClientAccount.js";
 import type { IncomingRequest } from "../model/IncomingRequest.js";
 import type { Route } from "../model/Route.js";
+import type { Service } from "../model/Service.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { CallerResponse } from "../ports/CallerResponse.js";
@@ -21,6 +22,8 @@
     configuration: ActiveConfiguration;
     /** Time since the view of the configuration was last updated. */
     configurationAgeMs: () => number;
+    /** Resolves to true once the active configuration is known to be the newest; false if that cannot be found out. */
+    verifyConfiguration: () => Promise<boolean>;
     retryBudget: RetryBudget;
     crashGuard: CrashGuard;
     streams: StreamDispatcher;
@@ -29,11 +32,38 @@
     isReachable: (service: string) => boolean;
 }
 
+/** The active configuration does not allow a request. */
+interface Denial {
+    kind: "no-route" | "unknown-key";
+    version: number;
+}
+
+/** What the active configuration says of a request. */
+type MatchOutcome =
+    | {
+        kind: "matched";
+        version: number;
+        route: Route;
+        service: Service;
+        account: ClientAccount | undefined;
+        /** Name of the account; undefined if the route needs none. */
+        accountName: string | undefined;
+    }
+    | Denial
+    /** It does not allow the request, but may not be the newest one. */
+    | { kind: "unverified"; version: number; }
+    | { kind: "unconfigured"; };
+
 /** Retry-after delay while no configuration is known: a gateway takes about this long to start. */
 const UNCONFIGURED_RETRY_AFTER_MS = 500;
 
 /** Retry-after delay of what only this gateway refuses: the other gateways accept requests at once. */
 const OTHER_GATEWAYS_RETRY_AFTER_MS = 200;
+const unmatchedReasons = {
+    unverified: { reason: "the newest configuration is not known", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS },
+    unconfigured: { reason: "no configuration is known yet", retryAfterMs: UNCONFIGURED_RETRY_AFTER_MS },
+} as const;
+
 /**
  * Longest time that a request which may be sent again is assumed to need, even if its route's timeout is longer: the
  * duration of the longest streams at a busy group. Any other may take all of its time.
@@ -71,7 +101,11 @@
         this.activeRequests += 1;
         const requestEnded = new AbortController();
         try {
-            const call = this.createCall(request, callerResponse, requestEnded.signal);
+            const matched = this.match(request);
+            const verified = isDenial(matched) ? await this.verify(request, matched) : matched;
+            const call = verified.kind === "matched"
+                ? this.createCall(request, callerResponse, verified, requestEnded.signal)
+                : this.refuseUnmatched(request, callerResponse, verified);
             if (call) {
                 const { engine } = call.service;
                 await (engine && call.route.kind === "stream"
@@ -97,36 +131,58 @@
         }
     }
 
-    private createCall(
+    /** Matches a request again once the configuration is known to be the newest: its route or key may have been added. */
+    private async verify(request: IncomingRequest, denial: Denial): Promise<MatchOutcome> {
+        if (!await this.options.verifyConfiguration()) {
+            return { ...denial, kind: "unverified" };
+        }
+        return this.match(request);
+    }
+
+    private refuseUnmatched(
         request: IncomingRequest,
         callerResponse: CallerResponse,
-        ended: AbortSignal,
-    ): ForwardedCall | undefined {
-        const { configuration, clock, log, metrics, retryBudget, crashGuard } = this.options;
+        outcome: Exclude<MatchOutcome, { kind: "matched"; }>,
+    ): undefined {
+        if (isDenial(outcome)) {
+            this.reject(request, callerResponse, outcome);
+        }
+        else {
+            const { reason, retryAfterMs } = unmatchedReasons[outcome.kind];
+            this.refuseNotRun(request, callerResponse, reason, retryAfterMs);
+        }
+    }
+
+    /** Finds the route, the service and the account of a request in the active configuration. */
+    private match(request: IncomingRequest): MatchOutcome {
+        const { configuration } = this.options;
         const current = configuration.current;
         if (!current) {
-            const reason = "no configuration is known yet";
-            metrics.count("refusals", reason);
-            log.info("request refused", { request: request.id, reason });
-            callerResponse.refuse({ kind: "not-run", retryAfterMs: UNCONFIGURED_RETRY_AFTER_MS, reason });
-            return undefined;
+            return { kind: "unconfigured" };
         }
+        const { version } = current;
         const route = configuration.match(request.host, request.target);
         if (!route) {
-            this.reject(request, callerResponse, current.version, { kind: "no-route" });
-            return undefined;
+            return { kind: "no-route", version };
         }
         const needsKey = current.hasAccounts && !route.isPublic;
         const account = request.apiKey === undefined ? undefined : current.accountsByKey.get(request.apiKey);
         if (needsKey && !account) {
-            this.reject(request, callerResponse, current.version, { kind: "unknown-key" });
-            return undefined;
+            return { kind: "unknown-key", version };
         }
         const service = current.services.get(this.pickService(route));
-        if (!service) {
-            this.reject(request, callerResponse, current.version, { kind: "no-route" });
-            return undefined;
-        }
+        return service
+            ? { kind: "matched", version, route, service, account, accountName: needsKey ? account?.name : undefined }
+            : { kind: "no-route", version };
+    }
+
+    private createCall(
+        request: IncomingRequest,
+        callerResponse: CallerResponse,
+        { version, route, service, account, accountName }: MatchOutcome & { kind: "matched"; },
+        ended: AbortSignal,
+    ): ForwardedCall | undefined {
+        const { clock, log, metrics, retryBudget, crashGuard } = this.options;
         const nowMs = clock.monotonicMs();
         const allowedMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
         const mayRepeat = route.kind === "repeatable" || (route.kind === "stream" && route.isResumable);
@@ -139,13 +195,10 @@
         }
         if (!this.options.isReachable(service.name)) {
             const reason = "no known gateway reaches an upstream";
-            metrics.count("refusals", reason);
-            log.info("request refused", { request: request.id, reason });
-            callerResponse.refuse({ kind: "not-run", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS, reason });
+            this.refuseNotRun(request, callerResponse, reason, OTHER_GATEWAYS_RETRY_AFTER_MS);
             return undefined;
         }
         retryBudget.recordRequest(service.name);
-        const accountName = needsKey ? account?.name : undefined;
         const crashSubjects = {
             fingerprint: fingerprintOf(request, accountName),
             promptParts: service.engine ? request.sharedPromptParts : [],
@@ -171,27 +224,37 @@
             priority: priorityOf(route, account),
             deadlineMs,
             deadline: AbortSignal.any([deadline.signal, this.shutdownEnd.signal]),
-            configurationVersion: current.version,
+            configurationVersion: version,
             isTrial: admission.kind === "trial",
         };
     }
 
+    private refuseNotRun(
+        request: IncomingRequest,
+        callerResponse: CallerResponse,
+        reason: string,
+        retryAfterMs: number,
+    ): void {
+        this.options.metrics.count("refusals", reason);
+        this.options.log.info("request refused", { request: request.id, reason });
+        callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
+    }
+
     private reject(
         request: IncomingRequest,
         callerResponse: CallerResponse,
-        version: number,
-        refusal: { kind: "no-route" | "unknown-key"; },
+        { kind, version }: Denial,
     ): void {
-        this.options.metrics.count("refusals", refusal.kind);
+        this.options.metrics.count("refusals", kind);
         this.options.log.info("request rejected", {
             request: request.id,
-            reason: refusal.kind,
+            reason: kind,
             configuration: version,
             viewAgeMs: Math.round(this.options.configurationAgeMs()),
             waitedMs: Math.round(this.options.clock.monotonicMs() - request.receivedAtMs),
             host: request.host,
         });
-        callerResponse.refuse(refusal);
+        callerResponse.refuse({ kind });
     }
 
     private pickService(route: Route): string {
@@ -207,6 +270,10 @@
     }
 }
 
+function isDenial(outcome: MatchOutcome): outcome is Denial {
+    return outcome.kind === "no-route" || outcome.kind === "unknown-key";
+}
+
 function priorityOf(route: Route, account: ClientAccount | undefined): number {
     return account?.priority ?? route.priority;
 }
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -136,6 +136,25 @@
         return outcome;
     }
 
+    /**
+     * Reads one object from the platform's store, or while that is unavailable from the view of a peer that the store has
+     * confirmed within `maxAgeMs`.
+     */
+    async readRecent(key: ObjectKey, maxAgeMs: number): Promise<ReadOutcome> {
+        const outcome = await this.read(key, "read");
+        if (outcome.kind !== "unavailable") {
+            return outcome;
+        }
+        for (const peer of this.fallbackPeers()) {
+            const listing = await this.listAt(peer, key.kind);
+            if (listing?.isCurrent && this.isOfNewestEra(listing) && (listing.ageMs ?? Infinity) <= maxAgeMs) {
+                const object = listing.objects.find(({ name }) => name === key.name);
+                return object ? { kind: "found", object } : { kind: "absent" };
+            }
+        }
+        return outcome;
+    }
+
     /** Writes one object to the platform's store. */
     async write(
         key: ObjectKey,
--- a/packages/gateway/src/peers/createPeerTransport.ts
+++ b/packages/gateway/src/peers/createPeerTransport.ts
@@ -1,3 +1,4 @@
+import type { Transport } from "@connectrpc/connect";
 import { createGrpcTransport } from "@connectrpc/connect-node";
 
 interface PeerTransportOptions {
@@ -12,7 +13,7 @@
  * Creates a transport to another gateway. Messages within a zone are not compressed: a hub would compress each one for
  * every gateway of its zone. Traffic between zones is billed.
  */
-export function createPeerTransport({ address, isInSameZone, pingMs }: PeerTransportOptions) {
+export function createPeerTransport({ address, isInSameZone, pingMs }: PeerTransportOptions): Transport {
     return createGrpcTransport({
         baseUrl: `http://${address}`,
         ...(isInSameZone && { acceptCompression: [] }),
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -401,6 +401,20 @@
             expect(await store.activeConfigurations()).to.deep.equal([{ version: 7 }]);
         });
 
+        it("reads an object from the store, otherwise from a recent view of a peer, which any build since 777759d has", async () => {
+            fallbackPeers = [...hubs];
+            const key = { kind: "things", name: "a" };
+            expect((await store.readRecent(key, MAX_VIEW_AGE_MS)).kind).to.equal("absent");
+            platformStore.faults.outage = true;
+            const found = await store.readRecent(key, MAX_VIEW_AGE_MS);
+            expect(found.kind === "found" && found.object.value).to.deep.equal({ x: 1 });
+            expect((await store.readRecent({ kind: "things", name: "b" }, MAX_VIEW_AGE_MS)).kind).to.equal("absent");
+            viewAgeMs = () => MAX_VIEW_AGE_MS / 2;
+            expect((await store.readRecent(key, MAX_VIEW_AGE_MS / 4)).kind).to.equal("unavailable");
+            isCurrent = false;
+            expect((await store.readRecent(key, MAX_VIEW_AGE_MS)).kind).to.equal("unavailable");
+        });
+
         describe("while the store was restored from an older copy", () => {
             const things = { kind: "things", name: "a", value: { x: 2 } };
 
