Relay news at once only through the active hub of a zone

Both hubs of a zone sent an additional update to each of its gateways whenever they learned of a group that opened or was lost, or of an upstream that leaves. The inactive hub, which has the processor time of an ordinary gateway, repeated what the active one had just sent.

The test failed before with two additional updates of each hub. Nothing changes on the wire.

--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -175,7 +175,7 @@
         this.options.announcedLimits.merge(state.announcedLimits);
         const isLeavingNew = state.leavingUpstreams
             .map(report => this.options.upstreams.recordLeaving(report, "peer")).includes(true);
-        if (isLeavingNew && this.options.connections.isHub) {
+        if (isLeavingNew && this.options.connections.isActiveHub) {
             this.learnedSnapshot = undefined;
             this.options.flush();
         }
@@ -196,7 +196,7 @@
             );
             const hasLost = state.lostEpochs
                 .map(epoch => this.markGroupLost(epoch, `${peer} told that the group is lost`)).includes(true);
-            if ((hasOpened || hasLost) && this.options.connections.isHub) {
+            if ((hasOpened || hasLost) && this.options.connections.isActiveHub) {
                 this.options.flush();
             }
         }
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -303,4 +303,23 @@
         hub.exchange.apply("b1", state);
         expect([hub.flushes, follower.flushes]).to.deep.equal([1, 0]);
     });
+
+    // Guards against a zone that gets each news twice, which takes the processor time of both of its hubs.
+    it("relays news through the active hub at once, and through the inactive one at its next update", async () => {
+        start(fleets[1]![1]);
+        await exchangeStates();
+        for (const vm of ["a1", "a2"]) {
+            const { exchange, upstreams } = gateways.get(vm)!;
+            upstreams.set(exampleUpstream("u1"));
+            const news = {
+                controllerDistance: 0,
+                lostEpochs: [65537],
+                leavingUpstreams: [{ upstream: "u1", startedAtMs: 1000, ageMs: 0 }],
+            };
+            exchange.apply("b1", { ...exchange.stateFor("b1"), ...news });
+            await clock.advance(100);
+            expect(exchange.stateFor("a5").leavingUpstreams.map(({ upstream }) => upstream)).to.deep.equal(["u1"]);
+        }
+        expect(["a1", "a2"].map(vm => gateways.get(vm)!.flushes)).to.deep.equal([2, 0]);
+    });
 });
