Let the test command return after its summary

npm test had not returned two and a half minutes after its summary. The tests of ViewSourceSelector registered gateways under names instead of addresses, which were dialled: with 195 gateways thousands of names were looked up, four at a time, and Node waits for all of them before it ends.

The gateways now have an address at which nobody listens.

--- a/packages/gateway/tests/peers/ViewSourceSelector.test.ts
+++ b/packages/gateway/tests/peers/ViewSourceSelector.test.ts
@@ -5,6 +5,9 @@
 import { ViewSourceSelector } from "../../src/peers/ViewSourceSelector.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
+/** No gateway listens there. A name would be looked up, and the process would wait for all look-ups at its end. */
+const UNREACHABLE_ADDRESS = "127.0.0.1:1";
+
 /** A gateway in a fleet of which every connected peer is reachable. */
 interface TestGateway {
     vm: string;
@@ -22,7 +25,7 @@
         silentPeers = new Set();
         gateways = new Map(vms.map(vm => [vm, createGateway(vm, controller)]));
         for (const { connections } of gateways.values()) {
-            vms.forEach(vm => connections.add(vm, { address: vm, zone: vm[0]! }));
+            vms.forEach(vm => connections.add(vm, { address: UNREACHABLE_ADDRESS, zone: vm[0]! }));
         }
     }
 
