--- a/packages/gateway/src/peers/withoutAges.ts
+++ b/packages/gateway/src/peers/withoutAges.ts
@@ -1,4 +1,4 @@
-/** Fields that change all the time; heartbeats update them. */
+/** Fields that change all the time. */
 const ageFields: ReadonlySet<string> = new Set(["ageMs", "requestAgeMs"]);
 
 /** Replacer for `JSON.stringify` that leaves ages out. */
