--- a/packages/gateway/src/ConfigurationVerifier.ts
+++ b/packages/gateway/src/ConfigurationVerifier.ts
@@ -9,6 +9,8 @@
     read: () => Promise<ReadOutcome>;
     /** Activates a configuration in its stored form if it is newer than the active one. */
     adopt: (value: unknown) => void;
+    /** Returns true if a change may have been delayed on its way to this gateway. */
+    isInDoubt: () => boolean;
     /** Returns true if another gateway is known to have a newer configuration. */
     isBehind: () => boolean;
     /** Activates the newer configurations of other gateways. */
@@ -21,8 +23,8 @@
 const TIMEOUT_MS = 1000;
 
 /**
- * Verifies before a request is denied that the active configuration is the newest one. A gateway may learn late of a
- * change, without noticing: its own event loop or that of the gateway through which it reads the store may be delayed.
+ * Verifies before a request is denied that the active configuration is the newest one, if there is any doubt. Reading it
+ * for every denial would cost more calls to the store than all watches.
  */
 export class ConfigurationVerifier {
     private verifiedAtMs = -Infinity;
@@ -37,7 +39,10 @@
 
     /** Resolves to true once the active configuration is known to be the newest; false if that cannot be found out. */
     async verify(): Promise<boolean> {
-        const { clock, isBehind, validForMs } = this.options;
+        const { clock, isInDoubt, isBehind, validForMs } = this.options;
+        if (!isInDoubt()) {
+            return true;
+        }
         if (clock.monotonicMs() - this.verifiedAtMs < validForMs && !isBehind()) {
             return true;
         }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -98,6 +98,9 @@
 /** Limit on the bytes of all incomplete responses together: a small part of the memory of a small gateway. */
 const MAX_HELD_RESPONSE_BYTES = 16 * 1024 * 1024;
 const SWEEP_INTERVAL_MS = 200;
+/** A longer delay of the event loop shows that the process lacks processor time, and so does one shortly before. */
+const MAX_EVENT_LOOP_DELAY_MS = 150;
+const DELAY_MEMORY_MS = 2000;
 /**
  * Time for which a configuration that peers have is expected from the store, as a share of the time in which it must be
  * in effect; the rest is for reading it from a peer.
@@ -150,6 +153,9 @@
     private peerConfigurations: unknown[] = [];
     /** Version that peers have and this gateway has not, and since when; undefined if there is none. */
     private awaitedConfiguration: { version: number; sinceMs: number; } | undefined;
+    /** When the next sweep is due, and when a sweep last ran late, monotonic. */
+    private sweepDueAtMs = Infinity;
+    private delayedAtMs = -Infinity;
     private hasTraffic = false;
     private isDraining = false;
 
@@ -313,6 +319,7 @@
             log,
             read: () => this.assistedStore.readRecent(ports.objects.configuration, verificationMs),
             adopt: value => this.adoptConfiguration(value, { source: "verification" }),
+            isInDoubt: () => this.mayLackChanges,
             isBehind: () => this.gatewaysAhead().length > 0,
             catchUp: () => this.catchUpWith(this.gatewaysAhead()),
             validForMs: verificationMs,
@@ -541,12 +548,15 @@
     private async sweep(signal: AbortSignal): Promise<void> {
         const { clock, metrics } = this.ports;
         while (!signal.aborted) {
-            const dueAtMs = clock.monotonicMs() + SWEEP_INTERVAL_MS;
+            this.sweepDueAtMs = clock.monotonicMs() + SWEEP_INTERVAL_MS;
             await clock.sleep(SWEEP_INTERVAL_MS, signal);
             if (signal.aborted) {
                 return;
             }
-            metrics.observe("eventLoopDelay", Math.max(0, clock.monotonicMs() - dueAtMs));
+            const nowMs = clock.monotonicMs();
+            const delayMs = Math.max(0, nowMs - this.sweepDueAtMs);
+            metrics.observe("eventLoopDelay", delayMs);
+            this.delayedAtMs = delayMs > MAX_EVENT_LOOP_DELAY_MS ? nowMs : this.delayedAtMs;
             this.upstreams.expireMissing();
             this.evacuatedZones.settle();
             this.connections.update();
@@ -603,6 +613,19 @@
         await this.configurationWatch.run(signal);
     }
 
+    /**
+     * True if this gateway may lack a change of the configuration that must be in effect: its event loop is delayed, the
+     * view was not confirmed in time, or another gateway has a newer version.
+     */
+    private get mayLackChanges(): boolean {
+        const nowMs = this.ports.clock.monotonicMs();
+        const isDelayed = nowMs - this.sweepDueAtMs > MAX_EVENT_LOOP_DELAY_MS
+            || nowMs - this.delayedAtMs < DELAY_MEMORY_MS;
+        return isDelayed || !this.configurationWatch.isResponding
+            || this.assistedStore.ageMs(this.ports.objects.configuration.kind) > this.settings.changeDeadlineMs
+            || this.gatewaysAhead().length > 0;
+    }
+
     /** Returns the reachable gateways that have named a newer configuration than this gateway's. */
     private gatewaysAhead(): ViewSource[] {
         return this.connections.viewSources(peer => this.exchange.hasNewerConfiguration(peer));
--- a/packages/gateway/tests/ConfigurationVerifier.test.ts
+++ b/packages/gateway/tests/ConfigurationVerifier.test.ts
@@ -13,6 +13,7 @@
     let reads: number;
     let read: () => Promise<ReadOutcome>;
     let active: number;
+    let isInDoubt: boolean;
     /** Version that another gateway is known to have. */
     let peerVersion: number;
 
@@ -20,6 +21,7 @@
         clock = ManualClock.create();
         reads = 0;
         active = 1;
+        isInDoubt = true;
         peerVersion = 1;
         read = () => Promise.resolve(found(2));
         verifier = ConfigurationVerifier.create({
@@ -32,6 +34,7 @@
             adopt: value => {
                 active = Math.max(active, value as number);
             },
+            isInDoubt: () => isInDoubt,
             isBehind: () => active < peerVersion,
             catchUp: () => {
                 active = peerVersion;
@@ -55,6 +58,12 @@
         return result;
     }
 
+    // Guards against a call to the store for every request with an unknown route or key.
+    it("reads nothing while there is no doubt", async () => {
+        isInDoubt = false;
+        expect([await verifyWithin(0), active, reads]).to.deep.equal([true, 1, 0]);
+    });
+
     it("activates what it reads, and reads again once that is too old", async () => {
         expect([await verifyWithin(0), active, reads]).to.deep.equal([true, 2, 1]);
         expect([await verifyWithin(VALID_FOR_MS - 1), reads]).to.deep.equal([true, 1]);
