Refuse requests as not run in one place

The verification of denials added a method that counts, logs and sends a refusal, beside two older copies of the same steps with more log fields. All five refusals of the forwarder use it now; counts, log lines and responses stay as they were. An outcome that is not verified no longer carries a version that nobody reads.

--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -51,7 +51,7 @@
     }
     | Denial
     /** It does not allow the request, but may not be the newest one. */
-    | { kind: "unverified"; version: number; }
+    | { kind: "unverified"; }
     | { kind: "unconfigured"; };
 
 /** Retry-after delay while no configuration is known: a gateway takes about this long to start. */
@@ -59,7 +59,9 @@
 
 /** Retry-after delay of what only this gateway refuses: the other gateways accept requests at once. */
 const OTHER_GATEWAYS_RETRY_AFTER_MS = 200;
-const unmatchedReasons = {
+
+/** How requests are refused for which it is not known whether they are allowed. */
+const undecidedRefusals = {
     unverified: { reason: "the newest configuration is not known", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS },
     unconfigured: { reason: "no configuration is known yet", retryAfterMs: UNCONFIGURED_RETRY_AFTER_MS },
 } as const;
@@ -102,7 +104,7 @@
         const requestEnded = new AbortController();
         try {
             const matched = this.match(request);
-            const verified = isDenial(matched) ? await this.verify(request, matched) : matched;
+            const verified = isDenial(matched) ? await this.verify(request) : matched;
             const call = verified.kind === "matched"
                 ? this.createCall(request, callerResponse, verified, requestEnded.signal)
                 : this.refuseUnmatched(request, callerResponse, verified);
@@ -132,11 +134,8 @@
     }
 
     /** Matches a request again once the configuration is known to be the newest: its route or key may have been added. */
-    private async verify(request: IncomingRequest, denial: Denial): Promise<MatchOutcome> {
-        if (!await this.options.verifyConfiguration()) {
-            return { ...denial, kind: "unverified" };
-        }
-        return this.match(request);
+    private async verify(request: IncomingRequest): Promise<MatchOutcome> {
+        return await this.options.verifyConfiguration() ? this.match(request) : { kind: "unverified" };
     }
 
     private refuseUnmatched(
@@ -148,8 +147,7 @@
             this.reject(request, callerResponse, outcome);
         }
         else {
-            const { reason, retryAfterMs } = unmatchedReasons[outcome.kind];
-            this.refuseNotRun(request, callerResponse, reason, retryAfterMs);
+            this.refuseNotRun(request, callerResponse, undecidedRefusals[outcome.kind]);
         }
     }
 
@@ -182,20 +180,18 @@
         { version, route, service, account, accountName }: MatchOutcome & { kind: "matched"; },
         ended: AbortSignal,
     ): ForwardedCall | undefined {
-        const { clock, log, metrics, retryBudget, crashGuard } = this.options;
+        const { clock, retryBudget, crashGuard } = this.options;
         const nowMs = clock.monotonicMs();
         const allowedMs = Math.min(request.callerTimeoutMs ?? route.timeoutMs, route.timeoutMs);
         const mayRepeat = route.kind === "repeatable" || (route.kind === "stream" && route.isResumable);
         if (nowMs + (mayRepeat ? Math.min(allowedMs, LONGEST_REPEATABLE_RESPONSE_MS) : allowedMs) > this.endsAtMs) {
-            const reason = "the gateway shuts down";
-            metrics.count("refusals", reason);
-            log.info("request refused", { request: request.id, reason, endsInMs: Math.round(this.endsAtMs - nowMs) });
-            callerResponse.refuse({ kind: "not-run", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS, reason });
+            const refusal = { reason: "the gateway shuts down", retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS };
+            this.refuseNotRun(request, callerResponse, refusal, { endsInMs: Math.round(this.endsAtMs - nowMs) });
             return undefined;
         }
         if (!this.options.isReachable(service.name)) {
             const reason = "no known gateway reaches an upstream";
-            this.refuseNotRun(request, callerResponse, reason, OTHER_GATEWAYS_RETRY_AFTER_MS);
+            this.refuseNotRun(request, callerResponse, { reason, retryAfterMs: OTHER_GATEWAYS_RETRY_AFTER_MS });
             return undefined;
         }
         retryBudget.recordRequest(service.name);
@@ -205,10 +201,8 @@
         };
         const admission = crashGuard.admit(crashSubjects);
         if (admission.kind === "blocked") {
-            const { part, reason, retryAfterMs } = admission;
-            metrics.count("refusals", reason);
-            log.info("request refused", { request: request.id, reason, part, retryAfterMs: Math.round(retryAfterMs) });
-            callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
+            const { part, retryAfterMs } = admission;
+            this.refuseNotRun(request, callerResponse, admission, { part, retryAfterMs: Math.round(retryAfterMs) });
             return undefined;
         }
         const deadlineMs = request.receivedAtMs + allowedMs;
@@ -232,11 +226,11 @@
     private refuseNotRun(
         request: IncomingRequest,
         callerResponse: CallerResponse,
-        reason: string,
-        retryAfterMs: number,
+        { reason, retryAfterMs }: { reason: string; retryAfterMs: number; },
+        logFields: Readonly<Record<string, unknown>> = {},
     ): void {
         this.options.metrics.count("refusals", reason);
-        this.options.log.info("request refused", { request: request.id, reason });
+        this.options.log.info("request refused", { request: request.id, reason, ...logFields });
         callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
     }
 
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -654,7 +654,7 @@
         promise: "gateway: changes in time",
         name: "a denial rests on the newest configuration",
         file: `${GATEWAY}/src/forwarding/RequestForwarder.ts`,
-        find: "isDenial(matched) ? await this.verify(request, matched) : matched",
+        find: "isDenial(matched) ? await this.verify(request) : matched",
         replace: "matched",
         test: `${GATEWAY}/tests/outdatedDenials.test.ts`,
         grep: "serves a route that was added since",
