--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -52,6 +52,7 @@
 import { StoreEras } from "./StoreEras.js";
 import { StoreWatch } from "./StoreWatch.js";
 import { UpstreamDirectory } from "./UpstreamDirectory.js";
+import { EventLoopMonitor } from "./util/EventLoopMonitor.js";
 import { SlidingWindowCounter } from "./util/SlidingWindowCounter.js";
 import { WatchCache } from "./WatchCache.js";
 
@@ -98,9 +99,6 @@
 /** Limit on the bytes of all incomplete responses together: a small part of the memory of a small gateway. */
 const MAX_HELD_RESPONSE_BYTES = 16 * 1024 * 1024;
 const SWEEP_INTERVAL_MS = 200;
-/** A longer delay of the event loop shows that the process lacks processor time, and so does one shortly before. */
-const MAX_EVENT_LOOP_DELAY_MS = 150;
-const DELAY_MEMORY_MS = 2000;
 /**
  * Time for which a configuration that peers have is expected from the store, as a share of the time in which it must be
  * in effect; the rest is for reading it from a peer.
@@ -122,6 +120,7 @@
 export class Gateway {
     private readonly configuration: ActiveConfiguration;
     private readonly configurationVerifier: ConfigurationVerifier;
+    private readonly eventLoop: EventLoopMonitor;
     private readonly upstreams: UpstreamDirectory;
     private readonly evacuatedZones: EvacuatedZones;
     private readonly loads: LoadTracker;
@@ -153,15 +152,13 @@
     private peerConfigurations: unknown[] = [];
     /** Version that peers have and this gateway has not, and since when; undefined if there is none. */
     private awaitedConfiguration: { version: number; sinceMs: number; } | undefined;
-    /** When the next sweep is due, and when a sweep last ran late, monotonic. */
-    private sweepDueAtMs = Infinity;
-    private delayedAtMs = -Infinity;
     private hasTraffic = false;
     private isDraining = false;
 
     private constructor(private readonly settings: GatewaySettings, private readonly ports: GatewayPorts) {
         const { clock, random, log, metrics, store, client, control } = ports;
         this.eras = StoreEras.create({ clock, log, metrics });
+        this.eventLoop = EventLoopMonitor.create({ clock, metrics });
         this.configuration = ActiveConfiguration.create(log);
         this.upstreams = UpstreamDirectory.create({ clock, log, returnGraceMs: REREGISTRATION_GRACE_MS });
         this.loads = LoadTracker.create(clock);
@@ -546,17 +543,11 @@
     }
 
     private async sweep(signal: AbortSignal): Promise<void> {
-        const { clock, metrics } = this.ports;
         while (!signal.aborted) {
-            this.sweepDueAtMs = clock.monotonicMs() + SWEEP_INTERVAL_MS;
-            await clock.sleep(SWEEP_INTERVAL_MS, signal);
+            await this.eventLoop.sleep(SWEEP_INTERVAL_MS, signal);
             if (signal.aborted) {
                 return;
             }
-            const nowMs = clock.monotonicMs();
-            const delayMs = Math.max(0, nowMs - this.sweepDueAtMs);
-            metrics.observe("eventLoopDelay", delayMs);
-            this.delayedAtMs = delayMs > MAX_EVENT_LOOP_DELAY_MS ? nowMs : this.delayedAtMs;
             this.upstreams.expireMissing();
             this.evacuatedZones.settle();
             this.connections.update();
@@ -618,10 +609,7 @@
      * view was not confirmed in time, or another gateway has a newer version.
      */
     private get mayLackChanges(): boolean {
-        const nowMs = this.ports.clock.monotonicMs();
-        const isDelayed = nowMs - this.sweepDueAtMs > MAX_EVENT_LOOP_DELAY_MS
-            || nowMs - this.delayedAtMs < DELAY_MEMORY_MS;
-        return isDelayed || !this.configurationWatch.isResponding
+        return this.eventLoop.isDelayed || !this.configurationWatch.isResponding
             || this.assistedStore.ageMs(this.ports.objects.configuration.kind) > this.settings.changeDeadlineMs
             || this.gatewaysAhead().length > 0;
     }
