Keep the texts of objects by one function

The evidence for peers and the view of the store each had a map from objects to their texts; the view's stored its text again at each use. Both use memoizeByObject.

--- a/packages/gateway/src/peers/UnsentEvidence.ts
+++ b/packages/gateway/src/peers/UnsentEvidence.ts
@@ -1,3 +1,4 @@
+import { memoizeByObject } from "../util/memoizeByObject.js";
 import type { PeerState } from "./PeerState.js";
 import { withoutAges } from "./withoutAges.js";
 
@@ -7,8 +8,8 @@
 /** After this time a peer is sent everything once more, because it drops evidence when it has too much. */
 const REFRESH_INTERVAL_MS = 5000;
 
-/** Texts of the entries of one snapshot, which several peers are sent. */
-const texts = new WeakMap<object, string>();
+/** Several peers are sent the entries of one snapshot. */
+const textOf = memoizeByObject((entry: object) => JSON.stringify(entry, withoutAges));
 
 /** Selects the evidence that a peer has not been sent yet. Peers keep what they were sent. */
 export class UnsentEvidence {
@@ -48,12 +49,3 @@
         };
     }
 }
-
-function textOf(entry: object): string {
-    let text = texts.get(entry);
-    if (text === undefined) {
-        text = JSON.stringify(entry, withoutAges);
-        texts.set(entry, text);
-    }
-    return text;
-}
--- a/packages/gateway/src/peers/ViewServiceHandler.ts
+++ b/packages/gateway/src/peers/ViewServiceHandler.ts
@@ -2,6 +2,7 @@
 import type { Era, ObjectChange, StoredObject } from "@fescuehaven/platform";
 import { ViewService } from "@fescuehaven/protocol";
 import type { DecisionLog } from "../ports/DecisionLog.js";
+import { memoizeByObject } from "../util/memoizeByObject.js";
 import type { WatchCache } from "../WatchCache.js";
 
 interface ViewServiceOptions {
@@ -16,8 +17,8 @@
 
 /** Serves this gateway's view of the store to other gateways, so that few gateways read the store itself. */
 export class ViewServiceHandler {
-    /** Texts of values, which many followers receive. */
-    private readonly texts = new WeakMap<StoredObject, string>();
+    /** Returns an object's value as text, which many followers receive. */
+    private readonly textOf = memoizeByObject(({ name, value }: StoredObject) => this.toJson(name, value));
 
     private constructor(private readonly options: ViewServiceOptions) {}
 
@@ -64,10 +65,8 @@
     }
 
     private toMessage(object: StoredObject) {
-        const { name, revision, value } = object;
-        const valueJson = this.texts.get(object) ?? this.toJson(name, value);
-        this.texts.set(object, valueJson);
-        return { name, revision, valueJson };
+        const { name, revision } = object;
+        return { name, revision, valueJson: this.textOf(object) };
     }
 
     private toChange(change: ObjectChange) {
