--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -147,7 +147,7 @@
         }
         for (const peer of this.fallbackPeers()) {
             const listing = await this.listAt(peer, key.kind);
-            if (listing?.isCurrent && this.isOfNewestEra(listing) && (listing.ageMs ?? Infinity) <= maxAgeMs) {
+            if (this.isUpToDate(listing) && (listing.ageMs ?? Infinity) <= maxAgeMs) {
                 const object = listing.objects.find(({ name }) => name === key.name);
                 return object ? { kind: "found", object } : { kind: "absent" };
             }
@@ -332,7 +332,7 @@
         let lastListing: PeerListing | undefined;
         for (const peer of this.fallbackPeers()) {
             const listing = await this.listAt(peer, kind);
-            if (listing?.isCurrent && this.isOfNewestEra(listing)) {
+            if (this.isUpToDate(listing)) {
                 this.recordFallback(kind, peer);
                 return listing;
             }
@@ -404,6 +404,10 @@
         });
     }
 
+    private isUpToDate(listing: PeerListing | undefined): listing is PeerListing {
+        return listing !== undefined && listing.isCurrent && this.isOfNewestEra(listing);
+    }
+
     private isOfNewestEra({ era = 0 }: PeerListing): boolean {
         return era >= this.options.eras.current;
     }
