--- a/packages/gateway/tests/forwarding/countedAttempts.random.test.ts
+++ b/packages/gateway/tests/forwarding/countedAttempts.random.test.ts
@@ -18,17 +18,17 @@
 interface Behaviour {
     /** True if the upstream runs the request, or may have run it. */
     mayRun: boolean;
-    respond: (rig: ForwarderRig, call: UpstreamRequest, signal: AbortSignal) => UpstreamResponse;
+    respond: (call: UpstreamRequest, signal: AbortSignal) => UpstreamResponse;
 }
 
 const firstEventOf = (call: UpstreamRequest) => Number(call.resumeAfter ?? 0) + 1;
 
 const behaviours: readonly Behaviour[] = [
-    { mayRun: true, respond: (_, call) => responses.stream(firstEventOf(call), LAST_EVENT) },
-    { mayRun: true, respond: (_, call) => responses.brokenStream(firstEventOf(call), firstEventOf(call) + 1) },
+    { mayRun: true, respond: call => responses.stream(firstEventOf(call), LAST_EVENT) },
+    { mayRun: true, respond: call => responses.brokenStream(firstEventOf(call), firstEventOf(call) + 1) },
     {
         mayRun: true,
-        respond: (_, call, signal) => responses.silentStream(firstEventOf(call), firstEventOf(call) + 1, signal),
+        respond: (call, signal) => responses.silentStream(firstEventOf(call), firstEventOf(call) + 1, signal),
     },
     { mayRun: true, respond: () => responses.complete(500, "failed") },
     { mayRun: true, respond: () => ({ kind: "unknown", reason: "reset" }) },
@@ -52,7 +52,7 @@
                     const { id } = call.request;
                     mayHaveRunOn.set(id, (mayHaveRunOn.get(id) ?? new Set()).add(upstream.id));
                 }
-                return respond(rig, call, signal);
+                return respond(call, signal);
             });
             let epoch = 0;
             const open = (index: number) => {
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -14,9 +14,8 @@
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleUpstream } from "../support/exampleUpstream.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
+import { unreachableAddress } from "../support/unreachableAddress.js";
 
-/** No gateway listens there: the test passes the states from one to another. */
-const UNREACHABLE_ADDRESS = "127.0.0.1:1";
 const EPOCH = "65537";
 
 interface TestGateway {
@@ -44,7 +43,8 @@
         clock = ManualClock.create();
         gateways = new Map(vms.map(vm => [vm, createGateway(vm)]));
         for (const { connections } of gateways.values()) {
-            vms.forEach(vm => connections.add(vm, { address: UNREACHABLE_ADDRESS, zone: vm[0]! }));
+            // The test itself passes the states from one to another.
+            vms.forEach(vm => connections.add(vm, { address: unreachableAddress, zone: vm[0]! }));
         }
     }
 
--- a/packages/gateway/tests/peers/ViewSourceSelector.test.ts
+++ b/packages/gateway/tests/peers/ViewSourceSelector.test.ts
@@ -4,9 +4,7 @@
 import type { ViewSource } from "../../src/peers/ViewSource.js";
 import { ViewSourceSelector } from "../../src/peers/ViewSourceSelector.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
-
-/** No gateway listens there. A name would be looked up, and the process would wait for all look-ups at its end. */
-const UNREACHABLE_ADDRESS = "127.0.0.1:1";
+import { unreachableAddress } from "../support/unreachableAddress.js";
 
 /** A gateway in a fleet of which every connected peer is reachable. */
 interface TestGateway {
@@ -25,7 +23,7 @@
         silentPeers = new Set();
         gateways = new Map(vms.map(vm => [vm, createGateway(vm, controller)]));
         for (const { connections } of gateways.values()) {
-            vms.forEach(vm => connections.add(vm, { address: UNREACHABLE_ADDRESS, zone: vm[0]! }));
+            vms.forEach(vm => connections.add(vm, { address: unreachableAddress, zone: vm[0]! }));
         }
     }
 
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -14,6 +14,7 @@
 import { freePort } from "../support/freePort.js";
 import { noMetrics } from "../support/noMetrics.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
+import { unreachableAddress } from "../support/unreachableAddress.js";
 
 const state: PeerState = {
     term: 3,
@@ -116,7 +117,7 @@
                 onState: () => undefined,
                 onDisconnected: () => undefined,
             });
-            connections.add("me", { address: "127.0.0.1:1", zone: "a" });
+            connections.add("me", { address: unreachableAddress, zone: "a" });
             connections.add("other", { address: `127.0.0.1:${port}`, zone });
             await untilTrue(clock, "the peer is connected", 2000, () => connections.connectedPeers().length === 1);
             expect(acceptedEncodings).to.deep.equal([encodings]);
@@ -155,7 +156,7 @@
                 },
                 onDisconnected: peer => onDisconnected(peer),
             });
-            created.add("me", { address: "127.0.0.1:1", zone: "a" });
+            created.add("me", { address: unreachableAddress, zone: "a" });
             created.add("other", { address: `127.0.0.1:${port}`, zone: "b" });
         });
         expect(observers[0]).to.equal("me");
@@ -178,7 +179,7 @@
             onDisconnected: () => undefined,
         });
         connections.add("gateway-0", { address: `127.0.0.1:${port}`, zone: "a" });
-        connections.add("gateway-1", { address: "127.0.0.1:1", zone: "a" });
+        connections.add("gateway-1", { address: unreachableAddress, zone: "a" });
         expect(connections.followedPeers()).to.deep.equal(["gateway-0"]);
         connections.close();
         connections.update();
@@ -197,14 +198,17 @@
         let stop: AbortController;
         let signal: AbortSignal;
 
+        function sourceAt(address: string): ViewSource {
+            return { address, silent: silent.signal, isInSameZone: true };
+        }
+
         beforeEach(async () => {
             stop = new AbortController();
             signal = stop.signal;
             platformStore = MemoryObjectStore.create(ManualClock.create());
             await platformStore.write({ kind: "things", name: "direct" }, 1, 0);
             silent = new AbortController();
-            const hub = () => ({ address: `127.0.0.1:${port}`, silent: silent.signal, isInSameZone: true });
-            hubs = [hub()];
+            hubs = [sourceAt(`127.0.0.1:${port}`)];
             fallbackPeers = [];
             lostKinds = [];
             log = SilentDecisionLog.create();
@@ -282,7 +286,7 @@
         it("reads the store directly once its connection to the source is silent, while others work", async () => {
             const relay = SilentRelay.create({ target: { host: "127.0.0.1", port }, clock });
             const address = (await relay.listen()).replace("http://", "");
-            hubs = [{ address, silent: silent.signal, isInSameZone: true }];
+            hubs = [sourceAt(address)];
             await store.list(["things"], "read");
             await writeUntilRevision(6);
             const watching = store.watch(["things"], 5, 2000, signal);
@@ -312,7 +316,7 @@
                 interceptors: [],
             });
             await oldServer.listen();
-            hubs = [{ address: `127.0.0.1:${oldPort}`, silent: silent.signal, isInSameZone: true }];
+            hubs = [sourceAt(`127.0.0.1:${oldPort}`)];
             const listed = await store.list(["things"], "read");
             expect(listed.kind === "listed" && listed.objects.map(item => item.name)).to.deep.equal(["direct"]);
             const startedAtMs = performance.now();
@@ -393,11 +397,7 @@
         });
 
         it("returns the configurations that are active at the peers that respond", async () => {
-            fallbackPeers = [...hubs, {
-                address: `127.0.0.1:${await freePort()}`,
-                silent: silent.signal,
-                isInSameZone: true,
-            }];
+            fallbackPeers = [...hubs, sourceAt(`127.0.0.1:${await freePort()}`)];
             expect(await store.activeConfigurations()).to.deep.equal([{ version: 7 }]);
         });
 
@@ -470,11 +470,7 @@
                 await newerServer.listen();
                 isCurrent = false;
                 platformStore.faults.outage = true;
-                fallbackPeers = [...hubs, {
-                    address: `127.0.0.1:${newerPort}`,
-                    silent: silent.signal,
-                    isInSameZone: true,
-                }];
+                fallbackPeers = [...hubs, sourceAt(`127.0.0.1:${newerPort}`)];
                 hubs = [];
                 const listed = await store.list(["things"], "read");
                 expect(listed.kind === "listed" && [listed.revision, listed.era]).to.deep.equal([2, 1]);
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -65,8 +65,6 @@
         position: () => ({ index: 0, count: 1 }),
     });
     readonly groups: GroupDirectory;
-    /** False while it cannot be found out whether the configuration is the newest. */
-    isConfigurationVerified = true;
     /** False while neither the gateway nor a known other one reaches an upstream. */
     isReachable = true;
     private readonly forwarder: RequestForwarder;
@@ -129,7 +127,7 @@
             metrics: noMetrics,
             configuration: this.configuration,
             configurationAgeMs: () => 0,
-            verifyConfiguration: () => Promise.resolve(this.isConfigurationVerified),
+            verifyConfiguration: () => Promise.resolve(true),
             retryBudget,
             crashGuard: this.crashGuard,
             streams: StreamDispatcher.create({
