Add failing tests for hubs on small VMs

A zone's hubs are its first gateways by name, also where these run on the VMs with the least processor time, and a standby hub sends its load ten times a second to hubs that drop it.

--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -143,6 +143,16 @@
 
     afterEach(() => gateways.forEach(({ connections }) => connections.close()));
 
+    // Guards against standby hubs that spend their processor time on loads which no receiver uses.
+    it("sends updates often only to gateways that use the sender's load", () => {
+        start(["a", "b"].flatMap(zone => [1, 2, 3, 4].map(index => `${zone}${index}`)));
+        const intervalMs = (vm: string, observer: string) => gateways.get(vm)!.exchange.updateIntervalMs(observer);
+        const used = [["a1", "b1"], ["a2", "a1"], ["a3", "a1"], ["a1", "a3"]] as const;
+        const unused = [["a2", "b1"], ["a2", "b2"], ["a1", "b2"], ["a2", "a3"], ["a3", "a2"]] as const;
+        expect(used.map(([vm, observer]) => intervalMs(vm, observer))).to.deep.equal([100, 100, 100, 200]);
+        expect(unused.map(([vm, observer]) => intervalMs(vm, observer))).to.deep.equal(unused.map(() => 400));
+    });
+
     it("computes the evidence of crashing prompts once for all its peers", async () => {
         start(["a1", "a2", "a3"]);
         const { crashGuard, exchange } = gateways.get("a1")!;
--- a/packages/gateway/tests/peers/Topology.test.ts
+++ b/packages/gateway/tests/peers/Topology.test.ts
@@ -30,6 +30,32 @@
         expect(Topology.create("a3", "a").isHub(large, isSilent)).to.equal(true);
     });
 
+    describe("of VMs that differ in processor time", () => {
+        /** As deployments name their VMs: the first three of a zone are large, and names sort as text. */
+        const mixed = ["a", "b"].flatMap(zone =>
+            Array.from({ length: 12 }, (_, index) => ({
+                vm: `${zone}-${index + 1}`,
+                zone,
+                processorCores: index < 3 ? 1.35 : 0.324,
+            }))
+        );
+        const hubsOf = (gateways: typeof mixed, isSilent: (vm: string) => boolean = noneSilent) =>
+            Topology.create("a-4", "a").hubsOf("a", gateways, isSilent);
+
+        // Guards against configurations that apply late at hubs which spend their little processor time on a hub's work.
+        it("makes the VMs with the most processor time hubs, not the first ones by name", () => {
+            expect(hubsOf(mixed)).to.deep.equal(["a-1", "a-2"]);
+            expect(hubsOf(mixed, vm => vm === "a-1")).to.deep.equal(["a-2", "a-3"]);
+        });
+
+        // Guards against a controller on a small VM after the first candidate was lost.
+        it("ranks the VMs with the most processor time first as candidates", () => {
+            const rankOf = (vm: string) => Topology.create(vm, vm[0]!).candidateRank(mixed, () => true);
+            expect(["a-1", "b-1", "a-2", "b-2"].map(rankOf).sort()).to.deep.equal([0, 1, 3, 4]);
+            expect(Math.min(rankOf("a-10"), rankOf("a-3"))).to.be.greaterThan(4);
+        });
+    });
+
     it("ranks candidates in zones with more gateways first", () => {
         const gateways = [{ vm: "a1", zone: "a" }, { vm: "b1", zone: "b" }, { vm: "b2", zone: "b" }];
         const ranks = gateways.map(({ vm, zone }) => Topology.create(vm, zone).candidateRank(gateways, () => true));
