--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -650,7 +650,9 @@
         const decoded = this.ports.objects.configuration.decode(value);
         if (decoded.kind === "decoded") {
             const viewAgeMs = Math.round(this.configurationWatch.ageMs);
-            this.configuration.adopt(decoded.value, value, { ...logFields, viewAgeMs });
+            const awaitedSinceMs = this.awaitedConfiguration?.sinceMs;
+            const awaitedMs = awaitedSinceMs && Math.round(this.ports.clock.monotonicMs() - awaitedSinceMs);
+            this.configuration.adopt(decoded.value, value, { ...logFields, viewAgeMs, awaitedMs });
         }
         else {
             this.ports.log.warn("invalid configuration object", { ...logFields, reason: decoded.reason });
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -104,7 +104,7 @@
         }
         const gateways = this.gateways();
         const isSilent = (vm: string) => this.isSilent(vm);
-        this.hubs = this.topology.hubs(gateways, isSilent);
+        this.setHubs(this.topology.hubs(gateways, isSilent));
         const followed = this.topology.followed(gateways, isSilent);
         for (const [vm, connection] of [...this.connections]) {
             const isSameAddress = this.registered.get(vm)?.address === connection.address;
@@ -135,6 +135,15 @@
         }
     }
 
+    private setHubs(hubs: ReadonlyMap<string, readonly string[]>): void {
+        const { zone, log } = this.options;
+        const [before, after] = [this.hubs, hubs].map(byZone => (byZone.get(zone) ?? []).join());
+        this.hubs = hubs;
+        if (before !== after) {
+            log.info("hubs of the zone changed", { hubs: after, before, isHub: this.isHub });
+        }
+    }
+
     /** Stops all connections; no new ones are opened. */
     close(): void {
         this.isClosed = true;
