Choose the gateways with the most processor time as hubs

Callers of gateways that are hubs on small VMs got 404 and 401 for routes and keys that had been added more than the allowed time before.

A gateway registers the processor time of its VM from its settings. Hubs and candidates for the lease are ordered by it, then by name. While a gateway of the zone is of a build that does not register it, all order by name, as that build does; the new field is optional, and the earlier schema drops it.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -443,6 +443,7 @@
             address: `${settings.peerListen.host}:${settings.peerListen.port}`,
             zone: settings.zone,
             relayAddress: settings.relayListen && `${settings.relayListen.host}:${settings.relayListen.port}`,
+            processorCores: settings.processorCores,
         });
         this.eras.onRise(() => this.registration.writeAgain());
         this.upstreamWatchCalls = SlidingWindowCounter.create(clock, WATCH_RATE_WINDOW_MS);
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -5,6 +5,8 @@
     /** Address at which other VMs reach this VM. */
     host: string;
     zone: string;
+    /** Processor time of the VM, in cores; absent if it is not known. */
+    processorCores?: number;
     /** Address for callers, HOST:PORT. */
     callerListen: string;
     /** Address for readiness checks, HOST:PORT. */
--- a/packages/gateway/src/Registration.ts
+++ b/packages/gateway/src/Registration.ts
@@ -16,6 +16,8 @@
     zone: string;
     /** Address at which this gateway relays requests of others to upstreams, HOST:PORT. */
     relayAddress?: string;
+    /** Processor time of the VM, in cores; undefined if the settings do not state it. */
+    processorCores?: number;
 }
 
 const BACKOFF_FIRST_MS = 200;
@@ -25,6 +27,7 @@
     address: z.string().min(1),
     zone: z.string(),
     relayAddress: z.string().optional(),
+    processorCores: z.number().positive().optional().catch(undefined),
 });
 
 /** Registers this gateway in the store, where its peers find its address. */
@@ -39,7 +42,7 @@
         return new Registration(options);
     }
 
-    /** Returns the addresses and zone of a registered gateway, or undefined if the object is invalid. */
+    /** Returns what a gateway has registered, or undefined if the object is invalid. */
     read(object: StoredObject): z.infer<typeof registrationSchema> | undefined {
         const parsed = registrationSchema.safeParse(object.value);
         if (!parsed.success) {
@@ -68,13 +71,20 @@
 
     /** Tries to write the registration until the store contains it or `signal` aborts. */
     private async write(signal: AbortSignal): Promise<void> {
-        const { clock, random, store, key, address, zone, relayAddress } = this.options;
-        const value = { address, zone, ...(relayAddress !== undefined && { relayAddress }) };
+        const { clock, random, store, key, address, zone, relayAddress, processorCores } = this.options;
+        const value = {
+            address,
+            zone,
+            ...(relayAddress !== undefined && { relayAddress }),
+            ...(processorCores !== undefined && { processorCores }),
+        };
         const backoff = Backoff.create({ random, firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS });
         while (!signal.aborted) {
             const current = await store.read(key, "status");
             const stored = current.kind === "found" ? this.read(current.object) : undefined;
-            if (stored?.address === address && stored.relayAddress === relayAddress) {
+            const isStored = stored?.address === address && stored.relayAddress === relayAddress
+                && stored.processorCores === processorCores;
+            if (isStored) {
                 return;
             }
             if (current.kind !== "unavailable") {
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -26,6 +26,8 @@
     zone: string;
     /** Address at which the gateway relays requests to upstreams, HOST:PORT; absent if it does not. */
     relayAddress?: string;
+    /** Processor time of its VM, in cores; absent if its build does not state it. */
+    processorCores?: number;
 }
 
 interface Connection extends RegisteredGateway {
@@ -262,8 +264,8 @@
         return { address, silent: silent.signal, isInSameZone: this.isInSameZone(connection) };
     }
 
-    private gateways(): Array<{ vm: string; zone: string; }> {
-        return [...this.registered].map(([vm, { zone }]) => ({ vm, zone }));
+    private gateways(): Array<{ vm: string; zone: string; processorCores?: number; }> {
+        return [...this.registered].map(([vm, { zone, processorCores }]) => ({ vm, zone, processorCores }));
     }
 
     /** Returns true for a followed peer that has been silent for so long that a hub would be replaced. */
--- a/packages/gateway/src/peers/Topology.ts
+++ b/packages/gateway/src/peers/Topology.ts
@@ -4,6 +4,8 @@
 interface GatewayNode {
     vm: string;
     zone: string;
+    /** Processor time of its VM, in cores; undefined if its build does not state it. */
+    processorCores?: number;
 }
 
 /** Gateways use hubs if any zone has at least this many gateways; with fewer, a full mesh costs less. */
@@ -15,9 +17,9 @@
 const NON_HUB_RANK_OFFSET = 10;
 
 /**
- * Decides which gateways follow each other. In small fleets each one follows all others. In larger fleets, the first
- * gateways of a zone by name are its hubs: they follow their whole zone and the hubs of other zones, and the other
- * gateways follow only the hubs of their zone.
+ * Decides which gateways follow each other. In small fleets each one follows all others. In larger fleets, the gateways of
+ * a zone with the most processor time are its hubs: they follow their whole zone and the hubs of other zones, and the
+ * other gateways follow only the hubs of their zone.
  */
 export class Topology {
     private constructor(private readonly vm: string, private readonly zone: string) {}
@@ -36,10 +38,9 @@
 
     /** Returns the hubs of a zone, the active one first. Gateways that are silent towards this one are skipped. */
     hubsOf(zone: string, gateways: readonly GatewayNode[], isSilent: (vm: string) => boolean): string[] {
-        const names = gateways.filter(gateway => gateway.zone === zone && !isSilent(gateway.vm)).map(gateway =>
-            gateway.vm
-        );
-        return names.sort().slice(0, HUBS_PER_ZONE);
+        const ofZone = gateways.filter(gateway => gateway.zone === zone);
+        const names = ofZone.sort(orderOf(ofZone)).map(({ vm }) => vm);
+        return names.filter(vm => !isSilent(vm)).slice(0, HUBS_PER_ZONE);
     }
 
     /** Returns the hubs of every zone; empty if gateways do not use hubs. */
@@ -56,15 +57,17 @@
     /**
      * Returns the rank of this gateway among the candidates for the controller's lease; 0 is first. Where there are
      * hubs, they come before other gateways. Zones with more gateways come first, since the loss of a zone's only
-     * gateway already leaves its callers without any; gateways of equally large zones are ordered by name.
+     * gateway already leaves its callers without any; gateways of equally large zones are in the order of hubs.
      */
     candidateRank(gateways: readonly GatewayNode[], isConnected: (vm: string) => boolean): number {
         const sizes = groupBy(gateways, gateway => gateway.zone);
         const sizeOf = (zone: string) => sizes.get(zone)?.length ?? 0;
         const ownSize = Math.max(1, sizeOf(this.zone));
-        const rank = gateways.filter(({ vm, zone }) =>
-            vm !== this.vm && isConnected(vm)
-            && (sizeOf(zone) > ownSize || (sizeOf(zone) === ownSize && vm < this.vm))
+        const order = orderOf(gateways);
+        const own = gateways.find(({ vm }) => vm === this.vm) ?? { vm: this.vm, zone: this.zone };
+        const rank = gateways.filter(gateway =>
+            gateway.vm !== this.vm && isConnected(gateway.vm)
+            && (sizeOf(gateway.zone) > ownSize || (sizeOf(gateway.zone) === ownSize && order(gateway, own) < 0))
         ).length;
         return this.hasHubs(gateways) && !this.isHub(gateways, () => false) ? rank + NON_HUB_RANK_OFFSET : rank;
     }
@@ -87,3 +90,13 @@
         return new Set([...ownZone, ...otherHubs].filter(vm => vm !== this.vm));
     }
 }
+
+/**
+ * Returns the order of gateways by processor time, then by name. Builds that state no processor time order by name: while
+ * there is one, all gateways do, so that they agree on their hubs.
+ */
+function orderOf(gateways: readonly GatewayNode[]): (left: GatewayNode, right: GatewayNode) => number {
+    const isStated = gateways.every(({ processorCores }) => processorCores !== undefined);
+    return (left, right) =>
+        (isStated ? (right.processorCores ?? 0) - (left.processorCores ?? 0) : 0) || (left.vm < right.vm ? -1 : 1);
+}
--- a/packages/gateway/tests/peers/Topology.test.ts
+++ b/packages/gateway/tests/peers/Topology.test.ts
@@ -48,6 +48,16 @@
             expect(hubsOf(mixed, vm => vm === "a-1")).to.deep.equal(["a-2", "a-3"]);
         });
 
+        // Guards against gateways of two builds that follow different hubs during a roll: earlier builds order by name.
+        it("orders a zone by name while one of its gateways is of a build that states no processor time", () => {
+            const ofTwoBuilds = mixed.map(({ vm, zone, processorCores }) =>
+                vm === "a-7" ? { vm, zone } : { vm, zone, processorCores }
+            );
+            const topology = Topology.create("a-4", "a");
+            expect(topology.hubsOf("a", ofTwoBuilds, noneSilent)).to.deep.equal(["a-1", "a-10"]);
+            expect(topology.hubsOf("b", ofTwoBuilds, noneSilent)).to.deep.equal(["b-1", "b-2"]);
+        });
+
         // Guards against a controller on a small VM after the first candidate was lost.
         it("ranks the VMs with the most processor time first as candidates", () => {
             const rankOf = (vm: string) => Topology.create(vm, vm[0]!).candidateRank(mixed, () => true);
