Send load often only to gateways that use it

A standby hub fell behind, so that configurations applied late there.

Cause: it sent an update to the active hub of each other zone every 100 ms while there was traffic. An active hub takes another zone's load from that zone's active hub and drops what the standby hub sends.

It now sends them every 400 ms, as to other gateways that need only heartbeats. News of groups and of upstreams that leave are sent at once as before; evidence of crashes takes the active hub of its zone, 100 ms more. Receivers of any build accept updates at any interval up to 400 ms.

--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -58,8 +58,8 @@
 const UPDATE_INTERVAL_MS = 100;
 /** The same from an active hub to its zone: each update costs one message for every gateway of the zone. */
 const ZONE_UPDATE_INTERVAL_MS = 200;
-/** The same to inactive hubs, which need only heartbeats. */
-const INACTIVE_HUB_UPDATE_INTERVAL_MS = 400;
+/** The same to peers that do not use the sender's load, and need only heartbeats. */
+const UNUSED_LOAD_UPDATE_INTERVAL_MS = 400;
 /** A snapshot for several peers is reused for this long: a small fraction of the interval between updates. */
 const SNAPSHOT_TTL_MS = 25;
 /** A lost group is announced for this long: a broken connection is restored within a few seconds. */
@@ -260,9 +260,9 @@
         if (connections.isActiveHub && observerZone === zone) {
             return ZONE_UPDATE_INTERVAL_MS;
         }
-        return connections.activeHubOf(observerZone) === observer
-            ? UPDATE_INTERVAL_MS
-            : INACTIVE_HUB_UPDATE_INTERVAL_MS;
+        const usesLoad = connections.activeHubOf(observerZone) === observer
+            && (connections.isActiveHub || observerZone === zone);
+        return usesLoad ? UPDATE_INTERVAL_MS : UNUSED_LOAD_UPDATE_INTERVAL_MS;
     }
 
     /** Hops from the nearest connected peer to the controller of the highest known term. */
