Apply only the last change of an object in a response

Configurations applied late at gateways that lacked processor time.

Cause: a watch returns every version since the last call, and each was decoded and activated in turn, although only the newest can be in force afterwards. A hub sent all of them to each of its followers as well.

Watches and hubs drop a change whose object changes again in the same response. A watch states which objects there are; no consumer needs the states between. Followers and hubs of any build can be combined: a follower of an earlier hub drops the changes itself, an earlier follower gets fewer.

Both tests failed before.

--- a/packages/gateway/src/StoreWatch.ts
+++ b/packages/gateway/src/StoreWatch.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from "./ports/DecisionLog.js";
 import type { GatewayMetrics } from "./ports/GatewayMetrics.js";
 import type { StoreEras } from "./StoreEras.js";
+import { latestChanges } from "./util/latestChanges.js";
 
 interface StoreWatchOptions {
     store: ObjectStore;
@@ -171,7 +172,7 @@
     private readonly handlers: { [K in WatchOutcome["kind"]]: (outcome: WatchOutcome & { kind: K; }) => number; } = {
         changed: outcome => {
             this.recordSuccess();
-            outcome.changes.forEach(change => this.options.onChange(change));
+            latestChanges(outcome.changes).forEach(change => this.options.onChange(change));
             this.cursor = { revision: outcome.revision, era: this.options.eras.current };
             this.options.onRevision?.(outcome.revision);
             return this.options.pauseMs();
--- a/packages/gateway/src/WatchCache.ts
+++ b/packages/gateway/src/WatchCache.ts
@@ -1,5 +1,6 @@
 import type { Era, ObjectChange, Revision, StoredObject, WatchOutcome } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
+import { latestChanges } from "./util/latestChanges.js";
 
 interface RecordedChange {
     change: ObjectChange;
@@ -112,7 +113,9 @@
             if (after < this.compactedRevision || ownEra > era) {
                 return { kind: "compacted", ...eraField };
             }
-            const changes = this.history.filter(({ asOf }) => asOf > after).map(({ change }) => change);
+            const changes = latestChanges(
+                this.history.filter(({ asOf }) => asOf > after).map(({ change }) => change),
+            );
             const remainingMs = deadlineMs - this.clock.monotonicMs();
             if (changes.length > 0 || remainingMs <= 0 || signal.aborted) {
                 return { kind: "changed", changes, revision: Math.max(after, this.revision), ...eraField };
--- a/packages/gateway/tests/WatchCache.test.ts
+++ b/packages/gateway/tests/WatchCache.test.ts
@@ -40,6 +40,16 @@
         expect(cache.list()).to.deep.include({ objects: [object("b", 7)] });
     });
 
+    // Guards against a hub that sends each follower versions which are already replaced.
+    it("returns only the last of several changes of an object", async () => {
+        for (const revision of [7, 8, 9]) {
+            cache.applyChange({ kind: "written", object: object("b", revision) });
+            cache.advance(revision);
+        }
+        const seen = await cache.watch(5, 1000, signal);
+        expect(seen).to.deep.include({ changes: [{ kind: "written", object: object("b", 9) }], revision: 9 });
+    });
+
     it("returns no changes after the wait", async () => {
         const watching = cache.watch(5, 1000, signal);
         await clock.advance(1001);
--- a/packages/gateway/tests/views.test.ts
+++ b/packages/gateway/tests/views.test.ts
@@ -301,6 +301,20 @@
         expect(watch.isConnected).to.equal(true);
     });
 
+    // Guards against a gateway without processor time that activates versions which are already replaced.
+    it("applies only the last of several changes of an object", async () => {
+        await store.write({ kind: "things", name: "b" }, 1, 0);
+        await clock.advance(20);
+        // The watch pauses now; its next response has all of these.
+        await store.write({ kind: "things", name: "b" }, 2, 2);
+        await store.write({ kind: "things", name: "c" }, 1, 0);
+        await store.write({ kind: "things", name: "b" }, 3, 3);
+        await store.remove({ kind: "things", name: "a" }, 1);
+        await store.write({ kind: "things", name: "a" }, 2, 0);
+        await clock.advance(200);
+        expect(seen).to.deep.equal(["list 1", "written b", "written c", "written b", "written a"]);
+    });
+
     it("lists again when the history was compacted", async () => {
         await store.write({ kind: "things", name: "b" }, 1, 0);
         await clock.advance(20);
