State with each update how old the configuration is

Callers got 404 and 401 by an older version, and requests were served that only an older version allows, at gateways whose source was late.

Cause: a gateway that reads through another one counted its configuration as fresh while its call there was in progress. The delays on the way, first in the controller's own view, then in the event loop of each hub, were not in it, and add up to more than the time for changes. Denials were verified in doubt only, and what an older version allows never was. A verification from a peer's view counted from its start, whatever the age of the view.

Evidence: a follower whose source ends calls late denies a route that was added, and serves one that was dropped, for as long as the call lasts.

Updates state how long ago the store confirmed the sender's version. A follower's age is that plus the time since and the delay of its own event loop; from 0.8 of the time for changes on it reads the store once in half of that time, also while no request is denied. No message is added.

Old and new builds: the field is optional. Earlier builds drop it.

The gateways of a test rig had the same random ids, so that each took the other's lease for its own; they differ now.

--- a/packages/gateway/src/ConfigurationVerifier.ts
+++ b/packages/gateway/src/ConfigurationVerifier.ts
@@ -5,8 +5,8 @@
 interface ConfigurationVerifierOptions {
     clock: Clock;
     log: DecisionLog;
-    /** Reads the configuration object as it is now, or was a short time ago. */
-    read: () => Promise<ReadOutcome>;
+    /** Reads the configuration object as it is now, or was the stated time ago. */
+    read: () => Promise<ReadOutcome & { ageMs?: number; }>;
     /** Activates a configuration in its stored form if it is newer than the active one. */
     adopt: (value: unknown) => void;
     /** Returns true if a change may have been delayed on its way to this gateway. */
@@ -15,7 +15,7 @@
     isBehind: () => boolean;
     /** Activates the newer configurations of other gateways. */
     catchUp: () => Promise<void>;
-    /** A verification counts for requests that are read within this time of its start. */
+    /** A verification counts for requests that are read while what it has read is not older than this. */
     validForMs: number;
 }
 
@@ -27,7 +27,8 @@
  * the store are billed, and requests with unknown routes and keys come all the time.
  */
 export class ConfigurationVerifier {
-    private verifiedAtMs = -Infinity;
+    private confirmedAtMs = -Infinity;
+    private startedAtMs = -Infinity;
     private reading: Promise<boolean> | undefined;
 
     private constructor(private readonly options: ConfigurationVerifierOptions) {}
@@ -37,13 +38,25 @@
         return new ConfigurationVerifier(options);
     }
 
+    /** When the store had what the last successful verification has read, monotonic; -Infinity before. */
+    get verifiedAtMs(): number {
+        return this.confirmedAtMs;
+    }
+
+    /** Starts a verification, unless one was started within the time for which it counts. */
+    refresh(): void {
+        if (this.options.clock.monotonicMs() - this.startedAtMs >= this.options.validForMs) {
+            void this.verify();
+        }
+    }
+
     /** Resolves to true once the active configuration is known to be the newest; false if that cannot be found out. */
     async verify(): Promise<boolean> {
         const { clock, isInDoubt, isBehind, validForMs } = this.options;
         if (!isInDoubt()) {
             return true;
         }
-        if (clock.monotonicMs() - this.verifiedAtMs < validForMs && !isBehind()) {
+        if (clock.monotonicMs() - this.confirmedAtMs < validForMs && !isBehind()) {
             return true;
         }
         this.reading ??= this.read().finally(() => {
@@ -59,6 +72,7 @@
     private async read(): Promise<boolean> {
         const { clock, log, read, adopt, isBehind, catchUp } = this.options;
         const startedAtMs = clock.monotonicMs();
+        this.startedAtMs = startedAtMs;
         const outcome = await read();
         const tookMs = Math.round(clock.monotonicMs() - startedAtMs);
         if (outcome.kind === "unavailable") {
@@ -73,7 +87,8 @@
             await catchUp();
         }
         log.info("configuration verified", { tookMs });
-        this.verifiedAtMs = startedAtMs;
+        // The response may have been delayed, and so may have been the view of a peer.
+        this.confirmedAtMs = startedAtMs - (outcome.ageMs ?? 0);
         return true;
     }
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -80,6 +80,11 @@
 const SILENCE_LIMIT_SHARE = 0.6;
 /** Time for which the configuration counts as the newest after it was verified, as a share of that time. */
 const VERIFICATION_SHARE = 0.5;
+/**
+ * Age of the configuration according to the gateways through which it arrives from which on it is read from the store, as
+ * a share of that time. Above what the waits of watches and the intervals between updates add up to.
+ */
+const MAX_CONFIGURATION_AGE_SHARE = 0.8;
 /** Maximum wait of a watch for the gateways' own objects; peers notice most of these changes by themselves. */
 const GATEWAY_WATCH_WAIT_MS = 8000;
 const GATEWAY_OBJECTS_TIMING: WatchTiming = { waitMs: () => GATEWAY_WATCH_WAIT_MS, maxAgeMs: () => Infinity };
@@ -403,6 +408,7 @@
             upstreams: this.upstreams,
             groups: this.groups,
             configurationVersion: () => this.configuration.current?.version ?? 0,
+            configurationAgeMs: () => this.configurationAgeMs,
             unreachableServices: () => this.partitions.partitionedServices(),
             onTraffic: () => {
                 this.hasTraffic = true;
@@ -556,6 +562,10 @@
             this.exchange.sweep();
             this.announcedLimits.sweep();
             this.checkPeerConfigurations();
+            if (this.hasTraffic && this.isSourceOutdated) {
+                // Also what an older version allows must end in time.
+                this.configurationVerifier.refresh();
+            }
         }
     }
 
@@ -605,12 +615,34 @@
         await this.configurationWatch.run(signal);
     }
 
+    /**
+     * Time since the store confirmed that the active configuration is the newest one. What arrives through a source counts
+     * from the store's response, so that it includes all delays on the way.
+     */
+    private get configurationAgeMs(): number {
+        const { kind } = this.ports.objects.configuration;
+        const confirmedAtMs = Math.max(
+            this.configurationVerifier.verifiedAtMs,
+            this.exchange.configurationConfirmedAtMs,
+            this.assistedStore.isFollowing(kind) ? -Infinity : this.assistedStore.storeRespondedAtMs(kind),
+        );
+        return this.ports.clock.monotonicMs() - confirmedAtMs + this.eventLoop.delayMs;
+    }
+
+    /** True if changes arrive through a source, and too late; false for a source that does not state the age. */
+    private get isSourceOutdated(): boolean {
+        const source = this.viewSource.peer;
+        return source !== undefined && this.exchange.statesConfigurationAge(source)
+            && this.assistedStore.isFollowing(this.ports.objects.configuration.kind)
+            && this.configurationAgeMs > this.settings.changeDeadlineMs * MAX_CONFIGURATION_AGE_SHARE;
+    }
+
     /**
      * True if this gateway may lack a change of the configuration that must be in effect: its event loop is delayed, the
      * view was not confirmed in time, or another gateway has a newer version.
      */
     private get mayLackChanges(): boolean {
-        return this.eventLoop.isDelayed || !this.configurationWatch.isResponding
+        return this.eventLoop.isDelayed || !this.configurationWatch.isResponding || this.isSourceOutdated
             || this.assistedStore.ageMs(this.ports.objects.configuration.kind) > this.settings.changeDeadlineMs
             || this.gatewaysAhead().length > 0;
     }
--- a/packages/gateway/src/peers/PeerAssistedStore.ts
+++ b/packages/gateway/src/peers/PeerAssistedStore.ts
@@ -103,6 +103,8 @@
     private readonly fallbackKinds = new Set<string>();
     /** When the store has last confirmed the view of each kind, monotonic. */
     private readonly confirmedAtMs = new Map<string, number>();
+    /** When the store itself has last responded for each kind, monotonic. */
+    private readonly respondedAtMs = new Map<string, number>();
     /** Kinds for which the source has a call in progress, which it ends when its view gets too old. */
     private readonly followedKinds = new Set<string>();
     /** Sources that have stated the age of their view since the last failed call. */
@@ -127,6 +129,16 @@
         return this.followedKinds.has(kind) ? 0 : this.nowMs() - (this.confirmedAtMs.get(kind) ?? -Infinity);
     }
 
+    /** Returns true while the source has a call in progress, so that changes arrive through it. */
+    isFollowing(kind: string): boolean {
+        return this.followedKinds.has(kind);
+    }
+
+    /** Returns when the store itself has last responded for a kind, monotonic; -Infinity before the first time. */
+    storeRespondedAtMs(kind: string): number {
+        return this.respondedAtMs.get(kind) ?? -Infinity;
+    }
+
     /** Reads one object from the platform's store. */
     async read(key: ObjectKey, callClass: CallClass): Promise<ReadOutcome> {
         const outcome = await this.options.store.read(key, callClass);
@@ -138,18 +150,19 @@
 
     /**
      * Reads one object from the platform's store, or while that is unavailable from the view of a peer that the store has
-     * confirmed within `maxAgeMs`.
+     * confirmed within `maxAgeMs`; the outcome then has the age of that view.
      */
-    async readRecent(key: ObjectKey, maxAgeMs: number): Promise<ReadOutcome> {
+    async readRecent(key: ObjectKey, maxAgeMs: number): Promise<ReadOutcome & { ageMs?: number; }> {
         const outcome = await this.read(key, "read");
         if (outcome.kind !== "unavailable") {
             return outcome;
         }
         for (const peer of this.fallbackPeers()) {
             const listing = await this.listAt(peer, key.kind);
-            if (this.isUpToDate(listing) && (listing.ageMs ?? Infinity) <= maxAgeMs) {
+            const { ageMs = Infinity } = listing ?? {};
+            if (this.isUpToDate(listing) && ageMs <= maxAgeMs) {
                 const object = listing.objects.find(({ name }) => name === key.name);
-                return object ? { kind: "found", object } : { kind: "absent" };
+                return object ? { kind: "found", object, ageMs } : { kind: "absent", ageMs };
             }
         }
         return outcome;
@@ -182,7 +195,7 @@
         }
         const storeListing = await this.options.store.list(kinds, callClass);
         if (storeListing.kind === "listed") {
-            this.confirmedAtMs.set(kind, this.nowMs());
+            this.recordResponse(kind);
             return this.listedOutcome(kind, storeListing, true);
         }
         const peerListing = await this.listAtPeers(kind);
@@ -214,7 +227,7 @@
                 this.fallbackKinds.delete(kind);
                 this.failedKinds.delete(kind);
                 if (storeOutcome.kind === "changed") {
-                    this.confirmedAtMs.set(kind, this.nowMs());
+                    this.recordResponse(kind);
                 }
                 return storeOutcome;
             }
@@ -300,6 +313,12 @@
         return true;
     }
 
+    private recordResponse(kind: string): void {
+        const nowMs = this.nowMs();
+        this.confirmedAtMs.set(kind, nowMs);
+        this.respondedAtMs.set(kind, nowMs);
+    }
+
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -338,6 +338,7 @@
         countedGateways: update.countedGateways,
         lostEpochs: update.lostEpochs,
         configurationVersion: update.configurationVersion,
+        ...(update.configurationAgeMs !== undefined && { configurationAgeMs: update.configurationAgeMs }),
         unreachableServices: update.unreachableServices,
         announcedLimits: update.announcedLimits.map(report => ({
             upstream: report.upstream,
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -30,6 +30,8 @@
     groups: GroupDirectory;
     /** Version of this gateway's active configuration; 0 if it has none. */
     configurationVersion: () => number;
+    /** Time since the store confirmed that it is the newest version; Infinity if that is not known. */
+    configurationAgeMs: () => number;
     /** Returns the services of which this gateway reaches no upstream. */
     unreachableServices: () => string[];
     /** Called when a peer has requests in flight. */
@@ -73,6 +75,8 @@
 export class PeerExchange {
     /** Last state received from each peer. */
     private readonly peerStates = new Map<string, PeerState>();
+    /** When the store confirmed the version in each peer's last state, monotonic; none for peers that do not state it. */
+    private readonly confirmedAtMs = new Map<string, number>();
     /** Epochs of groups that this controller found lost, with the time on the monotonic clock. */
     private readonly lostEpochs = new Map<number, number>();
     private readonly snapshots = new Map<Audience, LoadSnapshot>();
@@ -106,6 +110,7 @@
             countedGateways,
             ...this.learnedState(),
             configurationVersion: this.options.configurationVersion(),
+            ...this.configurationAge(),
             unreachableServices: this.options.unreachableServices(),
             ...groups,
         };
@@ -171,6 +176,7 @@
     apply(peer: string, state: PeerState): void {
         this.options.lease.observeTerm(state.term);
         this.peerStates.set(peer, state);
+        this.recordConfirmation(peer, state);
         this.options.crashGuard.merge(state.crashEvidence);
         this.options.announcedLimits.merge(state.announcedLimits);
         const isLeavingNew = state.leavingUpstreams
@@ -207,6 +213,37 @@
         this.options.loads.dropPeer(peer);
         this.options.retryBudget.dropPeer(peer);
         this.peerStates.delete(peer);
+        this.confirmedAtMs.delete(peer);
+    }
+
+    private recordConfirmation(peer: string, { configurationAgeMs }: PeerState): void {
+        if (configurationAgeMs === undefined) {
+            this.confirmedAtMs.delete(peer);
+        }
+        else {
+            this.confirmedAtMs.set(peer, this.options.clock.monotonicMs() - configurationAgeMs);
+        }
+    }
+
+    private configurationAge(): { configurationAgeMs?: number; } {
+        const configurationAgeMs = this.options.configurationAgeMs();
+        return configurationAgeMs < Infinity ? { configurationAgeMs } : {};
+    }
+
+    /** Returns true if the peer's last state told when the store confirmed its configuration. */
+    statesConfigurationAge(peer: string): boolean {
+        return this.confirmedAtMs.has(peer);
+    }
+
+    /**
+     * Returns when the store last confirmed, according to peers, that no configuration is newer than this gateway's;
+     * -Infinity if none has said so.
+     */
+    get configurationConfirmedAtMs(): number {
+        return Math.max(
+            -Infinity,
+            ...[...this.confirmedAtMs].filter(([peer]) => !this.hasNewerConfiguration(peer)).map(([, atMs]) => atMs),
+        );
     }
 
     /** Returns true if the peer's last state named a newer configuration than this gateway's. */
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -28,6 +28,8 @@
     leavingUpstreams: readonly LeavingReport[];
     /** Version of the sender's active configuration; 0 if it has none. */
     configurationVersion: number;
+    /** Time since the store confirmed that this is the newest version; absent if the sender does not state it. */
+    configurationAgeMs?: number;
     /** Services of which the sender reaches no upstream. */
     unreachableServices: readonly string[];
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -124,6 +124,7 @@
         countedGateways: state.countedGateways,
         lostEpochs: [...state.lostEpochs],
         configurationVersion: state.configurationVersion,
+        ...(state.configurationAgeMs !== undefined && { configurationAgeMs: Math.ceil(state.configurationAgeMs) }),
         unreachableServices: [...state.unreachableServices],
         crashSuspects: state.crashEvidence.promptParts.map(toCrashMessage),
         crashingRequests: state.crashEvidence.requests.map(toCrashMessage),
--- a/packages/gateway/src/peers/ViewSourceSelector.ts
+++ b/packages/gateway/src/peers/ViewSourceSelector.ts
@@ -34,6 +34,11 @@
         return new ViewSourceSelector(options);
     }
 
+    /** Name of the selected gateway; undefined if the store itself must be read. */
+    get peer(): string | undefined {
+        return this.selection?.peer;
+    }
+
     /** Returns the selected gateway; undefined if the store itself must be read. */
     current(): ViewSource | undefined {
         this.update();
--- a/packages/gateway/src/util/EventLoopMonitor.ts
+++ b/packages/gateway/src/util/EventLoopMonitor.ts
@@ -15,6 +15,7 @@
     /** When the pause in progress is over, and when one last ended late, monotonic. */
     private dueAtMs = Infinity;
     private delayedAtMs = -Infinity;
+    private lastDelayMs = 0;
 
     private constructor(private readonly options: EventLoopMonitorOptions) {}
 
@@ -29,6 +30,13 @@
         return nowMs - this.dueAtMs > MAX_DELAY_MS || nowMs - this.delayedAtMs < DELAY_MEMORY_MS;
     }
 
+    /** Time for which what this process has received may have waited: the present delay, or one shortly before. */
+    get delayMs(): number {
+        const nowMs = this.options.clock.monotonicMs();
+        const isRecent = nowMs - this.delayedAtMs < DELAY_MEMORY_MS;
+        return Math.max(0, nowMs - this.dueAtMs, isRecent ? this.lastDelayMs : 0);
+    }
+
     /** Resolves after `durationMs`, or when `signal` aborts. Called by one task, one pause after the other. */
     async sleep(durationMs: number, signal: AbortSignal): Promise<void> {
         const { clock, metrics } = this.options;
@@ -42,6 +50,7 @@
         metrics.observe("eventLoopDelay", delayMs);
         if (delayMs > MAX_DELAY_MS) {
             this.delayedAtMs = nowMs;
+            this.lastDelayMs = delayMs;
         }
     }
 }
--- a/packages/gateway/tests/ConfigurationVerifier.test.ts
+++ b/packages/gateway/tests/ConfigurationVerifier.test.ts
@@ -11,7 +11,7 @@
     let clock: ManualClock;
     let verifier: ConfigurationVerifier;
     let reads: number;
-    let read: () => Promise<ReadOutcome>;
+    let read: () => Promise<ReadOutcome & { ageMs?: number; }>;
     let active: number;
     let isInDoubt: boolean;
     /** Version that another gateway is known to have. */
@@ -79,6 +79,24 @@
         expect(reads).to.equal(2);
     });
 
+    // Guards against a denial that rests on a peer's view for as long again as the view may be old.
+    it("counts from the time of a peer's view that was read instead of the store", async () => {
+        read = () => Promise.resolve({ ...found(1), ageMs: VALID_FOR_MS / 2 });
+        expect(await verifyWithin(0)).to.equal(true);
+        await clock.advance(VALID_FOR_MS / 2);
+        await verifyWithin(0);
+        expect([reads, verifier.verifiedAtMs]).to.deep.equal([2, clock.monotonicMs() - VALID_FOR_MS / 2]);
+    });
+
+    it("starts a refresh at most once in the time for which it counts", async () => {
+        read = () => Promise.resolve({ kind: "unavailable", retryAfterMs: 100 });
+        for (let index = 0; index < 10; index++) {
+            verifier.refresh();
+            await clock.advance(VALID_FOR_MS / 5);
+        }
+        expect(reads).to.equal(2);
+    });
+
     it("reads at once if another gateway is known to have a newer version", async () => {
         await verifyWithin(0);
         peerVersion = 3;
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -119,6 +119,7 @@
                     isEvacuated: () => false,
                 }),
                 configurationVersion: () => 1,
+                configurationAgeMs: () => Infinity,
                 unreachableServices: () => [],
                 onTraffic: () => undefined,
                 flush: () => {
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -23,6 +23,7 @@
     retries: [["llm", { requests: 40, retries: 2 }]],
     countedGateways: 4,
     configurationVersion: 7,
+    configurationAgeMs: 250,
     unreachableServices: ["llm"],
     lostEpochs: [65536],
     leavingUpstreams: [{ upstream: "u2", startedAtMs: 1000, ageMs: 50 }],
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -123,11 +123,15 @@
         }
     }
 
-    /** Sends a request below a path prefix. */
-    send(prefix: "llm" | "app" | `v${number}`, changes: { model?: string; } = {}): RecordedResponse {
+    /** Sends a request below a path prefix to a gateway. */
+    send(
+        prefix: "llm" | "app" | `v${number}`,
+        changes: { model?: string; } = {},
+        gateway = this.gateway,
+    ): RecordedResponse {
         const response = RecordedResponse.create();
         this.requests += 1;
-        this.gateway.handle({
+        gateway.handle({
             id: `request-${this.requests}`,
             method: "POST",
             target: `/${prefix}/`,
@@ -153,7 +157,7 @@
         const { clock, log, store } = this;
         return Gateway.create(gatewaySettings, {
             clock,
-            random: SeededRandom.create(1),
+            random: SeededRandom.create(1, gatewaySettings.vm),
             log,
             metrics: noMetrics,
             store,
