Take the age of the configuration from the source alone

A gateway could count an old configuration as fresh for as long as another one did the same.

Cause: the age was the smallest that any peer stated. Two gateways that read through the same late source state each other's age; the time that an update takes on the way is not in it and was lost with each exchange, so that the age grew too slowly.

Evidence: a new test, in which another gateway states an age of 0, fails on the code before.

Only the source's statement counts. Sources form a chain to the store, on which the age can only grow.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -616,24 +616,29 @@
     }
 
     /**
-     * Time since the store confirmed that the active configuration is the newest one. What arrives through a source counts
-     * from the store's response, so that it includes all delays on the way.
+     * When the store confirmed, according to the source, that no configuration is newer than the active one. Other peers
+     * do not count: two that rely on each other would take the time on the way for no time. Undefined without a call in
+     * progress at the source, and for a source that does not state it.
      */
+    private get sourceConfirmedAtMs(): number | undefined {
+        const { peer } = this.viewSource;
+        const isFollowing = this.assistedStore.isFollowing(this.ports.objects.configuration.kind);
+        return isFollowing && peer !== undefined ? this.exchange.configurationConfirmedAtMs(peer) : undefined;
+    }
+
+    /** Time since the store confirmed that the active configuration is the newest one, with the delays on the way. */
     private get configurationAgeMs(): number {
         const { kind } = this.ports.objects.configuration;
-        const confirmedAtMs = Math.max(
-            this.configurationVerifier.verifiedAtMs,
-            this.exchange.configurationConfirmedAtMs,
-            this.assistedStore.isFollowing(kind) ? -Infinity : this.assistedStore.storeRespondedAtMs(kind),
-        );
+        const arrivedAtMs = this.assistedStore.isFollowing(kind)
+            ? this.sourceConfirmedAtMs ?? -Infinity
+            : this.assistedStore.storeRespondedAtMs(kind);
+        const confirmedAtMs = Math.max(this.configurationVerifier.verifiedAtMs, arrivedAtMs);
         return this.ports.clock.monotonicMs() - confirmedAtMs + this.eventLoop.delayMs;
     }
 
     /** True if changes arrive through a source, and too late; false for a source that does not state the age. */
     private get isSourceOutdated(): boolean {
-        const source = this.viewSource.peer;
-        return source !== undefined && this.exchange.statesConfigurationAge(source)
-            && this.assistedStore.isFollowing(this.ports.objects.configuration.kind)
+        return this.sourceConfirmedAtMs !== undefined
             && this.configurationAgeMs > this.settings.changeDeadlineMs * MAX_CONFIGURATION_AGE_SHARE;
     }
 
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -230,20 +230,13 @@
         return configurationAgeMs < Infinity ? { configurationAgeMs } : {};
     }
 
-    /** Returns true if the peer's last state told when the store confirmed its configuration. */
-    statesConfigurationAge(peer: string): boolean {
-        return this.confirmedAtMs.has(peer);
-    }
-
     /**
-     * Returns when the store last confirmed, according to peers, that no configuration is newer than this gateway's;
-     * -Infinity if none has said so.
+     * Returns when the store last confirmed, according to a peer, that no configuration is newer than this gateway's;
+     * -Infinity if the peer has a newer one, undefined if it does not state that time.
      */
-    get configurationConfirmedAtMs(): number {
-        return Math.max(
-            -Infinity,
-            ...[...this.confirmedAtMs].filter(([peer]) => !this.hasNewerConfiguration(peer)).map(([, atMs]) => atMs),
-        );
+    configurationConfirmedAtMs(peer: string): number | undefined {
+        const atMs = this.confirmedAtMs.get(peer);
+        return atMs !== undefined && this.hasNewerConfiguration(peer) ? -Infinity : atMs;
     }
 
     /** Returns true if the peer's last state named a newer configuration than this gateway's. */
--- a/packages/gateway/src/util/EventLoopMonitor.ts
+++ b/packages/gateway/src/util/EventLoopMonitor.ts
@@ -30,7 +30,7 @@
         return nowMs - this.dueAtMs > MAX_DELAY_MS || nowMs - this.delayedAtMs < DELAY_MEMORY_MS;
     }
 
-    /** Time for which what this process has received may have waited: the present delay, or one shortly before. */
+    /** Time for which what this process has received may have waited: the present delay, or a long one shortly before. */
     get delayMs(): number {
         const nowMs = this.options.clock.monotonicMs();
         const isRecent = nowMs - this.delayedAtMs < DELAY_MEMORY_MS;
--- a/packages/gateway/tests/delayedSources.test.ts
+++ b/packages/gateway/tests/delayedSources.test.ts
@@ -82,6 +82,19 @@
         expect(await sendToFollower("v2")).to.not.equal("no-route");
     });
 
+    // Guards against gateways that confirm each other's configuration, and take the time on the way for none.
+    it("serves a route that was added, whatever other gateways say that read through the same source", async () => {
+        const other = rig.addPeer("gateway-2", undefined, await freePort());
+        const { exchange } = other as unknown as Internals;
+        const stateFor = exchange.stateFor.bind(exchange);
+        exchange.stateFor = observer => ({ ...stateFor(observer), configurationAgeMs: 0 });
+        await other.start();
+        await advance(changeDeadlineMs);
+        await rig.configure(2);
+        await advance(changeDeadlineMs);
+        expect(await sendToFollower("v2")).to.not.equal("no-route");
+    });
+
     // Guards against requests that an older version allows.
     it("ends to serve a route that was dropped, without a denial that causes doubt", async () => {
         await rig.configure(2);
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -154,6 +154,24 @@
         expect(unused.map(([vm, observer]) => intervalMs(vm, observer))).to.deep.equal(unused.map(() => 400));
     });
 
+    it("tells when the store confirmed the configuration according to one peer", async () => {
+        start(["a1", "a2", "a3"]);
+        const { exchange } = gateways.get("a1")!;
+        const state = gateways.get("a2")!.exchange.stateFor("a1");
+        const nowMs = clock.monotonicMs();
+        // Guards against an age that does not grow, as two gateways confirm each other's configuration.
+        exchange.apply("a2", { ...state, configurationAgeMs: 900 });
+        exchange.apply("a3", { ...state, configurationAgeMs: 10 });
+        expect(exchange.configurationConfirmedAtMs("a2")).to.equal(nowMs - 900);
+        exchange.apply("a2", { ...state, configurationAgeMs: 900, configurationVersion: 2 });
+        expect(exchange.configurationConfirmedAtMs("a2")).to.equal(-Infinity);
+        // A build that does not state it.
+        exchange.apply("a2", state);
+        expect(exchange.configurationConfirmedAtMs("a2")).to.equal(undefined);
+        exchange.removePeer("a3");
+        expect(exchange.configurationConfirmedAtMs("a3")).to.equal(undefined);
+    });
+
     it("computes the evidence of crashing prompts once for all its peers", async () => {
         start(["a1", "a2", "a3"]);
         const { crashGuard, exchange } = gateways.get("a1")!;
