--- /dev/null
+++ b/packages/gateway/tests/fleet/outdatedRegistrations.test.ts
@@ -0,0 +1,70 @@
+import { expect } from "chai";
+import { FleetRig } from "../support/FleetRig.js";
+
+/** Time for forming the groups of all domains. */
+const FORMATION_MS = 60_000;
+/** Age of registrations when they reach the controller: that of a slow store. */
+const REGISTRATION_LAG_MS = 1200;
+const LOSS_INTERVAL_MS = 3000;
+
+async function createFormedRig(domains: number, size: number): Promise<FleetRig> {
+    const rig = FleetRig.create(domains, size);
+    rig.startController("first");
+    await rig.run(FORMATION_MS);
+    return rig;
+}
+
+/** Returns the epochs of the groups for which the controller has logged an event since `sinceLine`. */
+function epochsOf(rig: FleetRig, event: string, sinceLine: number): unknown[] {
+    return rig.log.lines.slice(sinceLine).filter(line => line.event === event).map(({ fields }) => fields["epoch"]);
+}
+
+describe("FleetController with registrations that lag by 1.2 s", () => {
+    it("adopts no group that it has dissolved, whose members have answered that they left", async () => {
+        const rig = await createFormedRig(1, 9);
+        rig.registrationLagMs = REGISTRATION_LAG_MS;
+        const sinceLine = rig.log.lines.length;
+        const large = rig.fleet.openHeads().find(head => head.model === "large")!;
+        rig.fleet.crash(large.id);
+        await rig.run(8000);
+        expect(epochsOf(rig, "group dissolved", sinceLine)).to.have.length(1);
+        expect(epochsOf(rig, "group adopted", sinceLine)).to.deep.equal([]);
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
+    it("uses the members of a dissolved group for another one at once", async () => {
+        const rig = await createFormedRig(1, 9);
+        rig.registrationLagMs = REGISTRATION_LAG_MS;
+        const large = rig.fleet.openHeads().find(head => head.model === "large")!;
+        rig.fleet.crash(large.id);
+        await rig.run(30_000);
+        expect(rig.countCompleteGroups()).to.deep.equal({ small: 2 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
+    it("keeps most groups open while a member is lost every three seconds for a minute", async () => {
+        const rig = await createFormedRig(3, 14);
+        rig.registrationLagMs = REGISTRATION_LAG_MS;
+        const sinceLine = rig.log.lines.length;
+        const openCounts: number[] = [];
+        for (let passedMs = 0; passedMs < 60_000; passedMs += LOSS_INTERVAL_MS) {
+            const heads = rig.fleet.openHeads();
+            const lost = heads[(passedMs / LOSS_INTERVAL_MS) % Math.max(1, heads.length)];
+            if (lost) {
+                rig.fleet.crash(lost.id);
+                void rig.clock.sleep(5000).then(() => rig.fleet.restart(lost.id));
+            }
+            await rig.run(LOSS_INTERVAL_MS);
+            const counts = rig.countCompleteGroups();
+            openCounts.push((counts["large"] ?? 0) + (counts["small"] ?? 0));
+        }
+        const mean = openCounts.reduce((sum, count) => sum + count, 0) / openCounts.length;
+        const adoptedAgain = epochsOf(rig, "group adopted", sinceLine).length;
+        console.log(`open groups ${openCounts.join(" ")}, mean ${mean}, adopted ${adoptedAgain}`);
+        expect(rig.fleet.violations).to.deep.equal([]);
+        expect(adoptedAgain).to.equal(0);
+        rig.stopController();
+    });
+});
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -31,7 +31,12 @@
     readonly log = SilentDecisionLog.create();
     readonly store = MemoryObjectStore.create(this.clock);
     readonly directory = UpstreamDirectory.create({ clock: this.clock, log: this.log, returnGraceMs: 2000 });
-    readonly fleet = SimulatedUpstreams.create(this.clock, exampleEngine, this.directory);
+    readonly fleet = SimulatedUpstreams.create(this.clock, exampleEngine, {
+        set: upstream => this.publish(() => this.directory.set(upstream)),
+        remove: (id, reason) => this.publish(() => this.directory.remove(id, reason)),
+    });
+    /** Time until a registration reaches the controller. */
+    registrationLagMs = 0;
     readonly lostEpochs: number[] = [];
     isViewFresh = true;
     loadLagMs = 0;
@@ -88,6 +93,15 @@
         return rig;
     }
 
+    private publish(change: () => void): void {
+        if (this.registrationLagMs === 0) {
+            change();
+        }
+        else {
+            void this.clock.sleep(this.registrationLagMs).then(change);
+        }
+    }
+
     /** Starts a controller process and stops the earlier one. */
     startController(incarnation: string, hasTraffic = true): void {
         this.stop.abort();
