Remember the effect of answered joins and leaves

The controller adopted a dissolved group again, with the same epoch, from registrations that its members had written before they left. The members got another leave with an old order count, answered it with conflicts, and the groups that wanted them withheld their joins. With a member lost every three seconds this never ended.

Registrations carry no order count, so nothing told the directory that they were older than an order. It now keeps, for each instance, what the last answered join or leave changed, and applies that to whatever arrives about the instance: an epoch that is not newer than a leave is shown without a group, and one older than a join as joining. Epochs of orders always increase, which is why the epoch decides.

The head that was lost never answers a leave, so a group dissolved in this term is adopted again only if all its members still show it.

OrderSender no longer lowers the known order count because a report lags, and ignores reports that are older than it. A leave that an upstream has carried out is complete if its response was lost, or if conflicts outlast the lag of reports. A single report is not enough: it may be older than the join, and a member of a serving group would be taken for a spare.

--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -1,9 +1,12 @@
 import type { Clock } from "@fescuehaven/runtime";
+import type { MembershipOrder } from "./fleet/MembershipOrder.js";
+import { OrderedMemberships } from "./fleet/OrderedMemberships.js";
 import type { Upstream } from "./model/Upstream.js";
 import type { OpenGroup } from "./peers/OpenGroup.js";
 import { LeavingInstances } from "./placement/LeavingInstances.js";
 import type { LeavingReport } from "./placement/LeavingReport.js";
 import type { DecisionLog } from "./ports/DecisionLog.js";
+import type { UpstreamReport } from "./ports/UpstreamReport.js";
 
 interface UpstreamDirectoryOptions {
     clock: Clock;
@@ -31,7 +34,8 @@
 
 /**
  * The registered upstreams, as last received from the store or a peer. An instance that has said in a response that it
- * is shutting down is draining, whatever its registration says.
+ * is shutting down is draining, whatever its registration says. One that has answered an order of this gateway belongs to
+ * the group that the order says until its registration is as new.
  */
 export class UpstreamDirectory {
     private readonly upstreams = new Map<string, Upstream>();
@@ -44,12 +48,12 @@
     private memberAddedAtMs = -Infinity;
 
     private readonly leaving: LeavingInstances;
+    private readonly orderedMemberships: OrderedMemberships;
 
     private constructor(private readonly options: UpstreamDirectoryOptions) {
-        this.leaving = LeavingInstances.create({
-            clock: options.clock,
-            isRegistered: (id, startedAtMs) => this.upstreams.get(id)?.startedAtMs === startedAtMs,
-        });
+        const isRegistered = (id: string, startedAtMs: number) => this.upstreams.get(id)?.startedAtMs === startedAtMs;
+        this.leaving = LeavingInstances.create({ clock: options.clock, isRegistered });
+        this.orderedMemberships = OrderedMemberships.create({ clock: options.clock, isRegistered });
     }
 
     /** Creates an empty directory. */
@@ -95,16 +99,28 @@
         this.options.log.info("upstream is leaving", { upstream, bornMs: startedAtMs, source });
         const registered = this.upstreams.get(upstream);
         if (registered?.startedAtMs === startedAtMs && registered.state === "ready") {
-            this.set(registered);
+            this.update(registered);
         }
         return true;
     }
 
     /** Adds an upstream or replaces its registration. */
     set(registration: Upstream): void {
-        const upstream: Upstream = this.leaving.has(registration.id, registration.startedAtMs)
-            ? { ...registration, state: "draining" }
-            : registration;
+        this.orderedMemberships.settle(registration);
+        this.update(registration);
+    }
+
+    /** Returns the current entry of an instance, or undefined if it is not registered. */
+    private registered({ id, startedAtMs }: Upstream): Upstream | undefined {
+        const registered = this.upstreams.get(id);
+        return registered?.startedAtMs === startedAtMs ? registered : undefined;
+    }
+
+    private update(changed: Upstream): void {
+        const member = this.orderedMemberships.apply(changed);
+        const upstream: Upstream = this.leaving.has(member.id, member.startedAtMs)
+            ? { ...member, state: "draining" }
+            : member;
         const before = this.upstreams.get(upstream.id);
         this.missingSinceMs.delete(upstream.id);
         this.withheld.delete(upstream.id);
@@ -127,7 +143,7 @@
         const isForming = known?.group?.phase === "joining" || known?.group?.phase === "ready";
         const isNewer = known !== undefined && (knownEpoch < epoch || (knownEpoch === epoch && isForming));
         if (isNewer) {
-            this.set({ ...known, model, group: { name, epoch, rank: 0, phase: "open" } });
+            this.update({ ...known, model, group: { name, epoch, rank: 0, phase: "open" } });
         }
         return isNewer;
     }
@@ -140,10 +156,32 @@
         const known = this.upstreams.get(id);
         if (known?.startedAtMs === startedAtMs && (!group || group.epoch > (known.group?.epoch ?? 0))) {
             this.memberAddedAtMs = group ? this.options.clock.monotonicMs() : this.memberAddedAtMs;
-            this.set({ ...known, group, model, stagedModels });
+            this.update({ ...known, group, model, stagedModels });
         }
     }
 
+    /** Records a join or leave that an upstream has carried out, and the number of orders it had accepted then. */
+    recordOrder(upstream: Upstream, order: MembershipOrder, orderCount: number): void {
+        const registered = this.registered(upstream);
+        this.orderedMemberships.recordOrder(registered ?? upstream, order, orderCount);
+        if (registered) {
+            this.update(registered);
+        }
+    }
+
+    /** Takes what is known of an upstream's last order from its report, unless that is older. */
+    recordOrderCount(upstream: Upstream, report: UpstreamReport & { kind: "reported"; }): void {
+        const registered = this.registered(upstream);
+        if (this.orderedMemberships.recordReport(upstream, report) && registered) {
+            this.update(registered);
+        }
+    }
+
+    /** Applies an upstream's report while the store does not provide its registrations. */
+    replaceByReport(upstream: Upstream, { group, model, stagedModels }: UpstreamReport & { kind: "reported"; }): void {
+        this.update({ ...upstream, group, model, stagedModels });
+    }
+
     /** Removes an upstream. */
     remove(id: string, reason: string): void {
         this.missingSinceMs.delete(id);
@@ -220,6 +258,7 @@
             }
         }
         this.leaving.sweep();
+        this.orderedMemberships.sweep();
         this.removals.forEach(({ atMs }, id) => nowMs - atMs > REMOVAL_RETENTION_MS && this.removals.delete(id));
     }
 
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -145,6 +145,8 @@
 /** Forms, monitors and repairs the serving groups while this gateway is the controller. */
 export class FleetController {
     private groups = new Map<string, ManagedGroup>();
+    /** Epoch at which each group was dissolved last, by name. Registrations of its members may still show it. */
+    private readonly dissolvedEpochs = new Map<string, number>();
     private readonly health: UpstreamHealth;
     private term = 0;
     /** When this gateway became the controller of the term, monotonic. */
@@ -198,6 +200,7 @@
         this.options.log.info("no longer the controller", { term: this.term });
         this.term = 0;
         this.groups = new Map();
+        this.dissolvedEpochs.clear();
         this.health.clear();
     }
 
@@ -260,6 +263,11 @@
                 continue;
             }
             const members = membersByRank(group);
+            const isDissolved = group.epoch <= (this.dissolvedEpochs.get(group.name) ?? 0);
+            if (isDissolved && members.length < model.memberCount) {
+                // Its other members have left; the remaining ones are released once they respond.
+                continue;
+            }
             const adopted: ManagedGroup = {
                 name: group.name,
                 service: view.service,
@@ -444,8 +452,7 @@
             const report = await orders.fetchReport(member);
             const current = upstreams.get(member.id);
             if (report.kind === "reported" && current?.startedAtMs === report.startedAtMs && !isViewFresh()) {
-                const { group, model, stagedModels } = report;
-                upstreams.set({ ...current, group, model, stagedModels });
+                upstreams.replaceByReport(current, report);
             }
         });
         void Promise.all(refreshes).then(() => {
@@ -899,6 +906,7 @@
     private dissolve(group: ManagedGroup): void {
         this.options.log.info("group dissolved", { group: group.name, epoch: group.epoch });
         this.groups.delete(group.name);
+        this.dissolvedEpochs.set(group.name, group.epoch);
         const observed = observeGroups(this.options.upstreams.all()).get(group.name);
         if (observed) {
             void this.releaseMembers(observed);
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -7,6 +7,7 @@
 import type { UpstreamControl } from "../ports/UpstreamControl.js";
 import type { UpstreamReport } from "../ports/UpstreamReport.js";
 import { instanceKeyOf } from "./instanceKeyOf.js";
+import type { MembershipOrder } from "./MembershipOrder.js";
 import { standbyGroups } from "./standbyGroups.js";
 import { termOf } from "./termOf.js";
 
@@ -19,9 +20,24 @@
     onLeaving: (upstream: Upstream) => void;
     /** Called with a report that shows an upstream in another group than its registration. */
     onOtherGroup: (upstream: Upstream, report: ReceivedReport) => void;
+    /** Called with a join or leave that an upstream has carried out, and the number of orders it had accepted then. */
+    onMembershipChanged: (upstream: Upstream, order: MembershipOrder, orderCount: number) => void;
+    /** Called with each report that is not older than the orders that the upstream is known to have accepted. */
+    onReport: (upstream: Upstream, report: ReceivedReport) => void;
     reachability: ReachabilityRecorder;
 }
 
+/** An attempt to send an order that the upstream has answered with a conflict. */
+interface Attempt {
+    order: GroupOrder;
+    expectedCount: number;
+    /** False if the upstream has not been seen before, so that the expected count is only a guess. */
+    isCountKnown: boolean;
+    /** True if an earlier attempt got no response, so that it may have been carried out. */
+    hadNoResponse: boolean;
+    tries: number;
+}
+
 type ReceivedReport = UpstreamReport & { kind: "reported"; };
 
 /**
@@ -90,7 +106,7 @@
         const report = await this.options.control.fetchReport(upstream, timeoutMs);
         this.recordReachability(upstream, report.kind !== "unreachable");
         if (report.kind === "reported" && report.startedAtMs === upstream.startedAtMs) {
-            this.reports.set(instanceKeyOf(upstream), report);
+            this.recordReport(upstream, report);
             if (report.isLeaving) {
                 this.options.onLeaving(upstream);
             }
@@ -98,6 +114,16 @@
         return report;
     }
 
+    private recordReport(upstream: Upstream, report: ReceivedReport): void {
+        const instanceKey = instanceKeyOf(upstream);
+        const knownCount = this.orderCounts.get(instanceKey) ?? 0;
+        const lastCount = this.reports.get(instanceKey)?.orderCount ?? 0;
+        if (report.orderCount >= Math.max(knownCount, lastCount)) {
+            this.reports.set(instanceKey, report);
+            this.options.onReport(upstream, report);
+        }
+    }
+
     private recordReachability(upstream: Upstream, hasResponded: boolean): void {
         if (hasResponded) {
             this.options.reachability.recordResponse(upstream);
@@ -112,7 +138,8 @@
         let hadNoResponse = false;
         for (let tries = 1; tries <= MAX_ATTEMPTS; tries++) {
             const report = this.reports.get(instanceKey);
-            const expectedCount = this.orderCounts.get(instanceKey) ?? report?.orderCount ?? 0;
+            const knownCount = this.orderCounts.get(instanceKey) ?? report?.orderCount;
+            const expectedCount = knownCount ?? 0;
             if (order.kind === "join" && report?.orderCount === expectedCount && isOutdated(order, upstream, report)) {
                 log.info("order withheld", {
                     upstream: upstream.id,
@@ -141,12 +168,14 @@
             }
             if (outcome.kind === "accepted") {
                 this.orderCounts.set(instanceKey, expectedCount + 1);
+                this.recordMembership(upstream, order, expectedCount + 1);
                 if (report?.orderCount === expectedCount && !changesMembership[order.kind]) {
                     this.reports.set(instanceKey, { ...report, orderCount: expectedCount + 1 });
                 }
                 return "completed";
             }
             if (outcome.kind === "done") {
+                this.recordMembership(upstream, order, expectedCount);
                 return "completed";
             }
             if (outcome.kind === "other-instance") {
@@ -159,14 +188,9 @@
                 hadNoResponse = true;
                 continue;
             }
-            const result = await this.resolveConflict(
-                upstream,
-                instanceKey,
-                order,
-                expectedCount,
-                hadNoResponse,
-                tries,
-            );
+            const isCountKnown = knownCount !== undefined;
+            const attempt: Attempt = { order, expectedCount, isCountKnown, hadNoResponse, tries };
+            const result = await this.resolveConflict(upstream, instanceKey, attempt);
             if (result) {
                 return result;
             }
@@ -178,10 +202,7 @@
     private async resolveConflict(
         upstream: Upstream,
         instanceKey: string,
-        order: GroupOrder,
-        expectedCount: number,
-        hadNoResponse: boolean,
-        tries: number,
+        attempt: Attempt,
     ): Promise<OrderResult | undefined> {
         const report = await this.fetchReport(upstream);
         if (report.kind !== "reported") {
@@ -190,15 +211,46 @@
         if (report.startedAtMs !== upstream.startedAtMs) {
             return "unresponsive";
         }
-        if ("epoch" in order && order.kind !== "leave" && hadNoResponse && report.group?.epoch === order.epoch) {
+        const { order, expectedCount, tries } = attempt;
+        const isDone = order.kind === "leave" ? hasLeft(attempt, order, report) : hasJoined(attempt, report);
+        // A report that is older than the accepted orders explains nothing; a newer one is requested after another conflict.
+        this.orderCounts.set(instanceKey, Math.max(report.orderCount, expectedCount));
+        if (isDone) {
+            this.recordMembership(upstream, order, report.orderCount);
             return "completed";
         }
-        const isStale = report.orderCount !== expectedCount;
-        // The report may be older than the most recent orders; after another conflict a newer one is requested.
-        this.orderCounts.set(instanceKey, report.orderCount);
         await this.options.clock.sleep(CONFLICT_DELAY_MS);
-        return isStale || tries <= MAX_UNEXPLAINED_CONFLICTS ? undefined : "rejected";
+        return report.orderCount !== expectedCount || tries <= MAX_UNEXPLAINED_CONFLICTS ? undefined : "rejected";
+    }
+
+    private recordMembership(upstream: Upstream, order: GroupOrder, orderCount: number): void {
+        if (order.kind === "join" || order.kind === "leave") {
+            this.options.onMembershipChanged(upstream, order, orderCount);
+        }
+    }
+}
+
+/** Returns true if a report shows the epoch of an earlier attempt, which must have been carried out. */
+function hasJoined({ order, hadNoResponse }: Attempt, { group }: ReceivedReport): boolean {
+    return "epoch" in order && hadNoResponse && group?.epoch === order.epoch;
+}
+
+/**
+ * Returns true if a report shows that an upstream has left a group. The report may be older than its join: one that states
+ * the expected count counts only after as many conflicts as reports lag behind, and one with more orders only if an
+ * earlier attempt may be among them.
+ */
+function hasLeft(
+    { expectedCount, isCountKnown, hadNoResponse, tries }: Attempt,
+    { group: name, epoch }: MembershipOrder,
+    { group, orderCount }: ReceivedReport,
+): boolean {
+    if (group?.name === name && group.epoch === epoch) {
+        return false;
     }
+    return orderCount === expectedCount
+        ? tries > MAX_UNEXPLAINED_CONFLICTS
+        : orderCount > expectedCount && isCountKnown && hadNoResponse;
 }
 
 /**
