Count demand by pool and exchange the figures between gateways

During a shortage each gateway knows only its own requests, so it cannot tell how much of a pool's demand the fleet can serve, and for whom.

FleetDemand counts the requests offered, admitted, refused and late by rank and client account over each second, for models of services with engines. The figures travel in GatewayUpdate (pool_demands, demand_gateways and demand_age_ms), at most once a second to each peer and only to peers that use the sender's load; hubs add up those of their zone and leave out the observer's own. Gateways count in the same seconds of the wall clock and hubs send 200 and 400 ms after their end, so that figures are less than two seconds old behind two hubs. poolDemand and zoneDemand say whether all gateways that are reached have reported; with an old build among them the figures are incomplete.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -40,6 +40,7 @@
 import { ColdStartLimiter } from "./placement/ColdStartLimiter.js";
 import { CrashGuard } from "./placement/CrashGuard.js";
 import { FailureRateTracker } from "./placement/FailureRateTracker.js";
+import { FleetDemand } from "./placement/FleetDemand.js";
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
 import { RequestedWaits } from "./placement/RequestedWaits.js";
@@ -226,6 +227,11 @@
             ...settings.retryBudget,
             gatewayCount: () => position()?.count,
         });
+        const demand = FleetDemand.create({
+            clock,
+            zone: settings.zone,
+            knownGateways: () => retryBudget.countedGateways(() => true),
+        });
         const crashGuard = CrashGuard.create({ clock, log, position });
         const viewAgeMs = () => this.upstreamWatch.ageMs;
         const sharedOptions = {
@@ -238,6 +244,7 @@
             failureRates,
             avoidedUpstreams,
             retryBudget,
+            demand,
             crashGuard,
             responseMemory: ResponseMemory.create(MAX_HELD_RESPONSE_BYTES),
         };
@@ -403,6 +410,7 @@
             controller: this.controller,
             loads: this.loads,
             retryBudget,
+            demand,
             crashGuard,
             announcedLimits: this.announcedLimits,
             upstreams: this.upstreams,
@@ -425,6 +433,8 @@
             clock,
             snapshot: observer => this.exchange.stateFor(observer),
             intervalMs: observer => this.exchange.updateIntervalMs(observer),
+            demand: observer => this.exchange.demandFor(observer),
+            demandDelayMs: observer => this.exchange.demandDelayMs(observer),
         });
         this.server = PeerServer.create({
             ...settings.peerListen,
--- a/packages/gateway/src/forwarding/ForwardedCall.ts
+++ b/packages/gateway/src/forwarding/ForwardedCall.ts
@@ -14,6 +14,8 @@
     crashSubjects: CrashSubjects;
     /** 0 is the most urgent. */
     priority: number;
+    /** Order of urgency by the account's priority, then by the route's; lower ranks are more urgent. */
+    rank: number;
     /** When the shorter of the caller's and the route's timeout expires, on the monotonic clock. */
     deadlineMs: number;
     /** Aborts at the deadline, or earlier when the gateway's shutdown ends. */
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -5,6 +5,7 @@
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
+import type { FleetDemand } from "../placement/FleetDemand.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
@@ -18,6 +19,7 @@
 import type { ForwardedCall } from "./ForwardedCall.js";
 import type { IdleTimeoutMonitor } from "./IdleTimeoutMonitor.js";
 import { readBody } from "./readBody.js";
+import { recordDemand } from "./recordDemand.js";
 import type { ResponseMemory } from "./ResponseMemory.js";
 
 interface PlainDispatcherOptions {
@@ -31,6 +33,7 @@
     failureRates: FailureRateTracker;
     avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
+    demand: FleetDemand;
     crashGuard: CrashGuard;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
@@ -95,12 +98,18 @@
             rejections: 0,
             retries: RequestRetries.create(this.options.retryBudget, call.service.name),
         };
+        recordDemand(this.options.demand, call, "offered");
+        let isAdmitted = false;
         for (;;) {
             const admitted = await this.acquire(call, progress);
             if (admitted.kind !== "admitted") {
                 this.giveUp(call, progress, admitted);
                 return;
             }
+            if (!isAdmitted) {
+                recordDemand(this.options.demand, call, "admitted");
+                isAdmitted = true;
+            }
             const { upstream } = admitted.slot;
             this.options.metrics.observe("queueWait", admitted.waitedMs);
             const result = await this.attempt(call, admitted.slot, progress);
@@ -275,6 +284,9 @@
                 return { kind: "failure-answer", head: response.head, body: body.bytes };
             }
             call.callerResponse.sendComplete(response.head, body.bytes);
+            if (clock.monotonicMs() > call.request.receivedAtMs + call.route.targetLatencyMs) {
+                recordDemand(this.options.demand, call, "late");
+            }
             this.options.metrics.observe("answer", clock.monotonicMs() - call.request.receivedAtMs);
             return { kind: "delivered" };
         }
@@ -351,6 +363,7 @@
         });
         if (!progress.mayHaveRun) {
             metrics.count("refusals", reason);
+            recordDemand(this.options.demand, call, "refused");
             call.callerResponse.refuse({ kind: "not-run", retryAfterMs, reason });
             return;
         }
--- a/packages/gateway/src/forwarding/RequestForwarder.ts
+++ b/packages/gateway/src/forwarding/RequestForwarder.ts
@@ -5,6 +5,7 @@
 import type { Route } from "../model/Route.js";
 import type { Service } from "../model/Service.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
+import { rankOf } from "../placement/rankOf.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { CallerResponse } from "../ports/CallerResponse.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -216,6 +217,7 @@
             account: accountName,
             crashSubjects,
             priority: priorityOf(route, account),
+            rank: rankOf(route, account),
             deadlineMs,
             deadline: AbortSignal.any([deadline.signal, this.shutdownEnd.signal]),
             configurationVersion: version,
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -7,6 +7,7 @@
 import { chooseGroup } from "../placement/chooseGroup.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
+import type { FleetDemand } from "../placement/FleetDemand.js";
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
@@ -22,6 +23,7 @@
 import type { ForwardedCall } from "./ForwardedCall.js";
 import type { IdleTimeoutMonitor } from "./IdleTimeoutMonitor.js";
 import { readBody } from "./readBody.js";
+import { recordDemand } from "./recordDemand.js";
 import type { ResponseMemory } from "./ResponseMemory.js";
 
 interface StreamDispatcherOptions {
@@ -35,6 +37,7 @@
     failureRates: FailureRateTracker;
     avoidedUpstreams: AvoidedUpstreams;
     retryBudget: RetryBudget;
+    demand: FleetDemand;
     crashGuard: CrashGuard;
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
@@ -138,18 +141,35 @@
             brokenEpochs: new Set(),
             retries: RequestRetries.create(this.options.retryBudget, call.service.name),
         };
+        const { demand, metrics } = this.options;
+        recordDemand(demand, call, "offered");
+        let isAdmitted = false;
         for (;;) {
             const admitted = await this.acquire(call, engine, progress);
             if (admitted.kind !== "admitted") {
                 this.giveUp(call, progress, admitted);
-                return;
+                break;
             }
-            this.options.metrics.observe("queueWait", admitted.waitedMs);
+            if (!isAdmitted) {
+                recordDemand(demand, call, "admitted");
+                isAdmitted = true;
+            }
+            metrics.observe("queueWait", admitted.waitedMs);
             const result = await this.attempt(call, engine, admitted.slot, progress);
             if (this.handleResult(call, progress, admitted.slot, result)) {
-                return;
+                break;
             }
         }
+        if (progress.mayHaveRun && !progress.hasEvents) {
+            this.recordIfLate(call);
+        }
+    }
+
+    /** Counts a request as late if the route's target for its first event is over. */
+    private recordIfLate(call: ForwardedCall): void {
+        if (this.options.clock.monotonicMs() > call.request.receivedAtMs + call.route.targetLatencyMs) {
+            recordDemand(this.options.demand, call, "late");
+        }
     }
 
     private acquire(
@@ -360,6 +380,9 @@
                 if (!events) {
                     continue;
                 }
+                if (!progress.hasEvents) {
+                    this.recordIfLate(call);
+                }
                 if (!slot.hasEvents) {
                     this.options.crashGuard.recordBegun(call.crashSubjects, poolOf(call));
                 }
@@ -540,6 +563,7 @@
         }
         if (outcome.kind === "refused" && !progress.mayHaveRun) {
             metrics.count("refusals", outcome.reason);
+            recordDemand(this.options.demand, call, "refused");
             log.info("request refused", {
                 request: call.request.id,
                 reason: outcome.reason,
@@ -570,6 +594,7 @@
             call.callerResponse.abort();
         }
         else if (!progress.mayHaveRun) {
+            recordDemand(this.options.demand, call, "refused");
             call.callerResponse.refuse({ kind: "not-run", retryAfterMs: EXPECTED_FORMATION_MS, reason });
         }
         else {
--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -3,6 +3,7 @@
 import { type CrashSuspect as CrashSuspectMessage, GatewayService, type GatewayUpdate } from "@fescuehaven/protocol";
 import type { Clock, Random } from "@fescuehaven/runtime";
 import type { CrashSuspect } from "../placement/CrashSuspect.js";
+import type { DemandReport } from "../placement/DemandReport.js";
 import type { GatewayPosition } from "../placement/GatewayPosition.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import { createPeerTransport } from "./createPeerTransport.js";
@@ -340,6 +341,7 @@
         configurationVersion: update.configurationVersion,
         ...(update.configurationAgeMs !== undefined && { configurationAgeMs: update.configurationAgeMs }),
         unreachableServices: update.unreachableServices,
+        ...(update.demandGateways > 0 && { demand: toDemandReport(update) }),
         announcedLimits: update.announcedLimits.map(report => ({
             upstream: report.upstream,
             startedAtMs: report.startedAtMs,
@@ -360,6 +362,23 @@
     };
 }
 
+function toDemandReport({ poolDemands, demandGateways, demandAgeMs }: GatewayUpdate): DemandReport {
+    const pools = poolDemands.map(({ service, model, zone, ranks }) => ({
+        service,
+        model,
+        zone,
+        ranks: ranks.map(({ rank, offered, admitted, refused, late, accounts }) => ({
+            rank,
+            offered,
+            admitted,
+            refused,
+            late,
+            accounts: accounts.map(({ account, offered: ofAccount }) => [account, ofAccount] as const),
+        })),
+    }));
+    return { pools, gateways: demandGateways, ageMs: demandAgeMs };
+}
+
 function toCrashSuspect({ part, pool, crashes, begun, block }: CrashSuspectMessage): CrashSuspect {
     return {
         part,
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -3,6 +3,8 @@
 import type { FleetController } from "../fleet/FleetController.js";
 import type { AnnouncedLimits } from "../placement/AnnouncedLimits.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
+import type { DemandReport } from "../placement/DemandReport.js";
+import type { FleetDemand } from "../placement/FleetDemand.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
@@ -24,6 +26,7 @@
     controller: FleetController;
     loads: LoadTracker;
     retryBudget: RetryBudget;
+    demand: FleetDemand;
     crashGuard: CrashGuard;
     announcedLimits: AnnouncedLimits;
     upstreams: UpstreamDirectory;
@@ -62,6 +65,12 @@
 const ZONE_UPDATE_INTERVAL_MS = 200;
 /** The same to peers that do not use the sender's load, and need only heartbeats. */
 const UNUSED_LOAD_UPDATE_INTERVAL_MS = 400;
+/**
+ * Time after the end of each second at which an active hub sends its zone's demand to other hubs, and the demand of all to
+ * its zone: the figures of the hop before have arrived by then.
+ */
+const HUB_DEMAND_DELAY_MS = 200;
+const ZONE_DEMAND_DELAY_MS = 400;
 /** A snapshot for several peers is reused for this long: a small fraction of the interval between updates. */
 const SNAPSHOT_TTL_MS = 25;
 /** A lost group is announced for this long: a broken connection is restored within a few seconds. */
@@ -188,10 +197,14 @@
         if (this.usesLoadOf(peer)) {
             this.options.loads.setPeerLoads(peer, state.loads);
             this.options.retryBudget.setPeerCounts(peer, state.retries, state.countedGateways);
+            if (state.demand) {
+                this.options.demand.setPeerReport(peer, state.demand);
+            }
         }
         else {
             this.options.loads.dropPeer(peer);
             this.options.retryBudget.dropPeer(peer);
+            this.options.demand.dropPeer(peer);
         }
         if (state.loads.length > 0) {
             this.options.onTraffic();
@@ -212,6 +225,7 @@
     removePeer(peer: string): void {
         this.options.loads.dropPeer(peer);
         this.options.retryBudget.dropPeer(peer);
+        this.options.demand.dropPeer(peer);
         this.peerStates.delete(peer);
         this.confirmedAtMs.delete(peer);
     }
@@ -295,6 +309,33 @@
         return usesLoad ? UPDATE_INTERVAL_MS : UNUSED_LOAD_UPDATE_INTERVAL_MS;
     }
 
+    /** Returns the demand figures for a peer, aggregated like the retries. */
+    demandFor(observer: string): DemandReport {
+        const { connections, zone, demand } = this.options;
+        if (!connections.isActiveHub) {
+            return demand.report(() => false);
+        }
+        return connections.zoneOf(observer) === zone
+            ? demand.reportWithout(observer)
+            : demand.report(peer => connections.zoneOf(peer) === zone);
+    }
+
+    /** Returns when a peer is sent demand figures after the end of each second; Infinity if it does not use them. */
+    demandDelayMs(observer: string): number {
+        const { connections, zone } = this.options;
+        if (!connections.hasHubs) {
+            return 0;
+        }
+        const observerZone = connections.zoneOf(observer) ?? "";
+        if (connections.isActiveHub && observerZone === zone) {
+            return ZONE_DEMAND_DELAY_MS;
+        }
+        if (connections.activeHubOf(observerZone) !== observer) {
+            return Infinity;
+        }
+        return connections.isActiveHub ? HUB_DEMAND_DELAY_MS : observerZone === zone ? 0 : Infinity;
+    }
+
     /** Hops from the nearest connected peer to the controller of the highest known term. */
     private get distance(): number {
         const distances = this.options.connections.connectedPeers().map(peer => {
--- a/packages/gateway/src/peers/PeerState.ts
+++ b/packages/gateway/src/peers/PeerState.ts
@@ -1,4 +1,5 @@
 import type { CrashReport } from "../placement/CrashReport.js";
+import type { DemandReport } from "../placement/DemandReport.js";
 import type { LeavingReport } from "../placement/LeavingReport.js";
 import type { LimitReport } from "../placement/LimitReport.js";
 import type { RetryCounts } from "../placement/RetryCounts.js";
@@ -32,4 +33,9 @@
     configurationAgeMs?: number;
     /** Services of which the sender reaches no upstream. */
     unreachableServices: readonly string[];
+    /**
+     * Demand for engines, of the sender and of the gateways for which it relays; absent in updates that leave the last
+     * figures valid, and from builds that do not count it.
+     */
+    demand?: DemandReport;
 }
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -8,7 +8,9 @@
 } from "@fescuehaven/protocol";
 import type { Clock } from "@fescuehaven/runtime";
 import type { CrashSuspect } from "../placement/CrashSuspect.js";
+import type { DemandReport } from "../placement/DemandReport.js";
 import { WakeSignal } from "../util/WakeSignal.js";
+import { DemandSchedule } from "./DemandSchedule.js";
 import type { PeerState } from "./PeerState.js";
 import { UnsentEvidence } from "./UnsentEvidence.js";
 import { withoutAges } from "./withoutAges.js";
@@ -19,6 +21,10 @@
     snapshot: (observer: string) => PeerState;
     /** Interval between updates to a peer while the state changes. */
     intervalMs: (observer: string) => number;
+    /** Returns the demand figures for a peer. Called at most once a second for each. */
+    demand: (observer: string) => DemandReport;
+    /** Time after the end of each second at which a peer is sent its figures; Infinity for peers that do not use them. */
+    demandDelayMs: (observer: string) => number;
 }
 
 /** A peer that follows this gateway. */
@@ -77,11 +83,12 @@
     }
 
     private async *stream(observer: string, signal: AbortSignal): AsyncGenerator<GatewayUpdate> {
-        const { clock, snapshot, intervalMs } = this.options;
+        const { clock, snapshot, intervalMs, demand, demandDelayMs } = this.options;
         const follower: Follower = { wakeSignal: WakeSignal.create(), isUrgent: true };
         this.followers.add(follower);
         this.wakeSignal.notify();
         const unsentEvidence = UnsentEvidence.create();
+        const demandSchedule = DemandSchedule.create(clock);
         let sentText = "";
         let sentAtMs = -Infinity;
         try {
@@ -94,10 +101,17 @@
                     const update = { ...state, ...unsentEvidence.take(state, nowMs) };
                     // The silence of loads changes all the time.
                     const text = update.loads.length > 0 ? undefined : JSON.stringify(update, withoutAges);
-                    if (text === undefined || text !== sentText || sinceMs >= HEARTBEAT_MS) {
+                    const delayMs = demandDelayMs(observer);
+                    const report = demandSchedule.isDue(delayMs) ? demand(observer) : undefined;
+                    // Figures of a time without requests can wait for the next heartbeat.
+                    const isNew = text === undefined || text !== sentText || (report && report.pools.length > 0);
+                    if (isNew || sinceMs >= HEARTBEAT_MS) {
                         sentText = text ?? "";
                         sentAtMs = nowMs;
-                        yield toUpdate(update);
+                        if (report) {
+                            demandSchedule.recordSent(delayMs);
+                        }
+                        yield toUpdate({ ...update, ...(report && { demand: report }) });
                     }
                 }
                 await follower.wakeSignal.wait(signal);
@@ -134,9 +148,21 @@
             requestAgeMs: Math.round(report.requestAgeMs),
         })),
         leavingUpstreams: state.leavingUpstreams.map(report => ({ ...report, ageMs: Math.round(report.ageMs) })),
+        ...(state.demand && toDemandFields(state.demand)),
     });
 }
 
+function toDemandFields({ pools, gateways, ageMs }: DemandReport): MessageInitShape<typeof GatewayUpdateSchema> {
+    const poolDemands = pools.map(pool => ({
+        ...pool,
+        ranks: pool.ranks.map(rank => ({
+            ...rank,
+            accounts: rank.accounts.map(([account, offered]) => ({ account, offered })),
+        })),
+    }));
+    return { poolDemands, demandGateways: gateways, demandAgeMs: Math.round(ageMs) };
+}
+
 function toCrashMessage(
     { part, pool, crashes, begun, block }: CrashSuspect,
 ): MessageInitShape<typeof CrashSuspectSchema> {
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -2,12 +2,14 @@
 import { expect } from "chai";
 import { ControllerLease } from "../../src/fleet/ControllerLease.js";
 import type { FleetController } from "../../src/fleet/FleetController.js";
+import { DemandSchedule } from "../../src/peers/DemandSchedule.js";
 import { PeerConnections } from "../../src/peers/PeerConnections.js";
 import { PeerExchange } from "../../src/peers/PeerExchange.js";
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
 import { CrashGuard } from "../../src/placement/CrashGuard.js";
 import type { CrashSubjects } from "../../src/placement/CrashSubjects.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
+import { FleetDemand } from "../../src/placement/FleetDemand.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
@@ -23,6 +25,7 @@
     connections: PeerConnections;
     loads: LoadTracker;
     retries: RetryBudget;
+    demand: FleetDemand;
     crashGuard: CrashGuard;
     announcedLimits: AnnouncedLimits;
     exchange: PeerExchange;
@@ -69,6 +72,11 @@
             windowMs: 10_000,
             gatewayCount: () => connections.position?.count,
         });
+        const demand = FleetDemand.create({
+            clock,
+            zone: vm[0]!,
+            knownGateways: () => retries.countedGateways(() => true),
+        });
         const crashGuard = CrashGuard.create({
             clock,
             log,
@@ -83,6 +91,7 @@
             connections,
             loads,
             retries,
+            demand,
             flushes: 0,
             exchange: PeerExchange.create({
                 clock,
@@ -108,6 +117,7 @@
                 controller: { recentlyOpened: () => [] } as unknown as FleetController,
                 loads,
                 retryBudget: retries,
+                demand,
                 crashGuard,
                 announcedLimits,
                 upstreams,
@@ -262,6 +272,75 @@
         });
     }
 
+    /** Passes states every 100 ms for a time, with figures on the schedule of the publisher. */
+    async function exchangeDemand(
+        durationMs: number,
+        onPass: () => void,
+        isOld: (vm: string) => boolean = () => false,
+    ): Promise<void> {
+        const schedules = new Map<string, DemandSchedule>();
+        for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
+            await clock.advance(100);
+            for (const { vm, connections, exchange } of gateways.values()) {
+                for (const peer of connections.followedPeers()) {
+                    const sender = gateways.get(peer)!.exchange;
+                    const schedule = schedules.get(`${peer}/${vm}`) ?? DemandSchedule.create(clock);
+                    schedules.set(`${peer}/${vm}`, schedule);
+                    const delayMs = sender.demandDelayMs(vm);
+                    const isDue = schedule.isDue(delayMs) && !isOld(peer);
+                    schedule.recordSent(delayMs);
+                    const { demand: _demand, ...state } = sender.stateFor(vm);
+                    exchange.apply(peer, isDue ? { ...state, demand: sender.demandFor(vm) } : state);
+                }
+            }
+            onPass();
+        }
+    }
+
+    for (const [title, vms] of fleets) {
+        // Guards against figures that are older than two seconds after two hubs, or that count a gateway twice.
+        it(`adds up the demand of ${title}, each gateway's once and at most two seconds old`, async () => {
+            start(vms);
+            let passes = 0;
+            await exchangeDemand(8000, () => {
+                passes += 1;
+                for (const { vm, demand } of gateways.values()) {
+                    // Two requests a second at each gateway.
+                    if (passes % 5 === 0) {
+                        demand.record({ kind: "offered", service: "llm", model: "large", rank: 101, account: "acme" });
+                    }
+                    const figures = demand.poolDemand("llm", "large");
+                    if (passes > 30) {
+                        const perSecond = { ...figures, offered: figures.offeredPerSecond, zone: 0 };
+                        perSecond.zone = demand.zoneDemand("llm", "large", vm[0]!).offeredPerSecond;
+                        const inZone = vms.filter(other => other[0] === vm[0]).length;
+                        expect(perSecond.offered, vm).to.equal(vms.length * 2);
+                        expect(perSecond.zone, vm).to.equal(inZone * 2);
+                        expect(perSecond.ranks.map(({ rank, accounts }) => [rank, accounts.map(([, n]) => n)])).to.deep
+                            .equal([[101, [vms.length * 2]]]);
+                        expect(figures.isComplete, vm).to.equal(true);
+                        expect(figures.ageMs, vm).to.be.below(2000);
+                    }
+                }
+            });
+        });
+
+        it(`reports the demand of ${title} as incomplete while a gateway of an old build does not state it`, async () => {
+            start(vms);
+            const isComplete = () =>
+                [...gateways.values()].map(({ demand }) => demand.poolDemand("llm", "x").isComplete);
+            const old = vms[0]!;
+            await exchangeDemand(4000, () => undefined, vm => vm === old);
+            expect(isComplete().slice(1)).to.deep.equal(vms.slice(1).map(() => false));
+            await exchangeDemand(4000, () => undefined);
+            expect(isComplete()).to.deep.equal(vms.map(() => true));
+            // The other side of a partition is not known either.
+            gateways.get("a1")!.connections.followedPeers().filter(peer => peer[0] !== "a")
+                .forEach(peer => gateways.get("a1")!.exchange.removePeer(peer));
+            expect(isComplete()[0]).to.equal(true);
+        });
+    }
+
     it("tells 80 gateways within half a second that an upstream is leaving", async () => {
         const vms = ["a", "b", "c", "d"].flatMap(zone => Array.from({ length: 20 }, (_, index) => `${zone}${index}`));
         start(vms);
--- a/packages/gateway/tests/peers/PeerStatePublisher.test.ts
+++ b/packages/gateway/tests/peers/PeerStatePublisher.test.ts
@@ -4,6 +4,7 @@
 import { expect } from "chai";
 import type { PeerState } from "../../src/peers/PeerState.js";
 import { PeerStatePublisher } from "../../src/peers/PeerStatePublisher.js";
+import type { DemandReport } from "../../src/placement/DemandReport.js";
 
 /** Interval between updates by follower. */
 const intervalsMs: Record<string, number> = { near: 100, member: 200, standby: 400 };
@@ -15,7 +16,10 @@
     let received: Map<string, number>;
     let snapshots: number;
     let term: number;
+    let pools: DemandReport["pools"];
     let crashEvidence: PeerState["crashEvidence"];
+    /** Updates with demand figures by follower. */
+    let withDemand: Map<string, number>;
     /** Updates with evidence by follower. */
     let withEvidence: Map<string, number>;
 
@@ -25,8 +29,10 @@
         received = new Map();
         snapshots = 0;
         term = 1;
+        pools = [];
         crashEvidence = { promptParts: [], requests: [] };
         withEvidence = new Map();
+        withDemand = new Map();
         const snapshot = (): PeerState => {
             snapshots += 1;
             return {
@@ -48,6 +54,8 @@
             clock,
             snapshot,
             intervalMs: observer => intervalsMs[observer] ?? 100,
+            demand: () => ({ pools, gateways: 1, ageMs: 0 }),
+            demandDelayMs: observer => observer === "standby" ? Infinity : 200,
         });
         void publisher.run(stop.signal);
     });
@@ -60,6 +68,7 @@
         void (async () => {
             for await (const update of updates) {
                 received.set(observer, (received.get(observer) ?? 0) + (update.term > 0 ? 1 : 0));
+                withDemand.set(observer, (withDemand.get(observer) ?? 0) + (update.demandGateways > 0 ? 1 : 0));
                 withEvidence.set(
                     observer,
                     (withEvidence.get(observer) ?? 0) + (update.crashSuspects.length > 0 ? 1 : 0),
@@ -117,6 +126,17 @@
         expect([withEvidence.get("near"), withEvidence.get("standby")]).to.deep.equal([2, 1]);
     });
 
+    // Guards against figures in every update, which would be sent ten times as often as they change.
+    it("sends demand figures once a second to the followers that use them", async () => {
+        pools = [{ service: "llm", model: "large", zone: "a", ranks: [] }];
+        await follow("near");
+        await follow("member");
+        await follow("standby");
+        await advanceWithChanges(5000);
+        expect(["near", "member"].map(observer => withDemand.get(observer))).to.deep.equal([6, 6]);
+        expect(withDemand.get("standby")).to.equal(0);
+    });
+
     it("takes no snapshots while there are no followers", async () => {
         await clock.advance(4000);
         expect(snapshots).to.equal(0);
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -9,6 +9,7 @@
 import { PeerStatePublisher } from "../../src/peers/PeerStatePublisher.js";
 import { ViewServiceHandler } from "../../src/peers/ViewServiceHandler.js";
 import type { ViewSource } from "../../src/peers/ViewSource.js";
+import type { DemandReport } from "../../src/placement/DemandReport.js";
 import { StoreEras } from "../../src/StoreEras.js";
 import { WatchCache } from "../../src/WatchCache.js";
 import { freePort } from "../support/freePort.js";
@@ -44,6 +45,17 @@
     openGroups: [{ head: "u1", name: "g", epoch: 65537, model: "large" }],
 };
 
+const demand: DemandReport = {
+    pools: [{
+        service: "llm",
+        model: "large",
+        zone: "b",
+        ranks: [{ rank: 102, offered: 9, admitted: 7, refused: 2, late: 1, accounts: [[4_000_000_000, 5], [7, 4]] }],
+    }],
+    gateways: 3,
+    ageMs: 240,
+};
+
 const MAX_VIEW_AGE_MS = 400;
 const SILENCE_LIMIT_MS = 600;
 /** Time for reading the store instead, on a loaded machine. */
@@ -88,6 +100,8 @@
                 return state;
             },
             intervalMs: () => 100,
+            demand: () => demand,
+            demandDelayMs: () => 0,
         });
         server = PeerServer.create({
             host: "127.0.0.1",
@@ -152,7 +166,7 @@
                 vm: "me",
                 zone: "a",
                 onState: (peer, received) => {
-                    expect([peer, received]).to.deep.equal(["other", state]);
+                    expect([peer, received]).to.deep.equal(["other", { ...state, demand }]);
                     resolve(created);
                 },
                 onDisconnected: peer => onDisconnected(peer),
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -15,6 +15,7 @@
 import { ColdStartLimiter } from "../../src/placement/ColdStartLimiter.js";
 import { CrashGuard } from "../../src/placement/CrashGuard.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
+import { FleetDemand } from "../../src/placement/FleetDemand.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
@@ -64,6 +65,7 @@
         log: this.log,
         position: () => ({ index: 0, count: 1 }),
     });
+    readonly demand = FleetDemand.create({ clock: this.clock, zone: "a", knownGateways: () => 1 });
     readonly groups: GroupDirectory;
     /** False while neither the gateway nor a known other one reaches an upstream. */
     isReachable = true;
@@ -105,6 +107,7 @@
             failureRates,
             avoidedUpstreams: AvoidedUpstreams.create(clock),
             retryBudget,
+            demand: this.demand,
             crashGuard: this.crashGuard,
             idleTimeouts,
             client: ResponseRecordingClient.create({
