Pause between updates of the lease that the store does not carry out

The pause now doubles up to 0.8 s after each update that was refused or got no response. In a refusal of nine seconds a holder makes at most 14 calls instead of 71, or 28 instead of 142 if responses are lost, and still renews within a second of the store's return.

--- a/packages/gateway/src/fleet/ControllerLease.ts
+++ b/packages/gateway/src/fleet/ControllerLease.ts
@@ -1,4 +1,4 @@
-import type { Era, ObjectStore, Revision, StoredObject } from "@fescuehaven/platform";
+import type { Era, ObjectStore, Revision, StoredObject, UpdateOutcome } from "@fescuehaven/platform";
 import type { Clock } from "@fescuehaven/runtime";
 import { z } from "zod";
 import type { CrashReport } from "../placement/CrashReport.js";
@@ -49,6 +49,11 @@
 
 const LEASE_KEY = { kind: "fescue_controllers", name: "fleet" } as const;
 const POLL_INTERVAL_MS = 100;
+/**
+ * Longest pause between two updates while the store does not carry them out: every call is billed, also refused ones.
+ * Several fit in before the lease counts as expired.
+ */
+const MAX_RETRY_PAUSE_MS = 800;
 /** Time between renewals; not shorter, because every renewal is an event for all gateways. */
 const RENEWAL_INTERVAL_MS = 2500;
 /**
@@ -82,6 +87,10 @@
     private renewedAtMs = -Infinity;
     private highestTerm = 0;
     private lastPollAtMs: number;
+    /** Consecutive updates that the store has not carried out, as far as known. */
+    private failedUpdates = 0;
+    /** When the next update may be sent, monotonic. */
+    private mayUpdateFromMs = -Infinity;
     private mustRenew = false;
     /** The store lacks this gateway's lease or has an older state of it. */
     private mustRestore = false;
@@ -254,6 +263,9 @@
 
     private async renewOrAcquire(nowMs: number): Promise<void> {
         const { vm, incarnation } = this.options;
+        if (nowMs < this.mayUpdateFromMs) {
+            return;
+        }
         if (this.hasResigned || this.options.isUnfit()) {
             await this.writeRelease();
             return;
@@ -302,11 +314,20 @@
         return sinceMs >= waitMs && sinceMs >= waitMs + this.options.candidateRank() * RANK_DELAY_MS;
     }
 
+    /** Doubles the pause before the next update if the store has not responded or has carried out nothing. */
+    private recordUpdate(outcome: UpdateOutcome["kind"]): void {
+        const hasFailed = outcome === "unavailable" || outcome === "unknown";
+        this.failedUpdates = hasFailed ? this.failedUpdates + 1 : 0;
+        const pauseMs = Math.min(MAX_RETRY_PAUSE_MS, POLL_INTERVAL_MS * 2 ** (this.failedUpdates - 1));
+        this.mayUpdateFromMs = hasFailed ? this.options.clock.monotonicMs() + pauseMs : -Infinity;
+    }
+
     private async write(claim: LeaseClaim): Promise<void> {
         const { store, clock, log, blockedSuspects } = this.options;
         const { promptParts, requests } = blockedSuspects();
         const lease = { ...claim, era: this.era, blockedPrompts: promptParts, blockedRequests: requests };
         const outcome = await store.write(LEASE_KEY, lease, this.revision, "claim", this.era);
+        this.recordUpdate(outcome.kind);
         if (outcome.kind === "committed") {
             this.observe({ ...LEASE_KEY, revision: outcome.revision, value: lease }, outcome.era);
             this.renewedAtMs = clock.monotonicMs();
--- a/packages/gateway/tests/fleet/ControllerLease.test.ts
+++ b/packages/gateway/tests/fleet/ControllerLease.test.ts
@@ -5,6 +5,8 @@
 import type { CrashReport } from "../../src/placement/CrashReport.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
+const UNAVAILABLE = { kind: "unavailable", retryAfterMs: 100 } as const;
+
 /** A gateway that competes for the lease. */
 interface Candidate {
     lease: ControllerLease;
@@ -110,6 +112,38 @@
         expect(other.blocked).to.deep.equal(blocked);
     });
 
+    for (const kind of ["unavailable", "unknown"] as const) {
+        it(`makes few calls while the outcome of updates is ${kind}, and is renewed soon afterwards`, async () => {
+            let isRefusing = false;
+            let calls = 0;
+            const refusing = new Proxy(store, {
+                get: (target, name) => {
+                    const member = Reflect.get(target, name) as unknown;
+                    if (typeof member !== "function" || (name !== "write" && name !== "read")) {
+                        return member;
+                    }
+                    return async (...parameters: unknown[]) => {
+                        calls += 1;
+                        const refusal = name === "write" && kind === "unknown" ? { kind } : UNAVAILABLE;
+                        return isRefusing ? refusal : Reflect.apply(member, target, parameters) as unknown;
+                    };
+                },
+            });
+            const { lease } = start("a", 0, "a-1", refusing);
+            await clock.advance(1000);
+            isRefusing = true;
+            calls = 0;
+            await clock.advance(9000);
+            // A renewal is due after 2.5 s at the latest; without pauses it was tried ten times a second.
+            expect(calls).to.be.within(4, kind === "unknown" ? 28 : 14);
+            expect(lease.isController).to.equal(true);
+            isRefusing = false;
+            calls = 0;
+            await clock.advance(1000);
+            expect(calls).to.equal(1);
+        });
+    }
+
     it("stays with its holder while the holder is reachable", async () => {
         const first = start("a");
         await clock.advance(500);
