Count a leave order that a member has answered as done

The sender took 200 for an order without effect. Its next orders conflicted four times until a report showed the count, and the last report, which still showed the group, made it withhold joins for good: one formation was repeated seven times in five seconds. The simulated engines answer as real ones now.

--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -73,6 +73,11 @@
     private readonly orderCounts = new Map<string, number>();
     /** The last reports, which lag behind by a few hundred ms. */
     private readonly reports = new Map<string, ReceivedReport>();
+    /** Epochs of the groups that each instance has joined and left last, by its responses to orders. */
+    private readonly joinedEpochs = new Map<string, number>();
+    private readonly leftEpochs = new Map<string, number>();
+    /** Instances whose order count assumes that a leave order has changed something, which its response does not say. */
+    private readonly assumedCounts = new Set<string>();
     private readonly busy = new Set<string>();
 
     private constructor(private readonly options: OrderSenderOptions) {}
@@ -168,6 +173,10 @@
             }
             if (outcome.kind === "accepted") {
                 this.orderCounts.set(instanceKey, expectedCount + 1);
+                this.assumedCounts.delete(instanceKey);
+                if (order.kind === "join") {
+                    this.joinedEpochs.set(instanceKey, order.epoch);
+                }
                 this.recordMembership(upstream, order, expectedCount + 1);
                 if (report?.orderCount === expectedCount && !changesMembership[order.kind]) {
                     this.reports.set(instanceKey, { ...report, orderCount: expectedCount + 1 });
@@ -175,7 +184,7 @@
                 return "completed";
             }
             if (outcome.kind === "done") {
-                this.recordMembership(upstream, order, expectedCount);
+                this.recordDone(upstream, order, expectedCount);
                 return "completed";
             }
             if (outcome.kind === "other-instance") {
@@ -214,7 +223,8 @@
         const { order, expectedCount, tries } = attempt;
         const isDone = order.kind === "leave" ? hasLeft(attempt, order, report) : hasJoined(attempt, report);
         // A report that is older than the accepted orders explains nothing; a newer one is requested after another conflict.
-        this.orderCounts.set(instanceKey, Math.max(report.orderCount, expectedCount));
+        const isAssumed = this.assumedCounts.delete(instanceKey);
+        this.orderCounts.set(instanceKey, Math.max(report.orderCount, isAssumed ? 0 : expectedCount));
         if (isDone) {
             this.recordMembership(upstream, order, report.orderCount);
             return "completed";
@@ -223,6 +233,23 @@
         return report.orderCount !== expectedCount || tries <= MAX_UNEXPLAINED_CONFLICTS ? undefined : "rejected";
     }
 
+    /**
+     * Records an order whose response says that its state is reached. A member carries a leave order out at once and counts
+     * it, but its response is the same if it had left before.
+     */
+    private recordDone(upstream: Upstream, order: GroupOrder, expectedCount: number): void {
+        const instanceKey = instanceKeyOf(upstream);
+        const isCounted = order.kind === "leave" && this.leftEpochs.get(instanceKey) !== order.epoch
+            && (upstream.group?.epoch === order.epoch || this.joinedEpochs.get(instanceKey) === order.epoch);
+        const orderCount = expectedCount + (isCounted ? 1 : 0);
+        if (isCounted) {
+            this.leftEpochs.set(instanceKey, order.epoch);
+            this.assumedCounts.add(instanceKey);
+        }
+        this.orderCounts.set(instanceKey, orderCount);
+        this.recordMembership(upstream, order, orderCount);
+    }
+
     private recordMembership(upstream: Upstream, order: GroupOrder, orderCount: number): void {
         if (order.kind === "join" || order.kind === "leave") {
             this.options.onMembershipChanged(upstream, order, orderCount);
--- a/packages/gateway/tests/fleet/OrderSender.test.ts
+++ b/packages/gateway/tests/fleet/OrderSender.test.ts
@@ -112,6 +112,29 @@
         });
     }
 
+    // The response did not count as an order: the next orders conflicted, and joins were withheld because the last report
+    // still showed the group.
+    it("counts a leave that a member answers as done, once", async () => {
+        const done: OrderOutcome = { kind: "done" };
+        const rig = createSender([{ kind: "accepted" }, done, done, { kind: "accepted" }], [report(1, joined)]);
+        await rig.send(join);
+        await rig.sender.fetchReport(upstream);
+        await rig.send(leave);
+        await rig.send(leave);
+        expect(await rig.send({ ...join, group: "other", epoch: 8 } as never)).to.equal("completed");
+        expect(rig.counts).to.deep.equal([0, 1, 2, 2]);
+        expect(rig.changes).to.deep.equal([["join", 1], ["leave", 2], ["leave", 2], ["join", 3]]);
+    });
+
+    it("corrects the count of a member that had left by another controller's order", async () => {
+        const conflict: OrderOutcome = { kind: "conflict" };
+        const rig = createSender([{ kind: "accepted" }, { kind: "done" }, conflict, { kind: "accepted" }], [report(1)]);
+        await rig.send(join);
+        await rig.send(leave);
+        expect(await rig.send({ ...join, epoch: 8 } as never)).to.equal("completed");
+        expect(rig.counts).to.deep.equal([0, 1, 2, 1]);
+    });
+
     it("ignores a report that is older than an accepted order", async () => {
         const rig = createSender([{ kind: "accepted" }], [report(0, joined), report(1)]);
         await rig.send(leave);
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -259,7 +259,14 @@
                 order,
                 () => this.setGroupPhase(vm, this.busyEpochs.has(order.epoch) ? "closing" : "ready"),
             ),
-        leave: (vm, order) => this.withGroup(vm, order, () => this.update(vm, { group: undefined, model: undefined })),
+        leave: (vm, order) => {
+            const isMember = vm.upstream.group?.name === order.group && vm.upstream.group.epoch === order.epoch;
+            if (isMember) {
+                vm.orderCount += 1;
+                this.update(vm, { group: undefined, model: undefined });
+            }
+            return { kind: "done" };
+        },
         stage: (vm, order) => {
             // Staging runs independently of the upstream's state, so a change of state does not cancel it.
             void this.clock.sleep(this.modelOf(order.model).loadFromStoreMs).then(() => {
