Keep the requests at a group within its memory

Callers saw long streams break off: gateways filled the slots of a group, whatever the size of the requests, and an engine whose memory is full preempts the newest ones or crashes.

Each request in flight counts with its prompt and its expected response: the caller's estimate with a margin, at most what the caller allows, and twice what has arrived once it exceeds that. A group gets a request only if the largest number of tokens that its requests and this one hold at the same time fits into 0.9 of its memory; requests that end while others grow count until their end. Where memory is too short for all slots, a request also leaves room for a random number of those that other gateways send before their loads become known, since otherwise all choose the group with room. A request that no group can hold is refused at once. Without `kvCacheTokens`, and for requests that state no tokens, the choice is as before.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -6,6 +6,7 @@
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
+import { estimateTokens } from "../placement/estimateTokens.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { FleetDemand } from "../placement/FleetDemand.js";
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
@@ -55,6 +56,8 @@
     candidate: GroupCandidate;
     /** Predicted time until the first event. */
     firstEventMs: number;
+    /** Tokens that the request is expected to hold at its end; undefined if it states none. */
+    ownTokens?: number;
     trackedRequest: TrackedRequest;
     /** Aborts, with the reason, when the group is reported lost. */
     groupLost: AbortController;
@@ -66,6 +69,10 @@
 interface StreamProgress {
     lastEventId?: string;
     hasEvents: boolean;
+    /** Number of events that all attempts have delivered. */
+    events: number;
+    /** Decides which of several requests gets memory that does not suffice for all; 0 to 1. */
+    draw: number;
     /** Attempts that an engine has run or may have run; a resend to the same head is not counted again. */
     countedAttempts: number;
     /** Head to which the request may be sent once more, because the connection to it was stale. */
@@ -120,6 +127,9 @@
 /** Fraction of the remaining time that a request may spend waiting; the rest is for the response itself. */
 const MAX_WAIT_FRACTION = 0.45;
 
+/** Retry-after delay of a request that no group can hold, which only a new configuration changes: the longest that is used. */
+const OVERSIZED_RETRY_AFTER_MS = 3000;
+
 /** Waits for a slot at a group, forwards the stream's events as they arrive and, if it breaks, resumes it elsewhere. */
 export class StreamDispatcher {
     private constructor(private readonly options: StreamDispatcherOptions) {}
@@ -134,6 +144,8 @@
         const progress: StreamProgress = {
             lastEventId: call.request.lastEventId,
             hasEvents: false,
+            events: 0,
+            draw: engine.kvCacheTokens === undefined ? 0 : this.options.random.next(),
             countedAttempts: 0,
             mayHaveRun: false,
             rejections: 0,
@@ -144,6 +156,11 @@
         const { demand, metrics } = this.options;
         recordDemand(demand, call, "offered");
         let isAdmitted = false;
+        if (estimateTokens(engine, call.request)?.exceedsMemory) {
+            const reason = "the request exceeds the memory of a group";
+            this.giveUp(call, progress, { kind: "refused", retryAfterMs: OVERSIZED_RETRY_AFTER_MS, reason });
+            return;
+        }
         for (;;) {
             const admitted = await this.acquire(call, engine, progress);
             if (admitted.kind !== "admitted") {
@@ -250,8 +267,18 @@
         return !call.isTrial && this.options.crashGuard.isBlocked(call.crashSubjects);
     }
 
-    private requestProfile({ request, route }: ForwardedCall): Parameters<typeof chooseGroup>[2] {
-        return { zone: this.options.zone, promptTokens: request.promptTokens, targetGapMs: route.targetGapMs };
+    private requestProfile(
+        { request, route }: ForwardedCall,
+        engine: EngineProfile,
+        { events, draw }: StreamProgress,
+    ): Parameters<typeof chooseGroup>[2] {
+        return {
+            zone: this.options.zone,
+            promptTokens: request.promptTokens,
+            tokens: estimateTokens(engine, request, draw, events * engine.stepsPerPass),
+            otherGateways: this.options.gatewayCount() - 1,
+            targetGapMs: route.targetGapMs,
+        };
     }
 
     /**
@@ -268,7 +295,7 @@
             return false;
         }
         const others = this.reachableOthers(call, engine, progress, busyEpoch);
-        const choice = chooseGroup(engine, others, this.requestProfile(call));
+        const choice = chooseGroup(engine, others, this.requestProfile(call, engine, progress));
         return choice !== undefined && choice.firstEventMs < BUSY_EXTENSION_MS / 2;
     }
 
@@ -284,7 +311,7 @@
         }
         const candidates = this.candidates(call, engine, progress);
         const others = candidates.filter(({ epoch }) => !progress.brokenEpochs.has(epoch));
-        const profile = this.requestProfile(call);
+        const profile = this.requestProfile(call, engine, progress);
         const sampling = gatewayCount() > MAX_GATEWAYS_COMPARING_ALL ? { count: SAMPLED_GROUPS, random } : undefined;
         const choice = chooseGroup(engine, others, profile, sampling)
             ?? chooseGroup(engine, candidates, profile, sampling);
@@ -300,8 +327,11 @@
             head.service,
             request.promptTokens,
             reason => groupLost.abort(reason),
+            profile.tokens,
         );
-        return { ...choice, trackedRequest, groupLost, hasEvents: false };
+        const { tokens } = profile;
+        const ownTokens = tokens?.isStated ? Math.round(tokens.promptTokens + tokens.answerTokens) : undefined;
+        return { ...choice, ownTokens, trackedRequest, groupLost, hasEvents: false };
     }
 
     private async attempt(
@@ -386,7 +416,8 @@
                 if (!slot.hasEvents) {
                     this.options.crashGuard.recordBegun(call.crashSubjects, poolOf(call));
                 }
-                slot.trackedRequest.recordEvent();
+                slot.trackedRequest.recordEvent(events.count);
+                progress.events += events.count;
                 if (!call.callerResponse.hasStarted) {
                     call.callerResponse.start(response.head);
                     this.options.metrics.observe("firstEvent", clock.monotonicMs() - call.request.receivedAtMs);
@@ -452,7 +483,8 @@
         const others = this.reachableOthers(call, engine, progress, candidate.epoch).filter(({ load }) =>
             load.silentMs < MAX_ALIVE_SILENCE_MS
         );
-        return chooseGroup(engine, others, this.requestProfile(call)) !== undefined && progress.retries.tryReserve();
+        return chooseGroup(engine, others, this.requestProfile(call, engine, progress)) !== undefined
+            && progress.retries.tryReserve();
     }
 
     /** Returns the result of an attempt that was aborted or ended early. */
@@ -614,6 +646,8 @@
             epoch: candidate.epoch,
             inFlight: candidate.load.inFlight,
             unreadTokens: candidate.load.pendingPrefillTokens,
+            heldTokens: candidate.load.heldTokens === undefined ? undefined : Math.round(candidate.load.heldTokens),
+            ownTokens: slot.ownTokens,
             predictedMs: Math.round(slot.firstEventMs),
             waitedMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
             viewAgeMs: Math.round(this.options.viewAgeMs()),
--- a/packages/gateway/src/model/EngineProfile.ts
+++ b/packages/gateway/src/model/EngineProfile.ts
@@ -5,6 +5,8 @@
     models: readonly ModelProfile[];
     /** Number of requests that one group processes concurrently. */
     slots: number;
+    /** Number of tokens of requests that the memory of one group holds; undefined if it is not to be observed. */
+    kvCacheTokens?: number;
     /** Number of token steps that one engine pass executes. */
     stepsPerPass: number;
     /** Base duration of a step. */
--- a/packages/gateway/src/placement/GroupDirectory.ts
+++ b/packages/gateway/src/placement/GroupDirectory.ts
@@ -76,6 +76,9 @@
             model,
             head,
             load: this.options.loads.totalLoad(String(epoch)),
+            peakTokensWith: engine.kvCacheTokens === undefined
+                ? undefined
+                : added => this.options.loads.peakTokensWith(String(epoch), added),
             meanPauseMs: this.options.loads.meanPauseMs(String(epoch)),
             failureRate: this.options.failureRates.failureRate(head.id),
         }));
--- a/packages/gateway/src/placement/LoadTracker.ts
+++ b/packages/gateway/src/placement/LoadTracker.ts
@@ -1,4 +1,6 @@
 import type { Clock } from "@fescuehaven/runtime";
+import { peakTokens } from "./peakTokens.js";
+import type { RequestTokens } from "./RequestTokens.js";
 import type { TargetLoad } from "./TargetLoad.js";
 import type { TrackedRequest } from "./TrackedRequest.js";
 
@@ -7,6 +9,8 @@
     service: string;
     requests: Set<RequestRecord>;
     lastEventAtMs: number;
+    /** Sum of what each request is expected to hold at its end. */
+    finalTokens: number;
 }
 
 /** Mean pause between events of a target's streams at this gateway. */
@@ -20,6 +24,8 @@
     readSinceMs: number;
     pendingPrefillTokens: number;
     lastEventAtMs?: number;
+    /** Undefined if its tokens do not count towards the target's memory. */
+    tokens?: RequestTokens;
     abort: (reason: string) => void;
 }
 
@@ -48,20 +54,28 @@
         return new LoadTracker(clock);
     }
 
-    /** Adds a request to the load of a service's target. `abort` is called when the target is found lost. */
+    /**
+     * Adds a request to the load of a service's target. `abort` is called when the target is found lost. `tokens` count
+     * towards the target's memory.
+     */
     trackRequest(
         target: string,
         service: string,
         promptTokens: number,
         abort: (reason: string) => void,
+        tokens?: RequestTokens,
     ): TrackedRequest {
         const nowMs = this.clock.monotonicMs();
-        const load = this.own.get(target) ?? { service, requests: new Set(), lastEventAtMs: nowMs };
+        const load = this.own.get(target) ?? { service, requests: new Set(), lastEventAtMs: nowMs, finalTokens: 0 };
         this.own.set(target, load);
         const request: RequestRecord = { readSinceMs: nowMs, pendingPrefillTokens: promptTokens, abort };
+        if (tokens) {
+            request.tokens = { ...tokens };
+            load.finalTokens += finalTokensOf(tokens);
+        }
         load.requests.add(request);
         return {
-            recordEvent: () => {
+            recordEvent: (events = 1) => {
                 const eventAtMs = this.clock.monotonicMs();
                 if (request.lastEventAtMs !== undefined) {
                     this.recordPause(target, eventAtMs - request.lastEventAtMs, eventAtMs);
@@ -69,6 +83,9 @@
                 request.lastEventAtMs = eventAtMs;
                 request.pendingPrefillTokens = 0;
                 load.lastEventAtMs = eventAtMs;
+                if (request.tokens) {
+                    load.finalTokens += recordOutput(request.tokens, events);
+                }
             },
             pause: () => {
                 request.readSinceMs = Infinity;
@@ -79,7 +96,9 @@
                 request.lastEventAtMs = request.lastEventAtMs === undefined ? undefined : readSinceMs;
             },
             end: () => {
-                load.requests.delete(request);
+                if (load.requests.delete(request) && request.tokens) {
+                    load.finalTokens -= finalTokensOf(request.tokens);
+                }
                 if (load.requests.size === 0) {
                     this.own.delete(target);
                 }
@@ -147,7 +166,26 @@
         const silentMs = readSinceMs === Infinity
             ? Infinity
             : this.clock.monotonicMs() - Math.max(load.lastEventAtMs, readSinceMs);
-        return { inFlight: load.requests.size, pendingPrefillTokens, silentMs };
+        const total: TargetLoad = { inFlight: load.requests.size, pendingPrefillTokens, silentMs };
+        if (load.finalTokens > 0) {
+            total.heldTokens = load.finalTokens;
+        }
+        return total;
+    }
+
+    /**
+     * Returns the most tokens that the requests of all processes at a target and a further one are expected to hold at the
+     * same time. Of peers, only what each request holds at its end is known.
+     */
+    peakTokensWith(target: string, added: RequestTokens): number {
+        const own = this.own.get(target);
+        const peersTokens = (this.totalLoad(target).heldTokens ?? 0) - (own?.finalTokens ?? 0);
+        const requests = [added];
+        own?.requests.forEach(({ tokens }) => tokens && requests.push(tokens));
+        return peersTokens + peakTokens(requests.map(tokens => ({
+            heldTokens: tokens.promptTokens + tokens.outputTokens,
+            remainingTokens: Math.max(0, tokens.answerTokens - tokens.outputTokens),
+        })));
     }
 
     /** Returns the targets with requests of this process or of the peers that `isIncluded` selects, and their loads. */
@@ -175,6 +213,13 @@
                 inFlight: Math.max(0, total.inFlight - peerLoad.load.inFlight),
                 pendingPrefillTokens: Math.max(0, total.pendingPrefillTokens - peerLoad.load.pendingPrefillTokens),
                 silentMs: total.silentMs,
+                ...(total.heldTokens !== undefined && {
+                    heldTokens: Math.max(
+                        0,
+                        total.heldTokens
+                            - (peerLoad.load.heldTokens ?? total.heldTokens * peerLoad.load.inFlight / total.inFlight),
+                    ),
+                }),
             }];
         }).filter(([, total]) => total.inFlight > 0);
     }
@@ -195,6 +240,7 @@
      */
     totalLoad(target: string, isIncluded: (peer: string) => boolean = () => true): TargetLoad {
         const total = this.measureOwnLoad(target);
+        let requestsWithTokens = total.heldTokens === undefined ? 0 : total.inFlight;
         const nowMs = this.clock.monotonicMs();
         for (const [peer, loads] of this.peers) {
             const peerLoad = loads.get(target);
@@ -207,7 +253,33 @@
             total.inFlight += peerLoad.load.inFlight;
             total.pendingPrefillTokens += peerLoad.load.pendingPrefillTokens;
             total.silentMs = Math.min(total.silentMs, peerLoad.load.silentMs + nowMs - peerLoad.receivedAtMs);
+            if (peerLoad.load.heldTokens !== undefined) {
+                total.heldTokens = (total.heldTokens ?? 0) + peerLoad.load.heldTokens;
+                requestsWithTokens += peerLoad.load.inFlight;
+            }
+        }
+        if (total.heldTokens !== undefined && requestsWithTokens < total.inFlight) {
+            // Peers of older builds report no tokens: the mean of the known requests is assumed for theirs.
+            total.heldTokens *= total.inFlight / requestsWithTokens;
         }
         return total.silentMs < Infinity ? total : { ...total, silentMs: 0 };
     }
 }
+
+/** Returns the tokens that a request is expected to hold at its end. */
+function finalTokensOf({ promptTokens, outputTokens, answerTokens }: RequestTokens): number {
+    return promptTokens + Math.max(outputTokens, answerTokens);
+}
+
+/**
+ * Adds events to a request's output and returns by how much its expected tokens at the end grow. A response that exceeds
+ * its estimate is expected to become twice as long as it is: the longer responses are, the further they exceed estimates.
+ */
+function recordOutput(tokens: RequestTokens, events: number): number {
+    const before = finalTokensOf(tokens);
+    tokens.outputTokens += events * tokens.tokensPerEvent;
+    if (tokens.outputTokens > tokens.answerTokens) {
+        tokens.answerTokens = Math.min(tokens.maxAnswerTokens, 2 * tokens.outputTokens);
+    }
+    return finalTokensOf(tokens) - before;
+}
--- a/packages/gateway/src/placement/TrackedRequest.ts
+++ b/packages/gateway/src/placement/TrackedRequest.ts
@@ -1,7 +1,7 @@
 /** A request in flight that is part of a target's load. */
 export interface TrackedRequest {
-    /** Records that the target sent an event of the request. */
-    recordEvent(): void;
+    /** Records that the target sent events of the request, at once. */
+    recordEvent(events?: number): void;
 
     /** Records that the response is not read for a time, because its caller reads slowly. */
     pause(): void;
--- a/packages/gateway/src/placement/chooseGroup.ts
+++ b/packages/gateway/src/placement/chooseGroup.ts
@@ -1,13 +1,20 @@
 import type { Random } from "@fescuehaven/runtime";
 import type { EngineProfile } from "../model/EngineProfile.js";
+import { competingRequests } from "./competingRequests.js";
+import { fitsMemory } from "./fitsMemory.js";
 import type { GroupCandidate } from "./GroupCandidate.js";
 import { predictPass } from "./predictPass.js";
+import type { RequestTokens } from "./RequestTokens.js";
 import { sampleWithoutReplacement } from "./sampleWithoutReplacement.js";
 
 /** Properties of a request that matter for the choice of its group. */
 interface RequestProfile {
     zone: string;
     promptTokens: number;
+    /** Undefined if the memory of groups is not configured. */
+    tokens?: RequestTokens;
+    /** Number of other gateways that send requests to the same groups. */
+    otherGateways?: number;
     /** Longest pause between events that the route allows. */
     targetGapMs: number;
 }
@@ -41,8 +48,8 @@
 const MAX_GAP_FRACTION = 0.85;
 
 /**
- * Chooses the group that is expected to respond first, among those with a free slot whose decoding requests are not
- * delayed beyond the pause that the route allows. Prompts can have several thousand tokens, which delay a whole group
+ * Chooses the group that is expected to respond first, among those with a free slot and memory for the request whose
+ * decoding requests are not delayed beyond the pause that the route allows. Prompts can have several thousand tokens, which delay a whole group
  * while they are prefilled, and groups can fail while they serve requests. With `sampling` only some of the groups are
  * compared: where loads become known late, many gateways would otherwise all choose the same group.
  */
@@ -53,9 +60,10 @@
     sampling?: Sampling,
 ): GroupChoice {
     const costed: CostedChoice[] = [];
+    const competing = competingRequests(engine, candidates, request);
     for (const candidate of candidates) {
         const { load, model, head } = candidate;
-        if (load.inFlight >= engine.slots) {
+        if (load.inFlight >= engine.slots || !fitsMemory(engine, candidate, request.tokens, competing)) {
             continue;
         }
         const predicted = predictPass(engine, model, load, request.promptTokens);
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -47,6 +47,8 @@
 interface ForwarderRigOptions {
     /** The retry budget suffices for `retrySlack` / 0.72 attempts. */
     retrySlack?: number;
+    /** Memory of each group, in tokens; none is configured if absent. */
+    kvCacheTokens?: number;
     /** Names of all registered gateways, of which the first is this one. */
     gateways?: readonly string[];
 }
@@ -72,7 +74,8 @@
     private readonly forwarder: RequestForwarder;
     private readonly stop = new AbortController();
 
-    private constructor({ retrySlack = 100, gateways = ["gateway-0"] }: ForwarderRigOptions) {
+    private constructor(private readonly options: ForwarderRigOptions) {
+        const { retrySlack = 100, gateways = ["gateway-0"] } = options;
         const { clock, log, client, loads } = this;
         const random = SeededRandom.create(1);
         const failureRates = FailureRateTracker.create(clock);
@@ -153,7 +156,8 @@
 
     /** Activates a configuration with one route. */
     configure(changes: Partial<Route> = {}, version = 1, coldRequestsPerSecond = 0): void {
-        const llm = { name: "llm", connectionLimit: 9, coldRequestsPerSecond, engine: exampleEngine };
+        const engine = { ...exampleEngine, kvCacheTokens: this.options.kvCacheTokens };
+        const llm = { name: "llm", connectionLimit: 9, coldRequestsPerSecond, engine };
         const app = { name: "app", connectionLimit: 9, coldRequestsPerSecond: 0 };
         this.configuration.adopt({
             version,
