Exchange the tokens that requests hold at groups

Gateways learned of the number of requests that others had sent to a group, but not of their size, and assumed the mean of their own. `held_tokens` of a group's load now carries the tokens that the sender's requests are expected to hold at their end; hubs add them up like the other loads. The field is left out where no tokens are counted. For peers of old builds the mean of the known requests is assumed, also by a hub, whose sum is then complete.

Evidence: peers.test.ts sends the field over a connection, PeerExchange.test.ts adds it up in a small fleet and through hubs, with one gateway that does not report it.

--- a/packages/gateway/src/peers/PeerConnections.ts
+++ b/packages/gateway/src/peers/PeerConnections.ts
@@ -332,9 +332,10 @@
         term: update.term,
         openGroups: update.openGroups.map(({ head, name, epoch, model }) => ({ head, name, epoch, model })),
         controllerDistance: update.controllerDistance,
-        loads: update.loads.map(({ epoch, inFlight, unreadTokens, silentMs }) =>
-            [String(epoch), { inFlight, pendingPrefillTokens: unreadTokens, silentMs }] as const
-        ),
+        loads: update.loads.map(({ epoch, inFlight, unreadTokens, silentMs, heldTokens }) => {
+            const load = { inFlight, pendingPrefillTokens: unreadTokens, silentMs };
+            return [String(epoch), heldTokens === undefined ? load : { ...load, heldTokens }] as const;
+        }),
         retries: update.retries.map(({ service, requests, retries }) => [service, { requests, retries }] as const),
         countedGateways: update.countedGateways,
         lostEpochs: update.lostEpochs,
--- a/packages/gateway/src/peers/PeerStatePublisher.ts
+++ b/packages/gateway/src/peers/PeerStatePublisher.ts
@@ -38,6 +38,8 @@
 const POLL_INTERVAL_MS = 100;
 /** An update is sent up to this much before its interval is over, rather than one poll later. */
 const EARLY_SEND_MS = 20;
+/** Largest number of tokens that the message has room for. */
+const MAX_UINT32 = 2 ** 32 - 1;
 /** Longest interval between updates: peers regard a sender as silent after several. */
 const HEARTBEAT_MS = 400;
 
@@ -133,6 +135,7 @@
             inFlight: load.inFlight,
             unreadTokens: Math.round(load.pendingPrefillTokens),
             silentMs: Math.round(load.silentMs),
+            heldTokens: load.heldTokens === undefined ? undefined : Math.min(MAX_UINT32, Math.round(load.heldTokens)),
         })),
         retries: state.retries.map(([service, counts]) => ({ service, ...counts })),
         countedGateways: state.countedGateways,
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -8,12 +8,14 @@
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
 import { CrashGuard } from "../../src/placement/CrashGuard.js";
 import type { CrashSubjects } from "../../src/placement/CrashSubjects.js";
+import { estimateTokens } from "../../src/placement/estimateTokens.js";
 import { FailureRateTracker } from "../../src/placement/FailureRateTracker.js";
 import { FleetDemand } from "../../src/placement/FleetDemand.js";
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
+import { exampleEngine } from "../support/exampleEngine.js";
 import { exampleUpstream } from "../support/exampleUpstream.js";
 import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 import { unreachableAddress } from "../support/unreachableAddress.js";
@@ -197,6 +199,10 @@
         ]);
     });
 
+    const tokens = estimateTokens({ ...exampleEngine, kvCacheTokens: 100_000 }, {
+        promptTokens: 1000,
+        maxAnswerTokens: 100,
+    });
     const fleets: ReadonlyArray<[string, string[]]> = [
         ["a small fleet", ["a1", "a2", "b1", "c1"]],
         ["zones with hubs", ["a", "b", "c"].flatMap(zone => [1, 2, 3, 4, 5, 6].map(index => `${zone}${index}`))],
@@ -204,8 +210,9 @@
     for (const [title, vms] of fleets) {
         it(`adds up the load and the retries of ${title}, each gateway's once`, async () => {
             start(vms);
-            for (const { loads, retries } of gateways.values()) {
-                loads.trackRequest(EPOCH, "llm", 10, () => undefined);
+            for (const { vm, loads, retries } of gateways.values()) {
+                // One gateway counts no tokens, as old builds: the mean of the others is assumed for its requests.
+                loads.trackRequest(EPOCH, "llm", 10, () => undefined, vm === vms.at(-1) ? undefined : tokens);
                 retries.recordRequest("llm");
             }
             for (let pass = 0; pass < 5; pass++) {
@@ -213,6 +220,7 @@
             }
             for (const { vm, loads, retries } of gateways.values()) {
                 expect(loads.totalLoad(EPOCH).inFlight, vm).to.equal(vms.length);
+                expect(loads.totalLoad(EPOCH).heldTokens, vm).to.be.closeTo(vms.length * 1100, 1);
                 expect(loads.totalLoad(EPOCH).pendingPrefillTokens, vm).to.equal(vms.length * 10);
                 expect(retries.counts(() => true), vm).to.deep.equal([["llm", { requests: vms.length, retries: 0 }]]);
                 expect(retries.countedGateways(() => true), vm).to.equal(vms.length);
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -20,7 +20,10 @@
 const state: PeerState = {
     term: 3,
     controllerDistance: 0,
-    loads: [["65537", { inFlight: 4, pendingPrefillTokens: 1200, silentMs: 15 }]],
+    loads: [
+        ["65537", { inFlight: 4, pendingPrefillTokens: 1200, silentMs: 15 }],
+        ["65538", { inFlight: 2, pendingPrefillTokens: 0, silentMs: 20, heldTokens: 4400 }],
+    ],
     retries: [["llm", { requests: 40, retries: 2 }]],
     countedGateways: 4,
     configurationVersion: 7,
