Plan groups by the demand for models and zones

Where demand had shifted, callers of one model were refused while groups of another had nothing to do: VMs that became free after losses were planned by the configured shares, whatever was requested.

While a fifth or more of a model's requests is refused or late, its share grows by as much as its groups would have to, up to twice the configured share; the share of a model that is not short and gets fewer requests than its share shrinks, down to half. Without a shortage, and while figures are incomplete or older than two seconds, the configured shares hold. Only new groups are planned by it. Among domains that fit equally well, a new group goes to the zone whose share of the model's requests exceeds its share of the groups most.

Evidence: planning.test.ts plays six domains of 18 VMs in three zones that are all lost after half a minute. When demand for the larger model rises from 50 to 130 requests/s at 15 s, 9 groups of it and 18 of the smaller one are formed instead of 7 and 26, and 4,480 of its 6,600 requests are served instead of 3,900; the smaller model's 3,600 are all served in both cases. A burst of three seconds, incomplete and old figures change nothing. With 60% of the requests in one zone, it gets 12 groups instead of 9.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -5,6 +5,7 @@
 import { ConfigurationVerifier } from "./ConfigurationVerifier.js";
 import { EvacuatedZones } from "./EvacuatedZones.js";
 import { ControllerLease } from "./fleet/ControllerLease.js";
+import { DemandPlanner } from "./fleet/DemandPlanner.js";
 import { EpochSource } from "./fleet/EpochSource.js";
 import { FleetController } from "./fleet/FleetController.js";
 import { MemberProber } from "./fleet/MemberProber.js";
@@ -391,6 +392,7 @@
             orders,
             prober: MemberProber.create({ clock, orders }),
             weightLoadLimiter,
+            demandPlanner: DemandPlanner.create({ clock, log, demand }),
             standbyPool: StandbyPool.create({ clock, log, orders, weightLoadLimiter, hasTraffic }),
             groupStallMs: settings.groupStallMs,
             isZoneReachable: (zone, sinceMs) =>
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -11,6 +11,7 @@
 import { groupBy } from "../util/groupBy.js";
 import { chooseMembers } from "./chooseMembers.js";
 import type { ControllerLease } from "./ControllerLease.js";
+import type { DemandPlanner } from "./DemandPlanner.js";
 import type { EpochSource } from "./EpochSource.js";
 import { FleetStabilityMonitor } from "./FleetStabilityMonitor.js";
 import type { ManagedGroup } from "./ManagedGroup.js";
@@ -39,6 +40,8 @@
     prober: MemberProber;
     weightLoadLimiter: WeightLoadLimiter;
     standbyPool: StandbyPool;
+    /** Derives shares from the demand for models; the configured shares are planned if absent. */
+    demandPlanner?: DemandPlanner;
     /** Time for which the head of a group with an unresponsive member waits before it gives the group up. */
     groupStallMs: number;
     /**
@@ -972,10 +975,13 @@
             group.service === service && group.domain === domain && group.model.memberCount === largest;
         const domains = [...byDomain].map(([domain, members]) => ({
             domain,
+            zone: members[0]?.zone,
             freeCount: members.length,
             largestGroupCount: [...this.groups.values()].filter(group => isLargestIn(group, domain)).length,
         }));
-        for (const planned of planGroups(engine.models, counts, domains, this.stability.isStable)) {
+        const groups = [...this.groups.values()].filter(group => group.service === service);
+        const demand = this.options.demandPlanner?.update(service, engine.models, groups, view.upstreams);
+        for (const planned of planGroups(engine.models, counts, domains, this.stability.isStable, demand)) {
             const model = engine.models.find(item => item.name === planned.model);
             const inDomain = this.freeUpstreams(view).filter(upstream => upstream.domain === planned.domain);
             const members = model && chooseMembers(model.name, model.memberCount, [], inDomain);
--- a/packages/gateway/src/fleet/planGroups.ts
+++ b/packages/gateway/src/fleet/planGroups.ts
@@ -1,8 +1,11 @@
 import type { ModelProfile } from "../model/ModelProfile.js";
+import type { PlanningDemand } from "./PlanningDemand.js";
 
 /** State of a fabric domain while groups are planned. */
 interface DomainState {
     domain: string;
+    /** Zone of the domain; matters only where there is demand by zone. */
+    zone?: string;
     /** Number of VMs that belong to no group. */
     freeCount: number;
     /** Number of groups of the models with the largest member count. */
@@ -20,13 +23,21 @@
  * group never spans domains, and a domain gets a second group of the largest size only if the VMs of that model have
  * more work than those of all others. While VMs are still registering (`isStable` is false), only the model with the
  * most work is planned, even if no domain has room for it yet, so that small groups do not take the VMs of large ones.
+ * With `demand`, its shares are used instead of the configured ones, and among domains that fit equally well the one in
+ * the zone whose share of the requests exceeds its share of the groups most.
  */
 export function planGroups(
-    models: readonly ModelProfile[],
+    configuredModels: readonly ModelProfile[],
     groupCounts: ReadonlyMap<string, number>,
     domains: readonly DomainState[],
     isStable: boolean,
+    demand?: PlanningDemand,
 ): PlannedGroup[] {
+    const models = configuredModels.map(model => ({
+        ...model,
+        demandShare: demand?.shares.get(model.name) ?? model.demandShare,
+    }));
+    const zoneCounts = new Map([...demand?.zoneGroupCounts ?? []].map(([model, byZone]) => [model, new Map(byZone)]));
     const counts = new Map(groupCounts);
     const states = domains.map(state => ({ ...state }));
     const planned: PlannedGroup[] = [];
@@ -38,13 +49,23 @@
         const isAllowed = (model: ModelProfile, { largestGroupCount: largestCount }: DomainState) =>
             model.memberCount < largestMemberCount || largestCount === 0 || isBusiest(model);
         const ordered = [...models].sort((left, right) => workPerGroup(right, counts) - workPerGroup(left, counts));
-        const choice = pickNext(isStable ? ordered : ordered.slice(0, 1), states, largestMemberCount, isAllowed);
+        /** Returns by how much a zone's share of the requests exceeds its share of the groups, in tenths. */
+        const excessOf = ({ name }: ModelProfile, { zone = "" }: DomainState) => {
+            const byZone = zoneCounts.get(name);
+            const total = [...byZone?.values() ?? []].reduce((sum, count) => sum + count, 0);
+            const requestShare = demand?.zoneShares.get(name)?.get(zone) ?? 0;
+            return Math.round(10 * (requestShare - (byZone?.get(zone) ?? 0) / Math.max(1, total)));
+        };
+        const candidates = isStable ? ordered : ordered.slice(0, 1);
+        const choice = pickNext(candidates, states, largestMemberCount, isAllowed, excessOf);
         if (!choice) {
             return planned;
         }
         const { state, model } = choice;
         planned.push({ domain: state.domain, model: model.name });
         counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
+        const { zone = "" } = state;
+        zoneCounts.get(model.name)?.set(zone, (zoneCounts.get(model.name)?.get(zone) ?? 0) + 1);
         state.freeCount -= model.memberCount;
         state.largestGroupCount += model.memberCount === largestMemberCount ? 1 : 0;
     }
@@ -58,13 +79,14 @@
 
 /**
  * Picks the first model for which there is room, and the domain that keeps the most room for groups of the largest
- * size.
+ * size; among equal ones the domain whose zone has the largest excess of demand.
  */
 function pickNext(
     ordered: readonly ModelProfile[],
     states: readonly DomainState[],
     largestMemberCount: number,
     isAllowed: (model: ModelProfile, state: DomainState) => boolean,
+    excessOf: (model: ModelProfile, state: DomainState) => number,
 ): { state: DomainState; model: ModelProfile; } | undefined {
     for (const model of ordered) {
         const largestGroupsPrevented = ({ freeCount }: DomainState) =>
@@ -72,7 +94,8 @@
             - Math.floor((freeCount - model.memberCount) / largestMemberCount);
         const fitting = states.filter(state => state.freeCount >= model.memberCount && isAllowed(model, state));
         const [best] = fitting.sort((one, other) =>
-            largestGroupsPrevented(one) - largestGroupsPrevented(other) || other.freeCount - one.freeCount
+            largestGroupsPrevented(one) - largestGroupsPrevented(other)
+            || excessOf(model, other) - excessOf(model, one) || other.freeCount - one.freeCount
             || one.domain.localeCompare(other.domain)
         );
         if (best) {
--- /dev/null
+++ b/packages/gateway/src/fleet/shareOfDemand.ts
@@ -0,0 +1,45 @@
+import type { ModelProfile } from "../model/ModelProfile.js";
+
+/** Requests for a model per second. */
+interface Demand {
+    offered: number;
+    refused: number;
+    late: number;
+}
+
+/** A model is short of groups if a larger fraction of its requests is refused or late: less is normal in a burst. */
+const SHORTAGE_FRACTION = 0.2;
+/** Bounds of a planned share relative to the configured one. */
+const MIN_FACTOR = 0.5;
+const MAX_FACTOR = 2;
+/** Factors are planned in these steps, so that small changes of the demand change nothing. */
+const FACTOR_STEP = 0.25;
+
+/**
+ * Returns the share of a service's work for each model. The configured shares hold while no model is short of groups: they
+ * take the sizes of requests into account, which the number of requests does not. The share of a model that is short
+ * grows by as much as its groups would have to. The share of one that is not short shrinks as far as fewer of its requests
+ * arrive than its configured share is of all.
+ */
+export function shareOfDemand(
+    models: readonly ModelProfile[],
+    demand: ReadonlyMap<string, Demand>,
+): Map<string, number> {
+    const totalShare = models.reduce((sum, { demandShare }) => sum + demandShare, 0);
+    const totalOffered = models.reduce((sum, { name }) => sum + (demand.get(name)?.offered ?? 0), 0);
+    const unservedOf = ({ offered, refused, late }: Demand) =>
+        offered > 0 ? Math.min(1, (refused + late) / offered) : 0;
+    const hasShortage = [...demand.values()].some(item => unservedOf(item) >= SHORTAGE_FRACTION);
+    return new Map(models.map(({ name, demandShare }) => {
+        const item = demand.get(name);
+        if (!item || !hasShortage) {
+            return [name, demandShare];
+        }
+        const unserved = unservedOf(item);
+        const factor = unserved >= SHORTAGE_FRACTION
+            ? 1 / Math.max(1 / MAX_FACTOR, 1 - unserved)
+            : Math.min(1, item.offered * totalShare / Math.max(1e-9, totalOffered * demandShare));
+        const stepped = Math.round(factor / FACTOR_STEP) * FACTOR_STEP;
+        return [name, demandShare * Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, stepped))];
+    }));
+}
--- a/packages/gateway/tests/fleet/planning.test.ts
+++ b/packages/gateway/tests/fleet/planning.test.ts
@@ -1,9 +1,12 @@
-import { SeededRandom } from "@fescuehaven/testing";
+import { ManualClock, SeededRandom } from "@fescuehaven/testing";
 import { expect } from "chai";
 import { chooseMembers } from "../../src/fleet/chooseMembers.js";
+import { DemandPlanner } from "../../src/fleet/DemandPlanner.js";
 import { planGroups } from "../../src/fleet/planGroups.js";
+import { shareOfDemand } from "../../src/fleet/shareOfDemand.js";
 import { exampleEngine } from "../support/exampleEngine.js";
 import { exampleUpstream } from "../support/exampleUpstream.js";
+import { SilentDecisionLog } from "../support/SilentDecisionLog.js";
 
 const { models } = exampleEngine;
 
@@ -80,6 +83,176 @@
     });
 });
 
+describe("planGroups by demand", () => {
+    const ZONES = ["a", "b", "c"];
+    const service = "llm";
+    const memberCounts: Record<string, number> = { large: 8, small: 2 };
+    const fleetModels = models.map(model => ({ ...model, memberCount: memberCounts[model.name]!, demandShare: 0.5 }));
+    /** Requests per second that a group serves in time. */
+    const groupRates: Record<string, number> = { large: 10, small: 10 / 0.6 };
+
+    interface Demand {
+        offered: Record<string, number>;
+        /** Share of the requests that arrive in each zone; equal if absent. */
+        zoneShares?: Record<string, number>;
+        isComplete?: boolean;
+        ageMs?: number;
+    }
+
+    interface PlayOptions {
+        byDemand: boolean;
+        demandAt: (second: number) => Demand;
+        /** Seconds at which all groups in the first domains are lost; their VMs are free a second later. */
+        lossesAt?: readonly number[];
+        lostDomains?: number;
+    }
+
+    /** Plays a minute of a fleet with two domains of 18 VMs in each zone, and returns the groups and requests served. */
+    async function play({ byDemand, demandAt, lossesAt = [30], lostDomains = 6 }: PlayOptions) {
+        const clock = ManualClock.create();
+        const domainZones = new Map(domains(0, 0, 0, 0, 0, 0).map(({ domain }, index) => [domain, ZONES[index % 3]!]));
+        let groups: Array<{ domain: string; model: string; }> = [];
+        const countBy = (model: string, zone?: string) =>
+            groups.filter(group => group.model === model && (!zone || domainZones.get(group.domain) === zone)).length;
+        let demand: Demand;
+        const figures = (model: string, zone?: string) => {
+            const offered = demand.offered[model]! * (zone ? demand.zoneShares?.[zone] ?? 1 / 3 : 1);
+            const refused = zone ? 0 : Math.max(0, offered - countBy(model) * groupRates[model]!);
+            return {
+                offeredPerSecond: offered,
+                refusedPerSecond: refused / 2,
+                latePerSecond: refused / 2,
+                ageMs: demand.ageMs ?? 500,
+                isComplete: demand.isComplete ?? true,
+            };
+        };
+        const planner = DemandPlanner.create({
+            clock,
+            log: SilentDecisionLog.create(),
+            demand: {
+                poolDemand: (_, model) => figures(model),
+                zoneDemand: (_, model, zone) => figures(model, zone),
+            },
+        });
+        const served: Record<string, number> = { large: 0, small: 0 };
+        for (let second = 0; second < 60; second++) {
+            demand = demandAt(second);
+            const states = [...domainZones].map(([domain, zone]) => {
+                const inDomain = groups.filter(group => group.domain === domain);
+                const used = inDomain.reduce((sum, { model }) => sum + memberCounts[model]!, 0);
+                const largestGroupCount = inDomain.filter(({ model }) => model === "large").length;
+                return { domain, zone, freeCount: 18 - used, largestGroupCount };
+            });
+            const counts = new Map(models.map(({ name }) => [name, countBy(name)]));
+            const managed = groups.map(({ domain, model }) => ({
+                model: fleetModels.find(({ name }) => name === model)!,
+                members: [{ zone: domainZones.get(domain)! }],
+            }));
+            const planned = planner.update(service, fleetModels, managed, ZONES.map(zone => ({ zone })));
+            groups = [...groups, ...planGroups(fleetModels, counts, states, true, byDemand ? planned : undefined)];
+            for (const model of ["large", "small"]) {
+                served[model]! += Math.min(demand.offered[model]!, countBy(model) * groupRates[model]!);
+            }
+            if (lossesAt.includes(second)) {
+                groups = groups.filter(({ domain }) => Number(domain.slice(1)) >= lostDomains);
+            }
+            await clock.advance(1000);
+        }
+        return {
+            groups: { large: countBy("large"), small: countBy("small") },
+            zones: ZONES.map(zone => countBy("large", zone) + countBy("small", zone)),
+            served,
+        };
+    }
+
+    const usual: Demand = { offered: { large: 50, small: 60 } };
+    const shifted: Demand = { offered: { large: 130, small: 60 } };
+
+    // Guards against VMs that are re-formed into groups of a model for which there is little demand.
+    it("forms more groups of the model to which demand has shifted after losses", async () => {
+        const demandAt = (second: number) => second < 15 ? usual : shifted;
+        const before = await play({ byDemand: false, demandAt });
+        const after = await play({ byDemand: true, demandAt });
+        expect([before.groups, before.served]).to.deep.equal([{ large: 7, small: 26 }, { large: 3900, small: 3600 }]);
+        expect([after.groups, after.served]).to.deep.equal([{ large: 9, small: 18 }, { large: 4480, small: 3600 }]);
+    });
+
+    const ignored: ReadonlyArray<[string, (second: number) => Demand]> = [
+        ["a burst that is over when groups are lost", second => second >= 27 && second < 30 ? shifted : usual],
+        ["figures that lack a gateway", second => ({ ...second < 15 ? usual : shifted, isComplete: false })],
+        ["figures that are too old", second => ({ ...second < 15 ? usual : shifted, ageMs: 2100 })],
+        ["demand that lacks no groups", () => ({ offered: { large: 10, small: 100 } })],
+    ];
+    for (const [title, demandAt] of ignored) {
+        it(`plans by the configured shares in spite of ${title}`, async () => {
+            const { groups } = await play({ byDemand: true, demandAt });
+            expect(groups).to.deep.equal((await play({ byDemand: false, demandAt })).groups);
+        });
+    }
+
+    const gaps: ReadonlyArray<[string, { from: number; to: number; }, { large: number; small: number; }]> = [
+        ["while it lasts", { from: 31, to: 31 }, { large: 7, small: 26 }],
+        ["no longer than it lasts if it is short", { from: 28, to: 30 }, { large: 9, small: 18 }],
+        ["until demand has been observed anew if it is long", { from: 26, to: 30 }, { large: 7, small: 26 }],
+    ];
+    for (const [title, { from, to }, groups] of gaps) {
+        it(`plans by the configured shares in a gap of the figures ${title}`, async () => {
+            const demandAt = (second: number) => ({
+                ...second < 15 ? usual : shifted,
+                isComplete: second < from || second > to,
+            });
+            expect((await play({ byDemand: true, demandAt })).groups).to.deep.equal(groups);
+        });
+    }
+
+    it("prefers the zone whose demand exceeds its groups most among domains that fit equally well", async () => {
+        const demandAt = () => ({ ...usual, zoneShares: { a: 0.2, b: 0.2, c: 0.6 } });
+        expect((await play({ byDemand: false, demandAt })).zones).to.deep.equal([12, 12, 9]);
+        expect((await play({ byDemand: true, demandAt })).zones).to.deep.equal([12, 9, 12]);
+    });
+
+    const bounds: ReadonlyArray<{ title: string; large: number; small: number; unserved: number; shares: number[]; }> =
+        [
+            {
+                title: "no more than twice the share where all requests are refused",
+                large: 10,
+                small: 10,
+                unserved: 1,
+                shares: [1, 0.5],
+            },
+            {
+                title: "no less than half the share where hardly any arrive",
+                large: 1000,
+                small: 1,
+                unserved: 0.3,
+                shares: [0.75, 0.25],
+            },
+            {
+                title: "the whole share of a model that is served, however many arrive",
+                large: 10,
+                small: 1000,
+                unserved: 0.5,
+                shares: [1, 0.5],
+            },
+            {
+                title: "the configured shares below a shortage",
+                large: 1000,
+                small: 1,
+                unserved: 0.19,
+                shares: [0.5, 0.5],
+            },
+        ];
+    for (const { title, large, small, unserved, shares } of bounds) {
+        it(`plans ${title}`, () => {
+            const demand = new Map([
+                ["large", { offered: large, refused: large * unserved / 2, late: large * unserved / 2 }],
+                ["small", { offered: small, refused: 0, late: 0 }],
+            ]);
+            expect([...shareOfDemand(fleetModels, demand).values()]).to.deep.equal(shares);
+        });
+    }
+});
+
 describe("chooseMembers", () => {
     const staying = [exampleUpstream("m1"), exampleUpstream("m2")];
     const free = [
