Admit requests by the shared level during a shortage

Each gateway saw one request at a time, so that no queue could order them, and all waited for the same slots.

SharedAdmission computes the level of a pool at most twice a second from the fleet's figures and draws for each request before it waits in AdmissionQueue. What is not admitted is refused at once with 503 and a Retry-After of the time in which the fleet serves what it refuses in a second, plus up to half of it. While there is a shortage, a request takes a slot only if its first event is expected in time; one that finds none in that time is refused and counted as late, which lowers the estimated capacity. Streams that have begun are never refused by it. Requests wait at engines by X-Fescuehaven-Request-Priority, set from the rank.

Active only for services whose routes and accounts lead to more than one rank, and while the figures are complete and at most two seconds old; changes are logged, and fescue_rank_refusals_total counts refusals by rank. Without more than one rank nothing changes.

Tests: SharedAdmission, sharedAdmission (forwarding), HttpUpstreamClient.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -45,6 +45,7 @@
 import { LoadTracker } from "./placement/LoadTracker.js";
 import { RequestedWaits } from "./placement/RequestedWaits.js";
 import { RetryBudget } from "./placement/RetryBudget.js";
+import { SharedAdmission } from "./placement/SharedAdmission.js";
 import { UpstreamLimiter } from "./placement/UpstreamLimiter.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
 import type { UpstreamRequest } from "./ports/UpstreamRequest.js";
@@ -289,6 +290,14 @@
                 ...dispatcherOptions,
                 groups: this.groups,
                 random,
+                admission: SharedAdmission.create({
+                    clock,
+                    random,
+                    log,
+                    configuration: this.configuration,
+                    demand,
+                    groups: this.groups,
+                }),
                 gatewayCount,
             }),
             plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated }),
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -11,8 +11,10 @@
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
 import type { GroupDirectory } from "../placement/GroupDirectory.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
+import { predictPass } from "../placement/predictPass.js";
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
+import type { SharedAdmission } from "../placement/SharedAdmission.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { UpstreamLimiter } from "../placement/UpstreamLimiter.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -46,6 +48,7 @@
     /** Time since the view of the upstreams was last updated. */
     viewAgeMs: () => number;
     random: Random;
+    admission: SharedAdmission;
     /** Number of gateways that send requests to the same groups. */
     gatewayCount: () => number;
 }
@@ -143,10 +146,16 @@
         };
         const { demand, metrics } = this.options;
         recordDemand(demand, call, "offered");
+        const decision = this.decideAdmission(call);
+        if (decision.kind === "refused") {
+            this.giveUp(call, progress, decision);
+            return;
+        }
         let isAdmitted = false;
         for (;;) {
             const admitted = await this.acquire(call, engine, progress);
             if (admitted.kind !== "admitted") {
+                this.recordWaitEnded(call, progress, admitted);
                 this.giveUp(call, progress, admitted);
                 break;
             }
@@ -165,6 +174,36 @@
         }
     }
 
+    /** Decides whether a request waits for a slot. A stream that has begun is always resumed. */
+    private decideAdmission(call: ForwardedCall): ReturnType<SharedAdmission["decide"]> {
+        return call.request.lastEventId !== undefined || call.isTrial
+            ? { kind: "admitted" }
+            : this.options.admission.decide(rankedRequestOf(call));
+    }
+
+    /**
+     * Returns true for a request that may take a slot only if its first event is expected in time, because the pool cannot
+     * serve all requests. A stream that has begun, or that an engine may have run, is served late rather than not at all.
+     */
+    private mustBeOnTime(call: ForwardedCall, progress: StreamProgress): boolean {
+        return progress.lastEventId === undefined && !progress.mayHaveRun && !call.isTrial
+            && this.options.admission.isShort(rankedRequestOf(call));
+    }
+
+    /** Counts a request as late that got no slot within the time in which its first event would have been on time. */
+    private recordWaitEnded(
+        call: ForwardedCall,
+        progress: StreamProgress,
+        { kind }: AdmissionOutcome<GroupSlot>,
+    ): void {
+        if (kind === "refused" && this.mustBeOnTime(call, progress)) {
+            recordDemand(this.options.demand, call, "late");
+        }
+        else if (!progress.mayHaveRun) {
+            this.recordIfLate(call);
+        }
+    }
+
     /** Counts a request as late if the route's target for its first event is over. */
     private recordIfLate(call: ForwardedCall): void {
         if (this.options.clock.monotonicMs() > call.request.receivedAtMs + call.route.targetLatencyMs) {
@@ -177,18 +216,28 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): Promise<AdmissionOutcome<GroupSlot>> {
-        const { clock, queue, groups, upstreamLimiter, avoidedUpstreams } = this.options;
+        const { clock, queue, groups, upstreamLimiter, avoidedUpstreams, admission } = this.options;
         const nowMs = clock.monotonicMs();
         const { request, route, service } = call;
+        const onTimeUntilMs = request.receivedAtMs + route.targetLatencyMs;
+        const usefulUntilMs = nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION;
+        const priority = admission.hasRanks(service.name) ? call.rank : call.priority;
+        const mustBeOnTime = () => this.mustBeOnTime(call, progress);
+        const model = engine.models.find(({ name }) => name === request.model);
+        const idle = { inFlight: 0, pendingPrefillTokens: 0 };
+        const leastFirstEventMs = () => model ? predictPass(engine, model, idle, request.promptTokens).firstEventMs : 0;
         return queue.acquire<GroupSlot>({
             pool: poolOf(call),
             // A stream that has begun is resumed before others start.
-            priority: progress.hasEvents ? -1 : call.priority,
+            priority: progress.hasEvents ? -1 : priority,
             // The response of a stream that has begun would be cut off if it did not get a slot.
-            onTimeUntilMs: progress.hasEvents ? Infinity : request.receivedAtMs + route.targetLatencyMs,
-            usefulUntilMs: progress.hasEvents
-                ? call.deadlineMs
-                : nowMs + (call.deadlineMs - nowMs) * MAX_WAIT_FRACTION,
+            onTimeUntilMs: progress.hasEvents ? Infinity : onTimeUntilMs,
+            get usefulUntilMs() {
+                if (progress.hasEvents) {
+                    return call.deadlineMs;
+                }
+                return mustBeOnTime() ? Math.min(usefulUntilMs, onTimeUntilMs - leastFirstEventMs()) : usefulUntilMs;
+            },
             tryAcquireSlot: () => this.tryAcquireSlot(call, engine, progress),
             expectedWaitMs: () => {
                 if (this.isBlocked(call)) {
@@ -277,7 +326,7 @@
         engine: EngineProfile,
         progress: StreamProgress,
     ): GroupSlot | undefined {
-        const { loads, upstreamLimiter, avoidedUpstreams, random, gatewayCount } = this.options;
+        const { clock, loads, upstreamLimiter, avoidedUpstreams, random, gatewayCount } = this.options;
         const { request } = call;
         if (this.isBlocked(call)) {
             return undefined;
@@ -291,6 +340,12 @@
         if (!choice) {
             return undefined;
         }
+        const firstEventAtMs = clock.monotonicMs() + choice.firstEventMs;
+        if (
+            firstEventAtMs > request.receivedAtMs + call.route.targetLatencyMs && this.mustBeOnTime(call, progress)
+        ) {
+            return undefined;
+        }
         const { head, epoch } = choice.candidate;
         upstreamLimiter.record(head);
         avoidedUpstreams.recordAttempt(head);
@@ -356,6 +411,7 @@
                 remainingMs: call.deadlineMs - clock.monotonicMs(),
                 account: call.account,
                 resumeAfter: progress.lastEventId,
+                enginePriority: this.options.admission.enginePriority(call.service.name, call.rank),
             }, signal);
             if (response.kind === "not-run") {
                 failureRates.record(head.id, true);
@@ -563,10 +619,15 @@
         }
         if (outcome.kind === "refused" && !progress.mayHaveRun) {
             metrics.count("refusals", outcome.reason);
+            const rank = this.options.admission.hasRanks(call.service.name) ? call.rank : undefined;
+            if (rank !== undefined) {
+                metrics.count("rankRefusals", String(rank));
+            }
             recordDemand(this.options.demand, call, "refused");
             log.info("request refused", {
                 request: call.request.id,
                 reason: outcome.reason,
+                rank,
                 retryAfterMs: Math.round(outcome.retryAfterMs),
                 viewAgeMs: Math.round(this.options.viewAgeMs()),
             });
@@ -654,6 +715,12 @@
     return rejections >= (hasEvents ? MAX_REJECTIONS_OF_BEGUN : MAX_REJECTIONS);
 }
 
+function rankedRequestOf(
+    { service, request: { model }, rank, account }: ForwardedCall,
+): Parameters<SharedAdmission["decide"]>[0] {
+    return { service, model, rank, account };
+}
+
 /** Returns the name of the upstreams among which a call's one is chosen. */
 function poolOf({ service, request }: ForwardedCall): string {
     return `${service.name}/${request.model ?? ""}`;
--- a/packages/gateway/src/placement/DemandCounts.ts
+++ b/packages/gateway/src/placement/DemandCounts.ts
@@ -5,6 +5,9 @@
     admitted: number;
     /** Requests that were refused without having run. */
     refused: number;
-    /** Requests whose first event came after the route's target latency, or that ended after it without an event. */
+    /**
+     * Requests whose first event came after the route's target latency, that ended after it without an event, or for which
+     * no slot was free in time.
+     */
     late: number;
 }
--- a/packages/gateway/src/ports/UpstreamRequest.ts
+++ b/packages/gateway/src/ports/UpstreamRequest.ts
@@ -8,4 +8,6 @@
     account?: string;
     /** Id of the event after which the upstream must resume the stream. */
     resumeAfter?: string;
+    /** Priority among the requests that wait at the engine, 0 first; absent where all have the same rank. */
+    enginePriority?: number;
 }
--- a/packages/gateway/tests/support/AdmissionPlay.ts
+++ b/packages/gateway/tests/support/AdmissionPlay.ts
@@ -180,6 +180,7 @@
             const waitMs = level.isShort ? request.route.targetMs / 2 : LOCAL_WAIT_MS;
             const isOver = nowMs - request.arrivedAtMs > waitMs;
             if (isOver) {
+                count(request, "late", nowMs);
                 refuse(request, nowMs);
             }
             return !isOver;
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -20,6 +20,7 @@
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
+import { SharedAdmission } from "../../src/placement/SharedAdmission.js";
 import { UpstreamLimiter } from "../../src/placement/UpstreamLimiter.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
@@ -137,6 +138,14 @@
                 ...shared,
                 groups: this.groups,
                 random,
+                admission: SharedAdmission.create({
+                    clock,
+                    random,
+                    log,
+                    configuration: this.configuration,
+                    demand: this.demand,
+                    groups: this.groups,
+                }),
                 gatewayCount,
             }),
             plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated }),
