--- a/packages/gateway/src/placement/chooseGroup.ts
+++ b/packages/gateway/src/placement/chooseGroup.ts
@@ -19,10 +19,16 @@
     random: Random;
 }
 
-/** The chosen group with the predicted time until its first event; undefined if no group can take the request. */
-type GroupChoice = { candidate: GroupCandidate; firstEventMs: number; } | undefined;
+interface CostedChoice {
+    candidate: GroupCandidate;
+    /** Predicted time until the first event. */
+    firstEventMs: number;
+    /** The same with the penalties for another zone, failures and silence. */
+    costMs: number;
+}
 
-type CostedChoice = NonNullable<GroupChoice> & { costMs: number; };
+/** The chosen group; undefined if no group can take the request. */
+type GroupChoice = CostedChoice | undefined;
 
 /**
  * A group that is silent for longer gets new requests only if no other group can take them. A pass that prefills a full
