Decode the delays between zones

The engine configuration of a service states delays between zones, which the gateway dropped. They become zoneDelays of the engine profile, absent where none are configured.

--- a/packages/gateway/src/model/EngineProfile.ts
+++ b/packages/gateway/src/model/EngineProfile.ts
@@ -1,4 +1,5 @@
 import type { ModelProfile } from "./ModelProfile.js";
+import type { ZoneDelay } from "./ZoneDelay.js";
 
 /** Speed and limits of a service's engines. */
 export interface EngineProfile {
@@ -26,4 +27,6 @@
     concurrentWeightLoads: number;
     /** Time from the open order until a group serves. */
     formationMs: number;
+    /** One-way latencies between zones as configured, not checked; absent where none are configured. */
+    zoneDelays?: readonly ZoneDelay[];
 }
