Keep streams in their zone unless another one serves them better

With more than 12 gateways, a good part of the streams left their zone without need: traffic between zones is billed, and three random groups over all zones were compared with a fixed penalty.

SpilloverPolicy keeps one decision for each model and target latency, renewed by requests at most four times a second from the open groups, their loads and the heads that accept no connection. StreamDispatcher asks it for a request's first attempt only; retries and resumed streams are chosen over all zones as before. It is inactive with 12 gateways or fewer and without configured delays. Entries with unknown zones or negative delays are ignored with one log line.

'request admitted' has leavesZone (zone and reason) if the request leaves, 'share of requests that leave the zone changed' is logged at most every 5 s for each pool, and fescue_left_zone_total counts requests by target zone. forwarding/zoneSpillover.test.ts shows each of these, and that small fleets and fleets without delays make no decision.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -44,6 +44,7 @@
 import { LoadTracker } from "./placement/LoadTracker.js";
 import { RequestedWaits } from "./placement/RequestedWaits.js";
 import { RetryBudget } from "./placement/RetryBudget.js";
+import { SpilloverPolicy } from "./placement/SpilloverPolicy.js";
 import { UpstreamLimiter } from "./placement/UpstreamLimiter.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
 import type { UpstreamRequest } from "./ports/UpstreamRequest.js";
@@ -265,6 +266,17 @@
                 isSuspectedFor: service => this.partitions.isSuspectedFor(service),
                 relaysFor,
             }),
+            spillover: SpilloverPolicy.create({
+                clock,
+                log,
+                metrics,
+                zone: settings.zone,
+                groups: this.groups,
+                upstreams: this.upstreams,
+                avoidedUpstreams,
+                gatewayCount,
+                viewAgeMs,
+            }),
             zone: settings.zone,
             viewAgeMs,
         };
--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -9,6 +9,7 @@
     refusals: "Refused requests by reason",
     retries: "Sendings beyond a request's first, by reason",
     relayed: "Requests sent through another gateway because this one reached no upstream, by outcome",
+    leftZone: "Requests sent to another zone because of the spillover decision, by that zone",
     groupsLost: "Serving groups found lost, by reason",
     orders: "Orders to upstreams by outcome",
     storeFailures: "Failed calls to the platform's store, by kind",
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -5,6 +5,7 @@
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
+import { chooseGroupByZone } from "../placement/chooseGroupByZone.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { GroupCandidate } from "../placement/GroupCandidate.js";
@@ -12,6 +13,7 @@
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
+import type { SpilloverPolicy } from "../placement/SpilloverPolicy.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { UpstreamLimiter } from "../placement/UpstreamLimiter.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -39,6 +41,7 @@
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
     responseMemory: ResponseMemory;
+    spillover: SpilloverPolicy;
     zone: string;
     /** Time since the view of the upstreams was last updated. */
     viewAgeMs: () => number;
@@ -52,6 +55,8 @@
     candidate: GroupCandidate;
     /** Predicted time until the first event. */
     firstEventMs: number;
+    /** Why a group of another zone was chosen; undefined if the choice was made over all zones. */
+    leaveReason?: string;
     trackedRequest: TrackedRequest;
     /** Aborts, with the reason, when the group is reported lost. */
     groupLost: AbortController;
@@ -266,7 +271,8 @@
         const others = candidates.filter(({ epoch }) => !progress.brokenEpochs.has(epoch));
         const profile = this.requestProfile(call);
         const sampling = gatewayCount() > MAX_GATEWAYS_COMPARING_ALL ? { count: SAMPLED_GROUPS, random } : undefined;
-        const choice = chooseGroup(engine, others, profile, sampling)
+        const choice = this.chooseByZone(call, engine, progress, others)
+            ?? chooseGroup(engine, others, profile, sampling)
             ?? chooseGroup(engine, candidates, profile, sampling);
         if (!choice) {
             return undefined;
@@ -284,6 +290,29 @@
         return { ...choice, trackedRequest, groupLost, hasEvents: false };
     }
 
+    /** Chooses a group of the own zone first; undefined where a request is sent once more, or zones are not preferred. */
+    private chooseByZone(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+        candidates: readonly GroupCandidate[],
+    ): ReturnType<typeof chooseGroupByZone> {
+        const { clock, spillover, random } = this.options;
+        const { request, route, service } = call;
+        const isRepeated = progress.mayHaveRun || progress.rejections > 0 || progress.unreachableHeads.size > 0
+            || request.lastEventId !== undefined;
+        const decision = isRepeated ? undefined : spillover.decide({
+            service: service.name,
+            engine,
+            model: request.model ?? "",
+            targetMs: route.targetLatencyMs,
+            coldRequestsPerSecond: service.coldRequestsPerSecond,
+        });
+        const targetMs = request.receivedAtMs + route.targetLatencyMs - clock.monotonicMs();
+        return decision
+            && chooseGroupByZone(engine, candidates, { ...this.requestProfile(call), targetMs }, decision, random);
+    }
+
     private async attempt(
         call: ForwardedCall,
         engine: EngineProfile,
@@ -593,6 +622,7 @@
             waitedMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
             viewAgeMs: Math.round(this.options.viewAgeMs()),
             resumeAfter: progress.lastEventId,
+            ...this.options.spillover.recordSent(candidate.head, slot.leaveReason),
             ...this.options.upstreamLimiter.logFields(candidate.head, call.service),
         });
     }
--- a/packages/gateway/src/placement/AvoidedUpstreams.ts
+++ b/packages/gateway/src/placement/AvoidedUpstreams.ts
@@ -83,6 +83,12 @@
         return this.avoidanceOf(upstream)?.reason === "not-connected";
     }
 
+    /** Returns true if the upstream accepted no connection within the last `withinMs` and has not responded since. */
+    wasUnreachable(upstream: Upstream, withinMs: number): boolean {
+        const avoidance = this.avoidanceOf(upstream);
+        return avoidance?.reason === "not-connected" && this.clock.monotonicMs() - avoidance.triedAtMs <= withinMs;
+    }
+
     /** Returns the upstreams to which requests may be sent now. If none can be reached, they are tried more often. */
     usable(upstreams: Iterable<Upstream>): Set<Upstream> {
         const all = [...upstreams];
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -7,6 +7,7 @@
             | "refusals"
             | "retries"
             | "relayed"
+            | "leftZone"
             | "groupsLost"
             | "orders"
             | "storeFailures"
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -8,6 +8,7 @@
 import { StreamDispatcher } from "../../src/forwarding/StreamDispatcher.js";
 import type { IncomingRequest } from "../../src/model/IncomingRequest.js";
 import type { Route } from "../../src/model/Route.js";
+import type { ZoneDelay } from "../../src/model/ZoneDelay.js";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
 import { AnnouncedRateLimiter } from "../../src/placement/AnnouncedRateLimiter.js";
@@ -19,6 +20,7 @@
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
+import { SpilloverPolicy } from "../../src/placement/SpilloverPolicy.js";
 import { UpstreamLimiter } from "../../src/placement/UpstreamLimiter.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
@@ -67,6 +69,7 @@
     readonly groups: GroupDirectory;
     /** False while neither the gateway nor a known other one reaches an upstream. */
     isReachable = true;
+    viewAgeMs = 0;
     private readonly forwarder: RequestForwarder;
     private readonly stop = new AbortController();
 
@@ -91,6 +94,7 @@
             isRegistered: id => this.directory.get(id) !== undefined,
         });
         const waits = RequestedWaits.create({ clock, log });
+        const avoidedUpstreams = AvoidedUpstreams.create(clock);
         const shared = {
             clock,
             log,
@@ -103,7 +107,18 @@
                 waits,
             }),
             failureRates,
-            avoidedUpstreams: AvoidedUpstreams.create(clock),
+            avoidedUpstreams,
+            spillover: SpilloverPolicy.create({
+                clock,
+                log,
+                metrics: noMetrics,
+                zone: "a",
+                groups: this.groups,
+                upstreams: this.directory,
+                avoidedUpstreams,
+                gatewayCount,
+                viewAgeMs: () => this.viewAgeMs,
+            }),
             retryBudget,
             crashGuard: this.crashGuard,
             idleTimeouts,
@@ -118,7 +133,7 @@
             }),
             zone: "a",
             responseMemory: ResponseMemory.create(Infinity),
-            viewAgeMs: () => 0,
+            viewAgeMs: () => this.viewAgeMs,
         };
         this.forwarder = RequestForwarder.create({
             clock,
@@ -149,8 +164,14 @@
     }
 
     /** Activates a configuration with one route. */
-    configure(changes: Partial<Route> = {}, version = 1, coldRequestsPerSecond = 0): void {
-        const llm = { name: "llm", connectionLimit: 9, coldRequestsPerSecond, engine: exampleEngine };
+    configure(
+        changes: Partial<Route> = {},
+        version = 1,
+        coldRequestsPerSecond = 0,
+        zoneDelays?: readonly ZoneDelay[],
+    ): void {
+        const engine = { ...exampleEngine, zoneDelays };
+        const llm = { name: "llm", connectionLimit: 9, coldRequestsPerSecond, engine };
         const app = { name: "app", connectionLimit: 9, coldRequestsPerSecond: 0 };
         this.configuration.adopt({
             version,
