Keep plain requests in their zone unless its upstreams reject them

One rejection by a zone's upstream cost more than the fixed penalty for another zone, so a gateway sent all its plain requests of the next seconds to other zones.

Where delays between zones are configured and there are more than 12 gateways, SpilloverPolicy decides on a share from the rejections that this gateway has seen: gateways do not report loads of plain upstreams. PlainDispatcher draws the zone for a request's first attempt, and one of the zone's equal upstreams; gateways list upstreams in the same order.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -274,6 +274,8 @@
                 groups: this.groups,
                 upstreams: this.upstreams,
                 avoidedUpstreams,
+                failureRates,
+                configuration: this.configuration,
                 gatewayCount,
                 viewAgeMs,
             }),
@@ -296,7 +298,7 @@
                 random,
                 gatewayCount,
             }),
-            plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated }),
+            plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated, random }),
             isReachable: service => !isPartitionedFrom(service) || relaysFor(service).length > 0,
         });
         this.viewSource = ViewSourceSelector.create({
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -1,13 +1,16 @@
-import type { Clock } from "@fescuehaven/runtime";
+import type { Clock, Random } from "@fescuehaven/runtime";
 import type { Upstream } from "../model/Upstream.js";
 import type { AdmissionOutcome } from "../placement/AdmissionOutcome.js";
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
+import { chooseUpstream } from "../placement/chooseUpstream.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
+import type { SpilloverDecision } from "../placement/SpilloverDecision.js";
+import type { SpilloverPolicy } from "../placement/SpilloverPolicy.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { UpstreamLimiter } from "../placement/UpstreamLimiter.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -35,6 +38,8 @@
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
     responseMemory: ResponseMemory;
+    spillover: SpilloverPolicy;
+    random: Random;
     zone: string;
     isEvacuated: (zone: string) => boolean;
     viewAgeMs: () => number;
@@ -43,6 +48,8 @@
 /** A slot that was taken at an upstream. */
 interface PlainSlot {
     upstream: Upstream;
+    /** Why an upstream of another zone was chosen; undefined if the choice was made over all zones. */
+    leaveReason?: string;
     trackedRequest: TrackedRequest;
 }
 
@@ -62,7 +69,6 @@
 }
 
 /** Costs that are added to an upstream's requests in flight when upstreams are compared. */
-const OTHER_ZONE_COST = 0.9;
 const SUSPECT_COST = 20;
 const FAILURE_COST = 12;
 /** An upstream that is silent for longer with requests in flight is avoided; several times the usual response time. */
@@ -180,25 +186,33 @@
         if (this.isBlocked(call)) {
             return undefined;
         }
-        let best: Upstream | undefined;
-        let bestCost = Infinity;
-        for (const upstream of this.acceptingCandidates(call, progress)) {
+        const costed = this.acceptingCandidates(call, progress).map(upstream => {
             const load = loads.ownLoad(upstream.id);
             const cost = load.inFlight
-                + (upstream.zone === this.options.zone ? 0 : OTHER_ZONE_COST)
                 + (load.silentMs > SUSPECT_SILENCE_MS ? SUSPECT_COST : 0)
                 + this.options.failureRates.failureRate(upstream.id) * FAILURE_COST;
-            if (cost < bestCost) {
-                best = upstream;
-                bestCost = cost;
-            }
-        }
-        if (!best) {
+            return { upstream, cost };
+        });
+        const choice = chooseUpstream(costed, this.options.zone, this.spilloverOf(call, progress), this.options.random);
+        if (!choice) {
             return undefined;
         }
-        upstreamLimiter.record(best);
-        avoidedUpstreams.recordAttempt(best);
-        return { upstream: best, trackedRequest: loads.trackRequest(best.id, best.service, 0, () => undefined) };
+        const { upstream, leaveReason } = choice;
+        upstreamLimiter.record(upstream);
+        avoidedUpstreams.recordAttempt(upstream);
+        const trackedRequest = loads.trackRequest(upstream.id, upstream.service, 0, () => undefined);
+        return { upstream, leaveReason, trackedRequest };
+    }
+
+    /** Returns which share of the requests leaves the zone; undefined where a request is sent once more, or none is decided. */
+    private spilloverOf(call: ForwardedCall, progress: PlainProgress): SpilloverDecision | undefined {
+        const isRepeated = progress.triedUpstreams.size > 0 || progress.unreachableUpstreams.size > 0;
+        return isRepeated ? undefined : this.options.spillover.decidePlain({
+            service: call.service.name,
+            targetMs: call.route.targetLatencyMs,
+            coldRequestsPerSecond: call.service.coldRequestsPerSecond,
+            upstreams: () => this.candidates(call, progress),
+        });
     }
 
     private async attempt(call: ForwardedCall, slot: PlainSlot, progress: PlainProgress): Promise<AttemptResult> {
@@ -226,6 +240,7 @@
             configuration: call.configurationVersion,
             upstream: upstream.id,
             viewAgeMs: Math.round(this.options.viewAgeMs()),
+            ...this.options.spillover.recordSent(upstream, slot.leaveReason),
             ...this.options.upstreamLimiter.logFields(upstream, call.service),
         });
         try {
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -301,7 +301,7 @@
         const { request, route, service } = call;
         const isRepeated = progress.mayHaveRun || progress.rejections > 0 || progress.unreachableHeads.size > 0
             || request.lastEventId !== undefined;
-        const decision = isRepeated ? undefined : spillover.decide({
+        const decision = isRepeated ? undefined : spillover.decideStreams({
             service: service.name,
             engine,
             model: request.model ?? "",
--- a/packages/gateway/src/placement/SpilloverPolicy.ts
+++ b/packages/gateway/src/placement/SpilloverPolicy.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@fescuehaven/runtime";
+import type { ActiveConfiguration } from "../ActiveConfiguration.js";
 import type { EngineProfile } from "../model/EngineProfile.js";
 import type { Upstream } from "../model/Upstream.js";
 import type { ZoneDelay } from "../model/ZoneDelay.js";
@@ -9,8 +10,11 @@
 import { memoizeByObject } from "../util/memoizeByObject.js";
 import type { AvoidedUpstreams } from "./AvoidedUpstreams.js";
 import { delaysFrom } from "./delaysFrom.js";
+import type { FailureRateTracker } from "./FailureRateTracker.js";
 import type { GroupDirectory } from "./GroupDirectory.js";
 import type { SpilloverDecision } from "./SpilloverDecision.js";
+import type { SpilloverView } from "./SpilloverView.js";
+import { viewPlainSpillover } from "./viewPlainSpillover.js";
 import { viewSpillover } from "./viewSpillover.js";
 import { ZoneSpillover } from "./ZoneSpillover.js";
 
@@ -23,6 +27,8 @@
     groups: GroupDirectory;
     upstreams: UpstreamDirectory;
     avoidedUpstreams: AvoidedUpstreams;
+    failureRates: FailureRateTracker;
+    configuration: ActiveConfiguration;
     gatewayCount: () => number;
     /** Time since the view of the upstreams was last updated. */
     viewAgeMs: () => number;
@@ -37,15 +43,25 @@
     isComplete: boolean;
 }
 
-/** Requests among which one decision is made. */
-interface StreamPool {
+/** Names the requests among which one decision is made. */
+interface PoolFields {
     service: string;
-    engine: EngineProfile;
-    model: string;
+    model?: string;
     targetMs: number;
+}
+
+interface StreamPool extends PoolFields {
+    model: string;
+    engine: EngineProfile;
     coldRequestsPerSecond: number;
 }
 
+interface PlainPool extends PoolFields {
+    coldRequestsPerSecond: number;
+    /** Returns the upstreams that may take requests. */
+    upstreams: () => readonly Upstream[];
+}
+
 interface PoolState {
     spillover: ZoneSpillover;
     decision: SpilloverDecision;
@@ -110,10 +126,59 @@
         return this.pools.size;
     }
 
-    /** Returns the current decision for a pool; undefined where the choice is made over all zones. */
-    decide(pool: StreamPool): SpilloverDecision | undefined {
-        const { clock, gatewayCount } = this.options;
-        const { zoneDelays } = pool.engine;
+    /** Returns the current decision for streams; undefined where the choice is made over all zones. */
+    decideStreams(pool: StreamPool): SpilloverDecision | undefined {
+        const { service, engine, model, targetMs } = pool;
+        return this.decide({ service, model, targetMs }, engine.zoneDelays, (delayMs, nowMs) => {
+            const { groups, avoidedUpstreams, zoneDemand } = this.options;
+            const wasUnreachable = (head: Upstream) => avoidedUpstreams.wasUnreachable(head, UNREACHABLE_RETENTION_MS);
+            const byZone = groupBy(groups.candidates(service, engine, model), ({ head }) => head.zone);
+            const candidates = [...byZone.values()].flatMap(ofZone => {
+                const reachable = ofZone.filter(({ head }) => !wasUnreachable(head));
+                const unreachable = ofZone.length - reachable.length;
+                return unreachable >= CUT_OFF_HEADS || unreachable * 2 >= ofZone.length ? [] : reachable;
+            });
+            return viewSpillover({
+                nowMs,
+                isStale: this.isStale,
+                targetMs,
+                engine,
+                candidates,
+                delayMs,
+                coldRequestsPerSecond: pool.coldRequestsPerSecond,
+                demandPerSecond: zone => {
+                    const demand = zoneDemand?.(service, model, zone);
+                    return demand?.isComplete && demand.ageMs <= MAX_DEMAND_AGE_MS
+                        ? demand.offeredPerSecond
+                        : undefined;
+                },
+            });
+        });
+    }
+
+    /** Returns the current decision for the requests of a plain service; undefined as above. */
+    decidePlain({ service, targetMs, coldRequestsPerSecond, upstreams }: PlainPool): SpilloverDecision | undefined {
+        const services = this.options.configuration.current?.services.values() ?? [];
+        const zoneDelays = [...services].find(({ engine }) => engine?.zoneDelays)?.engine?.zoneDelays;
+        return this.decide({ service, targetMs }, zoneDelays, (delayMs, nowMs) =>
+            viewPlainSpillover({
+                nowMs,
+                isStale: this.isStale,
+                targetMs,
+                upstreams: upstreams(),
+                failureRate: id => this.options.failureRates.failureRate(id),
+                delayMs,
+                coldRequestsPerSecond,
+            }));
+    }
+
+    /** Returns the decision for a pool, renewed if it is due; undefined while decisions are inactive. */
+    private decide(
+        pool: PoolFields,
+        zoneDelays: readonly ZoneDelay[] | undefined,
+        createView: (delayMs: (zone: string) => number | undefined, nowMs: number) => SpilloverView,
+    ): SpilloverDecision | undefined {
+        const { clock, zone: ownZone, gatewayCount } = this.options;
         if (!zoneDelays || gatewayCount() <= MAX_GATEWAYS_COMPARING_ALL) {
             return undefined;
         }
@@ -126,12 +191,17 @@
         const state = this.pools.get(key) ?? this.addPool(key, nowMs);
         if (nowMs - state.decidedAtMs >= DECISION_INTERVAL_MS) {
             state.decidedAtMs = nowMs;
-            state.decision = this.renew(state.spillover, pool, delaysMs, nowMs);
+            const delayMs = (zone: string) => zone === ownZone ? 0 : delaysMs.get(zone);
+            state.decision = state.spillover.decide(createView(delayMs, nowMs));
             this.logChange(state, pool, nowMs);
         }
         return state.decision;
     }
 
+    private get isStale(): boolean {
+        return this.options.viewAgeMs() > STALE_VIEW_MS;
+    }
+
     /** Counts a request that leaves the zone, and returns the log fields that say where it goes and why. */
     recordSent(upstream: Upstream, reason: string | undefined): { leavesZone?: { zone: string; reason: string; }; } {
         if (reason === undefined) {
@@ -158,36 +228,7 @@
         return state;
     }
 
-    private renew(
-        spillover: ZoneSpillover,
-        { service, engine, model, targetMs, coldRequestsPerSecond }: StreamPool,
-        delaysMs: ReadonlyMap<string, number>,
-        nowMs: number,
-    ): SpilloverDecision {
-        const { zone: ownZone, groups, avoidedUpstreams, viewAgeMs, zoneDemand } = this.options;
-        const wasUnreachable = (head: Upstream) => avoidedUpstreams.wasUnreachable(head, UNREACHABLE_RETENTION_MS);
-        const byZone = groupBy(groups.candidates(service, engine, model), ({ head }) => head.zone);
-        const candidates = [...byZone.values()].flatMap(ofZone => {
-            const reachable = ofZone.filter(({ head }) => !wasUnreachable(head));
-            const unreachable = ofZone.length - reachable.length;
-            return unreachable >= CUT_OFF_HEADS || unreachable * 2 >= ofZone.length ? [] : reachable;
-        });
-        return spillover.decide(viewSpillover({
-            nowMs,
-            isStale: viewAgeMs() > STALE_VIEW_MS,
-            targetMs,
-            engine,
-            candidates,
-            delayMs: zone => zone === ownZone ? 0 : delaysMs.get(zone),
-            coldRequestsPerSecond,
-            demandPerSecond: zone => {
-                const demand = zoneDemand?.(service, model, zone);
-                return demand?.isComplete && demand.ageMs <= MAX_DEMAND_AGE_MS ? demand.offeredPerSecond : undefined;
-            },
-        }));
-    }
-
-    private logChange(state: PoolState, { service, model, targetMs }: StreamPool, nowMs: number): void {
+    private logChange(state: PoolState, pool: PoolFields, nowMs: number): void {
         const { share, targets, reason } = state.decision;
         const isNotable = Math.abs(share - state.loggedShare) >= LOGGED_SHARE_CHANGE
             || (share === 0) !== (state.loggedShare === 0)
@@ -196,9 +237,7 @@
             return;
         }
         this.options.log.info("share of requests that leave the zone changed", {
-            service,
-            model,
-            targetMs,
+            ...pool,
             share: round(share),
             before: round(state.loggedShare),
             reason,
--- a/packages/gateway/tests/forwarding/zoneSpillover.test.ts
+++ b/packages/gateway/tests/forwarding/zoneSpillover.test.ts
@@ -31,7 +31,7 @@
         rig.loads.setPeerLoads(
             "peer",
             [...rig.directory.all()].map(({ zone, group }) =>
-                [String(group!.epoch), { inFlight: loads[zone] ?? 0, pendingPrefillTokens: 0, silentMs: 0 }] as const
+                [String(group?.epoch), { inFlight: loads[zone] ?? 0, pendingPrefillTokens: 0, silentMs: 0 }] as const
             ),
         );
     }
@@ -140,4 +140,36 @@
             ],
         }]);
     });
+
+    describe("of a plain service", () => {
+        function startPlain(gateways: readonly string[]): void {
+            startWith(gateways, DELAYS);
+            rig.configure({ kind: "repeatable", targets: [{ service: "app", weight: 1 }] }, 2, 0, DELAYS);
+            ["a1", "a2", "b1", "c1"].forEach(id =>
+                rig.directory.set(exampleUpstream(id, { service: "app", zone: id.charAt(0) }))
+            );
+            rig.client.serve(upstream =>
+                upstream.zone === "a" ? { kind: "not-run", reason: "overloaded" } : responses.complete(200, "ok")
+            );
+        }
+
+        it("leave it by a share while its upstreams reject them, and all return afterwards", async () => {
+            startPlain(MANY);
+            await sendAll(40);
+            const reasons = linesOf("request admitted").map(fields => fields["leavesZone"]).filter(Boolean);
+            expect(reasons.length).to.be.within(10, 39);
+            rig.client.serve(() => responses.complete(200, "ok"));
+            await sendAll(60);
+            const zones = await sendAll(20);
+            expect(otherZones(zones)).to.deep.equal([]);
+            // Guards against gateways that all choose the zone's first upstream.
+            expect(new Set(rig.client.sent.slice(-20).map(({ upstream }) => upstream)).size).to.equal(2);
+        });
+
+        it("make no decision in a small fleet", async () => {
+            startPlain(MANY.slice(1));
+            await sendAll(20);
+            expect(linesOf("request admitted").some(fields => "leavesZone" in fields)).to.equal(false);
+        });
+    });
 });
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -116,6 +116,8 @@
                 groups: this.groups,
                 upstreams: this.directory,
                 avoidedUpstreams,
+                failureRates,
+                configuration: this.configuration,
                 gatewayCount,
                 viewAgeMs: () => this.viewAgeMs,
             }),
@@ -151,7 +153,7 @@
                 random,
                 gatewayCount,
             }),
-            plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated }),
+            plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated, random }),
             isReachable: () => this.isReachable,
         });
         void queue.run(this.stop.signal);
