--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -47,6 +47,7 @@
 import { RequestedWaits } from "./placement/RequestedWaits.js";
 import { RetryBudget } from "./placement/RetryBudget.js";
 import { SharedAdmission } from "./placement/SharedAdmission.js";
+import { SpilloverPolicy } from "./placement/SpilloverPolicy.js";
 import { UpstreamLimiter } from "./placement/UpstreamLimiter.js";
 import type { CallerResponse } from "./ports/CallerResponse.js";
 import type { UpstreamRequest } from "./ports/UpstreamRequest.js";
@@ -274,6 +275,20 @@
                 isSuspectedFor: service => this.partitions.isSuspectedFor(service),
                 relaysFor,
             }),
+            spillover: SpilloverPolicy.create({
+                clock,
+                log,
+                metrics,
+                zone: settings.zone,
+                groups: this.groups,
+                upstreams: this.upstreams,
+                avoidedUpstreams,
+                failureRates,
+                configuration: this.configuration,
+                gatewayCount,
+                viewAgeMs,
+                zoneDemand: (service, model, zone) => demand.zoneDemand(service, model, zone),
+            }),
             zone: settings.zone,
             viewAgeMs,
         };
@@ -301,7 +316,7 @@
                 }),
                 gatewayCount,
             }),
-            plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated }),
+            plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated, random }),
             isReachable: service => !isPartitionedFrom(service) || relaysFor(service).length > 0,
         });
         this.viewSource = ViewSourceSelector.create({
--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -10,6 +10,7 @@
     rankRefusals: "Refused streams by rank, where routes or client accounts lead to more than one",
     retries: "Sendings beyond a request's first, by reason",
     relayed: "Requests sent through another gateway because this one reached no upstream, by outcome",
+    leftZone: "Requests sent to another zone because of the spillover decision, by that zone",
     groupsLost: "Serving groups found lost, by reason",
     orders: "Orders to upstreams by outcome",
     storeFailures: "Failed calls to the platform's store, by kind",
--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -5,6 +5,7 @@
 import type { AdmissionQueue } from "../placement/AdmissionQueue.js";
 import type { AvoidedUpstreams } from "../placement/AvoidedUpstreams.js";
 import { chooseGroup } from "../placement/chooseGroup.js";
+import { chooseGroupByZone } from "../placement/chooseGroupByZone.js";
 import type { CrashGuard } from "../placement/CrashGuard.js";
 import { estimateTokens } from "../placement/estimateTokens.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
@@ -16,6 +17,7 @@
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { SharedAdmission } from "../placement/SharedAdmission.js";
+import type { SpilloverPolicy } from "../placement/SpilloverPolicy.js";
 import type { TrackedRequest } from "../placement/TrackedRequest.js";
 import type { UpstreamLimiter } from "../placement/UpstreamLimiter.js";
 import type { DecisionLog } from "../ports/DecisionLog.js";
@@ -45,6 +47,7 @@
     idleTimeouts: IdleTimeoutMonitor;
     client: UpstreamClient;
     responseMemory: ResponseMemory;
+    spillover: SpilloverPolicy;
     zone: string;
     /** Time since the view of the upstreams was last updated. */
     viewAgeMs: () => number;
@@ -61,6 +64,8 @@
     firstEventMs: number;
     /** Tokens that the request is expected to hold at its end; undefined if it states none. */
     ownTokens?: number;
+    /** Why a group of another zone was chosen; undefined if the choice was made over all zones. */
+    leaveReason?: string;
     trackedRequest: TrackedRequest;
     /** Aborts, with the reason, when the group is reported lost. */
     groupLost: AbortController;
@@ -362,7 +367,8 @@
         const others = candidates.filter(({ epoch }) => !progress.brokenEpochs.has(epoch));
         const profile = this.requestProfile(call, engine, progress);
         const sampling = gatewayCount() > MAX_GATEWAYS_COMPARING_ALL ? { count: SAMPLED_GROUPS, random } : undefined;
-        const choice = chooseGroup(engine, others, profile, sampling)
+        const choice = this.chooseByZone(call, engine, progress, others, profile)
+            ?? chooseGroup(engine, others, profile, sampling)
             ?? chooseGroup(engine, candidates, profile, sampling);
         if (!choice) {
             return undefined;
@@ -389,6 +395,29 @@
         return { ...choice, ownTokens, trackedRequest, groupLost, hasEvents: false };
     }
 
+    /** Chooses a group of the own zone first; undefined where a request is sent once more, or zones are not preferred. */
+    private chooseByZone(
+        call: ForwardedCall,
+        engine: EngineProfile,
+        progress: StreamProgress,
+        candidates: readonly GroupCandidate[],
+        profile: Parameters<typeof chooseGroup>[2],
+    ): ReturnType<typeof chooseGroupByZone> {
+        const { clock, spillover, random } = this.options;
+        const { request, route, service } = call;
+        const isRepeated = progress.mayHaveRun || progress.rejections > 0 || progress.unreachableHeads.size > 0
+            || request.lastEventId !== undefined;
+        const decision = isRepeated ? undefined : spillover.decideStreams({
+            service: service.name,
+            engine,
+            model: request.model ?? "",
+            targetMs: route.targetLatencyMs,
+            coldRequestsPerSecond: service.coldRequestsPerSecond,
+        });
+        const targetMs = request.receivedAtMs + route.targetLatencyMs - clock.monotonicMs();
+        return decision && chooseGroupByZone(engine, candidates, { ...profile, targetMs }, decision, random);
+    }
+
     private async attempt(
         call: ForwardedCall,
         engine: EngineProfile,
@@ -713,6 +742,7 @@
             waitedMs: Math.round(this.options.clock.monotonicMs() - call.request.receivedAtMs),
             viewAgeMs: Math.round(this.options.viewAgeMs()),
             resumeAfter: progress.lastEventId,
+            ...this.options.spillover.recordSent(candidate.head, slot.leaveReason),
             ...this.options.upstreamLimiter.logFields(candidate.head, call.service),
         });
     }
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -8,6 +8,7 @@
             | "rankRefusals"
             | "retries"
             | "relayed"
+            | "leftZone"
             | "groupsLost"
             | "orders"
             | "storeFailures"
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -8,6 +8,7 @@
 import { StreamDispatcher } from "../../src/forwarding/StreamDispatcher.js";
 import type { IncomingRequest } from "../../src/model/IncomingRequest.js";
 import type { Route } from "../../src/model/Route.js";
+import type { ZoneDelay } from "../../src/model/ZoneDelay.js";
 import { AdmissionQueue } from "../../src/placement/AdmissionQueue.js";
 import { AnnouncedLimits } from "../../src/placement/AnnouncedLimits.js";
 import { AnnouncedRateLimiter } from "../../src/placement/AnnouncedRateLimiter.js";
@@ -21,6 +22,7 @@
 import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
 import { SharedAdmission } from "../../src/placement/SharedAdmission.js";
+import { SpilloverPolicy } from "../../src/placement/SpilloverPolicy.js";
 import { UpstreamLimiter } from "../../src/placement/UpstreamLimiter.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
@@ -72,6 +74,7 @@
     readonly groups: GroupDirectory;
     /** False while neither the gateway nor a known other one reaches an upstream. */
     isReachable = true;
+    viewAgeMs = 0;
     private readonly forwarder: RequestForwarder;
     private readonly stop = new AbortController();
 
@@ -97,6 +100,7 @@
             isRegistered: id => this.directory.get(id) !== undefined,
         });
         const waits = RequestedWaits.create({ clock, log });
+        const avoidedUpstreams = AvoidedUpstreams.create(clock);
         const shared = {
             clock,
             log,
@@ -109,7 +113,20 @@
                 waits,
             }),
             failureRates,
-            avoidedUpstreams: AvoidedUpstreams.create(clock),
+            avoidedUpstreams,
+            spillover: SpilloverPolicy.create({
+                clock,
+                log,
+                metrics: noMetrics,
+                zone: "a",
+                groups: this.groups,
+                upstreams: this.directory,
+                avoidedUpstreams,
+                failureRates,
+                configuration: this.configuration,
+                gatewayCount,
+                viewAgeMs: () => this.viewAgeMs,
+            }),
             retryBudget,
             demand: this.demand,
             crashGuard: this.crashGuard,
@@ -125,7 +142,7 @@
             }),
             zone: "a",
             responseMemory: ResponseMemory.create(Infinity),
-            viewAgeMs: () => 0,
+            viewAgeMs: () => this.viewAgeMs,
         };
         this.forwarder = RequestForwarder.create({
             clock,
@@ -151,7 +168,7 @@
                 }),
                 gatewayCount,
             }),
-            plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated }),
+            plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated, random }),
             isReachable: () => this.isReachable,
         });
         void queue.run(this.stop.signal);
@@ -164,8 +181,13 @@
     }
 
     /** Activates a configuration with one route. */
-    configure(changes: Partial<Route> = {}, version = 1, coldRequestsPerSecond = 0): void {
-        const engine = { ...exampleEngine, kvCacheTokens: this.options.kvCacheTokens };
+    configure(
+        changes: Partial<Route> = {},
+        version = 1,
+        coldRequestsPerSecond = 0,
+        zoneDelays?: readonly ZoneDelay[],
+    ): void {
+        const engine = { ...exampleEngine, kvCacheTokens: this.options.kvCacheTokens, zoneDelays };
         const llm = { name: "llm", connectionLimit: 9, coldRequestsPerSecond, engine };
         const app = { name: "app", connectionLimit: 9, coldRequestsPerSecond: 0 };
         this.configuration.adopt({
