Keep a spare in each fabric domain

A domain with a large and a smaller group now keeps one spare instead of a further smaller group, unless FleetDemand shows that the smaller model is short.

--- a/packages/gateway/src/fleet/DemandPlanner.ts
+++ b/packages/gateway/src/fleet/DemandPlanner.ts
@@ -3,6 +3,8 @@
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { PlanningDemand } from "./PlanningDemand.js";
 import { shareOfDemand } from "./shareOfDemand.js";
+import { SHORTAGE_SHARE } from "./shortageShare.js";
+import { unservedShare } from "./unservedShare.js";
 
 /** Requests per second, as of `ageMs` ago. */
 interface Figures {
@@ -97,7 +99,10 @@
             model,
             new Map([...byZone].map(([zone, inZone]) => [zone, offered > 0 ? inZone / offered : 0])),
         ]));
-        return { shares: shareOfDemand(models, known.models), zoneShares, zoneGroupCounts };
+        const shortModels = new Set(
+            [...known.models].filter(([, item]) => unservedShare(item) >= SHORTAGE_SHARE).map(([model]) => model),
+        );
+        return { shares: shareOfDemand(models, known.models), zoneShares, zoneGroupCounts, shortModels };
     }
 
     private sample(
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -971,13 +971,17 @@
             }
         }
         const largest = Math.max(...engine.models.map(model => model.memberCount));
-        const isLargestIn = (group: ManagedGroup, domain: string) =>
-            group.service === service && group.domain === domain && group.model.memberCount === largest;
+        const countIn = (domain: string, isLargest: boolean) =>
+            [...this.groups.values()].filter(group =>
+                group.service === service && group.domain === domain
+                && (group.model.memberCount === largest) === isLargest
+            ).length;
         const domains = [...byDomain].map(([domain, members]) => ({
             domain,
             zone: members[0]?.zone,
             freeCount: members.length,
-            largestGroupCount: [...this.groups.values()].filter(group => isLargestIn(group, domain)).length,
+            largestGroupCount: countIn(domain, true),
+            smallerGroupCount: countIn(domain, false),
         }));
         const groups = [...this.groups.values()].filter(group => group.service === service);
         const demand = this.options.demandPlanner?.update(service, engine.models, groups, view.upstreams);
--- a/packages/gateway/src/fleet/PlanningDemand.ts
+++ b/packages/gateway/src/fleet/PlanningDemand.ts
@@ -6,4 +6,6 @@
     zoneShares: ReadonlyMap<string, ReadonlyMap<string, number>>;
     /** Number of each model's groups in each zone. */
     zoneGroupCounts: ReadonlyMap<string, ReadonlyMap<string, number>>;
+    /** Models of whose requests too many are refused or late. */
+    shortModels: ReadonlySet<string>;
 }
--- a/packages/gateway/src/fleet/planGroups.ts
+++ b/packages/gateway/src/fleet/planGroups.ts
@@ -10,6 +10,8 @@
     freeCount: number;
     /** Number of groups of the models with the largest member count. */
     largestGroupCount: number;
+    /** Number of groups of the other models. */
+    smallerGroupCount?: number;
 }
 
 /** A group to be formed. */
@@ -18,11 +20,19 @@
     model: string;
 }
 
+/**
+ * VMs that a domain keeps as spares for its groups. Without a spare, the loss of one member takes a whole group out of
+ * service until another VM has loaded the weights, which takes 12 to 16 s; a spare joins within two seconds.
+ */
+const MIN_SPARES = 1;
+
 /**
  * Plans groups for the free VMs of each fabric domain, starting with the model whose groups have the most work each. A
  * group never spans domains, and a domain gets a second group of the largest size only if the VMs of that model have
  * more work than those of all others. While VMs are still registering (`isStable` is false), only the model with the
  * most work is planned, even if no domain has room for it yet, so that small groups do not take the VMs of large ones.
+ * A domain with a large and a smaller group keeps a spare instead of a further smaller group, unless `demand` shows that
+ * the smaller model is short of groups.
  * With `demand`, its shares are used instead of the configured ones, and among domains that fit equally well the one in
  * the zone whose share of the requests exceeds its share of the groups most.
  */
@@ -46,8 +56,15 @@
         const workPerVm = (model: ModelProfile) => workPerGroup(model, counts) / (model.timeFactor * model.memberCount);
         const isBusiest = (model: ModelProfile) =>
             models.every(other => other === model || workPerVm(model) > workPerVm(other));
-        const isAllowed = (model: ModelProfile, { largestGroupCount: largestCount }: DomainState) =>
-            model.memberCount < largestMemberCount || largestCount === 0 || isBusiest(model);
+        const needsSpare = (
+            model: ModelProfile,
+            { freeCount, largestGroupCount, smallerGroupCount = 0 }: DomainState,
+        ) => freeCount - model.memberCount < MIN_SPARES && largestGroupCount > 0 && smallerGroupCount > 0
+            && !demand?.shortModels.has(model.name);
+        const isAllowed = (model: ModelProfile, state: DomainState) =>
+            model.memberCount < largestMemberCount
+                ? !needsSpare(model, state)
+                : state.largestGroupCount === 0 || isBusiest(model);
         const ordered = [...models].sort((left, right) => workPerGroup(right, counts) - workPerGroup(left, counts));
         /** Returns by how much a zone's share of the requests exceeds its share of the groups, in tenths. */
         const excessOf = ({ name }: ModelProfile, { zone = "" }: DomainState) => {
@@ -67,7 +84,9 @@
         const { zone = "" } = state;
         zoneCounts.get(model.name)?.set(zone, (zoneCounts.get(model.name)?.get(zone) ?? 0) + 1);
         state.freeCount -= model.memberCount;
-        state.largestGroupCount += model.memberCount === largestMemberCount ? 1 : 0;
+        const isLargest = model.memberCount === largestMemberCount;
+        state.largestGroupCount += isLargest ? 1 : 0;
+        state.smallerGroupCount = (state.smallerGroupCount ?? 0) + (isLargest ? 0 : 1);
     }
 }
 
--- a/packages/gateway/src/fleet/shareOfDemand.ts
+++ b/packages/gateway/src/fleet/shareOfDemand.ts
@@ -1,4 +1,6 @@
 import type { ModelProfile } from "../model/ModelProfile.js";
+import { SHORTAGE_SHARE } from "./shortageShare.js";
+import { unservedShare } from "./unservedShare.js";
 
 /** Requests for a model per second. */
 interface Demand {
@@ -7,8 +9,6 @@
     late: number;
 }
 
-/** A model is short of groups if a larger fraction of its requests is refused or late: less is normal in a burst. */
-const SHORTAGE_FRACTION = 0.2;
 /** Bounds of a planned share relative to the configured one. */
 const MIN_FACTOR = 0.5;
 const MAX_FACTOR = 2;
@@ -27,16 +27,14 @@
 ): Map<string, number> {
     const totalShare = models.reduce((sum, { demandShare }) => sum + demandShare, 0);
     const totalOffered = models.reduce((sum, { name }) => sum + (demand.get(name)?.offered ?? 0), 0);
-    const unservedOf = ({ offered, refused, late }: Demand) =>
-        offered > 0 ? Math.min(1, (refused + late) / offered) : 0;
-    const hasShortage = [...demand.values()].some(item => unservedOf(item) >= SHORTAGE_FRACTION);
+    const hasShortage = [...demand.values()].some(item => unservedShare(item) >= SHORTAGE_SHARE);
     return new Map(models.map(({ name, demandShare }) => {
         const item = demand.get(name);
         if (!item || !hasShortage) {
             return [name, demandShare];
         }
-        const unserved = unservedOf(item);
-        const factor = unserved >= SHORTAGE_FRACTION
+        const unserved = unservedShare(item);
+        const factor = unserved >= SHORTAGE_SHARE
             ? 1 / Math.max(1 / MAX_FACTOR, 1 - unserved)
             : Math.min(1, item.offered * totalShare / Math.max(1e-9, totalOffered * demandShare));
         const stepped = Math.round(factor / FACTOR_STEP) * FACTOR_STEP;
