Use the members of groups that cannot be completed at once

A group whose domain had too few upstreams kept its members for 1.5 s, and then until no upstream had come or left for 1.2 s, which in a fleet that loses one every three seconds hardly happens. A member that refused to join made the whole group join again with it, after growing delays.

A group that cannot be completed is now dissolved at once; only upstreams whose quarantine ends soon are awaited. Members that restart need no wait: they join the next group as quickly, and the others serve meanwhile. A member that refuses to join is replaced at once if another upstream has the weights, and after its second refusal in any case.

The wait had covered a fault: after a head had been replaced, the group's members could be given to another group although the former head had not given them up yet. A group now remembers the heads of its earlier epochs, and its members stay quarantined until these must have given up.

A controller also requests reports of members whose registrations do not show what they should have done by now, instead of waiting for a slow store, and sends the members of a dissolved group one leave instead of two, of which the second was answered with conflicts.

With registrations that are 1.2 s late, the smaller group is started within 600 ms of a member's crash, and 5.2 s after the crash of a head, which may only be shutting down.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -361,8 +361,7 @@
             onLeaving: ({ id, startedAtMs }) =>
                 this.upstreams.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
             onOtherGroup: (upstream, report) => this.upstreams.recordReport(upstream, report),
-            onMembershipChanged: (upstream, order, orderCount) =>
-                this.upstreams.recordOrder(upstream, order, orderCount),
+            onOrderDone: (upstream, order, orderCount) => this.upstreams.recordOrder(upstream, order, orderCount),
             onReport: (upstream, report) => this.upstreams.recordOrderCount(upstream, report),
             reachability: this.partitions,
         });
--- a/packages/gateway/src/UpstreamDirectory.ts
+++ b/packages/gateway/src/UpstreamDirectory.ts
@@ -160,7 +160,7 @@
         }
     }
 
-    /** Records a join or leave that an upstream has carried out, and the number of orders it had accepted then. */
+    /** Records an order that an upstream has carried out, and the number of orders it had accepted then. */
     recordOrder(upstream: Upstream, order: MembershipOrder, orderCount: number): void {
         const registered = this.registered(upstream);
         this.orderedMemberships.recordOrder(registered ?? upstream, order, orderCount);
@@ -177,6 +177,15 @@
         }
     }
 
+    /** Applies a report of a forming group's member, whose registration may not show its progress yet. */
+    recordProgress(upstream: Upstream, report: UpstreamReport & { kind: "reported"; }): void {
+        const registered = this.registered(upstream);
+        if (registered) {
+            this.orderedMemberships.recordProgress(registered, report);
+            this.update(registered);
+        }
+    }
+
     /** Applies an upstream's report while the store does not provide its registrations. */
     replaceByReport(upstream: Upstream, { group, model, stagedModels }: UpstreamReport & { kind: "reported"; }): void {
         this.update({ ...upstream, group, model, stagedModels });
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -13,6 +13,8 @@
 import type { ControllerLease } from "./ControllerLease.js";
 import type { EpochSource } from "./EpochSource.js";
 import { FleetStabilityMonitor } from "./FleetStabilityMonitor.js";
+import type { FormerHead } from "./FormerHead.js";
+import { instanceKeyOf } from "./instanceKeyOf.js";
 import type { ManagedGroup } from "./ManagedGroup.js";
 import { MemberChecker } from "./MemberChecker.js";
 import type { MemberFailure } from "./MemberFailure.js";
@@ -80,6 +82,8 @@
 const FIRST_TERM = 1;
 /** Pause between two reconcile passes; short compared to the 200 ms of a warm join. */
 const RECONCILE_INTERVAL_MS = 40;
+/** Duration of a join with the model's weights in memory. */
+const WARM_JOIN_MS = 200;
 /** Pause between two checks of the lease while another gateway is the controller; `ControllerLease` polls as often. */
 const LEASE_POLL_INTERVAL_MS = 100;
 /** Silence of a group, as seen by all gateways, after which its members are checked; longer than most engine passes. */
@@ -109,8 +113,8 @@
 const JOIN_CHECK_AFTER_MS = 1200;
 /** Delay before a group is re-formed after a rejected join, so that the view of upstreams is up to date again. */
 const REJECTED_JOIN_DELAY_MS = 150;
-/** Minimum time between two report requests while the store is unavailable; reports lag by about 200 ms. */
-const REPORT_INTERVAL_MS = 200;
+/** Minimum time between two report requests to a member; half of the 200 ms by which reports lag. */
+const REPORT_INTERVAL_MS = 100;
 /** The open order is repeated if the head's registration does not show the open group after this time. */
 const OPEN_RETRY_AFTER_MS = 900;
 /** The close order is repeated if the head's registration still shows an open group after this time. */
@@ -130,8 +134,6 @@
 const MAX_UNAVAILABLE_SHARE = 0.3;
 /** Time for which a newly opened group is announced; by then the head's registration has reached all gateways. */
 const OPEN_ANNOUNCEMENT_MS = 3000;
-/** A group with too few members is dissolved after this time; members that restart are back earlier. */
-const INCOMPLETE_TIMEOUT_MS = 1500;
 /**
  * An adopted group waits this long for members without a registration, counted from the last member that registered:
  * registrations that have lapsed while the store was unavailable are back within two seconds.
@@ -147,6 +149,8 @@
     private groups = new Map<string, ManagedGroup>();
     /** Epoch at which each group was dissolved last, by name. Registrations of its members may still show it. */
     private readonly dissolvedEpochs = new Map<string, number>();
+    /** Members of dissolved groups that are ordered to leave once their head has answered, by instance. */
+    private readonly releasing = new Set<string>();
     private readonly health: UpstreamHealth;
     private term = 0;
     /** When this gateway became the controller of the term, monotonic. */
@@ -303,12 +307,13 @@
 
     /** Adds members of a group's own epoch that have registered since it was adopted. */
     private addReturnedMembers(group: ManagedGroup, observed: ObservedGroup): void {
-        const mayReturn = group.isAwaitingMembers || group.phase === "incomplete";
-        if (!mayReturn || observed.members.size <= group.members.length) {
+        const isIncomplete = group.phase === "incomplete";
+        const members = membersByRank(observed).filter(member => !isIncomplete || this.health.isUsable(member));
+        if (!(group.isAwaitingMembers || isIncomplete) || members.length <= group.members.length) {
             return;
         }
         const wasHeadMissing = group.isHeadMissing;
-        group.members = membersByRank(observed);
+        group.members = members;
         group.isHeadMissing = !observed.members.has(0);
         group.isAwaitingMembers = group.members.length < group.model.memberCount;
         this.options.log.info("group members registered again", {
@@ -374,17 +379,16 @@
             return;
         }
         const current = group.members.map(member => this.options.upstreams.get(member.id));
-        this.refreshFromReports(group);
+        this.refreshFromReports(group, this.overdueMembers(group, 0));
         if (current.every(member => isReadyIn(member, group))) {
             this.setPhase(group, "opening");
             void this.openGroup(group);
             return;
         }
         const ageMs = this.nowMs() - group.phaseSinceMs;
-        if (
-            group.hasRejectedJoin && ageMs > REJECTED_JOIN_DELAY_MS * 2 ** Math.min(group.consecutiveRejections ?? 0, 4)
-        ) {
-            this.reform(view, group, "a join was rejected", new Set());
+        const rejecting = this.replaceableRejectingMembers(view, group);
+        if (group.hasRejectedJoin && (rejecting.size > 0 || ageMs > rejectedJoinDelayMs(group))) {
+            this.reform(view, group, "a join was rejected", rejecting);
             return;
         }
         const unjoined = group.members.filter((member, rank) =>
@@ -409,6 +413,19 @@
         }
     }
 
+    /**
+     * Returns the members that have rejected their join if there are others with the weights for them, or if they have
+     * rejected two in a row: they must not keep the rest of the group waiting.
+     */
+    private replaceableRejectingMembers(view: ServiceView, group: ManagedGroup): Set<string> {
+        const rejecting = group.members.filter(member => this.health.isRejecting(member));
+        const spares = this.freeUpstreams(view).filter(upstream =>
+            upstream.domain === group.domain && hasWeights(upstream, group.model)
+        );
+        const isReplaceable = spares.length >= rejecting.length || (group.consecutiveRejections ?? 0) > 0;
+        return isReplaceable ? idsOf(rejecting) : new Set();
+    }
+
     private async openGroup(group: ManagedGroup): Promise<void> {
         const head = group.members[0];
         if (head) {
@@ -423,9 +440,9 @@
             this.reform(view, group, "a member became unusable while opening", idsOf(unusable));
             return;
         }
-        this.refreshFromReports(group);
         const head = this.currentHead(group);
         const ageMs = this.nowMs() - group.phaseSinceMs;
+        this.refreshFromReports(group, head && ageMs > view.engine.formationMs ? [head] : []);
         if (head?.group?.epoch === group.epoch && head.group.phase === "open") {
             const repairMs = group.lostAtMs === undefined ? undefined : this.nowMs() - group.lostAtMs;
             if (repairMs !== undefined) {
@@ -441,24 +458,39 @@
         }
     }
 
-    /** Requests reports from the members while the store does not keep the view of upstreams up to date. */
-    private refreshFromReports(managed: ManagedGroup): void {
+    /**
+     * Requests reports from members whose registrations do not show what they should have done by now, and from all members
+     * while the store does not keep the view of upstreams up to date.
+     */
+    private refreshFromReports(managed: ManagedGroup, overdue: readonly Upstream[]): void {
         const { upstreams, orders, isViewFresh } = this.options;
-        if (isViewFresh() || !this.memberChecker.isCheckDue(managed, REPORT_INTERVAL_MS)) {
+        const members = isViewFresh() ? overdue : managed.members;
+        if (members.length === 0 || this.nowMs() - (managed.reportsRequestedAtMs ?? -Infinity) < REPORT_INTERVAL_MS) {
             return;
         }
-        managed.isChecking = true;
-        const refreshes = managed.members.map(async member => {
-            const report = await orders.fetchReport(member);
-            const current = upstreams.get(member.id);
-            if (report.kind === "reported" && current?.startedAtMs === report.startedAtMs && !isViewFresh()) {
-                upstreams.replaceByReport(current, report);
-            }
-        });
-        void Promise.all(refreshes).then(() => {
-            managed.isChecking = false;
-            managed.checkedAtMs = this.nowMs();
-        });
+        managed.reportsRequestedAtMs = this.nowMs();
+        for (const member of members) {
+            void orders.fetchReport(member).then(report => {
+                const current = upstreams.get(member.id);
+                if (report.kind !== "reported" || current?.startedAtMs !== report.startedAtMs) {
+                    return;
+                }
+                if (!isViewFresh()) {
+                    upstreams.replaceByReport(current, report);
+                }
+                else if (report.group?.epoch === managed.epoch && this.groups.get(managed.name) === managed) {
+                    upstreams.recordProgress(current, report);
+                }
+            });
+        }
+    }
+
+    /** Returns the members that should be ready by now but are not registered so. */
+    private overdueMembers(group: ManagedGroup, marginMs: number): Upstream[] {
+        const ageMs = this.nowMs() - group.phaseSinceMs;
+        return group.members.filter(member =>
+            !isReadyIn(this.options.upstreams.get(member.id), group) && ageMs > joinMs(member, group.model) + marginMs
+        );
     }
 
     private advanceOpen(view: ServiceView, group: ManagedGroup): void {
@@ -662,7 +694,9 @@
         if (this.reform(view, group, "free upstreams are available again", new Set())) {
             return;
         }
-        if (this.nowMs() - group.phaseSinceMs > INCOMPLETE_TIMEOUT_MS) {
+        // Members that restart are not awaited: they can join the next group as quickly as this one, while the others serve.
+        const quarantined = this.availableUpstreams(view).filter(({ domain }) => domain === group.domain);
+        if (this.stayingMembers(group, new Set()).length + quarantined.length < group.model.memberCount) {
             this.dissolve(group);
         }
     }
@@ -729,12 +763,17 @@
         });
     }
 
-    /** Re-forms a group under the same name with a higher epoch. Returns false if its domain has too few usable VMs. */
-    private reform(view: ServiceView, group: ManagedGroup, reason: string, excluded: ReadonlySet<string>): boolean {
-        const staying = group.members
+    /** Returns the members that can be part of a group when it is formed again. */
+    private stayingMembers(group: ManagedGroup, excluded: ReadonlySet<string>): Upstream[] {
+        return group.members
             .filter(member => !excluded.has(member.id) && this.health.isUsable(member))
             .filter(member => !this.mayBelongElsewhere(member, group.name))
             .map(member => this.options.upstreams.get(member.id) ?? member);
+    }
+
+    /** Re-forms a group under the same name with a higher epoch. Returns false if its domain has too few usable VMs. */
+    private reform(view: ServiceView, group: ManagedGroup, reason: string, excluded: ReadonlySet<string>): boolean {
+        const staying = this.stayingMembers(group, excluded);
         const free = this.freeUpstreams(view).filter(upstream => upstream.domain === group.domain);
         const notSlow = free.filter(upstream => !this.health.isSlow(upstream.id));
         const { name: modelName, memberCount } = group.model;
@@ -744,40 +783,45 @@
             this.markIncomplete(group, staying, reason);
             return false;
         }
-        const hasWeights = (member: Upstream) =>
-            member.stagedModels.includes(group.model.name) || member.model === group.model.name;
-        const loadCount = members.filter(member => !hasWeights(member)).length;
+        const loadCount = members.filter(member => !hasWeights(member, group.model)).length;
         if (loadCount > 0 && !this.options.weightLoadLimiter.tryAcquire(loadCount, view.engine.weightLoadsPerSecond)) {
             this.markIncomplete(group, staying, "the load rate of the weight store is exhausted");
             return true;
         }
-        this.quarantineReplaced(group, members);
+        const formerHeads = [...this.waitingHeads(group), this.quarantineReplaced(group, members)];
         const consecutiveRejections = group.hasRejectedJoin ? (group.consecutiveRejections ?? 0) + 1 : 0;
         const { name, domain, model, lostAtMs } = group;
         this.startFormation(view.service, name, domain, model, members, reason, {
             lostAtMs,
             consecutiveRejections,
+            formerHeads,
         });
         return true;
     }
 
+    /** Returns the heads of a group's earlier epochs that may still serve with its members. */
+    private waitingHeads({ formerHeads = [] }: ManagedGroup): FormerHead[] {
+        return formerHeads.filter(({ untilMs, hasLeft }) => this.nowMs() < untilMs && !hasLeft());
+    }
+
     /**
      * Keeps replaced members from joining another group while the head may still serve with them: until the head has
      * accepted its own order, or must have given the group up.
      */
-    private quarantineReplaced(group: ManagedGroup, members: readonly Upstream[]): void {
+    private quarantineReplaced(group: ManagedGroup, members: readonly Upstream[]): FormerHead {
         const untilMs = this.headsWaitUntilMs(this.nowMs());
         const kept = idsOf(members);
         const { epoch } = group;
         const head = headOf(group);
-        const hasHeadLeft = () => {
+        const hasLeft = () => {
             const current = this.options.upstreams.get(head?.id ?? "");
             return current !== undefined
                 && (current.startedAtMs !== head?.startedAtMs || current.group?.epoch !== epoch);
         };
         group.members.filter(member => member !== head && !kept.has(member.id)).forEach(member =>
-            this.health.quarantine(member, untilMs, hasHeadLeft)
+            this.health.quarantine(member, untilMs, hasLeft)
         );
+        return { untilMs, hasLeft };
     }
 
     /** Keeps an upstream from joining another group that an earlier controller may have replaced, with an unknown head. */
@@ -827,7 +871,7 @@
         model: ModelProfile,
         members: readonly Upstream[],
         reason: string,
-        previous: { lostAtMs?: number; consecutiveRejections?: number; } = {},
+        previous: Pick<ManagedGroup, "lostAtMs" | "consecutiveRejections" | "formerHeads"> = {},
     ): void {
         const epoch = this.options.epochs.next();
         const group: ManagedGroup = {
@@ -869,9 +913,10 @@
                         this.withdrawOutdated(group, member);
                     }
                     if (outcome === "rejected") {
-                        // The member has seen a higher epoch or accepted another order first; re-forming with a new
-                        // epoch helps.
+                        // The member has seen a higher epoch or accepted another order first. Another member replaces
+                        // it if there is one; otherwise re-forming with a new epoch helps.
                         group.hasRejectedJoin = true;
+                        this.health.markRejecting(member);
                     }
                 });
         }
@@ -909,34 +954,45 @@
         this.dissolvedEpochs.set(group.name, group.epoch);
         const observed = observeGroups(this.options.upstreams.all()).get(group.name);
         if (observed) {
-            void this.releaseMembers(observed);
+            void this.releaseMembers(observed, () => this.waitingHeads(group).length > 0);
         }
     }
 
     /**
-     * Orders all members to leave a group, the head first. The other members stay quarantined until the head has left
-     * or must have given the group up.
+     * Orders all members to leave a group, the head first. They stay quarantined until the head and those of earlier epochs
+     * have left or must have given the group up.
      */
-    private async releaseMembers({ name, epoch, members }: ObservedGroup): Promise<void> {
+    private async releaseMembers(
+        { name, epoch, members }: ObservedGroup,
+        isFormerHeadWaiting: () => boolean,
+    ): Promise<void> {
         const { orders } = this.options;
         const head = members.get(0);
         const others = [...members.values()].filter(member => member !== head);
+        const otherKeys = others.map(instanceKeyOf);
         const untilMs = this.headsWaitUntilMs(this.nowMs());
         let hasLeft = false;
-        others.forEach(member => this.health.quarantine(member, untilMs, () => hasLeft));
+        const hasHeadLeft = () => hasLeft || (head !== undefined && this.health.hasEnded(head));
+        others.forEach(member =>
+            this.health.quarantine(member, untilMs, () => hasHeadLeft() && !isFormerHeadWaiting())
+        );
+        if (head) {
+            this.health.quarantine(head, untilMs, () => !isFormerHeadWaiting());
+        }
+        otherKeys.forEach(key => this.releasing.add(key));
         const leave = { kind: "leave", group: name, epoch } as const;
         hasLeft = head !== undefined && this.health.isUsable(head)
             && await orders.send(head, leave) === "completed";
-        for (const member of others.filter(item => this.health.isUsable(item))) {
-            void orders.send(member, leave);
-        }
+        await Promise.all(others.filter(item => this.health.isUsable(item)).map(member => orders.send(member, leave)));
+        otherKeys.forEach(key => this.releasing.delete(key));
     }
 
     /** Orders upstreams to leave groups of which the controller does not regard them as members. */
     private releaseNonMembers(view: ServiceView): void {
         for (const upstream of view.upstreams) {
             const { group } = upstream;
-            if (!group || standbyGroups.isStandby(group.name) || this.options.orders.isBusy(upstream)) {
+            const isBeingReleased = this.releasing.has(instanceKeyOf(upstream)) || this.options.orders.isBusy(upstream);
+            if (!group || standbyGroups.isStandby(group.name) || isBeingReleased) {
                 continue;
             }
             const managed = this.groups.get(group.name);
@@ -1014,6 +1070,11 @@
 
     /** Returns the upstreams that may join a serving group: those in no group or only in their own standby group. */
     private freeUpstreams(view: ServiceView): Upstream[] {
+        return this.availableUpstreams(view).filter(upstream => !this.health.isQuarantined(upstream));
+    }
+
+    /** Returns the upstreams that may join a serving group, now or once their quarantine ends. */
+    private availableUpstreams(view: ServiceView): Upstream[] {
         const taken = new Set<string>();
         for (const group of this.groups.values()) {
             group.members.forEach(member => taken.add(member.id));
@@ -1021,7 +1082,7 @@
         return view.upstreams.filter(upstream =>
             this.health.isUsable(upstream) && !taken.has(upstream.id)
             && (!upstream.group || standbyGroups.isStandby(upstream.group.name))
-            && !this.health.isQuarantined(upstream)
+            && !this.health.isRejecting(upstream)
         );
     }
 
@@ -1063,6 +1124,10 @@
     }
 }
 
+function rejectedJoinDelayMs({ consecutiveRejections }: ManagedGroup): number {
+    return REJECTED_JOIN_DELAY_MS * 2 ** Math.min(consecutiveRejections ?? 0, 4);
+}
+
 function groupSuffix(model: ModelProfile): string {
     return `.${model.name}`;
 }
@@ -1083,6 +1148,18 @@
     return head.group?.phase === "open" || head.group?.phase === "broken" ? "open" : "joining";
 }
 
+/** Returns the usual duration of a member's join, which depends on where the model's weights are. */
+function joinMs(member: Upstream, model: ModelProfile): number {
+    if (member.model === model.name) {
+        return WARM_JOIN_MS;
+    }
+    return member.stagedModels.includes(model.name) ? model.loadFromHostMs : model.loadFromStoreMs;
+}
+
+function hasWeights(upstream: Upstream, model: ModelProfile): boolean {
+    return upstream.stagedModels.includes(model.name) || upstream.model === model.name;
+}
+
 function isReadyIn(member: Upstream | undefined, managed: ManagedGroup): boolean {
     const group = member?.group;
     return group !== undefined && group.name === managed.name && group.epoch === managed.epoch
--- a/packages/gateway/src/fleet/ManagedGroup.ts
+++ b/packages/gateway/src/fleet/ManagedGroup.ts
@@ -1,5 +1,6 @@
 import type { ModelProfile } from "../model/ModelProfile.js";
 import type { Upstream } from "../model/Upstream.js";
+import type { FormerHead } from "./FormerHead.js";
 import type { GroupLoss } from "./GroupLoss.js";
 
 /** A serving group in the state that the controller wants. */
@@ -28,10 +29,14 @@
     /** When the last check of its members ended, monotonic. */
     checkedAtMs: number;
     isChecking: boolean;
+    /** When reports of its members were last requested while it forms, monotonic. */
+    reportsRequestedAtMs?: number;
     /** When a member was first seen draining, monotonic. */
     drainSinceMs?: number;
     /** True if a member rejected the join order. */
     hasRejectedJoin?: boolean;
+    /** Heads of earlier epochs. Its members join no other group until these have given them up. */
+    formerHeads?: readonly FormerHead[];
     /** Number of consecutive formations that ended with a rejected join. */
     consecutiveRejections?: number;
 }
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -20,8 +20,8 @@
     onLeaving: (upstream: Upstream) => void;
     /** Called with a report that shows an upstream in another group than its registration. */
     onOtherGroup: (upstream: Upstream, report: ReceivedReport) => void;
-    /** Called with a join or leave that an upstream has carried out, and the number of orders it had accepted then. */
-    onMembershipChanged: (upstream: Upstream, order: MembershipOrder, orderCount: number) => void;
+    /** Called with a join, leave or close that an upstream has carried out, and the number of orders it had accepted then. */
+    onOrderDone: (upstream: Upstream, order: MembershipOrder, orderCount: number) => void;
     /** Called with each report that is not older than the orders that the upstream is known to have accepted. */
     onReport: (upstream: Upstream, report: ReceivedReport) => void;
     reachability: ReachabilityRecorder;
@@ -168,14 +168,14 @@
             }
             if (outcome.kind === "accepted") {
                 this.orderCounts.set(instanceKey, expectedCount + 1);
-                this.recordMembership(upstream, order, expectedCount + 1);
+                this.recordOrder(upstream, order, expectedCount + 1);
                 if (report?.orderCount === expectedCount && !changesMembership[order.kind]) {
                     this.reports.set(instanceKey, { ...report, orderCount: expectedCount + 1 });
                 }
                 return "completed";
             }
             if (outcome.kind === "done") {
-                this.recordMembership(upstream, order, expectedCount);
+                this.recordOrder(upstream, order, expectedCount);
                 return "completed";
             }
             if (outcome.kind === "other-instance") {
@@ -216,16 +216,16 @@
         // A report that is older than the accepted orders explains nothing; a newer one is requested after another conflict.
         this.orderCounts.set(instanceKey, Math.max(report.orderCount, expectedCount));
         if (isDone) {
-            this.recordMembership(upstream, order, report.orderCount);
+            this.recordOrder(upstream, order, report.orderCount);
             return "completed";
         }
         await this.options.clock.sleep(CONFLICT_DELAY_MS);
         return report.orderCount !== expectedCount || tries <= MAX_UNEXPLAINED_CONFLICTS ? undefined : "rejected";
     }
 
-    private recordMembership(upstream: Upstream, order: GroupOrder, orderCount: number): void {
-        if (order.kind === "join" || order.kind === "leave") {
-            this.options.onMembershipChanged(upstream, order, orderCount);
+    private recordOrder(upstream: Upstream, order: GroupOrder, orderCount: number): void {
+        if (order.kind === "join" || order.kind === "leave" || order.kind === "close") {
+            this.options.onOrderDone(upstream, order, orderCount);
         }
     }
 }
@@ -242,7 +242,7 @@
  */
 function hasLeft(
     { expectedCount, isCountKnown, hadNoResponse, tries }: Attempt,
-    { group: name, epoch }: MembershipOrder,
+    { group: name, epoch }: GroupOrder & { kind: "leave"; },
     { group, orderCount }: ReceivedReport,
 ): boolean {
     if (group?.name === name && group.epoch === epoch) {
--- a/packages/gateway/src/fleet/OrderedMemberships.ts
+++ b/packages/gateway/src/fleet/OrderedMemberships.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@fescuehaven/runtime";
+import type { GroupMembership } from "../model/GroupMembership.js";
 import type { Upstream } from "../model/Upstream.js";
 import type { UpstreamReport } from "../ports/UpstreamReport.js";
 import { instanceKeyOf } from "./instanceKeyOf.js";
@@ -28,6 +29,8 @@
  * every 1.2 s and after each change, which is about 15 s.
  */
 const MAX_OUTDATED_REGISTRATIONS = 12;
+/** Phases through which a member passes while its group is formed, in this order. */
+const formationPhases: ReadonlyArray<GroupMembership["phase"]> = ["joining", "ready", "open"];
 /** Instances without a registration are forgotten after this time, like removals in `UpstreamDirectory`. */
 const RETENTION_MS = 60_000;
 
@@ -52,6 +55,14 @@
         if (before && before.epoch > order.epoch) {
             return;
         }
+        if (order.kind === "close") {
+            if (before?.joined?.group) {
+                // Registrations go back from open to ready, so that any phase may be newer than the known one.
+                const group: GroupMembership = { ...before.joined.group, phase: "joining" };
+                this.known.set(instanceKey, { ...before, joined: { ...before.joined, group }, orderCount });
+            }
+            return;
+        }
         this.known.set(instanceKey, {
             upstream,
             epoch: order.epoch,
@@ -73,6 +84,17 @@
         return true;
     }
 
+    /** Records a report that shows an upstream further on in its group than its registration does. */
+    recordProgress(upstream: Upstream, { group, model, orderCount }: UpstreamReport & { kind: "reported"; }): void {
+        const instanceKey = instanceKeyOf(upstream);
+        const before = this.known.get(instanceKey);
+        if (group && group.epoch >= (before?.epoch ?? 0) && orderCount >= (before?.orderCount ?? 0)) {
+            const { epoch } = group;
+            const atMs = this.options.clock.monotonicMs();
+            this.known.set(instanceKey, { upstream, epoch, joined: { group, model }, orderCount, atMs });
+        }
+    }
+
     /** Returns an upstream as it is known to be after its last order, if its registration is older than that. */
     apply(upstream: Upstream): Upstream {
         const membership = this.known.get(instanceKeyOf(upstream));
@@ -104,6 +126,12 @@
     return { model, group: { name: group, epoch, rank: members.indexOf(id), phase: "joining" as const } };
 }
 
+/** Returns true if a registration shows an earlier phase of a formation than a report of the same epoch. */
+function isBehind(registered: GroupMembership["phase"], reported: GroupMembership["phase"]): boolean {
+    const index = formationPhases.indexOf(registered);
+    return index >= 0 && index < formationPhases.indexOf(reported);
+}
+
 /** Returns true if a registration may have been written before an order, as far as its number tells. */
 function mayBeOlder({ registrationNumber }: Upstream, { upstream }: OrderedMembership): boolean {
     return registrationNumber <= upstream.registrationNumber + MAX_OUTDATED_REGISTRATIONS;
@@ -113,7 +141,11 @@
 function isOlder(registration: Upstream, membership: OrderedMembership): boolean {
     const { epoch, joined } = membership;
     const registeredEpoch = registration.group?.epoch ?? 0;
-    const contradicts = joined ? registeredEpoch < epoch : registration.group !== undefined && registeredEpoch <= epoch;
+    const isEarlierPhase = registeredEpoch === epoch && registration.group !== undefined && joined?.group !== undefined
+        && isBehind(registration.group.phase, joined.group.phase);
+    const contradicts = joined
+        ? registeredEpoch < epoch || isEarlierPhase
+        : registration.group !== undefined && registeredEpoch <= epoch;
     return contradicts && mayBeOlder(registration, membership);
 }
 
--- a/packages/gateway/src/fleet/UpstreamHealth.ts
+++ b/packages/gateway/src/fleet/UpstreamHealth.ts
@@ -14,6 +14,8 @@
 
 /** A slow upstream is not chosen for this time if there are others; slow phases last some seconds. */
 const SLOW_RETENTION_MS = 6000;
+/** An upstream that rejected a join is not chosen for this time: by then its registration shows a higher epoch. */
+const REJECTION_RETENTION_MS = 3000;
 /** Time between checks of an unresponsive upstream; network partitions last some seconds. */
 const UNRESPONSIVE_RECHECK_MS = 2500;
 
@@ -21,6 +23,8 @@
 export class UpstreamHealth {
     /** Instances that did not respond, and when they were last checked, monotonic. */
     private readonly unresponsiveInstances = new Map<string, number>();
+    /** When instances last rejected a join, monotonic. */
+    private readonly rejectedAtMs = new Map<string, number>();
     private readonly slowAtMs = new Map<string, number>();
     private readonly quarantines = new Map<string, { untilMs: number; hasHeadLeft: () => boolean; }>();
 
@@ -43,6 +47,25 @@
         }
     }
 
+    /**
+     * Returns true if the process of this instance has ended, because another one has registered since. That it refuses
+     * connections does not show it: one that shuts down does so while it still has work.
+     */
+    hasEnded({ id, startedAtMs }: Upstream): boolean {
+        return (this.options.upstreams.get(id)?.startedAtMs ?? -Infinity) > startedAtMs;
+    }
+
+    /** Records that this instance rejected a join. */
+    markRejecting(upstream: Upstream): void {
+        this.rejectedAtMs.set(instanceKeyOf(upstream), this.options.clock.monotonicMs());
+    }
+
+    /** Returns true if this instance rejected a join recently. */
+    isRejecting(upstream: Upstream): boolean {
+        const rejectedAtMs = this.rejectedAtMs.get(instanceKeyOf(upstream)) ?? -Infinity;
+        return this.options.clock.monotonicMs() - rejectedAtMs < REJECTION_RETENTION_MS;
+    }
+
     /** Records that the upstream reported that it is slow. */
     markSlow(id: string): void {
         this.slowAtMs.set(id, this.options.clock.monotonicMs());
@@ -90,6 +113,7 @@
     /** Deletes all findings. */
     clear(): void {
         this.unresponsiveInstances.clear();
+        this.rejectedAtMs.clear();
         this.slowAtMs.clear();
         this.quarantines.clear();
     }
--- a/packages/gateway/tests/fleet/OrderSender.test.ts
+++ b/packages/gateway/tests/fleet/OrderSender.test.ts
@@ -38,7 +38,7 @@
         },
         onLeaving: () => undefined,
         onOtherGroup: () => undefined,
-        onMembershipChanged: (_upstream, { kind }, orderCount) => changes.push([kind, orderCount]),
+        onOrderDone: (_upstream, { kind }, orderCount) => changes.push([kind, orderCount]),
         onReport: (_upstream, { orderCount }) => reported.push(orderCount),
         reachability: noReachability,
     });
--- a/packages/gateway/tests/fleet/outdatedRegistrations.test.ts
+++ b/packages/gateway/tests/fleet/outdatedRegistrations.test.ts
@@ -44,6 +44,59 @@
         rig.stopController();
     });
 
+    // Members waited 1.5 s for others to restart, and then until no upstream had come or left for a while.
+    for (const [title, rank, limitMs] of [["member", 2, 600], ["head", 0, 5200]] as const) {
+        it(`starts a smaller group ${limitMs} ms after a ${title} has crashed that cannot be replaced`, async () => {
+            const rig = await createFormedRig(1, 9);
+            rig.registrationLagMs = REGISTRATION_LAG_MS;
+            const sinceLine = rig.log.lines.length;
+            const lost = [...rig.directory.all()].find(({ model, group }) =>
+                model === "large" && group?.rank === rank
+            )!;
+            rig.fleet.crash(lost.id);
+            await rig.run(limitMs);
+            expect(epochsOf(rig, "group formation started", sinceLine)).to.have.length(1);
+            const outcomes = rig.log.lines.slice(sinceLine).map(({ fields }) => fields["outcome"]);
+            expect(outcomes).not.to.include("conflict");
+            await rig.run(15_000);
+            expect(rig.countCompleteGroups()).to.deep.equal({ small: 2 });
+            expect(rig.fleet.violations).to.deep.equal([]);
+            rig.stopController();
+        });
+    }
+
+    // The whole group was formed again with the same member, after growing delays.
+    it("replaces only the member that refuses to join, at once", async () => {
+        const rig = await createFormedRig(1, 5);
+        rig.registrationLagMs = REGISTRATION_LAG_MS;
+        const members = [...rig.directory.all()].filter(({ model, group }) =>
+            model === "small" && group?.name.includes("small")
+        );
+        const [lost, refusing] = members.filter(({ group }) => group?.rank !== 0);
+        rig.fleet.refusingIds.add(refusing!.id);
+        rig.fleet.crash(lost!.id);
+        await rig.run(4000);
+        const head = rig.fleet.openHeads().find(({ model }) => model === "small");
+        expect(head && rig.fleet.isComplete(head)).to.equal(true);
+        expect(rig.fleet.state(refusing!.id).group?.epoch).not.to.equal(head?.group?.epoch);
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
+    it("uses the other members of a group for a smaller one if a member refuses to join and none replaces it", async () => {
+        const rig = await createFormedRig(1, 10);
+        rig.registrationLagMs = REGISTRATION_LAG_MS;
+        const [lost, refusing] = [...rig.directory.all()].filter(({ model, group }) =>
+            model === "large" && group?.name.includes("large") && group.rank > 1
+        );
+        rig.fleet.refusingIds.add(refusing!.id);
+        rig.fleet.crash(lost!.id);
+        await rig.run(25_000);
+        expect(rig.countCompleteGroups()).to.deep.equal({ small: 2 });
+        expect(rig.fleet.violations).to.deep.equal([]);
+        rig.stopController();
+    });
+
     it("keeps most groups open while a member is lost every three seconds for a minute", async () => {
         const rig = await createFormedRig(3, 14);
         rig.registrationLagMs = REGISTRATION_LAG_MS;
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -132,8 +132,7 @@
             onLeaving: ({ id, startedAtMs }) =>
                 this.directory.recordLeaving({ upstream: id, startedAtMs, ageMs: 0 }, "order"),
             onOtherGroup: (upstream, report) => this.directory.recordReport(upstream, report),
-            onMembershipChanged: (upstream, order, orderCount) =>
-                this.directory.recordOrder(upstream, order, orderCount),
+            onOrderDone: (upstream, order, orderCount) => this.directory.recordOrder(upstream, order, orderCount),
             onReport: (upstream, report) => this.directory.recordOrderCount(upstream, report),
             reachability: this.partitions,
         });
--- a/packages/gateway/tests/support/SimulatedUpstreams.ts
+++ b/packages/gateway/tests/support/SimulatedUpstreams.ts
@@ -34,6 +34,8 @@
     joinedEpochs: Set<number>;
     /** When it left each group that it had joined, by epoch. */
     leftEpochsAtMs: Map<number, number>;
+    /** Its states of the last seconds, oldest first. */
+    states: Array<{ atMs: number; state: Upstream & { orderCount: number; }; }>;
     /** When it last became unresponsive. */
     unresponsiveSinceMs: number;
 }
@@ -56,6 +58,12 @@
     readonly brokenOffEpochs = new Set<number>();
     /** Number of following orders that get no response and are executed late. */
     lateOrders = 0;
+    /** Upstreams that refuse every join. */
+    readonly refusingIds = new Set<string>();
+    /** Returns true for an order that gets no response and is executed late. */
+    isLate: () => boolean = () => false;
+    /** Age of the state that reports show. */
+    reportLagMs = 0;
     /** Upstreams whose next order gets no response and is executed late. */
     readonly lateOrderIds = new Set<string>();
     /** Time until the response to an order that is executed at once, by upstream and kind of order. */
@@ -94,6 +102,7 @@
             version: 0,
             joinedEpochs: new Set(),
             leftEpochsAtMs: new Map(),
+            states: [],
             unresponsiveSinceMs: Infinity,
         });
         this.registrations.set(upstream);
@@ -199,11 +208,11 @@
             await this.clock.sleep(RESPONSE_TIMEOUT_MS);
             return { kind: "unreachable", reason: "no answer", isRefused: false };
         }
-        const { startedAtMs, group, model, stagedModels } = vm.upstream;
+        const { startedAtMs, orderCount, group, model, stagedModels } = this.reportedState(vm);
         return {
             kind: "reported",
             startedAtMs,
-            orderCount: vm.orderCount,
+            orderCount,
             group,
             model,
             stagedModels,
@@ -211,6 +220,15 @@
         };
     }
 
+    /** Returns the state that a report shows: that of `reportLagMs` ago, or the first one of this instance. */
+    private reportedState({ upstream, orderCount, states }: Vm): Upstream & { orderCount: number; } {
+        const untilMs = this.clock.monotonicMs() - this.reportLagMs;
+        const ofInstance = states.filter(({ state }) => state.startedAtMs === upstream.startedAtMs);
+        const [first] = ofInstance;
+        const reported = ofInstance.filter(({ atMs }) => atMs <= untilMs).pop() ?? first;
+        return this.reportLagMs === 0 || !reported ? { ...upstream, orderCount } : reported.state;
+    }
+
     /** Executes an order, unless the upstream is unresponsive or the order is to be late. */
     async order(upstream: Upstream, order: GroupOrder, expectedOrderCount: number): Promise<OrderOutcome> {
         this.orderAttempts += 1;
@@ -219,7 +237,7 @@
             await this.clock.sleep(RESPONSE_TIMEOUT_MS);
             return { kind: "unknown", reason: "no answer" };
         }
-        if (this.lateOrders > 0 || this.lateOrderIds.delete(upstream.id)) {
+        if (this.lateOrders > 0 || this.lateOrderIds.delete(upstream.id) || this.isLate()) {
             this.lateOrders = Math.max(0, this.lateOrders - 1);
             void this.clock.sleep(LATE_ORDER_DELAY_MS).then(() => this.execute(vm, order, expectedOrderCount));
             await this.clock.sleep(RESPONSE_TIMEOUT_MS);
@@ -244,6 +262,7 @@
             : this.handlers[order.kind](vm, order as never);
         if (outcome.kind === "accepted") {
             vm.orderCount += 1;
+            this.recordState(vm);
         }
         return outcome;
     }
@@ -271,7 +290,7 @@
     };
 
     private join(vm: Vm, order: GroupOrder & { kind: "join"; }): OrderOutcome {
-        if (order.epoch < vm.highestEpoch) {
+        if (order.epoch < vm.highestEpoch || this.refusingIds.has(vm.upstream.id)) {
             return { kind: "refused", status: 412 };
         }
         this.checkOnlyOneGroup(vm, order);
@@ -385,11 +404,17 @@
         if (before.group && (hasRestarted || before.group.epoch !== vm.upstream.group?.epoch)) {
             vm.leftEpochsAtMs.set(before.group.epoch, this.clock.monotonicMs());
         }
+        this.recordState(vm);
         if (this.isPublishing) {
             this.registrations.set(vm.upstream);
         }
     }
 
+    private recordState(vm: Vm): void {
+        vm.states.push({ atMs: this.clock.monotonicMs(), state: { ...vm.upstream, orderCount: vm.orderCount } });
+        vm.states.splice(0, vm.states.length - 20);
+    }
+
     private modelOf(name: string) {
         return this.engine.models.find(model => model.name === name)!;
     }
