--- a/packages/gateway/src/fleet/ManagedGroup.ts
+++ b/packages/gateway/src/fleet/ManagedGroup.ts
@@ -1,6 +1,8 @@
 import type { ModelProfile } from "../model/ModelProfile.js";
 import type { Upstream } from "../model/Upstream.js";
+import type { FormerHead } from "./FormerHead.js";
 import type { GroupLoss } from "./GroupLoss.js";
+import type { RepairDurations } from "./RepairDurations.js";
 
 /** A serving group in the state that the controller wants. */
 export interface ManagedGroup {
@@ -21,6 +23,8 @@
     phaseSinceMs: number;
     /** When the group stopped serving, used to measure the repair time; undefined for a new or open group. */
     lostAtMs?: number;
+    /** Steps of the repair that have ended; present while `lostAtMs` is. */
+    repairDurations?: RepairDurations;
     /** When the last close order was sent, monotonic. */
     closeOrderedAtMs?: number;
     /** Present while the phase is `lost`. */
@@ -28,10 +32,14 @@
     /** When the last check of its members ended, monotonic. */
     checkedAtMs: number;
     isChecking: boolean;
+    /** When reports of its members were last requested while it forms, monotonic. */
+    reportsRequestedAtMs?: number;
     /** When a member was first seen draining, monotonic. */
     drainSinceMs?: number;
     /** True if a member rejected the join order. */
     hasRejectedJoin?: boolean;
+    /** Heads of earlier epochs. Its members join no other group until these have given them up. */
+    formerHeads?: readonly FormerHead[];
     /** Number of consecutive formations that ended with a rejected join. */
     consecutiveRejections?: number;
 }
