Test shared admission in a mixed fleet and add its safeguards

While a gateway of an old build is in the fleet, hub or not, the figures of all gateways are incomplete and the local rule applies; they are complete again once it reports.

Client accounts are named in figures of several gateways only for ranks with refused or late requests: outside a shortage nothing uses them, and they are more than half of the bytes. A shortage is logged when it begins and once there was none for five seconds, rather than at each change of the level.

--- a/packages/gateway/src/placement/DemandTotals.ts
+++ b/packages/gateway/src/placement/DemandTotals.ts
@@ -11,6 +11,8 @@
     ranks: Map<number, RankTotals>;
 }
 
+/** From this share of refused and late requests on, a rank may get less than it asks for. */
+const SHORT_SHARE = 0.01;
 /** Accounts that are named for each rank: a shortage is usually caused by one, and each one costs ten bytes. */
 const MAX_ACCOUNTS = 4;
 
@@ -51,11 +53,15 @@
         }
     }
 
-    /** Returns the sums of all pools with requests. */
-    report(): PoolDemand[] {
+    /**
+     * Returns the sums of all pools with requests. With `areAccountsForShortage`, accounts are named only for ranks with
+     * refused or late requests: they matter during a shortage only, and are more than half of the bytes.
+     */
+    report(areAccountsForShortage = false): PoolDemand[] {
         return [...this.pools.values()]
             .map(({ service, model, zone, ranks }) => ({ service, model, zone, ranks: toRankDemand(ranks) }))
-            .filter(({ ranks }) => ranks.length > 0);
+            .filter(({ ranks }) => ranks.length > 0)
+            .map(pool => areAccountsForShortage ? { ...pool, ranks: pool.ranks.map(withNeededAccounts) } : pool);
     }
 
     /** Returns the ranks of a model's requests that arrived in a zone, or in any zone. */
@@ -83,6 +89,11 @@
     return totals;
 }
 
+function withNeededAccounts(demand: RankDemand): RankDemand {
+    const isShort = demand.refused + demand.late > SHORT_SHARE * demand.offered;
+    return isShort ? demand : { ...demand, accounts: [] };
+}
+
 function toRankDemand(ranks: ReadonlyMap<number, RankTotals>, maxAccounts = MAX_ACCOUNTS): RankDemand[] {
     return [...ranks.values()]
         .filter(({ offered, admitted, refused, late }) => offered + admitted + refused + late > 0)
--- a/packages/gateway/src/placement/FleetDemand.ts
+++ b/packages/gateway/src/placement/FleetDemand.ts
@@ -132,7 +132,9 @@
     }
 
     private toReport(total: Total): DemandReport {
-        return { pools: total.demand.report(), gateways: total.gateways, ageMs: this.ageOf(total) };
+        // A single gateway sees too few requests to tell whether there is a shortage.
+        const pools = total.demand.report(total.gateways > 1);
+        return { pools, gateways: total.gateways, ageMs: this.ageOf(total) };
     }
 
     private ageOf({ gateways, measuredAtSumMs }: Total): number {
--- a/packages/gateway/src/placement/SharedAdmission.ts
+++ b/packages/gateway/src/placement/SharedAdmission.ts
@@ -37,6 +37,10 @@
     correction: CapacityCorrection;
     isActive: boolean;
     level: AdmissionLevel;
+    /** True from the line in the log that says that a shortage has begun until the one that says that it is over. */
+    isShortageLogged: boolean;
+    /** When there was a shortage last, on the monotonic clock. */
+    shortAtMs: number;
 }
 
 /** The level is computed again after this time: figures come once a second, groups open and close in between. */
@@ -45,6 +49,8 @@
 const CORRECTION_INTERVAL_MS = 1000;
 /** Older figures do not count; the local rule applies instead. */
 const MAX_FIGURES_AGE_MS = 2000;
+/** A shortage is over in the log after this time without one: at the limit, single seconds are short. */
+const SHORTAGE_END_MS = 5000;
 /** Largest random addition to a retry-after delay, as a fraction of it, so that callers do not return together. */
 const RETRY_AFTER_JITTER = 0.5;
 /** Engines take priorities from 0 to 9; requests without one, such as those of earlier builds, have 5. */
@@ -127,6 +133,8 @@
             correction: CapacityCorrection.create(),
             isActive: false,
             level: withoutShortage,
+            isShortageLogged: false,
+            shortAtMs: -Infinity,
         };
         this.pools.set(key, pool);
         if (nowMs - pool.computedAtMs >= LEVEL_TTL_MS) {
@@ -137,7 +145,7 @@
     }
 
     private update(pool: PoolState, service: Service, model: string): void {
-        const { log, demand } = this.options;
+        const { clock, log, demand } = this.options;
         const figures = demand.poolDemand(service.name, model);
         const isActive = figures.isComplete && figures.ageMs <= MAX_FIGURES_AGE_MS;
         if (isActive !== pool.isActive) {
@@ -151,12 +159,16 @@
             });
         }
         const level = isActive ? this.computeLevel(pool, figures, service, model) : withoutShortage;
-        if (level.isShort !== pool.level.isShort) {
-            log.info(level.isShort ? "shortage of capacity begins" : "shortage of capacity ends", {
+        const nowMs = clock.monotonicMs();
+        pool.shortAtMs = level.isShort ? nowMs : pool.shortAtMs;
+        const isShortage = nowMs - pool.shortAtMs < SHORTAGE_END_MS;
+        if (isShortage !== pool.isShortageLogged) {
+            pool.isShortageLogged = isShortage;
+            log.info(isShortage ? "shortage of capacity begins" : "shortage of capacity ends", {
                 service: service.name,
                 model,
                 offeredPerSecond: figures.offeredPerSecond,
-                shares: level.isShort
+                shares: isShortage
                     ? figures.ranks.map(({ rank }) => `${rank}:${level.ratioOf(rank).toFixed(2)}`).join(" ")
                     : undefined,
                 capacityFactor: Number(pool.correction.factor.toFixed(2)),
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -307,7 +307,9 @@
                 for (const { vm, demand } of gateways.values()) {
                     // Two requests a second at each gateway.
                     if (passes % 5 === 0) {
-                        demand.record({ kind: "offered", service: "llm", model: "large", rank: 101, account: "acme" });
+                        const outcome = { service: "llm", model: "large", rank: 101, account: "acme" };
+                        demand.record({ ...outcome, kind: "offered" });
+                        demand.record({ ...outcome, kind: passes % 10 === 0 ? "admitted" : "refused" });
                     }
                     const figures = demand.poolDemand("llm", "large");
                     if (passes > 30) {
@@ -325,19 +327,22 @@
             });
         });
 
+        // Guards against decisions on a part of the demand while builds that do not state it are in the fleet.
         it(`reports the demand of ${title} as incomplete while a gateway of an old build does not state it`, async () => {
             start(vms);
-            const isComplete = () =>
-                [...gateways.values()].map(({ demand }) => demand.poolDemand("llm", "x").isComplete);
-            const old = vms[0]!;
-            await exchangeDemand(4000, () => undefined, vm => vm === old);
-            expect(isComplete().slice(1)).to.deep.equal(vms.slice(1).map(() => false));
-            await exchangeDemand(4000, () => undefined);
-            expect(isComplete()).to.deep.equal(vms.map(() => true));
-            // The other side of a partition is not known either.
+            const incomplete = () => vms.filter(vm => !gateways.get(vm)!.demand.poolDemand("llm", "x").isComplete);
+            // A hub where there are hubs, then a gateway that is none.
+            for (const old of [vms[0]!, vms.at(-1)!]) {
+                await exchangeDemand(4000, () => undefined, vm => vm === old);
+                expect(incomplete()).to.include.members(vms.filter(vm => vm !== old));
+                await exchangeDemand(4000, () => undefined);
+                expect(incomplete()).to.deep.equal([]);
+            }
+            // A side of a partition decides with the gateways that it still reaches.
             gateways.get("a1")!.connections.followedPeers().filter(peer => peer[0] !== "a")
                 .forEach(peer => gateways.get("a1")!.exchange.removePeer(peer));
-            expect(isComplete()[0]).to.equal(true);
+            expect(incomplete()).not.to.include("a1");
+            expect(gateways.get("a1")!.demand.reportingGateways).to.equal(vms.filter(vm => vm[0] === "a").length);
         });
     }
 
--- a/packages/gateway/tests/peers/peers.test.ts
+++ b/packages/gateway/tests/peers/peers.test.ts
@@ -78,6 +78,8 @@
     let isCurrent: boolean;
     let observers: string[];
     let viewAgeMs: () => number;
+    /** False for a build that does not know the figures. */
+    let statesDemand: boolean;
     /** Compressions that clients have accepted. */
     let acceptedEncodings: string[];
 
@@ -86,6 +88,7 @@
         isCurrent = true;
         observers = [];
         viewAgeMs = () => 0;
+        statesDemand = true;
         acceptedEncodings = [];
         cache = WatchCache.create(clock, () => isCurrent, {
             ageMs: () => viewAgeMs(),
@@ -101,7 +104,7 @@
             },
             intervalMs: () => 100,
             demand: () => demand,
-            demandDelayMs: () => 0,
+            demandDelayMs: () => statesDemand ? 0 : Infinity,
         });
         server = PeerServer.create({
             host: "127.0.0.1",
@@ -183,6 +186,27 @@
         connections.close();
     });
 
+    it("receive no demand from a build that does not state it", async () => {
+        statesDemand = false;
+        let received: PeerState | undefined;
+        const connections = PeerConnections.create({
+            clock,
+            random: SystemRandom.create(),
+            log: SilentDecisionLog.create(),
+            vm: "me",
+            zone: "a",
+            onState: (_, ofPeer) => {
+                received = ofPeer;
+            },
+            onDisconnected: () => undefined,
+        });
+        connections.add("me", { address: unreachableAddress, zone: "a" });
+        connections.add("other", { address: `127.0.0.1:${port}`, zone: "b" });
+        await untilTrue(clock, "a state is received", 2000, () => received !== undefined);
+        expect(received).to.deep.equal(state);
+        connections.close();
+    });
+
     it("are not opened again after they were closed", () => {
         const connections = PeerConnections.create({
             clock: ManualClock.create(),
--- a/packages/gateway/tests/placement/FleetDemand.test.ts
+++ b/packages/gateway/tests/placement/FleetDemand.test.ts
@@ -88,5 +88,12 @@
         await clock.advance(1000);
         const { pools: [pool] } = demand.report(() => true);
         expect(pool!.ranks[0]!.accounts).to.deep.equal([9, 8, 7, 6].map(count => [hash32(`account-${count}`), count]));
+        // Figures of several gateways name accounts only while requests are refused or late.
+        demand.setPeerReport("peer", { pools: [pool!], gateways: 1, ageMs: 0 });
+        const accountsOfTwo = () => demand.report(() => true).pools[0]!.ranks[0]!.accounts;
+        expect(accountsOfTwo()).to.deep.equal([]);
+        const short = { ...pool!.ranks[0]!, late: 2 };
+        demand.setPeerReport("peer", { pools: [{ ...pool!, ranks: [short] }], gateways: 1, ageMs: 0 });
+        expect(accountsOfTwo()[0]).to.deep.equal([hash32("account-9"), 18]);
     });
 });
