Correct a pool's capacity by the duration of its streams

The capacity of a pool comes from the configured typical request, which may be several times longer or shorter than the real ones of a model. With an estimate that is too low, requests were refused at groups with free slots until refusals without lateness had raised it, by a few percent a second.

While groups have free slots, the rate of admitted requests and the number of streams in flight tell how long streams last; the correction follows that, from the first figures on. Near the limit, lateness and refusals correct it as before.

--- a/packages/gateway/src/placement/CapacityCorrection.ts
+++ b/packages/gateway/src/placement/CapacityCorrection.ts
@@ -1,5 +1,15 @@
 import type { DemandFigures } from "./DemandFigures.js";
 
+/** State of a pool's open groups, and what the engine profile says of it. */
+interface PoolLoad {
+    /** Rate of streams that the groups can start at most. */
+    capacityPerSecond: number;
+    /** Rate of streams that start and end at the groups with as many as they hold now. */
+    ratePerSecond: number;
+    /** Share of the groups' slots in use. */
+    usedSlotShare: number;
+}
+
 /** Share of late first events above which a pool that is nearly full has taken too many requests. */
 const MAX_LATE_SHARE = 0.1;
 /** Share of late first events below which a pool that refuses requests could have taken more. */
@@ -13,18 +23,21 @@
 const INCREASE = 1.08;
 /** Weight of the newest second: single seconds vary by several percent, and the next figures come in a second. */
 const WEIGHT = 0.4;
-/** Weight of the estimate by profile while nothing limits the pool. */
-const RETURN_WEIGHT = 0.05;
+/** The same while nothing is refused: the rate of single seconds and the load at one moment differ more. */
+const UNLIMITED_WEIGHT = 0.15;
 /** Bounds of the correction: requests may be several times longer or shorter than the typical one. */
 const MIN_FACTOR = 0.4;
 const MAX_FACTOR = 2.5;
 
 /**
- * Corrects the estimated capacity of a pool by what was seen. It follows what the fleet admitted, which all gateways know,
- * so that gateways that have started at different times agree after a few seconds.
+ * Corrects the estimated capacity of a pool by what was seen. While groups have free slots, the rate of streams and their
+ * number tell how long streams last, compared with the profile. Near the limit, late first events and refusals tell. Both
+ * follow what the fleet admitted, which all gateways know, so that gateways that have started at different times agree
+ * after a few seconds.
  */
 export class CapacityCorrection {
     private current = 1;
+    private isEstimated = true;
 
     private constructor() {}
 
@@ -38,31 +51,33 @@
         return this.current;
     }
 
-    /** Takes in the figures of one second, in which the estimate was `estimatePerSecond`. */
-    update(figures: DemandFigures, estimatePerSecond: number, usedSlotShare: number): void {
+    /** Takes in the figures of one second. */
+    update(figures: DemandFigures, { capacityPerSecond, ratePerSecond, usedSlotShare }: PoolLoad): void {
         const { offeredPerSecond, admittedPerSecond, refusedPerSecond, latePerSecond } = figures;
-        if (admittedPerSecond === 0 || estimatePerSecond === 0) {
+        if (admittedPerSecond === 0 || capacityPerSecond === 0 || ratePerSecond === 0) {
             return;
         }
         const lateShare = latePerSecond / admittedPerSecond;
-        const seen = admittedPerSecond / estimatePerSecond;
+        const seen = admittedPerSecond / capacityPerSecond;
         const isLimited = refusedPerSecond > LIMITED_SHARE * offeredPerSecond;
         if (lateShare > MAX_LATE_SHARE && usedSlotShare >= NEARLY_FULL) {
             this.approach(Math.min(this.current, seen * DECREASE), WEIGHT);
         }
+        else if (usedSlotShare < NEARLY_FULL) {
+            this.approach(admittedPerSecond / ratePerSecond, isLimited ? WEIGHT : UNLIMITED_WEIGHT);
+        }
         else if (isLimited && lateShare < MIN_LATE_SHARE) {
             this.approach(Math.max(this.current, seen * INCREASE), WEIGHT);
         }
         else if (isLimited) {
             this.approach(seen, WEIGHT);
         }
-        else {
-            this.approach(1, RETURN_WEIGHT);
-        }
     }
 
+    /** Moves the factor towards what was seen; the first time all the way, since a pool may be busy already. */
     private approach(target: number, weight: number): void {
-        const factor = this.current + weight * (target - this.current);
+        const factor = this.current + (this.isEstimated ? 1 : weight) * (target - this.current);
+        this.isEstimated = false;
         this.current = Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, factor));
     }
 }
--- a/packages/gateway/src/placement/SharedAdmission.ts
+++ b/packages/gateway/src/placement/SharedAdmission.ts
@@ -10,6 +10,7 @@
 import type { FleetDemand } from "./FleetDemand.js";
 import { groupCapacity } from "./groupCapacity.js";
 import type { GroupDirectory } from "./GroupDirectory.js";
+import { groupRate } from "./groupRate.js";
 
 interface SharedAdmissionOptions {
     clock: Clock;
@@ -188,13 +189,17 @@
             // Without groups, requests wait for those that are being formed, or are refused because nothing serves them.
             return withoutShortage;
         }
-        const estimatePerSecond = open.length * groupCapacity(engine, model, ranks.targetLatencyMs);
+        const capacityPerSecond = open.length * groupCapacity(engine, model, ranks.targetLatencyMs);
         const nowMs = clock.monotonicMs();
         if (nowMs - pool.correctedAtMs >= CORRECTION_INTERVAL_MS) {
             pool.correctedAtMs = nowMs;
             const inFlight = open.reduce((sum, { load }) => sum + load.inFlight, 0);
-            pool.correction.update(figures, estimatePerSecond, inFlight / (open.length * engine.slots));
+            pool.correction.update(figures, {
+                capacityPerSecond,
+                ratePerSecond: open.length * groupRate(engine, model, inFlight / open.length),
+                usedSlotShare: inFlight / (open.length * engine.slots),
+            });
         }
-        return AdmissionLevel.create(figures.ranks, estimatePerSecond * pool.correction.factor);
+        return AdmissionLevel.create(figures.ranks, capacityPerSecond * pool.correction.factor);
     }
 }
--- a/packages/gateway/tests/placement/AdmissionLevel.test.ts
+++ b/packages/gateway/tests/placement/AdmissionLevel.test.ts
@@ -24,6 +24,24 @@
     { rank: 102, perSecond: 12.8, targetMs: 802, promptTokens: 2000, events: 5, burst: 1 },
 ];
 
+/** Plays the frequent route with a configured typical request that differs from the real ones by a factor. */
+function playFrequentRoute(
+    { factor, burst, lostGroups }: { factor: number; burst: number; lostGroups: number; },
+): ReturnType<typeof playAdmission> {
+    const { promptTokens, answerTokens } = engine.typicalRequest;
+    const typicalRequest = { promptTokens: promptTokens * factor, answerTokens: answerTokens * factor };
+    return playAdmission({
+        engine: { ...engine, typicalRequest },
+        model: "small",
+        routes: [{ ...frequentRoute, burst }],
+        groups: 12,
+        lostGroups,
+        gateways: 67,
+        accounts: 24,
+        isShared: true,
+    });
+}
+
 describe("AdmissionLevel", () => {
     it("admits everything without a shortage", () => {
         const level = AdmissionLevel.create([rankDemand(0, 60), rankDemand(1, 40)], 100);
@@ -79,6 +97,25 @@
         expect(rates[2]).to.be.below(rates[0]! * 0.9);
     });
 
+    // Guards against refusals at groups with free slots where requests are shorter than the configuration says.
+    for (const factor of [0.5, 1, 2]) {
+        it(`refuses next to nothing without a shortage when the typical request is ${factor} times the real one`, () => {
+            const results = playFrequentRoute({ factor, burst: 1, lostGroups: 0 });
+            for (const key of ["all", "outside the burst"]) {
+                const { offered, onTime, refused } = results.get(key)!;
+                console.log(`      ${key}: ${onTime} of ${offered} in time, ${refused} refused`);
+                expect(refused / offered).to.be.below(0.01);
+            }
+        });
+
+        it(`serves as many in time in a shortage when the typical request is ${factor} times the real one`, () => {
+            const result = playFrequentRoute({ factor, burst: 1.33, lostGroups: 4 }).get("all")!;
+            console.log(`      ${result.onTime} of ${result.offered} in time, ${result.late} late`);
+            expect(result.onTime / result.offered).to.be.above(0.55);
+            expect(result.late / result.offered).to.be.below(0.1);
+        });
+    }
+
     const plays = [
         { title: "the frequent route", model: "small", routes: [{ ...frequentRoute, burst: 1.33 }], groups: 12 },
         { title: "two ranks", model: "large", routes: routesOfLargeModel, groups: 3 },
@@ -112,7 +149,7 @@
             expect(mean).to.be.above(1.5 * onTimeShare(before, "all"));
             expect(after.get("all")!.late / after.get("all")!.offered).to.be.below(0.1);
             // Operators regard less than a quarter of the mean as starved. Below 40 requests, chance decides.
-            for (const [key, { offered }] of after) {
+            for (const [key, { offered }] of [...after].filter(([name]) => name !== "outside the burst")) {
                 expect(offered < 40 || onTimeShare(after, key) > mean / 4, key).to.equal(true);
             }
             for (const key of ["zone 0", "zone 1", "zone 2"]) {
--- a/packages/gateway/tests/support/AdmissionPlay.ts
+++ b/packages/gateway/tests/support/AdmissionPlay.ts
@@ -4,6 +4,7 @@
 import { CapacityCorrection } from "../../src/placement/CapacityCorrection.js";
 import { DemandTotals } from "../../src/placement/DemandTotals.js";
 import { groupCapacity } from "../../src/placement/groupCapacity.js";
+import { groupRate } from "../../src/placement/groupRate.js";
 
 /** Requests of one route, all for the played model. */
 interface PlayedRoute {
@@ -86,7 +87,7 @@
     }
 
     function record(request: PlayedRequest, kind: keyof PlayResult): void {
-        for (const key of request.isMeasured ? request.keys : []) {
+        for (const key of request.isMeasured ? request.keys : ["outside the burst"]) {
             const result = results.get(key) ?? { offered: 0, onTime: 0, late: 0, refused: 0 };
             result[kind] += 1;
             results.set(key, result);
@@ -155,8 +156,11 @@
                 ageMs: FIGURES_DELAY_MS,
                 isComplete: true,
             },
-            estimate,
-            inFlight / (groups.length * engine.slots),
+            {
+                capacityPerSecond: estimate,
+                ratePerSecond: groups.length * groupRate(engine, model, inFlight / groups.length),
+                usedSlotShare: inFlight / (groups.length * engine.slots),
+            },
         );
         level = AdmissionLevel.create(demand, estimate * correction.factor);
     }
