Tell callers without a slot in time when there will be capacity

During a shortage, a request that was admitted but found no slot in time was told to come back after 0.3 to 0.45 s, when the pool is as short as before. It gets the delay of the level now, 0.5 to 3 s.

Hubs send demand figures 150 and 300 ms after the end of each second instead of 200 and 400, so that gateways behind two hubs use figures of at most 1.5 s, with half a second to spare for delays of event loops.

A test lets the hub of a zone fall silent: the other zones decide on what they reach, and its own gateways on their own requests, which admits all.

--- a/packages/gateway/src/forwarding/StreamDispatcher.ts
+++ b/packages/gateway/src/forwarding/StreamDispatcher.ts
@@ -155,8 +155,7 @@
         for (;;) {
             const admitted = await this.acquire(call, engine, progress);
             if (admitted.kind !== "admitted") {
-                this.recordWaitEnded(call, progress, admitted);
-                this.giveUp(call, progress, admitted);
+                this.giveUp(call, progress, this.endWait(call, progress, admitted));
                 break;
             }
             if (!isAdmitted) {
@@ -190,18 +189,24 @@
             && this.options.admission.isShort(rankedRequestOf(call));
     }
 
-    /** Counts a request as late that got no slot within the time in which its first event would have been on time. */
-    private recordWaitEnded(
+    /**
+     * Counts a request as late that got no slot within the time in which its first event would have been on time, and
+     * returns what follows. During a shortage, its caller is told when the fleet will have capacity.
+     */
+    private endWait(
         call: ForwardedCall,
         progress: StreamProgress,
-        { kind }: AdmissionOutcome<GroupSlot>,
-    ): void {
-        if (kind === "refused" && this.mustBeOnTime(call, progress)) {
+        outcome: AdmissionOutcome<GroupSlot> & { kind: "refused" | "aborted"; },
+    ): AdmissionOutcome<GroupSlot> & { kind: "refused" | "aborted"; } {
+        if (outcome.kind === "refused" && this.mustBeOnTime(call, progress)) {
             recordDemand(this.options.demand, call, "late");
+            const retryAfterMs = this.options.admission.retryAfterMs(rankedRequestOf(call));
+            return { ...outcome, retryAfterMs: Math.max(outcome.retryAfterMs, retryAfterMs) };
         }
-        else if (!progress.mayHaveRun) {
+        if (!progress.mayHaveRun) {
             this.recordIfLate(call);
         }
+        return outcome;
     }
 
     /** Counts a request as late if the route's target for its first event is over. */
--- a/packages/gateway/src/peers/PeerExchange.ts
+++ b/packages/gateway/src/peers/PeerExchange.ts
@@ -69,8 +69,8 @@
  * Time after the end of each second at which an active hub sends its zone's demand to other hubs, and the demand of all to
  * its zone: the figures of the hop before have arrived by then.
  */
-const HUB_DEMAND_DELAY_MS = 200;
-const ZONE_DEMAND_DELAY_MS = 400;
+const HUB_DEMAND_DELAY_MS = 150;
+const ZONE_DEMAND_DELAY_MS = 300;
 /** A snapshot for several peers is reused for this long: a small fraction of the interval between updates. */
 const SNAPSHOT_TTL_MS = 25;
 /** A lost group is announced for this long: a broken connection is restored within a few seconds. */
--- a/packages/gateway/src/placement/FleetDemand.ts
+++ b/packages/gateway/src/placement/FleetDemand.ts
@@ -31,7 +31,7 @@
 
 /** Requests are counted in intervals of this length, which start at whole seconds of the wall clock. */
 const INTERVAL_MS = 1000;
-/** Figures that are older do not count: they are replaced every second, and take up to 0.6 s through two hubs. */
+/** Figures that are older do not count: they are replaced every second, and take up to 0.5 s through two hubs. */
 const MAX_AGE_MS = 2000;
 /** The sum of all reports is computed again after this time, to leave out those that are too old by then. */
 const TOTAL_TTL_MS = 100;
--- a/packages/gateway/src/placement/SharedAdmission.ts
+++ b/packages/gateway/src/placement/SharedAdmission.ts
@@ -88,8 +88,19 @@
         if (random.next() < level.ratioOf(request.rank, account)) {
             return ADMITTED;
         }
-        const retryAfterMs = level.retryAfterMs(request.rank) * (1 + RETRY_AFTER_JITTER * random.next());
-        return { kind: "refused", retryAfterMs, reason: "capacity goes to other requests" };
+        return {
+            kind: "refused",
+            retryAfterMs: this.retryAfterMs(request),
+            reason: "capacity goes to other requests",
+        };
+    }
+
+    /** Returns when a refused request should be sent again, spread at random; 0 without a shortage. */
+    retryAfterMs(request: RankedRequest): number {
+        const { isActive, level } = this.poolOf(request) ?? {};
+        return isActive && level?.isShort
+            ? level.retryAfterMs(request.rank) * (1 + RETRY_AFTER_JITTER * this.options.random.next())
+            : 0;
     }
 
     /** Returns true while a pool cannot serve all requests, so that none that would be late may take its slots. */
--- a/packages/gateway/tests/forwarding/sharedAdmission.test.ts
+++ b/packages/gateway/tests/forwarding/sharedAdmission.test.ts
@@ -82,6 +82,7 @@
         const late = rig.send({ target: "/urgent" });
         await rig.clock.advance(500);
         expect(late.refusal).to.include({ kind: "not-run", reason: "no place in time" });
+        expect(late.refusal?.kind === "not-run" && late.refusal.retryAfterMs).to.be.within(500, 3000);
         expect(rig.client.sent.length).to.equal(1);
     });
 
--- a/packages/gateway/tests/peers/PeerExchange.test.ts
+++ b/packages/gateway/tests/peers/PeerExchange.test.ts
@@ -276,13 +276,16 @@
     async function exchangeDemand(
         durationMs: number,
         onPass: () => void,
-        isOld: (vm: string) => boolean = () => false,
+        { isOld = () => false, isConnected = () => true }: {
+            isOld?: (vm: string) => boolean;
+            isConnected?: (vm: string, peer: string) => boolean;
+        } = {},
     ): Promise<void> {
         const schedules = new Map<string, DemandSchedule>();
         for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
             await clock.advance(100);
             for (const { vm, connections, exchange } of gateways.values()) {
-                for (const peer of connections.followedPeers()) {
+                for (const peer of connections.followedPeers().filter(other => isConnected(vm, other))) {
                     const sender = gateways.get(peer)!.exchange;
                     const schedule = schedules.get(`${peer}/${vm}`) ?? DemandSchedule.create(clock);
                     schedules.set(`${peer}/${vm}`, schedule);
@@ -333,7 +336,7 @@
             const incomplete = () => vms.filter(vm => !gateways.get(vm)!.demand.poolDemand("llm", "x").isComplete);
             // A hub where there are hubs, then a gateway that is none.
             for (const old of [vms[0]!, vms.at(-1)!]) {
-                await exchangeDemand(4000, () => undefined, vm => vm === old);
+                await exchangeDemand(4000, () => undefined, { isOld: vm => vm === old });
                 expect(incomplete()).to.include.members(vms.filter(vm => vm !== old));
                 await exchangeDemand(4000, () => undefined);
                 expect(incomplete()).to.deep.equal([]);
@@ -346,6 +349,15 @@
         });
     }
 
+    it("leaves out the demand of a zone whose hub is silent, and counts what is still reached as complete", async () => {
+        start(fleets[1]![1]);
+        await exchangeDemand(4000, () => undefined);
+        await exchangeDemand(4000, () => undefined, { isConnected: (vm, peer) => vm !== "a1" && peer !== "a1" });
+        const seen = ["a1", "a5", "b1", "b5"].map(vm => gateways.get(vm)!.demand);
+        expect(seen.map(({ reportingGateways }) => reportingGateways)).to.deep.equal([1, 1, 12, 12]);
+        expect(seen.map(demand => demand.poolDemand("llm", "large").isComplete)).to.deep.equal(seen.map(() => true));
+    });
+
     it("tells 80 gateways within half a second that an upstream is leaving", async () => {
         const vms = ["a", "b", "c", "d"].flatMap(zone => Array.from({ length: 20 }, (_, index) => `${zone}${index}`));
         start(vms);
