--- a/packages/gateway/src/placement/SharedAdmission.ts
+++ b/packages/gateway/src/placement/SharedAdmission.ts
@@ -10,6 +10,7 @@
 import type { FleetDemand } from "./FleetDemand.js";
 import { groupCapacity } from "./groupCapacity.js";
 import type { GroupDirectory } from "./GroupDirectory.js";
+import { groupRate } from "./groupRate.js";
 
 interface SharedAdmissionOptions {
     clock: Clock;
@@ -37,6 +38,10 @@
     correction: CapacityCorrection;
     isActive: boolean;
     level: AdmissionLevel;
+    /** True from the line in the log that says that a shortage has begun until the one that says that it is over. */
+    isShortageLogged: boolean;
+    /** When there was a shortage last, on the monotonic clock. */
+    shortAtMs: number;
 }
 
 /** The level is computed again after this time: figures come once a second, groups open and close in between. */
@@ -45,6 +50,8 @@
 const CORRECTION_INTERVAL_MS = 1000;
 /** Older figures do not count; the local rule applies instead. */
 const MAX_FIGURES_AGE_MS = 2000;
+/** A shortage is over in the log after this time without one: at the limit, single seconds are short. */
+const SHORTAGE_END_MS = 5000;
 /** Largest random addition to a retry-after delay, as a fraction of it, so that callers do not return together. */
 const RETRY_AFTER_JITTER = 0.5;
 /** Engines take priorities from 0 to 9; requests without one, such as those of earlier builds, have 5. */
@@ -81,8 +88,19 @@
         if (random.next() < level.ratioOf(request.rank, account)) {
             return ADMITTED;
         }
-        const retryAfterMs = level.retryAfterMs(request.rank) * (1 + RETRY_AFTER_JITTER * random.next());
-        return { kind: "refused", retryAfterMs, reason: "capacity goes to other requests" };
+        return {
+            kind: "refused",
+            retryAfterMs: this.retryAfterMs(request),
+            reason: "capacity goes to other requests",
+        };
+    }
+
+    /** Returns when a refused request should be sent again, spread at random; 0 without a shortage. */
+    retryAfterMs(request: RankedRequest): number {
+        const { isActive, level } = this.poolOf(request) ?? {};
+        return isActive && level?.isShort
+            ? level.retryAfterMs(request.rank) * (1 + RETRY_AFTER_JITTER * this.options.random.next())
+            : 0;
     }
 
     /** Returns true while a pool cannot serve all requests, so that none that would be late may take its slots. */
@@ -127,6 +145,8 @@
             correction: CapacityCorrection.create(),
             isActive: false,
             level: withoutShortage,
+            isShortageLogged: false,
+            shortAtMs: -Infinity,
         };
         this.pools.set(key, pool);
         if (nowMs - pool.computedAtMs >= LEVEL_TTL_MS) {
@@ -137,7 +157,7 @@
     }
 
     private update(pool: PoolState, service: Service, model: string): void {
-        const { log, demand } = this.options;
+        const { clock, log, demand } = this.options;
         const figures = demand.poolDemand(service.name, model);
         const isActive = figures.isComplete && figures.ageMs <= MAX_FIGURES_AGE_MS;
         if (isActive !== pool.isActive) {
@@ -151,12 +171,16 @@
             });
         }
         const level = isActive ? this.computeLevel(pool, figures, service, model) : withoutShortage;
-        if (level.isShort !== pool.level.isShort) {
-            log.info(level.isShort ? "shortage of capacity begins" : "shortage of capacity ends", {
+        const nowMs = clock.monotonicMs();
+        pool.shortAtMs = level.isShort ? nowMs : pool.shortAtMs;
+        const isShortage = nowMs - pool.shortAtMs < SHORTAGE_END_MS;
+        if (isShortage !== pool.isShortageLogged) {
+            pool.isShortageLogged = isShortage;
+            log.info(isShortage ? "shortage of capacity begins" : "shortage of capacity ends", {
                 service: service.name,
                 model,
                 offeredPerSecond: figures.offeredPerSecond,
-                shares: level.isShort
+                shares: isShortage
                     ? figures.ranks.map(({ rank }) => `${rank}:${level.ratioOf(rank).toFixed(2)}`).join(" ")
                     : undefined,
                 capacityFactor: Number(pool.correction.factor.toFixed(2)),
@@ -176,13 +200,17 @@
             // Without groups, requests wait for those that are being formed, or are refused because nothing serves them.
             return withoutShortage;
         }
-        const estimatePerSecond = open.length * groupCapacity(engine, model, ranks.targetLatencyMs);
+        const capacityPerSecond = open.length * groupCapacity(engine, model, ranks.targetLatencyMs);
         const nowMs = clock.monotonicMs();
         if (nowMs - pool.correctedAtMs >= CORRECTION_INTERVAL_MS) {
             pool.correctedAtMs = nowMs;
             const inFlight = open.reduce((sum, { load }) => sum + load.inFlight, 0);
-            pool.correction.update(figures, estimatePerSecond, inFlight / (open.length * engine.slots));
+            pool.correction.update(figures, {
+                capacityPerSecond,
+                ratePerSecond: open.length * groupRate(engine, model, inFlight / open.length),
+                usedSlotShare: inFlight / (open.length * engine.slots),
+            });
         }
-        return AdmissionLevel.create(figures.ranks, estimatePerSecond * pool.correction.factor);
+        return AdmissionLevel.create(figures.ranks, capacityPerSecond * pool.correction.factor);
     }
 }
