Plan by demand only from a shortage of a quarter

A burst of three seconds around a loss of groups could move the planned shares: half of a model's requests were then refused, which smoothed over 15 s exceeded the limit of a fifth. The limit is a quarter now. The bounds of a share are applied in one place.

A test with FleetController shows that it asks the planner.

--- a/packages/gateway/src/fleet/shareOfDemand.ts
+++ b/packages/gateway/src/fleet/shareOfDemand.ts
@@ -7,8 +7,11 @@
     late: number;
 }
 
-/** A model is short of groups if a larger fraction of its requests is refused or late: less is normal in a burst. */
-const SHORTAGE_FRACTION = 0.2;
+/**
+ * A model is short of groups from this fraction of its requests that are refused or late, smoothed: a burst of three
+ * seconds in which half of them are, while groups are lost, stays below it.
+ */
+const SHORTAGE_FRACTION = 0.25;
 /** Bounds of a planned share relative to the configured one. */
 const MIN_FACTOR = 0.5;
 const MAX_FACTOR = 2;
@@ -37,7 +40,7 @@
         }
         const unserved = unservedOf(item);
         const factor = unserved >= SHORTAGE_FRACTION
-            ? 1 / Math.max(1 / MAX_FACTOR, 1 - unserved)
+            ? 1 / (1 - unserved)
             : Math.min(1, item.offered * totalShare / Math.max(1e-9, totalOffered * demandShare));
         const stepped = Math.round(factor / FACTOR_STEP) * FACTOR_STEP;
         return [name, demandShare * Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, stepped))];
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -1,6 +1,7 @@
 import { ManualClock, MemoryObjectStore, SeededRandom } from "@fescuehaven/testing";
 import { ActiveConfiguration } from "../../src/ActiveConfiguration.js";
 import { ControllerLease } from "../../src/fleet/ControllerLease.js";
+import type { DemandPlanner } from "../../src/fleet/DemandPlanner.js";
 import { EpochSource } from "../../src/fleet/EpochSource.js";
 import { FleetController } from "../../src/fleet/FleetController.js";
 import { MemberProber } from "../../src/fleet/MemberProber.js";
@@ -49,6 +50,8 @@
     /** Returns when something was last received from gateways of other zones. */
     lastPeerUpdateAtMs: () => number = () => this.clock.monotonicMs();
     readonly unreachableZones = new Set<string>();
+    /** Passed to controllers that are added afterwards. */
+    demandPlanner?: DemandPlanner;
     private readonly loads = LoadTracker.create(this.clock);
     private readonly configuration = ActiveConfiguration.create(this.log);
     private readonly partitions = PartitionDetector.create({
@@ -171,6 +174,7 @@
             orders,
             prober: MemberProber.create({ clock, orders }),
             weightLoadLimiter,
+            demandPlanner: this.demandPlanner,
             standbyPool: StandbyPool.create({ clock, log, orders, weightLoadLimiter, hasTraffic: () => hasTraffic }),
             groupStallMs: 4000,
             isZoneReachable: (zone, sinceMs = -Infinity) =>
