--- a/packages/gateway/src/fleet/shareOfDemand.ts
+++ b/packages/gateway/src/fleet/shareOfDemand.ts
@@ -35,7 +35,7 @@
         }
         const unserved = unservedShare(item);
         const factor = unserved >= SHORTAGE_SHARE
-            ? 1 / Math.max(1 / MAX_FACTOR, 1 - unserved)
+            ? 1 / (1 - unserved)
             : Math.min(1, item.offered * totalShare / Math.max(1e-9, totalOffered * demandShare));
         const stepped = Math.round(factor / FACTOR_STEP) * FACTOR_STEP;
         return [name, demandShare * Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, stepped))];
