Refuse nothing for want of capacity while half of the slots are free

Where requests are shorter than a third of the configured typical request, a pool could be called short, and requests refused, while its groups had free slots.

A pool with half of its slots free is not short now, whatever the estimate. With a safeguard.

--- a/packages/gateway/src/placement/SharedAdmission.ts
+++ b/packages/gateway/src/placement/SharedAdmission.ts
@@ -50,6 +50,11 @@
 const CORRECTION_INTERVAL_MS = 1000;
 /** Older figures do not count; the local rule applies instead. */
 const MAX_FIGURES_AGE_MS = 2000;
+/**
+ * A pool with more free slots is not short, whatever the estimate: its requests may be much shorter than the configured
+ * typical request. Admission at the capacity keeps more slots in use than that.
+ */
+const MIN_USED_SLOT_SHARE = 0.5;
 /** A shortage is over in the log after this time without one: at the limit, single seconds are short. */
 const SHORTAGE_END_MS = 5000;
 /** Largest random addition to a retry-after delay, as a fraction of it, so that callers do not return together. */
@@ -201,16 +206,20 @@
             return withoutShortage;
         }
         const capacityPerSecond = open.length * groupCapacity(engine, model, ranks.targetLatencyMs);
+        const inFlight = open.reduce((sum, { load }) => sum + load.inFlight, 0);
+        const usedSlotShare = inFlight / (open.length * engine.slots);
         const nowMs = clock.monotonicMs();
         if (nowMs - pool.correctedAtMs >= CORRECTION_INTERVAL_MS) {
             pool.correctedAtMs = nowMs;
-            const inFlight = open.reduce((sum, { load }) => sum + load.inFlight, 0);
             pool.correction.update(figures, {
                 capacityPerSecond,
                 ratePerSecond: open.length * groupRate(engine, model, inFlight / open.length),
-                usedSlotShare: inFlight / (open.length * engine.slots),
+                usedSlotShare,
             });
         }
+        if (usedSlotShare < MIN_USED_SLOT_SHARE) {
+            return withoutShortage;
+        }
         return AdmissionLevel.create(figures.ranks, capacityPerSecond * pool.correction.factor);
     }
 }
--- a/scripts/safeguards/table.mjs
+++ b/scripts/safeguards/table.mjs
@@ -776,6 +776,15 @@
         test: `${GATEWAY}/tests/placement/SharedAdmission.test.ts`,
         grep: "while a gateway does not report",
     },
+    {
+        promise: "gateway: shared admission",
+        name: "no refusal while half of the slots are free",
+        file: `${GATEWAY}/src/placement/SharedAdmission.ts`,
+        find: "if (usedSlotShare < MIN_USED_SLOT_SHARE) {",
+        replace: "if (usedSlotShare < 0) {",
+        test: `${GATEWAY}/tests/placement/SharedAdmission.test.ts`,
+        grep: "half of the slots are free",
+    },
     {
         promise: "gateway: shared admission",
         name: "old figures do not count",
