Explain where a request would go, beside the metrics

Operators had to infer from log lines of past requests why a request goes where it goes.

RequestExplainer calls the functions that choose for real requests; the costs of plain upstreams move into chooseUpstream for it, unchanged.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -43,6 +43,8 @@
 import { GroupDirectory } from "./placement/GroupDirectory.js";
 import { LoadTracker } from "./placement/LoadTracker.js";
 import { RequestedWaits } from "./placement/RequestedWaits.js";
+import { RequestExplainer } from "./placement/RequestExplainer.js";
+import type { RequestExplanation } from "./placement/RequestExplanation.js";
 import { RetryBudget } from "./placement/RetryBudget.js";
 import { SpilloverPolicy } from "./placement/SpilloverPolicy.js";
 import { UpstreamLimiter } from "./placement/UpstreamLimiter.js";
@@ -140,6 +142,7 @@
     private readonly server: PeerServer;
     private readonly registration: Registration;
     private readonly forwarder: RequestForwarder;
+    private readonly explainer: RequestExplainer;
     private readonly caches = new Map<string, WatchCache>();
     private readonly viewSource: ViewSourceSelector;
     private readonly assistedStore: PeerAssistedStore;
@@ -254,6 +257,19 @@
         const isPartitionedFrom = (service: string) => this.partitions.isPartitionedFrom(service);
         const relaysFor = (service: string) => this.relays.addressesFor(service);
         this.relay = RequestRelay.create({ log, upstreams: this.upstreams, waits, client: direct, isPartitionedFrom });
+        const spillover = SpilloverPolicy.create({
+            clock,
+            log,
+            metrics,
+            zone: settings.zone,
+            groups: this.groups,
+            upstreams: this.upstreams,
+            avoidedUpstreams,
+            failureRates,
+            configuration: this.configuration,
+            gatewayCount,
+            viewAgeMs,
+        });
         const dispatcherOptions = {
             ...sharedOptions,
             idleTimeouts: this.idleTimeouts,
@@ -266,19 +282,7 @@
                 isSuspectedFor: service => this.partitions.isSuspectedFor(service),
                 relaysFor,
             }),
-            spillover: SpilloverPolicy.create({
-                clock,
-                log,
-                metrics,
-                zone: settings.zone,
-                groups: this.groups,
-                upstreams: this.upstreams,
-                avoidedUpstreams,
-                failureRates,
-                configuration: this.configuration,
-                gatewayCount,
-                viewAgeMs,
-            }),
+            spillover,
             zone: settings.zone,
             viewAgeMs,
         };
@@ -301,6 +305,16 @@
             plain: PlainDispatcher.create({ ...dispatcherOptions, upstreams: this.upstreams, isEvacuated, random }),
             isReachable: service => !isPartitionedFrom(service) || relaysFor(service).length > 0,
         });
+        this.explainer = RequestExplainer.create({
+            ...dispatcherOptions,
+            random,
+            configuration: this.configuration,
+            configurationAgeMs: () => this.configurationWatch.ageMs,
+            gatewayCount,
+            upstreams: this.upstreams,
+            groups: this.groups,
+            isEvacuated,
+        });
         this.viewSource = ViewSourceSelector.create({
             vm: settings.vm,
             zone: settings.zone,
@@ -540,6 +554,11 @@
         void this.forwarder.handle(request, response);
     }
 
+    /** Says where a request would go now and why, without sending it. */
+    explain(question: Parameters<RequestExplainer["explain"]>[0]): RequestExplanation {
+        return this.explainer.explain(question);
+    }
+
     /** Sends a request of another gateway to the upstream that it has chosen. Never rejects. */
     sendForPeer(upstreamId: string, call: UpstreamRequest, signal: AbortSignal): Promise<UpstreamResponse> {
         return this.relay.send(upstreamId, call, signal);
--- a/packages/gateway/src/forwarding/PlainDispatcher.ts
+++ b/packages/gateway/src/forwarding/PlainDispatcher.ts
@@ -7,6 +7,7 @@
 import type { CrashGuard } from "../placement/CrashGuard.js";
 import type { FailureRateTracker } from "../placement/FailureRateTracker.js";
 import type { LoadTracker } from "../placement/LoadTracker.js";
+import { PLAIN_SILENCE_LIMIT_MS } from "../placement/plainSilenceLimitMs.js";
 import { RequestRetries } from "../placement/RequestRetries.js";
 import type { RetryBudget } from "../placement/RetryBudget.js";
 import type { SpilloverDecision } from "../placement/SpilloverDecision.js";
@@ -68,11 +69,6 @@
     failureAnswer?: AttemptResult & { kind: "failure-answer"; };
 }
 
-/** Costs that are added to an upstream's requests in flight when upstreams are compared. */
-const SUSPECT_COST = 20;
-const FAILURE_COST = 12;
-/** An upstream that is silent for longer with requests in flight is avoided; several times the usual response time. */
-const SUSPECT_SILENCE_MS = 400;
 /** Multiple of the route's target latency after which a repeatable request is sent to another upstream instead. */
 const RETRY_TIMEOUT_FACTOR = 1.5;
 /** Number of rejections after which a request is refused. */
@@ -175,7 +171,7 @@
     private tryReserveRetry(call: ForwardedCall, progress: PlainProgress, upstream: Upstream): boolean {
         const { loads, avoidedUpstreams } = this.options;
         const isAccepted = this.acceptingCandidates(call, progress).some(other =>
-            other.id !== upstream.id && loads.ownLoad(other.id).silentMs <= SUSPECT_SILENCE_MS
+            other.id !== upstream.id && loads.ownLoad(other.id).silentMs <= PLAIN_SILENCE_LIMIT_MS
             && !avoidedUpstreams.isUnreachable(other)
         );
         return isAccepted && progress.retries.tryReserve();
@@ -186,14 +182,17 @@
         if (this.isBlocked(call)) {
             return undefined;
         }
-        const costed = this.acceptingCandidates(call, progress).map(upstream => {
-            const load = loads.ownLoad(upstream.id);
-            const cost = load.inFlight
-                + (load.silentMs > SUSPECT_SILENCE_MS ? SUSPECT_COST : 0)
-                + this.options.failureRates.failureRate(upstream.id) * FAILURE_COST;
-            return { upstream, cost };
-        });
-        const choice = chooseUpstream(costed, this.options.zone, this.spilloverOf(call, progress), this.options.random);
+        const accepting = this.acceptingCandidates(call, progress).map(upstream => ({
+            upstream,
+            ...loads.ownLoad(upstream.id),
+            failureRate: this.options.failureRates.failureRate(upstream.id),
+        }));
+        const choice = chooseUpstream(
+            accepting,
+            this.options.zone,
+            this.spilloverOf(call, progress),
+            this.options.random,
+        );
         if (!choice) {
             return undefined;
         }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export type { Service } from "./model/Service.js";
 export type { ServingConfiguration } from "./model/ServingConfiguration.js";
 export type { Upstream } from "./model/Upstream.js";
+export type { RequestExplanation } from "./placement/RequestExplanation.js";
 export type { Announcements } from "./ports/Announcements.js";
 export type { CallerResponse } from "./ports/CallerResponse.js";
 export type { DecisionLog } from "./ports/DecisionLog.js";
--- a/packages/gateway/src/placement/SpilloverPolicy.ts
+++ b/packages/gateway/src/placement/SpilloverPolicy.ts
@@ -172,6 +172,17 @@
             }));
     }
 
+    /**
+     * Returns the last decision for a pool without renewing it, and its age; undefined if no request has needed one, or
+     * decisions are inactive.
+     */
+    lastDecision(pool: PoolFields): { decision: SpilloverDecision; ageMs: number; } | undefined {
+        const state = this.pools.get(keyOf(pool));
+        return state && this.options.gatewayCount() > MAX_GATEWAYS_COMPARING_ALL
+            ? { decision: state.decision, ageMs: this.options.clock.monotonicMs() - state.decidedAtMs }
+            : undefined;
+    }
+
     /** Returns the decision for a pool, renewed if it is due; undefined while decisions are inactive. */
     private decide(
         pool: PoolFields,
@@ -187,7 +198,7 @@
         if (delaysMs.size === 0) {
             return undefined;
         }
-        const key = JSON.stringify([pool.service, pool.model, pool.targetMs]);
+        const key = keyOf(pool);
         const state = this.pools.get(key) ?? this.addPool(key, nowMs);
         if (nowMs - state.decidedAtMs >= DECISION_INTERVAL_MS) {
             state.decidedAtMs = nowMs;
@@ -272,6 +283,10 @@
     }
 }
 
+function keyOf({ service, model, targetMs }: PoolFields): string {
+    return JSON.stringify([service, model, targetMs]);
+}
+
 function round(fraction: number): number {
     return Math.round(fraction * 100) / 100;
 }
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,16 +1,29 @@
 import type { Random } from "@fescuehaven/runtime";
 import type { Upstream } from "../model/Upstream.js";
 import { drawTargetZone } from "./drawTargetZone.js";
+import { PLAIN_SILENCE_LIMIT_MS } from "./plainSilenceLimitMs.js";
 import { sampleWithoutReplacement } from "./sampleWithoutReplacement.js";
 import type { SpilloverDecision } from "./SpilloverDecision.js";
 
-/** A plain upstream that accepts the request. */
+/** A plain upstream that accepts the request, with what this gateway knows of it. */
+interface UpstreamCandidate {
+    upstream: Upstream;
+    inFlight: number;
+    /** Time since its last response while it had requests in flight. */
+    silentMs: number;
+    /** Share of recent requests that failed, 0 to 1. */
+    failureRate: number;
+}
+
 interface CostedUpstream {
     upstream: Upstream;
     /** Requests in flight, and what is added for silence and failures. */
     cost: number;
 }
 
+/** Costs that are added to an upstream's requests in flight when upstreams are compared. */
+const SUSPECT_COST = 20;
+const FAILURE_COST = 12;
 /** Cost of another zone's upstream where the choice is made over all zones: traffic between zones is billed. */
 const OTHER_ZONE_COST = 0.9;
 /** Cost from which an upstream counts as silent, or as failing half of its requests. */
@@ -26,11 +39,15 @@
  * zone has none that works, and without a decision, upstreams of all zones are compared.
  */
 export function chooseUpstream(
-    candidates: readonly CostedUpstream[],
+    accepting: readonly UpstreamCandidate[],
     zone: string,
     decision: SpilloverDecision | undefined,
     random: Random,
-): { upstream: Upstream; leaveReason?: string; } | undefined {
+): CostedUpstream & { leaveReason?: string; } | undefined {
+    const candidates = accepting.map(({ upstream, inFlight, silentMs, failureRate }) => ({
+        upstream,
+        cost: inFlight + (silentMs > PLAIN_SILENCE_LIMIT_MS ? SUSPECT_COST : 0) + failureRate * FAILURE_COST,
+    }));
     const costOf = ({ upstream, cost }: CostedUpstream) => cost + (upstream.zone === zone ? 0 : OTHER_ZONE_COST);
     const best = (compared: readonly CostedUpstream[]) =>
         compared.reduce<CostedUpstream | undefined>(
--- a/packages/gateway/tests/placement/plainSpilloverLoad.test.ts
+++ b/packages/gateway/tests/placement/plainSpilloverLoad.test.ts
@@ -12,7 +12,6 @@
 const REQUESTS_PER_GATEWAY = 1.5;
 const SLOTS = 6;
 const HOLD_MS = 80;
-const FAILURE_COST = 12;
 const MAX_REJECTIONS = 3;
 const DURATION_MS = 30_000;
 const ZONES = ["a", "b", "c"];
@@ -56,7 +55,9 @@
         while (tried.size < MAX_REJECTIONS) {
             const costed = upstreams.filter(({ id }) => !tried.has(id)).map(upstream => ({
                 upstream,
-                cost: failureRates.failureRate(upstream.id) * FAILURE_COST,
+                inFlight: 0,
+                silentMs: 0,
+                failureRate: failureRates.failureRate(upstream.id),
             }));
             const choice = chooseUpstream(costed, ZONES[zone]!, tried.size === 0 ? decision : undefined, random);
             if (!choice) {
--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -19,6 +19,7 @@
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
+import { RequestExplainer } from "../../src/placement/RequestExplainer.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
 import { SpilloverPolicy } from "../../src/placement/SpilloverPolicy.js";
 import { UpstreamLimiter } from "../../src/placement/UpstreamLimiter.js";
@@ -67,6 +68,8 @@
         position: () => ({ index: 0, count: 1 }),
     });
     readonly groups: GroupDirectory;
+    readonly spillover: SpilloverPolicy;
+    readonly explainer: RequestExplainer;
     /** False while neither the gateway nor a known other one reaches an upstream. */
     isReachable = true;
     viewAgeMs = 0;
@@ -95,6 +98,19 @@
         });
         const waits = RequestedWaits.create({ clock, log });
         const avoidedUpstreams = AvoidedUpstreams.create(clock);
+        this.spillover = SpilloverPolicy.create({
+            clock,
+            log,
+            metrics: noMetrics,
+            zone: "a",
+            groups: this.groups,
+            upstreams: this.directory,
+            avoidedUpstreams,
+            failureRates,
+            configuration: this.configuration,
+            gatewayCount,
+            viewAgeMs: () => this.viewAgeMs,
+        });
         const shared = {
             clock,
             log,
@@ -108,19 +124,7 @@
             }),
             failureRates,
             avoidedUpstreams,
-            spillover: SpilloverPolicy.create({
-                clock,
-                log,
-                metrics: noMetrics,
-                zone: "a",
-                groups: this.groups,
-                upstreams: this.directory,
-                avoidedUpstreams,
-                failureRates,
-                configuration: this.configuration,
-                gatewayCount,
-                viewAgeMs: () => this.viewAgeMs,
-            }),
+            spillover: this.spillover,
             retryBudget,
             crashGuard: this.crashGuard,
             idleTimeouts,
@@ -156,6 +160,16 @@
             plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated, random }),
             isReachable: () => this.isReachable,
         });
+        this.explainer = RequestExplainer.create({
+            ...shared,
+            random,
+            configuration: this.configuration,
+            configurationAgeMs: () => 0,
+            gatewayCount,
+            upstreams: this.directory,
+            groups: this.groups,
+            isEvacuated,
+        });
         void queue.run(this.stop.signal);
         void idleTimeouts.run(this.stop.signal);
     }
