Add fescue explain

The command asks a gateway at its metrics address where a request would go now and why, without sending it, and prints a table or the gateway's answer as JSON. It needs no configuration file. explain.test.ts covers the table, JSON, the exit codes and the address that is asked.

--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -1,10 +1,12 @@
 import yargs, { type Argv } from "yargs";
+import { addExplainCommand } from "./addExplainCommand.js";
 import { addObjectCommands } from "./addObjectCommands.js";
 import { addOperationCommands } from "./addOperationCommands.js";
 import { addSettingsCommand } from "./addSettingsCommand.js";
 import type { ContextOutcome } from "./ContextOutcome.js";
 import { exitCodes } from "./exitCodes.js";
 import type { GlobalArguments } from "./GlobalArguments.js";
+import type { ExplanationReader } from "./ports/ExplanationReader.js";
 import type { Output } from "./ports/Output.js";
 import type { RunCommand } from "./RunCommand.js";
 
@@ -26,6 +28,7 @@
     argv: readonly string[],
     createContext: (args: GlobalArguments) => Promise<ContextOutcome>,
     output: Output,
+    explanations: ExplanationReader,
 ): Promise<void> {
     const interrupted = new AbortController();
     process.on("SIGINT", () => interrupted.abort());
@@ -50,6 +53,7 @@
     addObjectCommands(cli, run, interrupted.signal);
     addOperationCommands(cli, run);
     addSettingsCommand(cli, output);
+    addExplainCommand(cli, explanations, output);
     await cli
         .completion("completion", "Print a completion script for the shell")
         .demandCommand(1, "a command is required")
