--- a/packages/gateway/tests/support/ForwarderRig.ts
+++ b/packages/gateway/tests/support/ForwarderRig.ts
@@ -20,6 +20,7 @@
 import { GroupDirectory } from "../../src/placement/GroupDirectory.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import { RequestedWaits } from "../../src/placement/RequestedWaits.js";
+import { RequestExplainer } from "../../src/placement/RequestExplainer.js";
 import { RetryBudget } from "../../src/placement/RetryBudget.js";
 import { SharedAdmission } from "../../src/placement/SharedAdmission.js";
 import { SpilloverPolicy } from "../../src/placement/SpilloverPolicy.js";
@@ -72,6 +73,8 @@
     });
     readonly demand = FleetDemand.create({ clock: this.clock, zone: "a", knownGateways: () => 1 });
     readonly groups: GroupDirectory;
+    readonly spillover: SpilloverPolicy;
+    readonly explainer: RequestExplainer;
     /** False while neither the gateway nor a known other one reaches an upstream. */
     isReachable = true;
     viewAgeMs = 0;
@@ -101,6 +104,19 @@
         });
         const waits = RequestedWaits.create({ clock, log });
         const avoidedUpstreams = AvoidedUpstreams.create(clock);
+        this.spillover = SpilloverPolicy.create({
+            clock,
+            log,
+            metrics: noMetrics,
+            zone: "a",
+            groups: this.groups,
+            upstreams: this.directory,
+            avoidedUpstreams,
+            failureRates,
+            configuration: this.configuration,
+            gatewayCount,
+            viewAgeMs: () => this.viewAgeMs,
+        });
         const shared = {
             clock,
             log,
@@ -114,19 +130,7 @@
             }),
             failureRates,
             avoidedUpstreams,
-            spillover: SpilloverPolicy.create({
-                clock,
-                log,
-                metrics: noMetrics,
-                zone: "a",
-                groups: this.groups,
-                upstreams: this.directory,
-                avoidedUpstreams,
-                failureRates,
-                configuration: this.configuration,
-                gatewayCount,
-                viewAgeMs: () => this.viewAgeMs,
-            }),
+            spillover: this.spillover,
             retryBudget,
             demand: this.demand,
             crashGuard: this.crashGuard,
@@ -171,6 +175,16 @@
             plain: PlainDispatcher.create({ ...shared, upstreams: this.directory, isEvacuated, random }),
             isReachable: () => this.isReachable,
         });
+        this.explainer = RequestExplainer.create({
+            ...shared,
+            random,
+            configuration: this.configuration,
+            configurationAgeMs: () => 0,
+            gatewayCount,
+            upstreams: this.directory,
+            groups: this.groups,
+            isEvacuated,
+        });
         void queue.run(this.stop.signal);
         void idleTimeouts.run(this.stop.signal);
     }
