Open repaired groups sooner and measure each step of a repair

The time went into waiting for registrations, which the reports of the members now replace, and into orders without a response: a group waits for the slowest of its members, and each attempt took until its time-out. The first four attempts now follow each other after 120 ms, and a response to any of them counts. An upstream accepts only one, as all state the same order count.

The line "group open" states the duration of each step, and each has a histogram.

--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -20,6 +20,12 @@
     answer: "Seconds until the whole answer of a plain request",
     queueWait: "Seconds that a request waited for a place",
     repair: "Seconds from a lost member until its group was open again",
+    repairDetection: "Seconds from the last event of a lost group until the loss was found",
+    repairGivingUp: "Seconds until a lost group was given up that might have gone on",
+    repairLeaving: "Seconds until the requests of a group with a leaving member had ended",
+    repairChoosing: "Seconds until enough upstreams were available for a group that lacked members",
+    repairJoining: "Seconds from the join orders of a repair until all members were known to be ready",
+    repairOpening: "Seconds from the open order of a repair until the group was known to be open",
     restoredRead: "Seconds from a new era of the platform's store until a kind was listed again",
     eventLoopDelay: "Seconds by which a periodic task ran late",
 } as const;
--- a/packages/gateway/src/fleet/FleetController.ts
+++ b/packages/gateway/src/fleet/FleetController.ts
@@ -23,6 +23,8 @@
 import { observeGroups } from "./observeGroups.js";
 import type { OrderSender } from "./OrderSender.js";
 import { planGroups } from "./planGroups.js";
+import { repairHistograms } from "./repairHistograms.js";
+import { repairSteps } from "./repairSteps.js";
 import { standbyGroups } from "./standbyGroups.js";
 import type { StandbyPool } from "./StandbyPool.js";
 import { UpstreamHealth } from "./UpstreamHealth.js";
@@ -444,12 +446,7 @@
         const ageMs = this.nowMs() - group.phaseSinceMs;
         this.refreshFromReports(group, head && ageMs > view.engine.formationMs ? [head] : []);
         if (head?.group?.epoch === group.epoch && head.group.phase === "open") {
-            const repairMs = group.lostAtMs === undefined ? undefined : this.nowMs() - group.lostAtMs;
-            if (repairMs !== undefined) {
-                this.options.metrics.observe("repair", repairMs);
-            }
-            this.options.log.info("group open", { group: group.name, epoch: group.epoch, repairMs });
-            group.lostAtMs = undefined;
+            this.recordOpen(group);
             this.setPhase(group, "open");
             this.options.announceOpen();
         }
@@ -458,6 +455,24 @@
         }
     }
 
+    private recordOpen(group: ManagedGroup): void {
+        const { log, metrics } = this.options;
+        const { name, epoch, lostAtMs } = group;
+        const durations = lostAtMs === undefined ? undefined : {
+            repairMs: this.nowMs() - lostAtMs,
+            ...repairSteps.until(group, this.nowMs()),
+        };
+        log.info("group open", { group: name, epoch, ...durations });
+        repairHistograms.forEach(([histogram, field]) => {
+            const durationMs = durations?.[field];
+            if (durationMs !== undefined) {
+                metrics.observe(histogram, durationMs);
+            }
+        });
+        group.lostAtMs = undefined;
+        group.repairDurations = undefined;
+    }
+
     /**
      * Requests reports from members whose registrations do not show what they should have done by now, and from all members
      * while the store does not keep the view of upstreams up to date.
@@ -726,7 +741,11 @@
 
     private announceLoss(group: ManagedGroup, reason: string): void {
         this.options.metrics.count("groupsLost", reason);
-        group.lostAtMs ??= this.nowMs();
+        if (group.lostAtMs === undefined) {
+            const { inFlight, silentMs } = this.options.loads.totalLoad(String(group.epoch));
+            group.lostAtMs = this.nowMs();
+            group.repairDurations = repairSteps.detectedAfter(inFlight > 0 ? Math.round(silentMs) : 0);
+        }
         this.options.announceLost(group.epoch, reason);
     }
 
@@ -791,8 +810,10 @@
         const formerHeads = [...this.waitingHeads(group), this.quarantineReplaced(group, members)];
         const consecutiveRejections = group.hasRejectedJoin ? (group.consecutiveRejections ?? 0) + 1 : 0;
         const { name, domain, model, lostAtMs } = group;
+        const repairDurations = repairSteps.until(group, this.nowMs());
         this.startFormation(view.service, name, domain, model, members, reason, {
             lostAtMs,
+            repairDurations,
             consecutiveRejections,
             formerHeads,
         });
@@ -871,7 +892,7 @@
         model: ModelProfile,
         members: readonly Upstream[],
         reason: string,
-        previous: Pick<ManagedGroup, "lostAtMs" | "consecutiveRejections" | "formerHeads"> = {},
+        previous: Pick<ManagedGroup, "lostAtMs" | "repairDurations" | "consecutiveRejections" | "formerHeads"> = {},
     ): void {
         const epoch = this.options.epochs.next();
         const group: ManagedGroup = {
@@ -1092,6 +1113,7 @@
     }
 
     private setPhase(group: ManagedGroup, phase: ManagedGroup["phase"]): void {
+        group.repairDurations = repairSteps.until(group, this.nowMs());
         group.phase = phase;
         group.phaseSinceMs = this.nowMs();
     }
--- a/packages/gateway/src/fleet/ManagedGroup.ts
+++ b/packages/gateway/src/fleet/ManagedGroup.ts
@@ -2,6 +2,7 @@
 import type { Upstream } from "../model/Upstream.js";
 import type { FormerHead } from "./FormerHead.js";
 import type { GroupLoss } from "./GroupLoss.js";
+import type { RepairDurations } from "./RepairDurations.js";
 
 /** A serving group in the state that the controller wants. */
 export interface ManagedGroup {
@@ -22,6 +23,8 @@
     phaseSinceMs: number;
     /** When the group stopped serving, used to measure the repair time; undefined for a new or open group. */
     lostAtMs?: number;
+    /** Steps of the repair that have ended; present while `lostAtMs` is. */
+    repairDurations?: RepairDurations;
     /** When the last close order was sent, monotonic. */
     closeOrderedAtMs?: number;
     /** Present while the phase is `lost`. */
--- a/packages/gateway/src/fleet/OrderSender.ts
+++ b/packages/gateway/src/fleet/OrderSender.ts
@@ -3,6 +3,7 @@
 import type { DecisionLog } from "../ports/DecisionLog.js";
 import type { GatewayMetrics } from "../ports/GatewayMetrics.js";
 import type { GroupOrder } from "../ports/GroupOrder.js";
+import type { OrderOutcome } from "../ports/OrderOutcome.js";
 import type { ReachabilityRecorder } from "../ports/ReachabilityRecorder.js";
 import type { UpstreamControl } from "../ports/UpstreamControl.js";
 import type { UpstreamReport } from "../ports/UpstreamReport.js";
@@ -27,7 +28,7 @@
     reachability: ReachabilityRecorder;
 }
 
-/** An attempt to send an order that the upstream has answered with a conflict. */
+/** An attempt that the upstream has answered with a conflict. */
 interface Attempt {
     order: GroupOrder;
     expectedCount: number;
@@ -38,6 +39,12 @@
     tries: number;
 }
 
+/** What an attempt to send an order has led to. */
+interface AttemptOutcome {
+    outcome: OrderOutcome;
+    expectedCount: number;
+}
+
 type ReceivedReport = UpstreamReport & { kind: "reported"; };
 
 /**
@@ -57,6 +64,14 @@
 };
 
 const MAX_ATTEMPTS = 8;
+/** Number of attempts, from the first, that follow each other at short intervals. */
+const QUICK_ATTEMPTS = 4;
+/**
+ * An order is repeated after this time without a response, although one may still come: upstreams usually respond within a
+ * few milliseconds, and a group waits for the slowest of its members.
+ */
+const QUICK_REPEAT_MS = 120;
+const NEVER = new Promise<never>(() => undefined);
 /** Pause after a conflict, so that reports can catch up. */
 const CONFLICT_DELAY_MS = 70;
 /** Number of conflicts that a report may fail to explain, because reports lag behind. */
@@ -134,7 +149,8 @@
     }
 
     private async resolve(upstream: Upstream, instanceKey: string, order: GroupOrder): Promise<OrderResult> {
-        const { control, log, metrics } = this.options;
+        const { log } = this.options;
+        const attempts = new Set<Promise<AttemptOutcome>>();
         let hadNoResponse = false;
         for (let tries = 1; tries <= MAX_ATTEMPTS; tries++) {
             const report = this.reports.get(instanceKey);
@@ -151,31 +167,24 @@
                 this.options.onOtherGroup(upstream, report);
                 return "outdated";
             }
-            const outcome = await control.order(upstream, order, expectedCount);
-            this.recordReachability(upstream, outcome.kind !== "unknown");
-            metrics.count("orders", `${order.kind} ${outcome.kind}`);
-            log.info("order sent", {
-                upstream: upstream.id,
-                order: order.kind,
-                epoch: "epoch" in order ? order.epoch : undefined,
-                expectedOrderCount: expectedCount,
-                outcome: outcome.kind,
-                status: "status" in outcome ? outcome.status : undefined,
-                tries,
-            });
-            if (outcome.isLeaving) {
-                this.options.onLeaving(upstream);
+            attempts.add(this.attempt(upstream, order, expectedCount, tries));
+            const answered = await this.firstAnswer(attempts, tries);
+            if (!answered) {
+                hadNoResponse = true;
+                continue;
             }
+            const { outcome } = answered;
             if (outcome.kind === "accepted") {
-                this.orderCounts.set(instanceKey, expectedCount + 1);
-                this.recordOrder(upstream, order, expectedCount + 1);
-                if (report?.orderCount === expectedCount && !changesMembership[order.kind]) {
-                    this.reports.set(instanceKey, { ...report, orderCount: expectedCount + 1 });
+                const orderCount = answered.expectedCount + 1;
+                this.orderCounts.set(instanceKey, orderCount);
+                this.recordOrder(upstream, order, orderCount);
+                if (report?.orderCount === answered.expectedCount && !changesMembership[order.kind]) {
+                    this.reports.set(instanceKey, { ...report, orderCount });
                 }
                 return "completed";
             }
             if (outcome.kind === "done") {
-                this.recordOrder(upstream, order, expectedCount);
+                this.recordOrder(upstream, order, answered.expectedCount);
                 return "completed";
             }
             if (outcome.kind === "other-instance") {
@@ -184,10 +193,6 @@
             if (outcome.kind === "refused") {
                 return "rejected";
             }
-            if (outcome.kind === "unknown") {
-                hadNoResponse = true;
-                continue;
-            }
             const isCountKnown = knownCount !== undefined;
             const attempt: Attempt = { order, expectedCount, isCountKnown, hadNoResponse, tries };
             const result = await this.resolveConflict(upstream, instanceKey, attempt);
@@ -198,6 +203,53 @@
         return "unresponsive";
     }
 
+    /** Sends an order once. */
+    private async attempt(
+        upstream: Upstream,
+        order: GroupOrder,
+        expectedCount: number,
+        tries: number,
+    ): Promise<AttemptOutcome> {
+        const { control, log, metrics } = this.options;
+        const outcome = await control.order(upstream, order, expectedCount);
+        this.recordReachability(upstream, outcome.kind !== "unknown");
+        metrics.count("orders", `${order.kind} ${outcome.kind}`);
+        log.info("order sent", {
+            upstream: upstream.id,
+            order: order.kind,
+            epoch: "epoch" in order ? order.epoch : undefined,
+            expectedOrderCount: expectedCount,
+            outcome: outcome.kind,
+            status: "status" in outcome ? outcome.status : undefined,
+            tries,
+        });
+        if (outcome.isLeaving) {
+            this.options.onLeaving(upstream);
+        }
+        return { outcome, expectedCount };
+    }
+
+    /**
+     * Returns the first answer to one of the attempts, which is removed from them, or undefined if the order is to be
+     * repeated. An upstream that gets several attempts accepts only one, as all state the same count.
+     */
+    private async firstAnswer(
+        attempts: Set<Promise<AttemptOutcome>>,
+        tries: number,
+    ): Promise<AttemptOutcome | undefined> {
+        const answers = [...attempts].map(async attempt => {
+            const result = await attempt;
+            if (result.outcome.kind === "unknown") {
+                return NEVER;
+            }
+            attempts.delete(attempt);
+            return result;
+        });
+        const end = Promise.all(attempts).then(() => undefined);
+        const repeat = tries < QUICK_ATTEMPTS ? this.options.clock.sleep(QUICK_REPEAT_MS).then(() => undefined) : NEVER;
+        return Promise.race([...answers, end, repeat]);
+    }
+
     /** Finds out why an order conflicted. Returns undefined if another attempt may succeed. */
     private async resolveConflict(
         upstream: Upstream,
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -16,7 +16,19 @@
 
     /** Adds a duration to a histogram. */
     observe(
-        name: "firstEvent" | "answer" | "queueWait" | "repair" | "restoredRead" | "eventLoopDelay",
+        name:
+            | "firstEvent"
+            | "answer"
+            | "queueWait"
+            | "repair"
+            | "repairDetection"
+            | "repairGivingUp"
+            | "repairLeaving"
+            | "repairChoosing"
+            | "repairJoining"
+            | "repairOpening"
+            | "restoredRead"
+            | "eventLoopDelay",
         durationMs: number,
     ): void;
 }
--- a/packages/gateway/tests/fleet/OrderSender.test.ts
+++ b/packages/gateway/tests/fleet/OrderSender.test.ts
@@ -112,6 +112,36 @@
         });
     }
 
+    // A group waits for the slowest of its members, and an order may get no response for hundreds of milliseconds.
+    it("repeats an order soon, and takes the response to any attempt", async () => {
+        const clock = ManualClock.create();
+        const sentAtMs: number[] = [];
+        const startMs = clock.monotonicMs();
+        const sender = OrderSender.create({
+            clock,
+            log: SilentDecisionLog.create(),
+            metrics: noMetrics,
+            control: {
+                fetchReport: async () => report(0),
+                order: async () => {
+                    sentAtMs.push(clock.monotonicMs() - startMs);
+                    const isFirst = sentAtMs.length === 1;
+                    await clock.sleep(isFirst ? 200 : 1000);
+                    return isFirst ? { kind: "accepted" } : { kind: "unknown", reason: "no answer" };
+                },
+            },
+            onLeaving: () => undefined,
+            onOtherGroup: () => undefined,
+            onOrderDone: () => undefined,
+            onReport: () => undefined,
+            reachability: noReachability,
+        });
+        const result = sender.send(upstream, join);
+        await clock.advance(210);
+        expect(await result).to.equal("completed");
+        expect(sentAtMs).to.deep.equal([0, 120]);
+    });
+
     it("ignores a report that is older than an accepted order", async () => {
         const rig = createSender([{ kind: "accepted" }], [report(0, joined), report(1)]);
         await rig.send(leave);
--- a/packages/gateway/tests/support/FleetRig.ts
+++ b/packages/gateway/tests/support/FleetRig.ts
@@ -11,6 +11,7 @@
 import { PartitionDetector } from "../../src/PartitionDetector.js";
 import { LoadTracker } from "../../src/placement/LoadTracker.js";
 import type { TargetLoad } from "../../src/placement/TargetLoad.js";
+import type { GatewayMetrics } from "../../src/ports/GatewayMetrics.js";
 import type { UpstreamControl } from "../../src/ports/UpstreamControl.js";
 import { UpstreamDirectory } from "../../src/UpstreamDirectory.js";
 import { exampleEngine } from "./exampleEngine.js";
@@ -35,6 +36,12 @@
         set: upstream => this.publish(() => this.directory.set(upstream)),
         remove: (id, reason) => this.publish(() => this.directory.remove(id, reason)),
     });
+    /** Durations that the controller has recorded, by histogram. */
+    readonly durationsMs = new Map<string, number[]>();
+    private readonly metrics: GatewayMetrics = {
+        ...noMetrics,
+        observe: (name, durationMs) => this.durationsMs.set(name, [...this.durationsMs.get(name) ?? [], durationMs]),
+    };
     /** Time until a registration reaches the controller. */
     registrationLagMs = 0;
     readonly lostEpochs: number[] = [];
@@ -161,7 +168,7 @@
         const controller = FleetController.create({
             clock,
             log,
-            metrics: noMetrics,
+            metrics: this.metrics,
             configuration: this.configuration,
             upstreams: this.directory,
             loads: this.loads,
