Bound what a gateway holds for its clients

Clients that stop within a body, send far over the limit, pipeline requests without reading, or open any number of connections could exhaust the memory and the file descriptors of a gateway. The HTTP server parsed up to 64 KiB of pipelined requests at once, each part of a body was kept as a buffer of its own, and V8 frees unused buffers only after 64 MB of them.

--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -7,6 +7,10 @@
     zone: string;
     /** Processor time of the VM, in cores; absent if it is not known. */
     processorCores?: number;
+    /** Memory of the VM; absent if it is not known. */
+    memoryBytes?: number;
+    /** Number of files and connections that the process may have open; absent if it is not known. */
+    fileDescriptors?: number;
     /** Address for callers, HOST:PORT. */
     callerListen: string;
     /** Address for readiness checks, HOST:PORT. */
--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -7,6 +7,7 @@
 const counterHelp = {
     requests: "Requests by how they ended",
     refusals: "Refused requests by reason",
+    clientRefusals: "Requests refused and connections closed because of a limit on clients, by reason",
     retries: "Sendings beyond a request's first, by reason",
     relayed: "Requests sent through another gateway because this one reached no upstream, by outcome",
     groupsLost: "Serving groups found lost, by reason",
--- a/packages/gateway/src/forwarding/GrowingBuffer.ts
+++ b/packages/gateway/src/forwarding/GrowingBuffer.ts
@@ -34,7 +34,10 @@
         if (newCount > this.storage.length) {
             const capacity = Math.max(newCount, 2 * this.storage.length);
             this.memory?.reserve(this, capacity);
-            this.storage = Buffer.concat([this.bytes], capacity);
+            // Memory beyond what has arrived is not touched, so that it is not resident.
+            const grown = Buffer.allocUnsafeSlow(capacity);
+            this.storage.copy(grown, 0, 0, this.byteCount);
+            this.storage = grown;
         }
         chunk.copy(this.storage, this.byteCount);
         this.byteCount = newCount;
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -5,6 +5,7 @@
         name:
             | "requests"
             | "refusals"
+            | "clientRefusals"
             | "retries"
             | "relayed"
             | "groupsLost"
