--- a/packages/gateway/src/adapters/PromGatewayMetrics.ts
+++ b/packages/gateway/src/adapters/PromGatewayMetrics.ts
@@ -8,6 +8,7 @@
     requests: "Requests by how they ended",
     refusals: "Refused requests by reason",
     rankRefusals: "Refused streams by rank, where routes or client accounts lead to more than one",
+    clientRefusals: "Requests refused and connections closed because of a limit on clients, by reason",
     retries: "Sendings beyond a request's first, by reason",
     relayed: "Requests sent through another gateway because this one reached no upstream, by outcome",
     leftZone: "Requests sent to another zone because of the spillover decision, by that zone",
--- a/packages/gateway/src/ports/GatewayMetrics.ts
+++ b/packages/gateway/src/ports/GatewayMetrics.ts
@@ -6,6 +6,7 @@
             | "requests"
             | "refusals"
             | "rankRefusals"
+            | "clientRefusals"
             | "retries"
             | "relayed"
             | "leftZone"
