--- a/packages/gateway/src/fleet/MemberChecker.ts
+++ b/packages/gateway/src/fleet/MemberChecker.ts
@@ -18,6 +18,9 @@
     isReachable: (group: ManagedGroup, sinceMs: number) => boolean;
 }
 
+/** Minimum time between two checks of the members of one group. */
+const CHECK_INTERVAL_MS = 400;
+
 /** Checks whether members of groups are reachable, and records unresponsive and slow ones. */
 export class MemberChecker {
     private constructor(private readonly options: MemberCheckerOptions) {}
@@ -28,7 +31,7 @@
     }
 
     /** Returns true if no check of the group is in progress and the last one ended at least `intervalMs` ago. */
-    isCheckDue(group: ManagedGroup, intervalMs: number): boolean {
+    isCheckDue(group: ManagedGroup, intervalMs = CHECK_INTERVAL_MS): boolean {
         return !group.isChecking && this.options.clock.monotonicMs() - group.checkedAtMs >= intervalMs;
     }
 
