--- a/review/lib-2/Gateways.mjs
+++ b/review/lib-2/Gateways.mjs
@@ -1,20 +1,16 @@
 import { spawn } from "node:child_process";
-import { createWriteStream, existsSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { createWriteStream, existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import path from "node:path";
 
 const ROOT = path.resolve(import.meta.dirname, "../..");
 const delay = ms => new Promise(resolve => setTimeout(resolve, ms));
 
-/** Number of systems that this process has started. */
-let systems = 0;
-
 /** The gateway processes of a small deployment, each on its own loopback address. */
 export class Gateways {
     all = [];
 
     constructor({ storeAddress, bounds = {} }) {
-        this.folder = mkdtempSync(path.join(tmpdir(), "fescue-review-"));
         this.storeAddress = storeAddress;
         this.bounds = bounds;
         const run = /^run = "(.*)"$/m.exec(readFileSync(path.join(ROOT, "deploy/system.toml"), "utf8"))[1];
@@ -22,14 +18,14 @@
         if (!existsSync(path.join(ROOT, this.args.at(-1)))) {
             throw new Error("the gateway is not built");
         }
+        this.folder = mkdtempSync(path.join(tmpdir(), "fescue-review-"));
         // All gateways have the same metrics port, so that each needs an address of its own.
         this.network = `127.${64 + (process.pid >> 8 & 0x3f)}.${process.pid & 0xff}`;
-        systems += 1;
-        this.firstHost = 1 + (systems - 1) * 16 % 240;
+        process.once("SIGTERM", () => void this.close().then(() => process.exit(2)));
     }
 
     async start(zones) {
-        const hosts = zones.map((_, index) => `${this.network}.${this.firstHost + index}`);
+        const hosts = zones.map((_, index) => `${this.network}.${index + 1}`);
         zones.forEach((zone, index) => {
             const name = `frontend-${zone}-${index}`;
             const file = path.join(this.folder, `${name}.toml`);
@@ -91,6 +87,7 @@
             }
         }
         await Promise.all(this.all.map(({ exit }) => exit));
+        rmSync(this.folder, { recursive: true, force: true });
     }
 
     settings(name, zone, host, hosts) {
--- a/review/lib-2/Record.mjs
+++ b/review/lib-2/Record.mjs
@@ -8,6 +8,11 @@
 
     constructor(folder) {
         this.file = path.join(folder, "record.txt");
+        process.on("uncaughtException", error => {
+            this.add(`the case could not run: ${error.stack}`);
+            this.write();
+            process.exit(2);
+        });
     }
 
     add(text) {
