Do not end a requested wait by a misleading failure

Callers saw: requests that went to an upstream which had asked for none, and which failed them. Seen by a test only.

Cause: any response but a rejection counted as served, so the one request with which a long wait is tried ended the wait also if the upstream failed it with 408, 429 or 503.

Change: such a failure does not end a wait. A 500 does, as the upstream takes requests again. A wait that is named in a 503 counts as before, whether or not the response states that the request has not run; the method that records it no longer calls it a rejection.

--- a/packages/gateway/src/forwarding/ResponseRecordingClient.ts
+++ b/packages/gateway/src/forwarding/ResponseRecordingClient.ts
@@ -8,6 +8,7 @@
 import type { UpstreamRequest } from "../ports/UpstreamRequest.js";
 import type { UpstreamResponse } from "../ports/UpstreamResponse.js";
 import type { UpstreamDirectory } from "../UpstreamDirectory.js";
+import { judgeResponse } from "./judgeResponse.js";
 
 interface ResponseRecordingClientOptions {
     clock: Clock;
@@ -53,10 +54,11 @@
     /** Records the announcements of a response that is certain to come from the upstream itself. */
     private record(
         upstream: Upstream,
-        { kind, announcements }: UpstreamResponse & { kind: "answered" | "not-run"; },
+        response: UpstreamResponse & { kind: "answered" | "not-run"; },
         sentAtMs: number,
     ): void {
         const { limits, waits, upstreams } = this.options;
+        const { kind, announcements } = response;
         // A rejection that names no limit does not withdraw one.
         if (kind === "answered" || announcements?.limit) {
             limits.recordResponse(upstream, announcements?.limit, sentAtMs);
@@ -65,9 +67,9 @@
             upstreams.recordLeaving({ upstream: upstream.id, startedAtMs: upstream.startedAtMs, ageMs: 0 }, "response");
         }
         if (announcements?.waitMs !== undefined) {
-            waits.recordRejection(upstream, announcements.waitMs);
+            waits.recordWait(upstream, announcements.waitMs);
         }
-        else if (kind === "answered") {
+        else if (kind === "answered" && judgeResponse(response) !== "misleading-failure") {
             waits.recordServed(upstream, sentAtMs);
         }
         if (announcements?.unreadable) {
--- a/packages/gateway/src/placement/RequestedWaits.ts
+++ b/packages/gateway/src/placement/RequestedWaits.ts
@@ -11,8 +11,8 @@
 interface RequestedWait {
     /** Instance that asked for it, Unix time. */
     startedAtMs: number;
-    /** When its last rejection arrived. */
-    rejectedAtMs: number;
+    /** When it last asked for a wait. */
+    requestedAtMs: number;
     untilMs: number;
     /** When one request may be sent although the wait is not over; Infinity once it has been sent. */
     trialAtMs: number;
@@ -22,8 +22,8 @@
 const TRIAL_AFTER_MS = 10_000;
 
 /**
- * Waits that upstreams have asked this gateway for when they rejected requests. They end with their time, with the
- * upstream's instance, or when the upstream serves a request that was sent after its last rejection. They are not
+ * Waits that upstreams have asked this gateway for when they rejected or failed requests. They end with their time, with
+ * the upstream's instance, or when the upstream serves a request that was sent after it last asked for one. They are not
  * shared, because an upstream may reject the requests of one gateway only.
  */
 export class RequestedWaits {
@@ -47,8 +47,8 @@
         return wait ? Math.max(0, Math.min(wait.untilMs, wait.trialAtMs) - this.options.clock.monotonicMs()) : 0;
     }
 
-    /** Records that the upstream has rejected a request and asked for a wait. A shorter wait does not end a longer one. */
-    recordRejection(upstream: Upstream, waitMs: number): void {
+    /** Records that the upstream has asked for a wait. A shorter wait does not end a longer one. */
+    recordWait(upstream: Upstream, waitMs: number): void {
         const nowMs = this.options.clock.monotonicMs();
         if (waitMs === 0) {
             return;
@@ -57,7 +57,7 @@
         const known = this.waitOf(upstream);
         this.waits.set(upstream.id, {
             startedAtMs: upstream.startedAtMs,
-            rejectedAtMs: nowMs,
+            requestedAtMs: nowMs,
             untilMs: Math.max(nowMs + waitMs, known?.untilMs ?? -Infinity),
             trialAtMs: known?.trialAtMs ?? nowMs + TRIAL_AFTER_MS,
         });
@@ -75,7 +75,7 @@
     /** Records that the upstream has served a request. */
     recordServed(upstream: Upstream, sentAtMs: number): void {
         const wait = this.waitOf(upstream);
-        if (wait && sentAtMs > wait.rejectedAtMs) {
+        if (wait && sentAtMs > wait.requestedAtMs) {
             this.waits.delete(upstream.id);
             this.options.log.info("upstream serves again during its wait", { upstream: upstream.id });
         }
--- a/packages/gateway/tests/forwarding/requestedWaits.test.ts
+++ b/packages/gateway/tests/forwarding/requestedWaits.test.ts
@@ -101,6 +101,43 @@
             expect(arrivedAtMs.get("full")!.length).to.be.above(10);
         });
 
+        // Guards against requests for an upstream that asked for none and still fails what it gets.
+        for (const status of [408, 429, 503]) {
+            it(`gets none when it fails the one with which a long wait is tried, with ${status}`, async () => {
+                rig.directory.set(upstream("full", 1));
+                serve({ full: 60_000 });
+                await sendFor(1000);
+                rig.client.serve(({ id }) => {
+                    arrivedAtMs.set(id, [...arrivedAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
+                    return responses.complete(status, "no");
+                });
+                await sendFor(20_000);
+                expect(arrivedAtMs.get("full")!.length).to.equal(2);
+            });
+        }
+
+        it("gets requests again when it fails the one with which a long wait is tried with 500", async () => {
+            rig.directory.set(upstream("full", 1));
+            serve({ full: 60_000 });
+            await sendFor(1000);
+            rig.client.serve(({ id }) => {
+                arrivedAtMs.set(id, [...arrivedAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
+                return responses.complete(500, "no");
+            });
+            await sendFor(20_000);
+            expect(arrivedAtMs.get("full")!.length).to.be.above(10);
+        });
+
+        it("gets none for as long as it asks for in a response to a request that it may have run", async () => {
+            rig.directory.set(upstream("full", 1));
+            rig.client.serve(({ id }) => {
+                arrivedAtMs.set(id, [...arrivedAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
+                return { ...responses.complete(503, "no"), announcements: { waitMs: 5000 } };
+            });
+            await sendFor(4900);
+            expect(arrivedAtMs.get("full")!.length).to.equal(1);
+        });
+
         it("gets requests at once as a new instance", async () => {
             rig.directory.set(upstream("full", 1));
             serve({ full: 60_000 });
