--- a/packages/gateway/tests/forwarding/requestedWaits.test.ts
+++ b/packages/gateway/tests/forwarding/requestedWaits.test.ts
@@ -40,12 +40,12 @@
 
         afterEach(() => rig.close());
 
-        function serve(waitsMs: Readonly<Record<string, number>>): void {
+        function serve(waitsMs: Readonly<Record<string, number>>, respond = response): void {
             rig.client.serve(({ id }) => {
                 arrivedAtMs.set(id, [...arrivedAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
                 const waitMs = waitsMs[id];
                 return waitMs === undefined
-                    ? response()
+                    ? respond()
                     : { kind: "not-run", reason: "overloaded", announcements: { waitMs } };
             });
         }
@@ -107,10 +107,7 @@
                 rig.directory.set(upstream("full", 1));
                 serve({ full: 60_000 });
                 await sendFor(1000);
-                rig.client.serve(({ id }) => {
-                    arrivedAtMs.set(id, [...arrivedAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
-                    return responses.complete(status, "no");
-                });
+                serve({}, () => responses.complete(status, "no"));
                 await sendFor(20_000);
                 expect(arrivedAtMs.get("full")!.length).to.equal(2);
             });
@@ -120,20 +117,14 @@
             rig.directory.set(upstream("full", 1));
             serve({ full: 60_000 });
             await sendFor(1000);
-            rig.client.serve(({ id }) => {
-                arrivedAtMs.set(id, [...arrivedAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
-                return responses.complete(500, "no");
-            });
+            serve({}, () => responses.complete(500, "no"));
             await sendFor(20_000);
             expect(arrivedAtMs.get("full")!.length).to.be.above(10);
         });
 
         it("gets none for as long as it asks for in a response to a request that it may have run", async () => {
             rig.directory.set(upstream("full", 1));
-            rig.client.serve(({ id }) => {
-                arrivedAtMs.set(id, [...arrivedAtMs.get(id) ?? [], rig.clock.monotonicMs()]);
-                return { ...responses.complete(503, "no"), announcements: { waitMs: 5000 } };
-            });
+            serve({}, () => ({ ...responses.complete(503, "no"), announcements: { waitMs: 5000 } }));
             await sendFor(4900);
             expect(arrivedAtMs.get("full")!.length).to.equal(1);
         });
